--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -1,6 +1,8 @@
 // Keeps the lists, the token keys and the VM list current.
 #pragma once
 
+#include <functional>
+
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
@@ -24,6 +26,9 @@
   /// Compares what a peer said it has with what is here.
   auto OnHeartbeat(const peer::Member& aMember) -> void;
 
+  /// Calls aListener after the targets were read from the VM list.
+  auto OnTargets(std::function<void()> aListener) -> void;
+
   auto NewestKey() const -> std::uint32_t;
 
 private:
@@ -43,6 +48,7 @@
   peer::PeerHub& m_hub;
   peer::Membership& m_members;
   target::TargetTable& m_targets;
+  std::function<void()> m_onTargets;
 };
 
 } // namespace bramleylock::kernel
--- a/include/bramleylock/Support/Asio.h
+++ b/include/bramleylock/Support/Asio.h
@@ -29,8 +29,7 @@
 using Milliseconds = std::chrono::milliseconds;
 
 /// A completion token that stores the error instead of throwing.
-inline auto
-Into(boost::system::error_code& aError)
+inline auto Into(boost::system::error_code& aError)
 {
   return asio::redirect_error(asio::use_awaitable, aError);
 }
--- a/include/bramleylock/Support/Errors.h
+++ b/include/bramleylock/Support/Errors.h
@@ -34,7 +34,7 @@
 /// Declares make_error_code for ENUM with messages from TABLE.
 #define BRAMLEYLOCK_ERROR_ENUM(SPACE, ENUM, TABLE, NAME)                       \
   namespace SPACE {                                                            \
-  inline auto make_error_code(ENUM aError)->std::error_code                    \
+  inline auto make_error_code(ENUM aError) -> std::error_code                  \
   {                                                                            \
     static const ::bramleylock::NamedCategory<ENUM, TABLE> category(NAME);     \
     return { static_cast<int>(aError), category };                             \
--- a/include/bramleylock/Support/Log.h
+++ b/include/bramleylock/Support/Log.h
@@ -44,20 +44,20 @@
 auto Log(LogLevel aLevel, std::string_view aEvent,
          std::initializer_list<LogField> aFields) -> void;
 
-inline auto
-LogInfo(std::string_view aEvent, std::initializer_list<LogField> aFields)
+inline auto LogInfo(std::string_view aEvent,
+                    std::initializer_list<LogField> aFields)
 {
   Log(LogLevel::Info, aEvent, aFields);
 }
 
-inline auto
-LogWarning(std::string_view aEvent, std::initializer_list<LogField> aFields)
+inline auto LogWarning(std::string_view aEvent,
+                       std::initializer_list<LogField> aFields)
 {
   Log(LogLevel::Warning, aEvent, aFields);
 }
 
-inline auto
-LogError(std::string_view aEvent, std::initializer_list<LogField> aFields)
+inline auto LogError(std::string_view aEvent,
+                     std::initializer_list<LogField> aFields)
 {
   Log(LogLevel::Error, aEvent, aFields);
 }
--- a/include/bramleylock/Support/Names.h
+++ b/include/bramleylock/Support/Names.h
@@ -14,9 +14,8 @@
 
 /// The name of aValue in aTable, or "unknown" when it has no row.
 template<typename Enum, std::size_t Size>
-constexpr auto
-NameOf(const std::array<NameRow<Enum>, Size>& aTable, Enum aValue)
-  -> std::string_view
+constexpr auto NameOf(const std::array<NameRow<Enum>, Size>& aTable,
+                      Enum aValue) -> std::string_view
 {
   for (const auto& [value, name] : aTable) {
     if (value == aValue) {
@@ -28,9 +27,8 @@
 
 /// The enumerator that aTable lists under aName.
 template<typename Enum, std::size_t Size>
-constexpr auto
-ValueOf(const std::array<NameRow<Enum>, Size>& aTable, std::string_view aName)
-  -> std::optional<Enum>
+constexpr auto ValueOf(const std::array<NameRow<Enum>, Size>& aTable,
+                       std::string_view aName) -> std::optional<Enum>
 {
   for (const auto& [value, name] : aTable) {
     if (name == aName) {
--- a/include/bramleylock/Target/TargetTransport.h
+++ b/include/bramleylock/Target/TargetTransport.h
@@ -72,8 +72,8 @@
   virtual auto ReadHead(std::error_code& aError) -> awaitable<TargetHead> = 0;
 
   /// Reads up to aSize bytes of the body; 0 at its end.
-  virtual auto ReadSome(char* aData, std::size_t aSize,
-                        std::error_code& aError) -> awaitable<std::size_t> = 0;
+  virtual auto ReadSome(char* aData, std::size_t aSize, std::error_code& aError)
+    -> awaitable<std::size_t> = 0;
 
   /// Whether another request can follow on this connection.
   virtual auto Reusable() const -> bool = 0;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -96,8 +96,7 @@
 
 /// Packs the body of a message.
 template<typename Message>
-auto
-PackBody(const Message& aMessage) -> std::string
+auto PackBody(const Message& aMessage) -> std::string
 {
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, aMessage);
@@ -106,8 +105,7 @@
 
 /// Unpacks the body of a message; empty when it is malformed.
 template<typename Message>
-auto
-UnpackBody(const std::string& aBody) -> std::optional<Message>
+auto UnpackBody(const std::string& aBody) -> std::optional<Message>
 {
   try {
     const auto handle = msgpack::unpack(aBody.data(), aBody.size());
--- a/lib/Caller/Client.cpp
+++ b/lib/Caller/Client.cpp
@@ -84,15 +84,13 @@
   m_client.m_flows.erase(m_id);
 }
 
-auto
-Flow::Id() const -> std::uint64_t
+auto Flow::Id() const -> std::uint64_t
 {
   return m_id;
 }
 
-auto
-Flow::MakePacket(PacketType aType, std::uint32_t aSequence,
-                 const std::string& aToken) const -> wire::Packet
+auto Flow::MakePacket(PacketType aType, std::uint32_t aSequence,
+                      const std::string& aToken) const -> wire::Packet
 {
   wire::Packet packet;
   packet.type = aType;
@@ -103,12 +101,12 @@
   return packet;
 }
 
-auto
-Flow::SendRequest(Pending& aPending) -> void
+auto Flow::SendRequest(Pending& aPending) -> void
 {
-  const auto left = std::chrono::duration_cast<Milliseconds>(
-    aPending.deadline - Clock::now());
-  auto packet = MakePacket(PacketType::Request, aPending.sequence, aPending.token);
+  const auto left =
+    std::chrono::duration_cast<Milliseconds>(aPending.deadline - Clock::now());
+  auto packet =
+    MakePacket(PacketType::Request, aPending.sequence, aPending.token);
   packet.credential = m_credential;
   packet.work = aPending.options.work;
   packet.payload = aPending.options.payload;
@@ -121,10 +119,10 @@
   m_client.Send(packet);
 }
 
-auto
-Flow::Acknowledge(Pending& aPending) -> void
+auto Flow::Acknowledge(Pending& aPending) -> void
 {
-  auto packet = MakePacket(PacketType::Acknowledge, aPending.sequence, aPending.token);
+  auto packet =
+    MakePacket(PacketType::Acknowledge, aPending.sequence, aPending.token);
   packet.part = aPending.firstMissing;
   for (auto part = aPending.firstMissing;
        part < aPending.highest && packet.missing.size() < kMissingLimit;
@@ -137,8 +135,7 @@
   m_client.Send(packet);
 }
 
-auto
-Flow::Call(CallOptions aOptions) -> awaitable<CallResult>
+auto Flow::Call(CallOptions aOptions) -> awaitable<CallResult>
 {
   auto pending = std::make_shared<Pending>(m_client.m_context);
   const auto started = Clock::now();
@@ -162,7 +159,8 @@
     if (pending->opened) {
       pending->opened = false;
       SendRequest(*pending);
-    } else if (pending->received > 0 && now - pending->lastPart > kPartSilence) {
+    } else if (pending->received > 0 &&
+               now - pending->lastPart > kPartSilence) {
       if (now - pending->lastPart > kAnswerSilence &&
           now >= pending->nextResend) {
         pending->nextResend = now + kAnswerSilence;
@@ -176,8 +174,8 @@
       pending->nextResend =
         now + (pending->accepted ? kAcceptedResend : pending->resendAfter);
     }
-    const auto tick = pending->received > 0 ? now + kPartSilence
-                                            : pending->nextResend;
+    const auto tick =
+      pending->received > 0 ? now + kPartSilence : pending->nextResend;
     co_await pending->changed.WaitUntil(std::min(tick, pending->deadline));
   }
   m_pending.erase(pending->sequence);
@@ -185,8 +183,7 @@
   co_return std::move(pending->result);
 }
 
-auto
-Flow::Cancel() -> void
+auto Flow::Cancel() -> void
 {
   for (auto& [sequence, pending] : m_pending) {
     m_client.Send(MakePacket(PacketType::Cancel, sequence, pending->token));
@@ -197,8 +194,7 @@
   }
 }
 
-auto
-Flow::Receive(wire::Packet& aPacket) -> void
+auto Flow::Receive(wire::Packet& aPacket) -> void
 {
   const auto found = m_pending.find(aPacket.sequence);
   if (found == m_pending.end() || found->second->done) {
@@ -231,8 +227,8 @@
   pending.changed.Notify();
 }
 
-auto
-Flow::ReceiveRefusal(Pending& aPending, const wire::Packet& aPacket) -> void
+auto Flow::ReceiveRefusal(Pending& aPending, const wire::Packet& aPacket)
+  -> void
 {
   if (aPacket.type != PacketType::Unknown && aPacket.token.empty() &&
       aPending.sentWithToken) {
@@ -264,8 +260,7 @@
 /// Two copies of a first packet may open two owners. The first one heard is
 /// kept while it is heard; another is told to stop. An at-most-once request
 /// never changes its owner: "opened" counts only for a request without one.
-auto
-Flow::AdoptToken(Pending& aPending, const wire::Packet& aPacket) -> bool
+auto Flow::AdoptToken(Pending& aPending, const wire::Packet& aPacket) -> bool
 {
   if (aPacket.token.empty()) {
     return true;
@@ -288,8 +283,7 @@
   return true;
 }
 
-auto
-Flow::ReceivePart(Pending& aPending, wire::Packet& aPacket) -> void
+auto Flow::ReceivePart(Pending& aPending, wire::Packet& aPacket) -> void
 {
   if (aPacket.part >= kPartsLimit || aPacket.parts > kPartsLimit) {
     ++m_client.m_stray;
@@ -351,51 +345,48 @@
 
 Client::Client(asio::io_context& aContext, const Udp::endpoint& aServer)
   : m_context(aContext)
-  , m_socket(aContext, Udp::endpoint(aServer.address().is_v4()
-                                       ? asio::ip::address(asio::ip::address_v4::any())
-                                       : asio::ip::address(asio::ip::address_v6::any()),
-                                     0))
+  , m_socket(aContext,
+             Udp::endpoint(aServer.address().is_v4()
+                             ? asio::ip::address(asio::ip::address_v4::any())
+                             : asio::ip::address(asio::ip::address_v6::any()),
+                           0))
   , m_server(aServer)
 {
   boost::system::error_code ignored;
   m_socket.set_option(
     asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
-  m_socket.set_option(
-    asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+  m_socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
+                      ignored);
   m_socket.non_blocking(true, ignored);
   Spawn(m_context, "caller-receive", ReceiveLoop());
 }
 
-auto
-Client::Close() -> void
+auto Client::Close() -> void
 {
   boost::system::error_code ignored;
   m_socket.close(ignored);
 }
 
-auto
-Client::Stray() const -> std::uint64_t
+auto Client::Stray() const -> std::uint64_t
 {
   return m_stray;
 }
 
-auto
-Client::Send(const wire::Packet& aPacket) -> void
+auto Client::Send(const wire::Packet& aPacket) -> void
 {
   boost::system::error_code ignored;
   // A full socket buffer loses the packet, as the network may; it is resent.
   m_socket.send_to(asio::buffer(wire::Encode(aPacket)), m_server, 0, ignored);
 }
 
-auto
-Client::ReceiveLoop() -> awaitable<void>
+auto Client::ReceiveLoop() -> awaitable<void>
 {
   std::array<char, wire::kPacketBytes + 1> buffer{};
   while (m_socket.is_open()) {
     Udp::endpoint from;
     boost::system::error_code failure;
-    const auto size = co_await m_socket.async_receive_from(
-      asio::buffer(buffer), from, Into(failure));
+    const auto size = co_await m_socket.async_receive_from(asio::buffer(buffer),
+                                                           from, Into(failure));
     if (failure == asio::error::operation_aborted) {
       co_return;
     }
--- a/lib/Flow/AnswerSender.cpp
+++ b/lib/Flow/AnswerSender.cpp
@@ -30,41 +30,36 @@
 {
 }
 
-auto
-AnswerSender::SetLength(std::uint64_t aBytes) -> void
+auto AnswerSender::SetLength(std::uint64_t aBytes) -> void
 {
   const auto parts = (aBytes + wire::kPartBytes - 1) / wire::kPartBytes;
-  m_template.parts = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, parts));
+  m_template.parts =
+    static_cast<std::uint32_t>(std::max<std::uint64_t>(1, parts));
 }
 
-auto
-AnswerSender::SkipTo(std::uint32_t aFirst) -> void
+auto AnswerSender::SkipTo(std::uint32_t aFirst) -> void
 {
   m_base = aFirst;
   m_unsent = aFirst;
 }
 
-auto
-AnswerSender::SetCode(std::uint32_t aStatus, std::uint64_t aTag) -> void
+auto AnswerSender::SetCode(std::uint32_t aStatus, std::uint64_t aTag) -> void
 {
   m_template.code = aStatus;
   m_template.answerTag = aTag;
 }
 
-auto
-AnswerSender::Base() const -> std::uint32_t
+auto AnswerSender::Base() const -> std::uint32_t
 {
   return m_base;
 }
 
-auto
-AnswerSender::Window() const -> std::uint32_t
+auto AnswerSender::Window() const -> std::uint32_t
 {
   return static_cast<std::uint32_t>(m_window);
 }
 
-auto
-AnswerSender::Push(const char* aData, std::size_t aSize) -> awaitable<bool>
+auto AnswerSender::Push(const char* aData, std::size_t aSize) -> awaitable<bool>
 {
   m_partial.append(aData, aSize);
   std::size_t used = 0;
@@ -83,8 +78,7 @@
   co_return !m_aborted;
 }
 
-auto
-AnswerSender::Finish() -> awaitable<bool>
+auto AnswerSender::Finish() -> awaitable<bool>
 {
   const auto last = m_base + static_cast<std::uint32_t>(m_parts.size());
   m_template.parts = last + 1;
@@ -98,15 +92,13 @@
   co_return !m_aborted;
 }
 
-auto
-AnswerSender::Queue(std::string aPayload) -> void
+auto AnswerSender::Queue(std::string aPayload) -> void
 {
   m_parts.push_back({ std::move(aPayload) });
   SendWaiting();
 }
 
-auto
-AnswerSender::SendWaiting() -> void
+auto AnswerSender::SendWaiting() -> void
 {
   const auto end = m_base + static_cast<std::uint32_t>(m_parts.size());
   const auto limit = std::min(end, m_base + Window());
@@ -116,8 +108,7 @@
   }
 }
 
-auto
-AnswerSender::SendPart(std::uint32_t aIndex) -> void
+auto AnswerSender::SendPart(std::uint32_t aIndex) -> void
 {
   auto& part = m_parts[aIndex - m_base];
   part.sentAt = Clock::now();
@@ -127,8 +118,7 @@
   SendPacket(m_environment, m_caller, m_template);
 }
 
-auto
-AnswerSender::Resend(std::uint32_t aIndex) -> void
+auto AnswerSender::Resend(std::uint32_t aIndex) -> void
 {
   const auto end = m_base + static_cast<std::uint32_t>(m_parts.size());
   if (aIndex < m_base || aIndex >= end || !m_parts[aIndex - m_base].sent) {
@@ -146,8 +136,7 @@
   SendPart(aIndex);
 }
 
-auto
-AnswerSender::ResendOverdue() -> void
+auto AnswerSender::ResendOverdue() -> void
 {
   if (m_parts.empty()) {
     return;
@@ -161,8 +150,7 @@
   m_resendAfter = std::min(m_resendAfter * 2, kLastResend);
 }
 
-auto
-AnswerSender::WaitForProgress() -> awaitable<bool>
+auto AnswerSender::WaitForProgress() -> awaitable<bool>
 {
   const auto before = m_base;
   while (m_base == before && !m_aborted) {
@@ -176,9 +164,8 @@
   co_return !m_aborted;
 }
 
-auto
-AnswerSender::Acknowledge(const wire::Packet& aPacket,
-                          const Udp::endpoint& aCaller) -> void
+auto AnswerSender::Acknowledge(const wire::Packet& aPacket,
+                               const Udp::endpoint& aCaller) -> void
 {
   m_caller = aCaller;
   m_lastHeard = Clock::now();
@@ -202,8 +189,7 @@
   m_progress.Notify();
 }
 
-auto
-AnswerSender::Abort() -> void
+auto AnswerSender::Abort() -> void
 {
   m_aborted = true;
   m_progress.Notify();
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -44,8 +44,7 @@
 {
 }
 
-auto
-Dispatcher::Start() -> void
+auto Dispatcher::Start() -> void
 {
   m_environment.hub.On(
     wire::MessageType::Forwarded,
@@ -60,26 +59,22 @@
   Spawn(m_environment.context, "expire-flows", ExpireLoop());
 }
 
-auto
-Dispatcher::Drain() -> void
+auto Dispatcher::Drain() -> void
 {
   m_draining = true;
 }
 
-auto
-Dispatcher::Draining() const -> bool
+auto Dispatcher::Draining() const -> bool
 {
   return m_draining;
 }
 
-auto
-Dispatcher::Flows() const -> const FlowTable&
+auto Dispatcher::Flows() const -> const FlowTable&
 {
   return m_flows;
 }
 
-auto
-Dispatcher::ExpireLoop() -> awaitable<void>
+auto Dispatcher::ExpireLoop() -> awaitable<void>
 {
   for (;;) {
     co_await Sleep(kExpireEvery);
@@ -88,9 +83,8 @@
   }
 }
 
-auto
-Dispatcher::OnDatagram(const char* aData, std::size_t aSize,
-                       const Udp::endpoint& aCaller) -> void
+auto Dispatcher::OnDatagram(const char* aData, std::size_t aSize,
+                            const Udp::endpoint& aCaller) -> void
 {
   m_environment.metrics.Add(Counter::PacketsReceived);
   Arrival arrival;
@@ -100,8 +94,7 @@
   Handle(arrival);
 }
 
-auto
-Dispatcher::OnForwarded(const wire::Forwarded& aForwarded) -> void
+auto Dispatcher::OnForwarded(const wire::Forwarded& aForwarded) -> void
 {
   Arrival arrival;
   std::error_code error;
@@ -116,8 +109,7 @@
   Handle(arrival);
 }
 
-static auto
-CounterFor(std::error_code aError) -> Counter
+static auto CounterFor(std::error_code aError) -> Counter
 {
   if (aError == wire::PacketError::Oversized) {
     return Counter::PacketOversized;
@@ -126,8 +118,7 @@
                                               : Counter::PacketMalformed;
 }
 
-auto
-Dispatcher::Handle(Arrival& aArrival) -> void
+auto Dispatcher::Handle(Arrival& aArrival) -> void
 {
   std::error_code error;
   aArrival.packet = wire::Decode(aArrival.data, aArrival.size, error);
@@ -151,8 +142,7 @@
   }
 }
 
-auto
-Dispatcher::Authorize(Arrival& aArrival) -> Reason
+auto Dispatcher::Authorize(Arrival& aArrival) -> Reason
 {
   const auto lists = m_environment.lists.Current();
   if (!lists || m_environment.keys.Empty()) {
@@ -191,8 +181,7 @@
 }
 
 /// Refuses what the lists do not allow; true when the packet may go on.
-auto
-Dispatcher::CheckAuthorized(Arrival& aArrival) -> bool
+auto Dispatcher::CheckAuthorized(Arrival& aArrival) -> bool
 {
   const auto refusal = Authorize(aArrival);
   if (refusal == Reason::None) {
@@ -204,8 +193,7 @@
   return false;
 }
 
-auto
-Dispatcher::HandleRequest(Arrival& aArrival) -> void
+auto Dispatcher::HandleRequest(Arrival& aArrival) -> void
 {
   // A packet with a token goes to its owner first: only the owner can say
   // whether the request was run, whatever this balancer's lists allow.
@@ -226,8 +214,7 @@
   OpenFlow(aArrival);
 }
 
-auto
-Dispatcher::OpenFlow(Arrival& aArrival) -> void
+auto Dispatcher::OpenFlow(Arrival& aArrival) -> void
 {
   auto flow = m_flows.Find(aArrival.packet.flow);
   if (!flow) {
@@ -243,8 +230,7 @@
   StartRequest(aArrival, flow);
 }
 
-auto
-Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
+auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
 {
   const auto& self = m_environment.members.Self();
   auto flow = std::make_shared<Flow>();
@@ -264,13 +250,11 @@
   return flow;
 }
 
-auto
-Dispatcher::HandleRouted(Arrival& aArrival) -> void
+auto Dispatcher::HandleRouted(Arrival& aArrival) -> void
 {
   std::error_code error;
   const auto& packet = aArrival.packet;
-  aArrival.token =
-    m_environment.keys.Verify(packet.token, packet.flow, error);
+  aArrival.token = m_environment.keys.Verify(packet.token, packet.flow, error);
   if (error) {
     const auto reason = error == wire::TokenError::KeyUnknown
                           ? Reason::KeyUnknown
@@ -294,17 +278,15 @@
     return;
   }
   const bool replaced = aArrival.token.owner == self.address;
-  if (replaced ||
-      !m_environment.members.IsAlive(aArrival.token.owner,
-                                     aArrival.token.ownerIncarnation)) {
+  if (replaced || !m_environment.members.IsAlive(
+                    aArrival.token.owner, aArrival.token.ownerIncarnation)) {
     HandleOwnerLost(aArrival);
     return;
   }
   Forward(aArrival, aArrival.token.owner);
 }
 
-auto
-Dispatcher::HandleOwnerLost(Arrival& aArrival) -> void
+auto Dispatcher::HandleOwnerLost(Arrival& aArrival) -> void
 {
   if (aArrival.packet.type != PacketType::Request) {
     m_environment.metrics.Add(Counter::PacketStray);
@@ -321,8 +303,7 @@
   OpenFlow(aArrival);
 }
 
-auto
-Dispatcher::HandleOwned(Arrival& aArrival) -> void
+auto Dispatcher::HandleOwned(Arrival& aArrival) -> void
 {
   const auto& packet = aArrival.packet;
   auto flow = m_flows.Find(packet.flow);
@@ -375,9 +356,8 @@
   }
 }
 
-auto
-Dispatcher::RepeatKnown(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
-  -> bool
+auto Dispatcher::RepeatKnown(Arrival& aArrival,
+                             const std::shared_ptr<Flow>& aFlow) -> bool
 {
   const auto sequence = aArrival.packet.sequence;
   const auto active = aFlow->active.find(sequence);
@@ -398,9 +378,8 @@
   return false;
 }
 
-auto
-Dispatcher::StartRequest(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
-  -> void
+auto Dispatcher::StartRequest(Arrival& aArrival,
+                              const std::shared_ptr<Flow>& aFlow) -> void
 {
   if (aFlow->plan != aArrival.plan ||
       aFlow->service != aArrival.packet.service) {
@@ -434,8 +413,8 @@
         RunRequest(m_environment, aFlow, exchange));
 }
 
-auto
-Dispatcher::Forward(const Arrival& aArrival, const std::string& aOwner) -> void
+auto Dispatcher::Forward(const Arrival& aArrival, const std::string& aOwner)
+  -> void
 {
   if (aArrival.forwarded) {
     // The sender took us for the owner; its caller will send again.
@@ -451,16 +430,14 @@
                                 forwarded);
 }
 
-auto
-Dispatcher::PassToPeer(const Arrival& aArrival) -> bool
+auto Dispatcher::PassToPeer(const Arrival& aArrival) -> bool
 {
   auto peers = m_environment.members.AliveInDomain();
   if (peers.empty()) {
     peers = m_environment.members.Alive();
   }
-  std::erase_if(peers, [](const peer::Member& aMember) {
-    return aMember.latest.draining;
-  });
+  std::erase_if(
+    peers, [](const peer::Member& aMember) { return aMember.latest.draining; });
   if (peers.empty()) {
     return false;
   }
@@ -468,9 +445,8 @@
   return true;
 }
 
-auto
-Dispatcher::SendWithToken(const Arrival& aArrival, PacketType aType,
-                          const Flow& aFlow) -> void
+auto Dispatcher::SendWithToken(const Arrival& aArrival, PacketType aType,
+                               const Flow& aFlow) -> void
 {
   wire::Packet packet;
   packet.type = aType;
@@ -482,18 +458,16 @@
 
 /// Refuses a request here. For at-most-once work without a token that is "not
 /// run"; anything else may have run at another owner.
-auto
-Dispatcher::Refuse(const Arrival& aArrival, Reason aReason,
-                   std::uint32_t aRetryAfterMs) -> void
+auto Dispatcher::Refuse(const Arrival& aArrival, Reason aReason,
+                        std::uint32_t aRetryAfterMs) -> void
 {
   const bool once = aArrival.work.execution == Execution::AtMostOnce;
   Reply(aArrival, once ? PacketType::NotRun : PacketType::Refused, aReason,
         aRetryAfterMs);
 }
 
-auto
-Dispatcher::Reply(const Arrival& aArrival, PacketType aType, Reason aReason,
-                  std::uint32_t aRetryAfterMs) -> void
+auto Dispatcher::Reply(const Arrival& aArrival, PacketType aType,
+                       Reason aReason, std::uint32_t aRetryAfterMs) -> void
 {
   wire::Packet packet;
   packet.type = aType;
--- a/lib/Flow/Environment.cpp
+++ b/lib/Flow/Environment.cpp
@@ -37,8 +37,7 @@
   { Reason::FlowForgotten, Counter::UnknownFlowForgotten },
 } };
 
-auto
-CountReason(Metrics& aMetrics, Reason aReason) -> void
+auto CountReason(Metrics& aMetrics, Reason aReason) -> void
 {
   for (const auto& [reason, counter] : kReasonCounters) {
     if (reason == aReason) {
@@ -48,9 +47,8 @@
   }
 }
 
-auto
-SendPacket(Environment& aEnvironment, const Udp::endpoint& aCaller,
-           const wire::Packet& aPacket) -> void
+auto SendPacket(Environment& aEnvironment, const Udp::endpoint& aCaller,
+                const wire::Packet& aPacket) -> void
 {
   aEnvironment.metrics.Add(Counter::PacketsSent);
   aEnvironment.send(aCaller, wire::Encode(aPacket));
--- a/lib/Flow/FlowTable.cpp
+++ b/lib/Flow/FlowTable.cpp
@@ -6,30 +6,26 @@
 
 namespace bramleylock::flow {
 
-auto
-FlowTable::Find(std::uint64_t aId) -> std::shared_ptr<Flow>
+auto FlowTable::Find(std::uint64_t aId) -> std::shared_ptr<Flow>
 {
   const auto found = m_flows.find(aId);
   return found == m_flows.end() ? nullptr : found->second;
 }
 
-auto
-FlowTable::Add(std::shared_ptr<Flow> aFlow) -> void
+auto FlowTable::Add(std::shared_ptr<Flow> aFlow) -> void
 {
   assert(!m_flows.contains(aFlow->id));
   m_flows.emplace(aFlow->id, std::move(aFlow));
 }
 
-auto
-FlowTable::Remove(std::uint64_t aId) -> void
+auto FlowTable::Remove(std::uint64_t aId) -> void
 {
   m_flows.erase(aId);
 }
 
 /// Drops old outcomes; the floor rises over each, so that a duplicate that
 /// comes later still is not run.
-static auto
-ForgetOutcomes(Flow& aFlow, Clock::time_point aNow) -> void
+static auto ForgetOutcomes(Flow& aFlow, Clock::time_point aNow) -> void
 {
   while (!aFlow.outcomes.empty()) {
     const auto oldest = aFlow.outcomes.begin();
@@ -41,8 +37,7 @@
   }
 }
 
-auto
-FlowTable::Expire(std::chrono::seconds aIdle) -> std::size_t
+auto FlowTable::Expire(std::chrono::seconds aIdle) -> std::size_t
 {
   const auto now = Clock::now();
   return std::erase_if(m_flows, [now, aIdle](auto& aEntry) {
@@ -53,14 +48,12 @@
   });
 }
 
-auto
-FlowTable::Size() const -> std::size_t
+auto FlowTable::Size() const -> std::size_t
 {
   return m_flows.size();
 }
 
-auto
-FlowTable::Active() const -> std::size_t
+auto FlowTable::Active() const -> std::size_t
 {
   std::size_t active = 0;
   for (const auto& [id, flow] : m_flows) {
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -222,8 +222,8 @@
                               : request.answerTag == aHead.tag;
   }
 
-  auto Stream(std::shared_ptr<target::Target> aTarget,
-              target::TargetHead aHead) -> awaitable<AttemptResult>
+  auto Stream(std::shared_ptr<target::Target> aTarget, target::TargetHead aHead)
+    -> awaitable<AttemptResult>
   {
     m_exchange->stage = Stage::Answering;
     std::uint64_t skip = 0;
@@ -399,9 +399,8 @@
 
 } // namespace
 
-auto
-RunRequest(Environment& aEnvironment, std::shared_ptr<Flow> aFlow,
-           std::shared_ptr<Exchange> aExchange) -> awaitable<void>
+auto RunRequest(Environment& aEnvironment, std::shared_ptr<Flow> aFlow,
+                std::shared_ptr<Exchange> aExchange) -> awaitable<void>
 {
   Runner runner(aEnvironment, std::move(aFlow), std::move(aExchange));
   co_await runner.Run();
--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -16,8 +16,7 @@
 /// How long a server keeps an idle connection.
 static constexpr std::chrono::seconds kServerIdle{ 120 };
 
-static auto
-MakeMessage(const Tcp::endpoint& aServer, Request& aRequest)
+static auto MakeMessage(const Tcp::endpoint& aServer, Request& aRequest)
   -> wire::request<wire::string_body>
 {
   wire::request<wire::string_body> message;
@@ -35,9 +34,8 @@
   return message;
 }
 
-auto
-Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
-      std::error_code& aError) -> awaitable<Reply>
+auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
+           std::error_code& aError) -> awaitable<Reply>
 {
   auto executor = co_await asio::this_coro::executor;
   beast::tcp_stream stream(executor);
@@ -81,27 +79,23 @@
 {
 }
 
-auto
-Server::Endpoint() const -> Tcp::endpoint
+auto Server::Endpoint() const -> Tcp::endpoint
 {
   return m_acceptor.local_endpoint();
 }
 
-auto
-Server::Start() -> void
+auto Server::Start() -> void
 {
   Spawn(m_context, "http-accept", AcceptLoop());
 }
 
-auto
-Server::StopAccepting() -> void
+auto Server::StopAccepting() -> void
 {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
 }
 
-auto
-Server::AcceptLoop() -> awaitable<void>
+auto Server::AcceptLoop() -> awaitable<void>
 {
   while (m_acceptor.is_open()) {
     boost::system::error_code failure;
@@ -117,8 +111,7 @@
   }
 }
 
-static auto
-ToRequest(wire::request<wire::string_body>& aMessage) -> Request
+static auto ToRequest(wire::request<wire::string_body>& aMessage) -> Request
 {
   Request request;
   request.method = std::string(aMessage.method_string());
@@ -134,8 +127,7 @@
   return request;
 }
 
-auto
-Server::Serve(Tcp::socket aSocket) -> awaitable<void>
+auto Server::Serve(Tcp::socket aSocket) -> awaitable<void>
 {
   beast::tcp_stream stream(std::move(aSocket));
   stream.socket().set_option(Tcp::no_delay(true));
@@ -174,15 +166,13 @@
   }
 }
 
-auto
-PathOf(const std::string& aTarget) -> std::string
+auto PathOf(const std::string& aTarget) -> std::string
 {
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-auto
-QueryOf(const std::string& aTarget, const std::string& aName,
-        const std::string& aDefault) -> std::string
+auto QueryOf(const std::string& aTarget, const std::string& aName,
+             const std::string& aDefault) -> std::string
 {
   auto position = aTarget.find('?');
   while (position != std::string::npos) {
--- a/lib/Http/SyncFetch.cpp
+++ b/lib/Http/SyncFetch.cpp
@@ -4,16 +4,15 @@
 
 namespace bramleylock::http {
 
-static auto
-FetchInto(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
-          std::error_code& aError, Reply& aReply) -> awaitable<void>
+static auto FetchInto(Tcp::endpoint aServer, Request aRequest,
+                      Milliseconds aTimeout, std::error_code& aError,
+                      Reply& aReply) -> awaitable<void>
 {
   aReply = co_await Fetch(aServer, std::move(aRequest), aTimeout, aError);
 }
 
-auto
-SyncFetch(const std::string& aServer, Request aRequest, Milliseconds aTimeout,
-          std::error_code& aError) -> Reply
+auto SyncFetch(const std::string& aServer, Request aRequest,
+               Milliseconds aTimeout, std::error_code& aError) -> Reply
 {
   const auto endpoint = ParseTcpEndpoint(aServer, aError);
   Reply reply;
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -10,8 +10,7 @@
 
 using nlohmann::json;
 
-static auto
-ReplyJson(unsigned aStatus, const json& aBody) -> http::Reply
+static auto ReplyJson(unsigned aStatus, const json& aBody) -> http::Reply
 {
   http::Reply reply;
   reply.status = aStatus;
@@ -19,18 +18,16 @@
   return reply;
 }
 
-static auto
-ReplyError(unsigned aStatus, const std::string& aError,
-           const std::string& aDetail) -> http::Reply
+static auto ReplyError(unsigned aStatus, const std::string& aError,
+                       const std::string& aDetail) -> http::Reply
 {
   return ReplyJson(aStatus, { { "error", aError }, { "detail", aDetail } });
 }
 
-static auto
-ParseAddress(const std::string& aAddress) -> Tcp::endpoint
+static auto ParseAddress(const std::string& aAddress) -> Tcp::endpoint
 {
   std::error_code error;
-  const auto endpoint = ParseTcpEndpoint(aAddress, error);
+  auto endpoint = ParseTcpEndpoint(aAddress, error);
   assert(!error);
   return endpoint;
 }
@@ -40,30 +37,25 @@
   : m_token(std::move(aToken))
   , m_view(std::move(aView))
   , m_server(aContext, ParseAddress(aAddress),
-             [this](const http::Request& aRequest) {
-               return Answer(aRequest);
-             })
+             [this](const http::Request& aRequest) { return Answer(aRequest); })
 {
   m_server.Start();
 }
 
-auto
-AdminApi::Address() const -> std::string
+auto AdminApi::Address() const -> std::string
 {
   const auto endpoint = m_server.Endpoint();
   return FormatEndpoint(endpoint.address(), endpoint.port());
 }
 
-auto
-AdminApi::Authorized(const http::Request& aRequest) const -> bool
+auto AdminApi::Authorized(const http::Request& aRequest) const -> bool
 {
   const auto header = aRequest.headers.find("authorization");
   return header != aRequest.headers.end() &&
          EqualSecrets(header->second, "Bearer " + m_token);
 }
 
-auto
-AdminApi::Answer(const http::Request& aRequest) -> awaitable<http::Reply>
+auto AdminApi::Answer(const http::Request& aRequest) -> awaitable<http::Reply>
 {
   struct Row
   {
@@ -103,8 +95,7 @@
                   : ReplyError(404, "path", "there is no " + path);
 }
 
-auto
-AdminApi::GetHealth(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetHealth(const http::Request&) -> awaitable<http::Reply>
 {
   const bool ready = m_view.lists.Revision() > 0;
   const bool draining = m_view.dispatcher.Draining();
@@ -112,8 +103,7 @@
                       { { "ready", ready }, { "draining", draining } });
 }
 
-auto
-AdminApi::GetStatus(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetStatus(const http::Request&) -> awaitable<http::Reply>
 {
   const auto& self = m_view.members.Self();
   json members = json::array();
@@ -141,8 +131,7 @@
                         { "members", members } });
 }
 
-auto
-AdminApi::GetTargets(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetTargets(const http::Request&) -> awaitable<http::Reply>
 {
   json rows = json::array();
   const auto now = Clock::now();
@@ -159,14 +148,12 @@
   co_return ReplyJson(200, rows);
 }
 
-auto
-AdminApi::GetCounters(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetCounters(const http::Request&) -> awaitable<http::Reply>
 {
   co_return ReplyJson(200, m_view.metrics.NonZero());
 }
 
-auto
-AdminApi::GetMetrics(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetMetrics(const http::Request&) -> awaitable<http::Reply>
 {
   const auto& flows = m_view.dispatcher.Flows();
   m_view.metrics.SetGauge("flows_open", static_cast<double>(flows.Size()));
@@ -182,18 +169,17 @@
   co_return reply;
 }
 
-auto
-AdminApi::GetLists(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::GetLists(const http::Request&) -> awaitable<http::Reply>
 {
   if (m_view.lists.Revision() == 0) {
     co_return ReplyError(503, "not-ready", "no lists are in force yet");
   }
-  co_return ReplyJson(200, { { "revision", m_view.lists.Revision() },
-                             { "lists", json::parse(m_view.lists.Document()) } });
+  co_return ReplyJson(200,
+                      { { "revision", m_view.lists.Revision() },
+                        { "lists", json::parse(m_view.lists.Document()) } });
 }
 
-auto
-AdminApi::PutLists(const http::Request& aRequest) -> awaitable<http::Reply>
+auto AdminApi::PutLists(const http::Request& aRequest) -> awaitable<http::Reply>
 {
   std::error_code error;
   std::string detail;
@@ -201,9 +187,8 @@
   if (error) {
     co_return ReplyError(422, error.message(), detail);
   }
-  const auto expected =
-    http::QueryOf(aRequest.target, "expected",
-                  std::to_string(m_view.lists.Revision()));
+  const auto expected = http::QueryOf(aRequest.target, "expected",
+                                      std::to_string(m_view.lists.Revision()));
   const auto edit = SecretIdentifier();
   lists.edits.push_back(edit);
   if (lists.edits.size() > lists::kEditsKept) {
@@ -227,8 +212,7 @@
   co_return ReplyJson(200, { { "revision", revision }, { "edit", edit } });
 }
 
-auto
-AdminApi::PostDrain(const http::Request&) -> awaitable<http::Reply>
+auto AdminApi::PostDrain(const http::Request&) -> awaitable<http::Reply>
 {
   m_view.drain();
   co_return ReplyJson(202, { { "draining", true } });
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -63,8 +63,7 @@
 
 Balancer::~Balancer() = default;
 
-auto
-Balancer::Parts::OpenSecrets(std::error_code& aError, std::string& aDetail)
+auto Balancer::Parts::OpenSecrets(std::error_code& aError, std::string& aDetail)
   -> void
 {
   const auto key = ReadSecretFile(settings.clusterKeyFile, aError);
@@ -81,8 +80,8 @@
   }
 }
 
-auto
-Balancer::Parts::Build(std::error_code& aError, std::string& aDetail) -> void
+auto Balancer::Parts::Build(std::error_code& aError, std::string& aDetail)
+  -> void
 {
   const auto seed = settings.seed != 0
                       ? static_cast<std::uint64_t>(settings.seed)
@@ -124,8 +123,7 @@
   hub->Start(self);
 }
 
-auto
-Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
+auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
   aHeartbeat.newestKey = watcher->NewestKey();
@@ -137,8 +135,7 @@
   }
 }
 
-auto
-Balancer::Parts::TakePeersInFlight() -> void
+auto Balancer::Parts::TakePeersInFlight() -> void
 {
   std::map<std::string, std::uint32_t> counts;
   for (const auto& member : members->Alive()) {
@@ -150,8 +147,7 @@
 }
 
 /// Splits every service's slots evenly over the balancers that are alive.
-auto
-Balancer::Parts::UpdateCapacity() -> void
+auto Balancer::Parts::UpdateCapacity() -> void
 {
   const auto current = lists.Current();
   if (!current) {
@@ -164,8 +160,7 @@
   }
 }
 
-auto
-Balancer::Parts::CapacityLoop() -> awaitable<void>
+auto Balancer::Parts::CapacityLoop() -> awaitable<void>
 {
   for (;;) {
     UpdateCapacity();
@@ -173,8 +168,7 @@
   }
 }
 
-auto
-Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
+auto Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
 {
   auto& parts = *m_parts;
   parts.OpenSecrets(aError, aDetail);
@@ -209,14 +203,14 @@
     return;
   }
   parts.dispatcher->Start();
+  parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
   parts.watcher->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
   });
-  parts.members->Start([&parts](wire::Heartbeat& aHeartbeat) {
-    parts.FillHeartbeat(aHeartbeat);
-  });
+  parts.members->Start(
+    [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
   parts.lists.OnInstall([&parts] {
     parts.UpdateCapacity();
     parts.members->Announce();
@@ -224,8 +218,7 @@
   Spawn(parts.context, "capacity", parts.CapacityLoop());
 }
 
-auto
-Balancer::Drain() -> void
+auto Balancer::Drain() -> void
 {
   if (m_parts->draining) {
     return;
@@ -235,25 +228,21 @@
   Spawn(m_parts->context, "drain", m_parts->DrainLoop());
 }
 
-auto
-Balancer::Parts::DrainLoop() -> awaitable<void>
+auto Balancer::Parts::DrainLoop() -> awaitable<void>
 {
   dispatcher->Drain();
   members->Announce();
-  const auto limit =
-    Clock::now() + std::chrono::seconds(settings.drainSeconds);
+  const auto limit = Clock::now() + std::chrono::seconds(settings.drainSeconds);
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
   co_await Sleep(kFarewell);
   LogInfo("drain-finished",
-          { { "cut_requests",
-              std::to_string(dispatcher->Flows().Active()) } });
+          { { "cut_requests", std::to_string(dispatcher->Flows().Active()) } });
   context.stop();
 }
 
-auto
-Balancer::ReadyLine() const -> std::string
+auto Balancer::ReadyLine() const -> std::string
 {
   const auto& parts = *m_parts;
   return fmt::format("ready vm={} callers={} peers={} administration={}",
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -32,8 +32,7 @@
 {
 }
 
-auto
-PlatformWatcher::Start() -> void
+auto PlatformWatcher::Start() -> void
 {
   ListenToPeers();
   Spawn(m_context, "watch-lists", WatchLists());
@@ -41,8 +40,7 @@
   Spawn(m_context, "watch-vms", WatchVms());
 }
 
-auto
-PlatformWatcher::ListenToPeers() -> void
+auto PlatformWatcher::ListenToPeers() -> void
 {
   m_hub.On(wire::MessageType::Lists,
            [this](const wire::Hello&, const std::string& aBody) {
@@ -63,27 +61,24 @@
                }
              }
            });
-  m_hub.On(
-    wire::MessageType::ListsRequest,
-    [this](const wire::Hello& aSender, const std::string& aBody) {
-      const auto request = wire::UnpackBody<wire::ListsRequest>(aBody);
-      if (request && request->haveRevision < m_lists.Revision()) {
-        SendLists(aSender.address);
-      }
-      SendKeys(aSender.address);
-    });
+  m_hub.On(wire::MessageType::ListsRequest,
+           [this](const wire::Hello& aSender, const std::string& aBody) {
+             const auto request = wire::UnpackBody<wire::ListsRequest>(aBody);
+             if (request && request->haveRevision < m_lists.Revision()) {
+               SendLists(aSender.address);
+             }
+             SendKeys(aSender.address);
+           });
 }
 
-auto
-PlatformWatcher::SendLists(const std::string& aAddress) -> void
+auto PlatformWatcher::SendLists(const std::string& aAddress) -> void
 {
   m_hub.SendMessage(
     aAddress, wire::MessageType::Lists,
     wire::ListsMessage{ m_lists.Revision(), m_lists.Document() });
 }
 
-auto
-PlatformWatcher::SendKeys(const std::string& aAddress) -> void
+auto PlatformWatcher::SendKeys(const std::string& aAddress) -> void
 {
   wire::KeysMessage message;
   for (const auto& [id, key] : m_keys.Keys()) {
@@ -94,8 +89,7 @@
   }
 }
 
-auto
-PlatformWatcher::OnHeartbeat(const peer::Member& aMember) -> void
+auto PlatformWatcher::OnHeartbeat(const peer::Member& aMember) -> void
 {
   const auto theirs = aMember.latest.listsRevision;
   if (theirs < m_lists.Revision()) {
@@ -107,14 +101,17 @@
   }
 }
 
-auto
-PlatformWatcher::NewestKey() const -> std::uint32_t
+auto PlatformWatcher::OnTargets(std::function<void()> aListener) -> void
+{
+  m_onTargets = std::move(aListener);
+}
+
+auto PlatformWatcher::NewestKey() const -> std::uint32_t
 {
   return m_keys.Empty() ? 0 : m_keys.Keys().rbegin()->first;
 }
 
-auto
-PlatformWatcher::WatchLists() -> awaitable<void>
+auto PlatformWatcher::WatchLists() -> awaitable<void>
 {
   for (;;) {
     std::error_code error;
@@ -134,8 +131,7 @@
   }
 }
 
-auto
-PlatformWatcher::InstallKeys(const std::string& aDocument) -> void
+auto PlatformWatcher::InstallKeys(const std::string& aDocument) -> void
 {
   const auto document = json::parse(aDocument, nullptr, false);
   if (!document.is_object()) {
@@ -150,8 +146,7 @@
   }
 }
 
-auto
-PlatformWatcher::CreateKeys() -> awaitable<void>
+auto PlatformWatcher::CreateKeys() -> awaitable<void>
 {
   // The first writer wins; whoever loses reads the winner's key next time.
   const json document{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
@@ -160,8 +155,7 @@
                                   error);
 }
 
-auto
-PlatformWatcher::KeepKeys() -> awaitable<void>
+auto PlatformWatcher::KeepKeys() -> awaitable<void>
 {
   for (;;) {
     std::error_code error;
@@ -177,8 +171,7 @@
   }
 }
 
-auto
-PlatformWatcher::WatchVms() -> awaitable<void>
+auto PlatformWatcher::WatchVms() -> awaitable<void>
 {
   for (;;) {
     std::error_code error;
@@ -196,6 +189,9 @@
       }
       m_members.SetHints(members);
       m_targets.SetTargets(targets);
+      if (m_onTargets) {
+        m_onTargets();
+      }
     }
     co_await Sleep(kPollVms);
   }
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -51,21 +51,18 @@
   const char* help;
 };
 
-auto
-LogLevels() -> std::vector<std::string>
+auto LogLevels() -> std::vector<std::string>
 {
   return { "debug", "info", "warning", "error" };
 }
 
-auto
-LogFormats() -> std::vector<std::string>
+auto LogFormats() -> std::vector<std::string>
 {
   return { "text", "json" };
 }
 
 template<typename AnyRegistry>
-auto
-NamesOf() -> std::vector<std::string>
+auto NamesOf() -> std::vector<std::string>
 {
   return AnyRegistry::Instance().Names();
 }
@@ -132,8 +129,8 @@
     const auto node = m_table.at_path(aRow.key);
     if (!node) {
       if (aRow.byDefault == nullptr) {
-        m_problems.push_back(fmt::format("{}: {}: missing; {}", m_name,
-                                         aRow.key, Allowed(aRow)));
+        m_problems.push_back(
+          fmt::format("{}: {}: missing; {}", m_name, aRow.key, Allowed(aRow)));
         return;
       }
       aSettings.*aRow.member = aRow.byDefault;
@@ -155,8 +152,7 @@
       return;
     }
     const auto number = node.value<std::int64_t>();
-    if (!node.is_integer() || *number < aRow.lowest ||
-        *number > aRow.highest) {
+    if (!node.is_integer() || *number < aRow.lowest || *number > aRow.highest) {
       Fault(node, aRow.key,
             fmt::format("allowed: {} to {} {}", aRow.lowest, aRow.highest,
                         aRow.unit));
@@ -241,9 +237,8 @@
 
 } // namespace
 
-auto
-ParseSettings(const std::string& aText, const std::string& aName,
-              std::error_code& aError, std::vector<std::string>& aProblems)
+auto ParseSettings(const std::string& aText, const std::string& aName,
+                   std::error_code& aError, std::vector<std::string>& aProblems)
   -> Settings
 {
   Settings settings;
@@ -251,9 +246,8 @@
   try {
     table = toml::parse(aText, aName);
   } catch (const toml::parse_error& failure) {
-    aProblems.push_back(fmt::format("{}:{}: {}", aName,
-                                    failure.source().begin.line,
-                                    failure.description()));
+    aProblems.push_back(fmt::format(
+      "{}:{}: {}", aName, failure.source().begin.line, failure.description()));
     aError = SettingsError::Syntax;
     return settings;
   }
@@ -273,9 +267,8 @@
   return settings;
 }
 
-auto
-LoadSettings(const std::string& aFile, std::error_code& aError,
-             std::vector<std::string>& aProblems) -> Settings
+auto LoadSettings(const std::string& aFile, std::error_code& aError,
+                  std::vector<std::string>& aProblems) -> Settings
 {
   std::ifstream file(aFile);
   if (!file) {
@@ -288,8 +281,7 @@
   return ParseSettings(text.str(), aFile, aError, aProblems);
 }
 
-auto
-DefaultSettingsText() -> std::string
+auto DefaultSettingsText() -> std::string
 {
   std::map<std::string, std::string> sections;
   const auto add = [&sections](const std::string& aKey,
@@ -321,8 +313,8 @@
   return text;
 }
 
-auto
-ReadSecretFile(const std::string& aFile, std::error_code& aError) -> std::string
+auto ReadSecretFile(const std::string& aFile, std::error_code& aError)
+  -> std::string
 {
   std::ifstream file(aFile);
   std::string secret;
--- a/lib/Lists/ListKeeper.cpp
+++ b/lib/Lists/ListKeeper.cpp
@@ -11,8 +11,7 @@
 {
 }
 
-auto
-ListKeeper::Install(std::uint64_t aRevision, const std::string& aDocument)
+auto ListKeeper::Install(std::uint64_t aRevision, const std::string& aDocument)
   -> bool
 {
   if (aRevision < Revision()) {
@@ -45,26 +44,22 @@
   return true;
 }
 
-auto
-ListKeeper::Current() const -> std::shared_ptr<const PlanLists>
+auto ListKeeper::Current() const -> std::shared_ptr<const PlanLists>
 {
   return m_current;
 }
 
-auto
-ListKeeper::Document() const -> const std::string&
+auto ListKeeper::Document() const -> const std::string&
 {
   return m_document;
 }
 
-auto
-ListKeeper::Revision() const -> std::uint64_t
+auto ListKeeper::Revision() const -> std::uint64_t
 {
   return m_current ? m_current->revision : 0;
 }
 
-auto
-ListKeeper::OnInstall(std::function<void()> aListener) -> void
+auto ListKeeper::OnInstall(std::function<void()> aListener) -> void
 {
   m_listeners.push_back(std::move(aListener));
 }
--- a/lib/Lists/PlanLists.cpp
+++ b/lib/Lists/PlanLists.cpp
@@ -85,16 +85,15 @@
   }
 
   template<typename Enum, std::size_t Size>
-  auto ReadName(const char* aKey,
-                const std::array<NameRow<Enum>, Size>& aTable, Enum aDefault)
-    -> Enum
+  auto ReadName(const char* aKey, const std::array<NameRow<Enum>, Size>& aTable,
+                Enum aDefault) -> Enum
   {
     const auto* value = Take(aKey);
     if (value == nullptr) {
       return aDefault;
     }
-    const auto found =
-      value->is_string() ? ValueOf(aTable, value->get<std::string>())
+    const auto found = value->is_string()
+                         ? ValueOf(aTable, value->get<std::string>())
                          : std::optional<Enum>{};
     if (!found) {
       std::string allowed;
@@ -151,8 +150,8 @@
 
 } // namespace
 
-static auto
-CheckName(const std::string& aPath, const std::string& aName) -> void
+static auto CheckName(const std::string& aPath, const std::string& aName)
+  -> void
 {
   const bool plain = std::all_of(aName.begin(), aName.end(), [](char aLetter) {
     return std::isalnum(static_cast<unsigned char>(aLetter)) != 0 ||
@@ -166,8 +165,7 @@
   }
 }
 
-static auto
-ReadPlan(const std::string& aName, const json& aEntry) -> Plan
+static auto ReadPlan(const std::string& aName, const json& aEntry) -> Plan
 {
   EntryReader reader(aEntry, "plans." + aName);
   Plan plan;
@@ -188,8 +186,7 @@
   return plan;
 }
 
-static auto
-ReadWork(const std::string& aPath, const json& aEntry) -> Work
+static auto ReadWork(const std::string& aPath, const json& aEntry) -> Work
 {
   EntryReader reader(aEntry, aPath);
   Work work;
@@ -203,8 +200,7 @@
   return work;
 }
 
-static auto
-ReadService(const std::string& aName, const json& aEntry) -> Service
+static auto ReadService(const std::string& aName, const json& aEntry) -> Service
 {
   const auto path = "services." + aName;
   EntryReader reader(aEntry, path);
@@ -216,14 +212,14 @@
   const auto works = reader.ReadObject("works");
   for (const auto& [work, entry] : works.items()) {
     CheckName(path + ".works", work);
-    service.works[work] = ReadWork(path + ".works." + work, entry);
+    service.works[work] =
+      ReadWork(fmt::format("{}.works.{}", path, work), entry);
   }
   reader.Finish();
   return service;
 }
 
-static auto
-CheckReferences(const PlanLists& aLists) -> void
+static auto CheckReferences(const PlanLists& aLists) -> void
 {
   for (const auto& [name, service] : aLists.services) {
     for (const auto& plan : service.plans) {
@@ -236,8 +232,7 @@
   }
 }
 
-static auto
-ReadDocument(const json& aDocument) -> PlanLists
+static auto ReadDocument(const json& aDocument) -> PlanLists
 {
   EntryReader reader(aDocument, "lists");
   PlanLists lists;
@@ -257,16 +252,15 @@
   return lists;
 }
 
-auto
-ParseLists(const std::string& aDocument, std::error_code& aError,
-           std::string& aDetail) -> PlanLists
+auto ParseLists(const std::string& aDocument, std::error_code& aError,
+                std::string& aDetail) -> PlanLists
 {
   aError.clear();
   aDetail.clear();
   if (aDocument.size() > kDocumentBytes) {
     aError = ListsError::TooLarge;
-    aDetail = fmt::format("{} bytes, allowed {}", aDocument.size(),
-                          kDocumentBytes);
+    aDetail =
+      fmt::format("{} bytes, allowed {}", aDocument.size(), kDocumentBytes);
     return {};
   }
   try {
@@ -281,8 +275,7 @@
   return {};
 }
 
-static auto
-FormatPlan(const Plan& aPlan) -> json
+static auto FormatPlan(const Plan& aPlan) -> json
 {
   json entry{ { "secret_hash", aPlan.secretHash }, { "weight", aPlan.weight } };
   if (aPlan.ratePerSecond > 0) {
@@ -297,8 +290,7 @@
   return entry;
 }
 
-static auto
-FormatService(const Service& aService) -> json
+static auto FormatService(const Service& aService) -> json
 {
   json works = json::object();
   for (const auto& [name, work] : aService.works) {
@@ -313,8 +305,7 @@
            { "works", works } };
 }
 
-auto
-FormatLists(const PlanLists& aLists) -> std::string
+auto FormatLists(const PlanLists& aLists) -> std::string
 {
   json document{ { "plans", json::object() },
                  { "services", json::object() },
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -19,8 +19,7 @@
 {
 }
 
-auto
-Membership::Start(std::function<void(wire::Heartbeat&)> aFill) -> void
+auto Membership::Start(std::function<void(wire::Heartbeat&)> aFill) -> void
 {
   m_fill = std::move(aFill);
   m_hub.On(wire::MessageType::Heartbeat,
@@ -30,8 +29,7 @@
   Spawn(m_context, "heartbeats", HeartbeatLoop());
 }
 
-auto
-Membership::SetHints(const std::vector<MemberHint>& aHints) -> void
+auto Membership::SetHints(const std::vector<MemberHint>& aHints) -> void
 {
   for (const auto& hint : aHints) {
     if (hint.address == m_self.address) {
@@ -46,15 +44,14 @@
   }
 }
 
-auto
-Membership::OnHeartbeat(std::function<void(const Member&)> aListener) -> void
+auto Membership::OnHeartbeat(std::function<void(const Member&)> aListener)
+  -> void
 {
   m_listener = std::move(aListener);
 }
 
-auto
-Membership::IsAlive(const std::string& aAddress,
-                    std::uint64_t aIncarnation) const -> bool
+auto Membership::IsAlive(const std::string& aAddress,
+                         std::uint64_t aIncarnation) const -> bool
 {
   const auto found = m_members.find(aAddress);
   if (found == m_members.end()) {
@@ -69,8 +66,7 @@
   return !replaced && !gone;
 }
 
-auto
-Membership::Alive() const -> std::vector<Member>
+auto Membership::Alive() const -> std::vector<Member>
 {
   std::vector<Member> alive;
   for (const auto& [address, member] : m_members) {
@@ -81,8 +77,7 @@
   return alive;
 }
 
-auto
-Membership::AliveInDomain() const -> std::vector<Member>
+auto Membership::AliveInDomain() const -> std::vector<Member>
 {
   auto alive = Alive();
   std::erase_if(alive, [this](const Member& aMember) {
@@ -91,8 +86,7 @@
   return alive;
 }
 
-auto
-Membership::All() const -> std::vector<Member>
+auto Membership::All() const -> std::vector<Member>
 {
   std::vector<Member> all;
   for (const auto& [address, member] : m_members) {
@@ -101,14 +95,12 @@
   return all;
 }
 
-auto
-Membership::Self() const -> const wire::Hello&
+auto Membership::Self() const -> const wire::Hello&
 {
   return m_self;
 }
 
-auto
-Membership::Announce() -> void
+auto Membership::Announce() -> void
 {
   wire::Heartbeat heartbeat;
   m_fill(heartbeat);
@@ -118,8 +110,7 @@
   }
 }
 
-auto
-Membership::HeartbeatLoop() -> awaitable<void>
+auto Membership::HeartbeatLoop() -> awaitable<void>
 {
   for (;;) {
     Expire();
@@ -128,8 +119,7 @@
   }
 }
 
-auto
-Membership::Receive(const wire::Hello& aSender, const std::string& aBody)
+auto Membership::Receive(const wire::Hello& aSender, const std::string& aBody)
   -> void
 {
   auto heartbeat = wire::UnpackBody<wire::Heartbeat>(aBody);
@@ -155,8 +145,7 @@
   }
 }
 
-auto
-Membership::Expire() -> void
+auto Membership::Expire() -> void
 {
   const auto now = Clock::now();
   for (auto& [address, member] : m_members) {
--- a/lib/Peer/PeerHub.cpp
+++ b/lib/Peer/PeerHub.cpp
@@ -46,29 +46,25 @@
 {
 }
 
-auto
-PeerHub::Address() const -> std::string
+auto PeerHub::Address() const -> std::string
 {
   const auto endpoint = m_acceptor.local_endpoint();
   return FormatEndpoint(endpoint.address(), endpoint.port());
 }
 
-auto
-PeerHub::Start(const wire::Hello& aSelf) -> void
+auto PeerHub::Start(const wire::Hello& aSelf) -> void
 {
   m_self = aSelf;
   Spawn(m_context, "peer-accept", AcceptLoop());
 }
 
-auto
-PeerHub::On(wire::MessageType aType, MessageHandler aHandler) -> void
+auto PeerHub::On(wire::MessageType aType, MessageHandler aHandler) -> void
 {
   m_handlers[aType] = std::move(aHandler);
 }
 
-auto
-PeerHub::Send(const std::string& aAddress, wire::MessageType aType,
-              std::string aBody) -> bool
+auto PeerHub::Send(const std::string& aAddress, wire::MessageType aType,
+                   std::string aBody) -> bool
 {
   auto& outgoing = m_outgoing[aAddress];
   if (!outgoing) {
@@ -85,27 +81,23 @@
   return true;
 }
 
-auto
-PeerHub::BytesSent() const -> std::uint64_t
+auto PeerHub::BytesSent() const -> std::uint64_t
 {
   return m_bytesSent;
 }
 
-auto
-PeerHub::BytesReceived() const -> std::uint64_t
+auto PeerHub::BytesReceived() const -> std::uint64_t
 {
   return m_bytesReceived;
 }
 
-auto
-PeerHub::Count(const SecureLink& aLink) -> void
+auto PeerHub::Count(const SecureLink& aLink) -> void
 {
   m_bytesSent += aLink.BytesSent();
   m_bytesReceived += aLink.BytesReceived();
 }
 
-auto
-PeerHub::AcceptLoop() -> awaitable<void>
+auto PeerHub::AcceptLoop() -> awaitable<void>
 {
   for (;;) {
     boost::system::error_code failure;
@@ -122,9 +114,8 @@
 }
 
 /// Closes aLink unless aDone is set within kConnectTimeout.
-static auto
-GuardHandshake(std::shared_ptr<SecureLink> aLink, std::shared_ptr<bool> aDone)
-  -> awaitable<void>
+static auto GuardHandshake(std::shared_ptr<SecureLink> aLink,
+                           std::shared_ptr<bool> aDone) -> awaitable<void>
 {
   co_await Sleep(kConnectTimeout);
   if (!*aDone) {
@@ -132,8 +123,7 @@
   }
 }
 
-auto
-PeerHub::ServeIncoming(Tcp::socket aSocket) -> awaitable<void>
+auto PeerHub::ServeIncoming(Tcp::socket aSocket) -> awaitable<void>
 {
   auto link = std::make_shared<SecureLink>(std::move(aSocket));
   auto done = std::make_shared<bool>(false);
@@ -181,9 +171,8 @@
   link->Close();
 }
 
-auto
-PeerHub::AcknowledgeLoop(std::shared_ptr<SecureLink> aLink,
-                         std::shared_ptr<std::uint64_t> aCount)
+auto PeerHub::AcknowledgeLoop(std::shared_ptr<SecureLink> aLink,
+                              std::shared_ptr<std::uint64_t> aCount)
   -> awaitable<void>
 {
   std::uint64_t sent = 0;
@@ -204,8 +193,7 @@
   }
 }
 
-auto
-PeerHub::Connect(const std::string& aAddress, std::error_code& aError)
+auto PeerHub::Connect(const std::string& aAddress, std::error_code& aError)
   -> awaitable<std::shared_ptr<SecureLink>>
 {
   const auto endpoint = ParseTcpEndpoint(aAddress, aError);
@@ -242,8 +230,7 @@
   co_return link;
 }
 
-auto
-PeerHub::RunOutgoing(std::string aAddress, std::shared_ptr<Outgoing> aLink)
+auto PeerHub::RunOutgoing(std::string aAddress, std::shared_ptr<Outgoing> aLink)
   -> awaitable<void>
 {
   std::error_code error;
@@ -268,9 +255,8 @@
   m_outgoing.erase(aAddress);
 }
 
-auto
-PeerHub::Drain(std::shared_ptr<Outgoing> aOutgoing,
-               std::shared_ptr<SecureLink> aLink) -> awaitable<void>
+auto PeerHub::Drain(std::shared_ptr<Outgoing> aOutgoing,
+                    std::shared_ptr<SecureLink> aLink) -> awaitable<void>
 {
   auto lastUse = Clock::now();
   std::error_code error;
@@ -301,9 +287,9 @@
 
 /// Closes a link whose peer has stopped acknowledging. This is a task of its
 /// own because a write to a stopped peer blocks once the socket is full.
-auto
-PeerHub::GuardSilence(std::string aAddress, std::shared_ptr<Outgoing> aOutgoing,
-                      std::shared_ptr<SecureLink> aLink) -> awaitable<void>
+auto PeerHub::GuardSilence(std::string aAddress,
+                           std::shared_ptr<Outgoing> aOutgoing,
+                           std::shared_ptr<SecureLink> aLink) -> awaitable<void>
 {
   while (!aOutgoing->linkFailed) {
     co_await Sleep(kAcknowledgeEvery);
@@ -316,9 +302,8 @@
   }
 }
 
-auto
-PeerHub::ReadAcknowledgements(std::shared_ptr<Outgoing> aOutgoing,
-                              std::shared_ptr<SecureLink> aLink)
+auto PeerHub::ReadAcknowledgements(std::shared_ptr<Outgoing> aOutgoing,
+                                   std::shared_ptr<SecureLink> aLink)
   -> awaitable<void>
 {
   std::error_code error;
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -58,9 +58,8 @@
 
 /// The code that proves the cluster key. It covers the public key, the stream
 /// header, the role and, for the accepting end, the dialer's public key.
-static auto
-GreetingMac(const ClusterKey& aKey, const Greeting& aGreeting, bool aDialer,
-            const Greeting* aAnswered)
+static auto GreetingMac(const ClusterKey& aKey, const Greeting& aGreeting,
+                        bool aDialer, const Greeting* aAnswered)
 {
   std::array<unsigned char, kHelloMacBytes> mac{};
   crypto_generichash_state state;
@@ -80,8 +79,8 @@
   return mac;
 }
 
-static auto
-MixClusterKey(const ClusterKey& aKey, const SessionKey& aSession) -> SessionKey
+static auto MixClusterKey(const ClusterKey& aKey, const SessionKey& aSession)
+  -> SessionKey
 {
   SessionKey mixed{};
   crypto_generichash(mixed.data(), mixed.size(), aSession.data(),
@@ -89,8 +88,7 @@
   return mixed;
 }
 
-static auto
-GreetingBuffers(Greeting& aGreeting)
+static auto GreetingBuffers(Greeting& aGreeting)
 {
   return std::array<asio::mutable_buffer, 4>{
     asio::buffer(&aGreeting.version, 1), asio::buffer(aGreeting.publicKey),
@@ -102,18 +100,16 @@
   1 + crypto_kx_PUBLICKEYBYTES + kHelloMacBytes +
   crypto_secretstream_xchacha20poly1305_HEADERBYTES;
 
-static auto
-CheckGreeting(const ClusterKey& aKey, const Greeting& aTheirs, bool aFromDialer,
-              const Greeting* aAnswered) -> bool
+static auto CheckGreeting(const ClusterKey& aKey, const Greeting& aTheirs,
+                          bool aFromDialer, const Greeting* aAnswered) -> bool
 {
   const auto mac = GreetingMac(aKey, aTheirs, aFromDialer, aAnswered);
   return aTheirs.version == kLinkVersion &&
          sodium_memcmp(mac.data(), aTheirs.mac.data(), mac.size()) == 0;
 }
 
-auto
-SecureLink::Handshake(const ClusterKey& aKey, bool aDialer,
-                      std::error_code& aError) -> awaitable<void>
+auto SecureLink::Handshake(const ClusterKey& aKey, bool aDialer,
+                           std::error_code& aError) -> awaitable<void>
 {
   Greeting mine;
   Greeting theirs;
@@ -168,8 +164,7 @@
   aError.clear();
 }
 
-static auto
-PackEnvelope(const Envelope& aMessage) -> std::string
+static auto PackEnvelope(const Envelope& aMessage) -> std::string
 {
   msgpack::sbuffer buffer(aMessage.body.size() + 16);
   msgpack::packer<msgpack::sbuffer> packer(buffer);
@@ -178,8 +173,8 @@
   return { buffer.data(), buffer.size() };
 }
 
-static auto
-UnpackEnvelope(const std::string& aText, std::error_code& aError) -> Envelope
+static auto UnpackEnvelope(const std::string& aText, std::error_code& aError)
+  -> Envelope
 {
   Envelope message;
   aError = LinkError::Malformed;
@@ -199,8 +194,7 @@
   return message;
 }
 
-auto
-SecureLink::Write(const Envelope& aMessage, std::error_code& aError)
+auto SecureLink::Write(const Envelope& aMessage, std::error_code& aError)
   -> awaitable<void>
 {
   const auto plain = PackEnvelope(aMessage);
@@ -226,8 +220,7 @@
   aError = failure ? make_error_code(LinkError::Lost) : std::error_code{};
 }
 
-auto
-SecureLink::Read(std::error_code& aError) -> awaitable<Envelope>
+auto SecureLink::Read(std::error_code& aError) -> awaitable<Envelope>
 {
   std::array<unsigned char, kLengthBytes> length{};
   boost::system::error_code failure;
@@ -268,21 +261,18 @@
   co_return UnpackEnvelope(plain, aError);
 }
 
-auto
-SecureLink::Close() -> void
+auto SecureLink::Close() -> void
 {
   boost::system::error_code ignored;
   m_state->socket.close(ignored);
 }
 
-auto
-SecureLink::BytesSent() const -> std::uint64_t
+auto SecureLink::BytesSent() const -> std::uint64_t
 {
   return m_state->bytesSent;
 }
 
-auto
-SecureLink::BytesReceived() const -> std::uint64_t
+auto SecureLink::BytesReceived() const -> std::uint64_t
 {
   return m_state->bytesReceived;
 }
--- a/lib/Support/Asio.cpp
+++ b/lib/Support/Asio.cpp
@@ -8,8 +8,7 @@
 
 namespace bramleylock {
 
-auto
-Sleep(std::chrono::nanoseconds aDuration) -> awaitable<void>
+auto Sleep(std::chrono::nanoseconds aDuration) -> awaitable<void>
 {
   auto executor = co_await asio::this_coro::executor;
   asio::steady_timer timer(executor);
@@ -18,8 +17,7 @@
   co_await timer.async_wait(Into(ignored));
 }
 
-auto
-Spawn(asio::io_context& aContext, const char* aName, awaitable<void> aTask)
+auto Spawn(asio::io_context& aContext, const char* aName, awaitable<void> aTask)
   -> void
 {
   auto report = [aName](const std::exception_ptr& aFailure) {
@@ -36,8 +34,8 @@
 }
 
 template<typename Endpoint>
-static auto
-ParseEndpoint(const std::string& aText, std::error_code& aError) -> Endpoint
+static auto ParseEndpoint(const std::string& aText, std::error_code& aError)
+  -> Endpoint
 {
   aError = std::make_error_code(std::errc::invalid_argument);
   const auto colon = aText.rfind(':');
@@ -56,22 +54,19 @@
   return { address, port };
 }
 
-auto
-ParseTcpEndpoint(const std::string& aText, std::error_code& aError)
+auto ParseTcpEndpoint(const std::string& aText, std::error_code& aError)
   -> Tcp::endpoint
 {
   return ParseEndpoint<Tcp::endpoint>(aText, aError);
 }
 
-auto
-ParseUdpEndpoint(const std::string& aText, std::error_code& aError)
+auto ParseUdpEndpoint(const std::string& aText, std::error_code& aError)
   -> Udp::endpoint
 {
   return ParseEndpoint<Udp::endpoint>(aText, aError);
 }
 
-auto
-FormatEndpoint(const asio::ip::address& aAddress, std::uint16_t aPort)
+auto FormatEndpoint(const asio::ip::address& aAddress, std::uint16_t aPort)
   -> std::string
 {
   return aAddress.to_string() + ":" + std::to_string(aPort);
@@ -82,8 +77,7 @@
 {
 }
 
-auto
-Signal::WaitUntil(Clock::time_point aDeadline) -> awaitable<void>
+auto Signal::WaitUntil(Clock::time_point aDeadline) -> awaitable<void>
 {
   // The timer is shared by all waiters and holds the earliest deadline, so a
   // waiter may wake early; every caller waits in a loop over its condition.
@@ -94,8 +88,7 @@
   co_await m_timer.async_wait(Into(ignored));
 }
 
-auto
-Signal::Wait() -> awaitable<void>
+auto Signal::Wait() -> awaitable<void>
 {
   if (m_timer.expiry() <= Clock::now()) {
     m_timer.expires_at(Clock::time_point::max());
@@ -104,8 +97,7 @@
   co_await m_timer.async_wait(Into(ignored));
 }
 
-auto
-Signal::Notify() -> void
+auto Signal::Notify() -> void
 {
   m_timer.cancel();
 }
--- a/lib/Support/Counters.cpp
+++ b/lib/Support/Counters.cpp
@@ -41,26 +41,22 @@
 
 Metrics::~Metrics() = default;
 
-auto
-Metrics::Add(Counter aCounter, std::uint64_t aAmount) -> void
+auto Metrics::Add(Counter aCounter, std::uint64_t aAmount) -> void
 {
   m_counters[static_cast<std::size_t>(aCounter)] += aAmount;
 }
 
-auto
-Metrics::Get(Counter aCounter) const -> std::uint64_t
+auto Metrics::Get(Counter aCounter) const -> std::uint64_t
 {
   return m_counters[static_cast<std::size_t>(aCounter)];
 }
 
-auto
-Metrics::SetGauge(const std::string& aName, double aValue) -> void
+auto Metrics::SetGauge(const std::string& aName, double aValue) -> void
 {
   m_gauges[aName] = aValue;
 }
 
-auto
-Metrics::Observe(const std::string& aName, double aSeconds) -> void
+auto Metrics::Observe(const std::string& aName, double aSeconds) -> void
 {
   auto& latency = m_latencies->byName[aName];
   latency.mean(aSeconds);
@@ -68,8 +64,7 @@
   latency.p99(aSeconds);
 }
 
-auto
-Metrics::Summary(const std::string& aName) const -> LatencySummary
+auto Metrics::Summary(const std::string& aName) const -> LatencySummary
 {
   const auto found = m_latencies->byName.find(aName);
   if (found == m_latencies->byName.end()) {
@@ -81,8 +76,7 @@
            acc::p_square_quantile(latency.p99) };
 }
 
-auto
-Metrics::Exposition() const -> std::string
+auto Metrics::Exposition() const -> std::string
 {
   std::string text;
   for (const auto& [counter, name] : kCounterNames) {
@@ -105,8 +99,7 @@
   return text;
 }
 
-auto
-Metrics::NonZero() const -> std::map<std::string, std::uint64_t>
+auto Metrics::NonZero() const -> std::map<std::string, std::uint64_t>
 {
   std::map<std::string, std::uint64_t> all;
   for (const auto& [counter, name] : kCounterNames) {
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -26,23 +26,20 @@
 
 } // namespace
 
-static auto
-Options() -> LogOptions&
+static auto Options() -> LogOptions&
 {
   static LogOptions options;
   return options;
 }
 
-auto
-ConfigureLog(LogOptions aOptions) -> void
+auto ConfigureLog(LogOptions aOptions) -> void
 {
   Options() = std::move(aOptions);
 }
 
 /// Whether a record may be written now; aDropped gets how many were not.
-static auto
-TakeAllowance(std::string_view aEvent, std::int64_t aSecond, int& aDropped)
-  -> bool
+static auto TakeAllowance(std::string_view aEvent, std::int64_t aSecond,
+                          int& aDropped) -> bool
 {
   static std::map<std::string, EventRate, std::less<>> rates;
   auto found = rates.find(aEvent);
@@ -63,9 +60,10 @@
   return true;
 }
 
-static auto
-FormatJson(LogLevel aLevel, std::string_view aEvent, const std::string& aTime,
-           std::initializer_list<LogField> aFields, int aDropped) -> std::string
+static auto FormatJson(LogLevel aLevel, std::string_view aEvent,
+                       const std::string& aTime,
+                       std::initializer_list<LogField> aFields, int aDropped)
+  -> std::string
 {
   nlohmann::json record{ { "time", aTime },
                          { "level", NameOf(kLogLevelNames, aLevel) },
@@ -80,9 +78,10 @@
   return record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-static auto
-FormatText(LogLevel aLevel, std::string_view aEvent, const std::string& aTime,
-           std::initializer_list<LogField> aFields, int aDropped) -> std::string
+static auto FormatText(LogLevel aLevel, std::string_view aEvent,
+                       const std::string& aTime,
+                       std::initializer_list<LogField> aFields, int aDropped)
+  -> std::string
 {
   auto line = fmt::format("time={} level={} vm={} event={}", aTime,
                           NameOf(kLogLevelNames, aLevel), Options().vm, aEvent);
@@ -97,9 +96,8 @@
   return line;
 }
 
-auto
-Log(LogLevel aLevel, std::string_view aEvent,
-    std::initializer_list<LogField> aFields) -> void
+auto Log(LogLevel aLevel, std::string_view aEvent,
+         std::initializer_list<LogField> aFields) -> void
 {
   if (aLevel < Options().lowest) {
     return;
@@ -113,12 +111,12 @@
   }
   const auto millis =
     std::chrono::time_point_cast<std::chrono::milliseconds>(now);
-  const auto time = fmt::format(
-    "{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds.count()),
-    millis.time_since_epoch().count() % 1000);
-  const auto line =
-    Options().json ? FormatJson(aLevel, aEvent, time, aFields, dropped)
-                   : FormatText(aLevel, aEvent, time, aFields, dropped);
+  const auto time =
+    fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds.count()),
+                millis.time_since_epoch().count() % 1000);
+  const auto line = Options().json
+                      ? FormatJson(aLevel, aEvent, time, aFields, dropped)
+                      : FormatText(aLevel, aEvent, time, aFields, dropped);
   fmt::print(stderr, "{}\n", line);
 }
 
--- a/lib/Support/Random.cpp
+++ b/lib/Support/Random.cpp
@@ -12,8 +12,7 @@
 /// Low bits of an incarnation that tell two starts in one millisecond apart.
 static constexpr int kIncarnationRandomBits = 20;
 
-static auto
-ToHex(const unsigned char* aBytes, std::size_t aSize) -> std::string
+static auto ToHex(const unsigned char* aBytes, std::size_t aSize) -> std::string
 {
   std::string text(aSize * 2 + 1, '\0');
   sodium_bin2hex(text.data(), text.size(), aBytes, aSize);
@@ -21,38 +20,33 @@
   return text;
 }
 
-auto
-SecretNumber() -> std::uint64_t
+auto SecretNumber() -> std::uint64_t
 {
   std::uint64_t number = 0;
   randombytes_buf(&number, sizeof number);
   return number;
 }
 
-auto
-SecretIdentifier() -> std::string
+auto SecretIdentifier() -> std::string
 {
   std::array<unsigned char, 16> bytes{};
   randombytes_buf(bytes.data(), bytes.size());
   return ToHex(bytes.data(), bytes.size());
 }
 
-auto
-WallMilliseconds() -> std::uint64_t
+auto WallMilliseconds() -> std::uint64_t
 {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-auto
-NewIncarnation() -> std::uint64_t
+auto NewIncarnation() -> std::uint64_t
 {
   const auto random = SecretNumber() & ((1U << kIncarnationRandomBits) - 1);
   return (WallMilliseconds() << kIncarnationRandomBits) | random;
 }
 
-auto
-HashHex(const std::string& aText) -> std::string
+auto HashHex(const std::string& aText) -> std::string
 {
   std::array<unsigned char, crypto_generichash_BYTES> hash{};
   crypto_generichash(hash.data(), hash.size(),
@@ -61,8 +55,7 @@
   return ToHex(hash.data(), hash.size());
 }
 
-auto
-EqualSecrets(const std::string& aLeft, const std::string& aRight) -> bool
+auto EqualSecrets(const std::string& aLeft, const std::string& aRight) -> bool
 {
   if (aLeft.size() != aRight.size()) {
     return false;
--- a/lib/Target/HttpTransport.cpp
+++ b/lib/Target/HttpTransport.cpp
@@ -15,8 +15,8 @@
 static constexpr std::uint64_t kAnswerLimitBytes = 1ULL << 40;
 
 template<typename Number>
-static auto
-ParseNumber(beast::string_view aText, Number aDefault, int aBase = 10) -> Number
+static auto ParseNumber(beast::string_view aText, Number aDefault,
+                        int aBase = 10) -> Number
 {
   Number number = aDefault;
   std::from_chars(aText.data(), aText.data() + aText.size(), number, aBase);
@@ -43,8 +43,8 @@
     message.set(http::field::host, "target");
     message.set("X-Request-Id", aCall.requestId);
     message.set("X-Plan", aCall.plan);
-    const auto left = std::chrono::duration_cast<Milliseconds>(
-      aCall.deadline - Clock::now());
+    const auto left =
+      std::chrono::duration_cast<Milliseconds>(aCall.deadline - Clock::now());
     message.set("X-Deadline-Ms", std::to_string(left.count()));
     if (aCall.offset > 0) {
       message.set(http::field::range,
@@ -142,8 +142,9 @@
     if (aFailure == beast::error::timeout) {
       return TargetError::Timeout;
     }
-    const bool http = aFailure.category() ==
-                      http::make_error_code(http::error::bad_version).category();
+    const bool http =
+      aFailure.category() ==
+      http::make_error_code(http::error::bad_version).category();
     const bool ended = aFailure == http::error::end_of_stream ||
                        aFailure == http::error::partial_message;
     return http && !ended ? TargetError::Malformed : TargetError::Lost;
--- a/lib/Target/TargetChoice.cpp
+++ b/lib/Target/TargetChoice.cpp
@@ -30,8 +30,7 @@
 };
 
 /// Estimated load: everyone's requests in flight over the target's slots.
-auto
-LoadOf(const Candidate& aCandidate) -> double
+auto LoadOf(const Candidate& aCandidate) -> double
 {
   const auto inFlight = aCandidate.inFlight + aCandidate.peersInFlight;
   return (inFlight + 1) / (aCandidate.slots * aCandidate.warmth);
--- a/lib/Target/TargetTable.cpp
+++ b/lib/Target/TargetTable.cpp
@@ -31,8 +31,7 @@
 {
 }
 
-auto
-TargetTable::SetTargets(const std::vector<TargetHint>& aHints) -> void
+auto TargetTable::SetTargets(const std::vector<TargetHint>& aHints) -> void
 {
   std::set<std::string> listed;
   for (const auto& hint : aHints) {
@@ -54,8 +53,8 @@
   });
 }
 
-auto
-TargetTable::SetSlots(const std::string& aService, std::uint32_t aSlots) -> void
+auto TargetTable::SetSlots(const std::string& aService, std::uint32_t aSlots)
+  -> void
 {
   m_slots[aService] = aSlots;
   for (auto& [address, target] : m_targets) {
@@ -65,8 +64,7 @@
   }
 }
 
-auto
-TargetTable::SetPeersInFlight(
+auto TargetTable::SetPeersInFlight(
   const std::map<std::string, std::uint32_t>& aCounts) -> void
 {
   for (auto& [address, target] : m_targets) {
@@ -75,16 +73,14 @@
   }
 }
 
-auto
-TargetTable::Usable(const Target& aTarget, const std::string& aService,
-                    const std::set<std::string>& aTried) const -> bool
+auto TargetTable::Usable(const Target& aTarget, const std::string& aService,
+                         const std::set<std::string>& aTried) const -> bool
 {
   return aTarget.service == aService && !aTarget.leaving &&
          !aTried.contains(aTarget.address);
 }
 
-auto
-TargetTable::Pick(const std::vector<std::shared_ptr<Target>>& aTargets)
+auto TargetTable::Pick(const std::vector<std::shared_ptr<Target>>& aTargets)
   -> std::shared_ptr<Target>
 {
   if (aTargets.empty()) {
@@ -99,9 +95,8 @@
   return aTargets[m_choice->Pick(candidates, m_random)];
 }
 
-auto
-TargetTable::Choose(const std::string& aService,
-                    const std::set<std::string>& aTried)
+auto TargetTable::Choose(const std::string& aService,
+                         const std::set<std::string>& aTried)
   -> std::shared_ptr<Target>
 {
   const auto now = Clock::now();
@@ -126,9 +121,8 @@
   return far.empty() ? Pick(ejected) : Pick(far);
 }
 
-auto
-TargetTable::Connect(std::shared_ptr<Target> aTarget,
-                     Milliseconds aProvenWithin, std::error_code& aError)
+auto TargetTable::Connect(std::shared_ptr<Target> aTarget,
+                          Milliseconds aProvenWithin, std::error_code& aError)
   -> awaitable<std::unique_ptr<TargetConnection>>
 {
   const auto oldest = Clock::now() - aProvenWithin;
@@ -145,18 +139,16 @@
                                           aError);
 }
 
-auto
-TargetTable::Return(const std::shared_ptr<Target>& aTarget,
-                    std::unique_ptr<TargetConnection> aConnection) -> void
+auto TargetTable::Return(const std::shared_ptr<Target>& aTarget,
+                         std::unique_ptr<TargetConnection> aConnection) -> void
 {
   if (aConnection->Reusable() && aTarget->idle.size() < kIdleConnections) {
     aTarget->idle.push_back(std::move(aConnection));
   }
 }
 
-auto
-TargetTable::Report(const std::shared_ptr<Target>& aTarget,
-                    TargetOutcome aOutcome) -> void
+auto TargetTable::Report(const std::shared_ptr<Target>& aTarget,
+                         TargetOutcome aOutcome) -> void
 {
   if (aOutcome == TargetOutcome::Answered || aOutcome == TargetOutcome::Shed) {
     aTarget->failuresInRow = 0;
@@ -183,15 +175,13 @@
   LogWarning("target-ejected", { { "target", aTarget->address } });
 }
 
-auto
-TargetTable::All() const
+auto TargetTable::All() const
   -> const std::map<std::string, std::shared_ptr<Target>>&
 {
   return m_targets;
 }
 
-auto
-TargetTable::SlotsOf(const std::string& aService) const -> std::uint32_t
+auto TargetTable::SlotsOf(const std::string& aService) const -> std::uint32_t
 {
   std::uint32_t slots = 0;
   for (const auto& [address, target] : m_targets) {
--- a/lib/Wire/Packet.cpp
+++ b/lib/Wire/Packet.cpp
@@ -15,14 +15,12 @@
 static constexpr std::size_t kMissingLimit = 64;
 
 /// Bounds what a hostile header can make the decoder allocate.
-static auto
-Limits() -> msgpack::unpack_limit
+static auto Limits() -> msgpack::unpack_limit
 {
   return { kMissingLimit, 0, kPacketBytes, kPacketBytes, 0, 3 };
 }
 
-auto
-Encode(const Packet& aPacket) -> std::string
+auto Encode(const Packet& aPacket) -> std::string
 {
   assert(aPacket.missing.size() <= kMissingLimit);
   msgpack::sbuffer buffer(kPacketBytes);
@@ -50,8 +48,8 @@
   return { buffer.data(), buffer.size() };
 }
 
-static auto
-ReadHeader(const msgpack::object& aHeader, Packet& aPacket) -> PacketError
+static auto ReadHeader(const msgpack::object& aHeader, Packet& aPacket)
+  -> PacketError
 {
   if (aHeader.type != msgpack::type::ARRAY || aHeader.via.array.size == 0) {
     return PacketError::Malformed;
@@ -92,8 +90,8 @@
   return PacketError{};
 }
 
-auto
-Decode(const char* aData, std::size_t aSize, std::error_code& aError) -> Packet
+auto Decode(const char* aData, std::size_t aSize, std::error_code& aError)
+  -> Packet
 {
   Packet packet;
   if (aSize > kPacketBytes) {
--- a/lib/Wire/Token.cpp
+++ b/lib/Wire/Token.cpp
@@ -14,9 +14,8 @@
 
 using Mac = std::array<unsigned char, kMacBytes>;
 
-static auto
-Authenticate(const char* aData, std::size_t aSize, std::uint64_t aFlow,
-             const SigningKey& aKey) -> Mac
+static auto Authenticate(const char* aData, std::size_t aSize,
+                         std::uint64_t aFlow, const SigningKey& aKey) -> Mac
 {
   Mac mac{};
   crypto_generichash_state state;
@@ -32,32 +31,27 @@
   return mac;
 }
 
-auto
-KeyRing::Add(std::uint32_t aId, const SigningKey& aKey) -> void
+auto KeyRing::Add(std::uint32_t aId, const SigningKey& aKey) -> void
 {
   m_keys[aId] = aKey;
 }
 
-auto
-KeyRing::Remove(std::uint32_t aId) -> void
+auto KeyRing::Remove(std::uint32_t aId) -> void
 {
   m_keys.erase(aId);
 }
 
-auto
-KeyRing::Empty() const -> bool
+auto KeyRing::Empty() const -> bool
 {
   return m_keys.empty();
 }
 
-auto
-KeyRing::Keys() const -> const std::map<std::uint32_t, SigningKey>&
+auto KeyRing::Keys() const -> const std::map<std::uint32_t, SigningKey>&
 {
   return m_keys;
 }
 
-auto
-KeyRing::Sign(const FlowToken& aToken, std::uint64_t aFlow) const
+auto KeyRing::Sign(const FlowToken& aToken, std::uint64_t aFlow) const
   -> std::string
 {
   assert(!m_keys.empty());
@@ -78,9 +72,8 @@
   return text;
 }
 
-auto
-KeyRing::Verify(const std::string& aText, std::uint64_t aFlow,
-                std::error_code& aError) const -> FlowToken
+auto KeyRing::Verify(const std::string& aText, std::uint64_t aFlow,
+                     std::error_code& aError) const -> FlowToken
 {
   FlowToken token;
   aError = TokenError::Forged;
@@ -120,8 +113,7 @@
   return token;
 }
 
-auto
-KeyToHex(const SigningKey& aKey) -> std::string
+auto KeyToHex(const SigningKey& aKey) -> std::string
 {
   std::string text(aKey.size() * 2 + 1, '\0');
   sodium_bin2hex(text.data(), text.size(), aKey.data(), aKey.size());
@@ -129,18 +121,15 @@
   return text;
 }
 
-auto
-KeyFromHex(const std::string& aText, SigningKey& aKey) -> bool
+auto KeyFromHex(const std::string& aText, SigningKey& aKey) -> bool
 {
   std::size_t length = 0;
-  const int failed =
-    sodium_hex2bin(aKey.data(), aKey.size(), aText.data(), aText.size(),
-                   nullptr, &length, nullptr);
+  const int failed = sodium_hex2bin(aKey.data(), aKey.size(), aText.data(),
+                                    aText.size(), nullptr, &length, nullptr);
   return failed == 0 && length == aKey.size();
 }
 
-auto
-NewSigningKey() -> SigningKey
+auto NewSigningKey() -> SigningKey
 {
   SigningKey key{};
   randombytes_buf(key.data(), key.size());
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -36,10 +36,9 @@
                  const std::string& aLogFile)
   : m_state(std::make_unique<State>())
 {
-  m_state->child =
-    process::child(aProgram, process::args(aArguments),
-                   process::std_out > m_state->output,
-                   process::std_err > aLogFile, process::std_in < process::null);
+  m_state->child = process::child(
+    aProgram, process::args(aArguments), process::std_out > m_state->output,
+    process::std_err > aLogFile, process::std_in < process::null);
   std::string line;
   if (!std::getline(m_state->output, line) || !line.starts_with("ready ")) {
     m_state->child.terminate();
@@ -62,32 +61,27 @@
   }
 }
 
-auto
-Process::Value(const std::string& aKey) const -> std::string
+auto Process::Value(const std::string& aKey) const -> std::string
 {
   return m_state->values.at(aKey);
 }
 
-auto
-Process::Signal(int aSignal) -> void
+auto Process::Signal(int aSignal) -> void
 {
   ::kill(m_state->child.id(), aSignal);
 }
 
-auto
-Process::Running() -> bool
+auto Process::Running() -> bool
 {
   return m_state->child.running();
 }
 
-auto
-Process::Id() const -> int
+auto Process::Id() const -> int
 {
   return m_state->child.id();
 }
 
-auto
-Process::Wait(Milliseconds aLimit) -> bool
+auto Process::Wait(Milliseconds aLimit) -> bool
 {
   const auto limit = Clock::now() + aLimit;
   while (m_state->child.running()) {
@@ -122,24 +116,23 @@
   }
 }
 
-auto
-Cluster::WriteFile(const std::string& aName, const std::string& aText)
+auto Cluster::WriteFile(const std::string& aName, const std::string& aText)
   -> std::string
 {
-  const auto path = m_directory + "/" + aName;
+  auto path = m_directory + "/" + aName;
   std::ofstream(path) << aText;
   return path;
 }
 
-auto
-Cluster::StartBalancer(const std::string& aName, const std::string& aDomain)
+auto Cluster::StartBalancer(const std::string& aName,
+                            const std::string& aDomain)
   -> std::unique_ptr<Process>
 {
   auto sections = m_options.settings;
-  sections["vm"] += fmt::format("name = \"{}\"\nfailure_domain = \"{}\"\n"
-                                "seed = {}\n",
-                                aName, aDomain,
-                                m_options.seed * 1000 + m_nextName);
+  sections["vm"] +=
+    fmt::format("name = \"{}\"\nfailure_domain = \"{}\"\n"
+                "seed = {}\n",
+                aName, aDomain, m_options.seed * 1000 + m_nextName);
   sections["listen"] += "callers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
                         "administration = \"127.0.0.1:0\"\n";
   sections["platform"] += fmt::format("address = \"{}\"\n", StoreAddress());
@@ -153,12 +146,12 @@
   }
   const auto config = WriteFile(aName + ".toml", text);
   return std::make_unique<Process>(
-    m_programs + "/bramleylockd", std::vector<std::string>{ "--config", config },
+    m_programs + "/bramleylockd",
+    std::vector<std::string>{ "--config", config },
     m_directory + "/" + aName + ".log");
 }
 
-auto
-Cluster::AddBalancer(const std::string& aFailureDomain) -> BalancerProcess&
+auto Cluster::AddBalancer(const std::string& aFailureDomain) -> BalancerProcess&
 {
   const auto name = fmt::format("entry-{}", m_nextName++);
   m_balancers.push_back(
@@ -166,9 +159,8 @@
   return m_balancers.back();
 }
 
-auto
-Cluster::AddTarget(const std::string& aService,
-                   const std::string& aFailureDomain) -> TargetProcess&
+auto Cluster::AddTarget(const std::string& aService,
+                        const std::string& aFailureDomain) -> TargetProcess&
 {
   const auto name = fmt::format("{}-{}", aService, m_nextName++);
   int slots = 1;
@@ -177,10 +169,13 @@
       slots = service.slots;
     }
   }
-  const std::vector<std::string> arguments{
-    "target", "--name", name, "--service", aService, "--slots",
-    std::to_string(slots)
-  };
+  const std::vector<std::string> arguments{ "target",
+                                            "--name",
+                                            name,
+                                            "--service",
+                                            aService,
+                                            "--slots",
+                                            std::to_string(slots) };
   m_targets.push_back(
     { name, aService, aFailureDomain,
       std::make_unique<Process>(m_programs + "/bramleylock-standin", arguments,
@@ -188,8 +183,7 @@
   return m_targets.back();
 }
 
-auto
-Cluster::Start() -> void
+auto Cluster::Start() -> void
 {
   WriteFile("cluster.key", HashHex("cluster") + "\n");
   WriteFile("admin.token", "administration-token\n");
@@ -228,8 +222,7 @@
   }
 }
 
-auto
-Cluster::WaitReady(BalancerProcess& aBalancer) -> void
+auto Cluster::WaitReady(BalancerProcess& aBalancer) -> void
 {
   const auto limit = Clock::now() + kReadyTimeout;
   while (Clock::now() < limit) {
@@ -243,8 +236,7 @@
   throw std::runtime_error(aBalancer.name + " did not become ready");
 }
 
-auto
-Cluster::Publish() -> void
+auto Cluster::Publish() -> void
 {
   json vms = json::array();
   json routes = json::array();
@@ -274,9 +266,8 @@
   Control(FabricControl(), "/control/balancers", routes);
 }
 
-auto
-Cluster::Control(const std::string& aAddress, const std::string& aPath,
-                 const json& aBody) -> json
+auto Cluster::Control(const std::string& aAddress, const std::string& aPath,
+                      const json& aBody) -> json
 {
   http::Request request;
   request.method = "POST";
@@ -288,9 +279,9 @@
   return json::parse(reply.body, nullptr, false);
 }
 
-auto
-Cluster::Admin(BalancerProcess& aBalancer, const std::string& aMethod,
-               const std::string& aTarget, const std::string& aBody) -> json
+auto Cluster::Admin(BalancerProcess& aBalancer, const std::string& aMethod,
+                    const std::string& aTarget, const std::string& aBody)
+  -> json
 {
   http::Request request;
   request.method = aMethod;
@@ -305,44 +296,37 @@
   return answer.is_discarded() ? json::object() : answer;
 }
 
-auto
-Cluster::StoreAddress() const -> std::string
+auto Cluster::StoreAddress() const -> std::string
 {
   return m_store->Value("store");
 }
 
-auto
-Cluster::FabricControl() const -> std::string
+auto Cluster::FabricControl() const -> std::string
 {
   return m_fabric->Value("control");
 }
 
-auto
-Cluster::CallerAddress() const -> std::string
+auto Cluster::CallerAddress() const -> std::string
 {
   return m_fabric->Value("callers");
 }
 
-auto
-Cluster::Balancers() -> std::vector<BalancerProcess>&
+auto Cluster::Balancers() -> std::vector<BalancerProcess>&
 {
   return m_balancers;
 }
 
-auto
-Cluster::Targets() -> std::vector<TargetProcess>&
+auto Cluster::Targets() -> std::vector<TargetProcess>&
 {
   return m_targets;
 }
 
-auto
-Cluster::Directory() const -> std::string
+auto Cluster::Directory() const -> std::string
 {
   return m_directory;
 }
 
-auto
-Cluster::Journal(TargetProcess& aTarget) -> json
+auto Cluster::Journal(TargetProcess& aTarget) -> json
 {
   const auto saved = m_savedJournals.find(aTarget.name);
   if (saved != m_savedJournals.end()) {
@@ -351,14 +335,12 @@
   return Control(aTarget.process->Value("target"), "/journal", {});
 }
 
-auto
-Cluster::SaveJournal(TargetProcess& aTarget) -> void
+auto Cluster::SaveJournal(TargetProcess& aTarget) -> void
 {
   m_savedJournals[aTarget.name] = Journal(aTarget);
 }
 
-auto
-Cluster::Runs() -> std::map<std::string, RunCount>
+auto Cluster::Runs() -> std::map<std::string, RunCount>
 {
   std::map<std::string, RunCount> runs;
   for (auto& target : m_targets) {
@@ -372,8 +354,8 @@
   return runs;
 }
 
-auto
-Cluster::RunsByTarget(const std::string& aService) -> std::map<std::string, int>
+auto Cluster::RunsByTarget(const std::string& aService)
+  -> std::map<std::string, int>
 {
   std::map<std::string, int> runs;
   for (auto& target : m_targets) {
@@ -384,8 +366,7 @@
   return runs;
 }
 
-auto
-Cluster::CounterSum(const std::string& aName) -> std::uint64_t
+auto Cluster::CounterSum(const std::string& aName) -> std::uint64_t
 {
   std::uint64_t sum = 0;
   for (auto& balancer : m_balancers) {
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -20,7 +20,8 @@
 public:
   /// Starts aProgram and waits for its line "ready KEY=VALUE ...". Throws
   /// std::runtime_error when the process ends first.
-  Process(const std::string& aProgram, const std::vector<std::string>& aArguments,
+  Process(const std::string& aProgram,
+          const std::vector<std::string>& aArguments,
           const std::string& aLogFile);
   ~Process();
   Process(const Process&) = delete;
@@ -101,8 +102,8 @@
 
   /// Starts one more balancer, not yet listed.
   auto AddBalancer(const std::string& aFailureDomain) -> BalancerProcess&;
-  auto AddTarget(const std::string& aService,
-                 const std::string& aFailureDomain) -> TargetProcess&;
+  auto AddTarget(const std::string& aService, const std::string& aFailureDomain)
+    -> TargetProcess&;
 
   /// Tells the platform's VM list and the fabric what is there now.
   auto Publish() -> void;
--- a/measure/Deployment.cpp
+++ b/measure/Deployment.cpp
@@ -10,14 +10,12 @@
 using lists::SizeClass;
 using lists::Urgency;
 
-auto
-CredentialOf(const std::string& aPlan) -> std::string
+auto CredentialOf(const std::string& aPlan) -> std::string
 {
   return aPlan + ".secret-of-" + aPlan;
 }
 
-static auto
-MakePlan(const std::string& aName, double aWeight) -> lists::Plan
+static auto MakePlan(const std::string& aName, double aWeight) -> lists::Plan
 {
   lists::Plan plan;
   plan.secretHash = HashHex("secret-of-" + aName);
@@ -25,8 +23,7 @@
   return plan;
 }
 
-static auto
-MakeCooperative() -> Deployment
+static auto MakeCooperative() -> Deployment
 {
   Deployment deployment;
   deployment.name = "cooperative";
@@ -57,8 +54,7 @@
   return deployment;
 }
 
-static auto
-MakeTicketworks() -> Deployment
+static auto MakeTicketworks() -> Deployment
 {
   Deployment deployment;
   deployment.name = "ticketworks";
@@ -89,8 +85,7 @@
   return deployment;
 }
 
-auto
-FindDeployment(const std::string& aName) -> const Deployment*
+auto FindDeployment(const std::string& aName) -> const Deployment*
 {
   static const Deployment cooperative = MakeCooperative();
   static const Deployment ticketworks = MakeTicketworks();
--- a/measure/Load.cpp
+++ b/measure/Load.cpp
@@ -57,14 +57,12 @@
   Join();
 }
 
-auto
-Load::Add(LoadSpec aSpec) -> void
+auto Load::Add(LoadSpec aSpec) -> void
 {
   m_state->specs.push_back(std::move(aSpec));
 }
 
-auto
-Load::Start() -> void
+auto Load::Start() -> void
 {
   m_state->started = Clock::now();
   for (const auto& spec : m_state->specs) {
@@ -74,28 +72,24 @@
   m_state->thread = std::thread([this] { m_state->context.run(); });
 }
 
-auto
-Load::Join() -> void
+auto Load::Join() -> void
 {
   if (m_state->thread.joinable()) {
     m_state->thread.join();
   }
 }
 
-auto
-Load::Elapsed() const -> double
+auto Load::Elapsed() const -> double
 {
   return std::chrono::duration<double>(Clock::now() - m_state->started).count();
 }
 
-auto
-Load::Records() const -> const std::map<std::string, std::vector<Record>>&
+auto Load::Records() const -> const std::map<std::string, std::vector<Record>>&
 {
   return m_state->records;
 }
 
-auto
-Load::State::Finished() -> void
+auto Load::State::Finished() -> void
 {
   if (--open == 0) {
     client.Close();
@@ -103,8 +97,7 @@
   }
 }
 
-auto
-Load::State::Generate(LoadSpec aSpec) -> awaitable<void>
+auto Load::State::Generate(LoadSpec aSpec) -> awaitable<void>
 {
   const auto at = [this](double aSeconds) {
     return started + std::chrono::duration_cast<Clock::duration>(
@@ -134,9 +127,8 @@
   Finished();
 }
 
-auto
-Load::State::One(LoadShape aShape, std::string aLabel, std::string aId,
-                 std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>
+auto Load::State::One(LoadShape aShape, std::string aLabel, std::string aId,
+                      std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>
 {
   Record record;
   record.id = aId;
@@ -152,6 +144,7 @@
   record.outcome = result.outcome;
   record.reason = result.reason;
   record.retryAfterMs = result.retryAfterMs;
+  record.sends = result.sends;
   record.latencyMs =
     std::chrono::duration<double, std::milli>(result.latency).count();
   record.atMostOnce = aShape.work == "confirm" || aShape.work == "booking";
@@ -164,8 +157,8 @@
   Finished();
 }
 
-static auto
-CheckOne(const Record& aRecord, const RunCount& aCount, Checks& aChecks) -> void
+static auto CheckOne(const Record& aRecord, const RunCount& aCount,
+                     Checks& aChecks) -> void
 {
   const int runs = aCount.runs;
   for (const auto& service : aCount.services) {
@@ -196,23 +189,22 @@
   }
 }
 
-auto
-CheckRecords(const std::map<std::string, std::vector<Record>>& aRecords,
-             Cluster& aCluster) -> Checks
+auto CheckRecords(const std::map<std::string, std::vector<Record>>& aRecords,
+                  Cluster& aCluster) -> Checks
 {
   Checks checks;
   const auto runs = aCluster.Runs();
   for (const auto& [label, records] : aRecords) {
     for (const auto& record : records) {
       const auto found = runs.find(record.id);
-      CheckOne(record, found == runs.end() ? RunCount{} : found->second, checks);
+      CheckOne(record, found == runs.end() ? RunCount{} : found->second,
+               checks);
     }
   }
   return checks;
 }
 
-auto
-LatencyAt(const std::vector<Record>& aRecords, double aPart) -> double
+auto LatencyAt(const std::vector<Record>& aRecords, double aPart) -> double
 {
   std::vector<double> latencies;
   for (const auto& record : aRecords) {
@@ -223,8 +215,8 @@
   if (latencies.empty()) {
     return 0;
   }
-  const auto index = static_cast<std::size_t>(
-    aPart * static_cast<double>(latencies.size() - 1));
+  const auto index =
+    static_cast<std::size_t>(aPart * static_cast<double>(latencies.size() - 1));
   std::nth_element(latencies.begin(),
                    latencies.begin() + static_cast<std::ptrdiff_t>(index),
                    latencies.end());
--- a/measure/Load.h
+++ b/measure/Load.h
@@ -25,6 +25,7 @@
   /// Seconds from the start of the load.
   double startedAt = 0;
   std::uint32_t retryAfterMs = 0;
+  std::uint32_t sends = 0;
 };
 
 /// Requests of one kind at a steady rate.
--- a/measure/Report.cpp
+++ b/measure/Report.cpp
@@ -9,34 +9,29 @@
 
 namespace bramleylock::measure {
 
-auto
-Report::Add(const std::string& aKey, const std::string& aValue) -> void
+auto Report::Add(const std::string& aKey, const std::string& aValue) -> void
 {
   m_rows.emplace_back(aKey, aValue);
 }
 
-auto
-Report::Add(const std::string& aKey, double aValue) -> void
+auto Report::Add(const std::string& aKey, double aValue) -> void
 {
   Add(aKey, fmt::format("{:.3f}", aValue));
 }
 
-auto
-Report::Add(const std::string& aKey, std::uint64_t aValue) -> void
+auto Report::Add(const std::string& aKey, std::uint64_t aValue) -> void
 {
   Add(aKey, std::to_string(aValue));
 }
 
-auto
-Report::Require(const std::string& aWhat, bool aHolds) -> void
+auto Report::Require(const std::string& aWhat, bool aHolds) -> void
 {
   if (!aHolds) {
     m_broken.push_back(aWhat);
   }
 }
 
-auto
-Report::AddChecks(const Checks& aChecks) -> void
+auto Report::AddChecks(const Checks& aChecks) -> void
 {
   Add("requests", aChecks.requests);
   Add("answered", aChecks.answered);
@@ -54,8 +49,7 @@
   Require("false_not_run=0", aChecks.falseNotRun == 0);
 }
 
-auto
-Report::AddLatencies(
+auto Report::AddLatencies(
   const std::map<std::string, std::vector<Record>>& aRecords) -> void
 {
   for (const auto& [label, records] : aRecords) {
@@ -64,8 +58,7 @@
   }
 }
 
-auto
-Report::AddReasons(
+auto Report::AddReasons(
   const std::map<std::string, std::vector<Record>>& aRecords) -> void
 {
   std::map<std::string, std::uint64_t> counts;
@@ -83,14 +76,12 @@
   }
 }
 
-auto
-Report::Held() const -> bool
+auto Report::Held() const -> bool
 {
   return m_broken.empty();
 }
 
-auto
-Report::Print(bool aJson) const -> void
+auto Report::Print(bool aJson) const -> void
 {
   const std::string verdict = Held() ? "held" : "broken";
   if (aJson) {
@@ -112,8 +103,7 @@
   std::cout << "verdict=" << verdict << std::endl;
 }
 
-auto
-Imbalance(Cluster& aCluster, const std::string& aService) -> double
+auto Imbalance(Cluster& aCluster, const std::string& aService) -> double
 {
   const auto runs = aCluster.RunsByTarget(aService);
   double total = 0;
--- a/measure/Steady.cpp
+++ b/measure/Steady.cpp
@@ -35,9 +35,9 @@
     const auto imbalance = Imbalance(cluster, deployment.reading.service);
     aReport.Add("imbalance", imbalance);
     aReport.Require("imbalance<=1.25", imbalance <= kImbalanceLimit);
-    for (const auto* name : { "packets_forwarded", "packet_duplicate",
-                              "packet_stray", "parts_resent",
-                              "peer_link_lost", "retry_target_shed" }) {
+    for (const auto* name :
+         { "packets_forwarded", "packet_duplicate", "packet_stray",
+           "parts_resent", "peer_link_lost", "retry_target_shed" }) {
       aReport.Add(name, cluster.CounterSum(name));
     }
     aReport.AddReasons(load.Records());
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-static auto
-ListScenarios() -> int
+static auto ListScenarios() -> int
 {
   auto& registry = ScenarioRegistry::Instance();
   for (const auto& name : registry.Names()) {
@@ -32,8 +31,7 @@
   return Held;
 }
 
-static auto
-RunScenario(const cxxopts::ParseResult& aArguments) -> int
+static auto RunScenario(const cxxopts::ParseResult& aArguments) -> int
 {
   const auto name = aArguments["scenario"].as<std::string>();
   const auto scenario = ScenarioRegistry::Instance().Create(name);
@@ -62,8 +60,7 @@
   return report.Held() ? Held : Broken;
 }
 
-auto
-main(int argc, char** argv) -> int
+auto main(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-measure",
                            "Runs one scenario on real processes.");
--- a/standins/Content.cpp
+++ b/standins/Content.cpp
@@ -8,8 +8,7 @@
 
 static constexpr std::uint64_t kBlockBytes = 8;
 
-auto
-ParseWork(const std::string& aBody) -> std::map<std::string, std::string>
+auto ParseWork(const std::string& aBody) -> std::map<std::string, std::string>
 {
   std::map<std::string, std::string> words;
   std::istringstream stream(aBody);
@@ -24,17 +23,15 @@
 }
 
 /// The splitmix64 finalizer.
-static auto
-Mix(std::uint64_t aValue) -> std::uint64_t
+static auto Mix(std::uint64_t aValue) -> std::uint64_t
 {
   aValue = (aValue ^ (aValue >> 30)) * 0xbf58476d1ce4e5b9ULL;
   aValue = (aValue ^ (aValue >> 27)) * 0x94d049bb133111ebULL;
   return aValue ^ (aValue >> 31);
 }
 
-auto
-MakeContent(const std::string& aId, std::uint64_t aOffset, std::uint64_t aSize)
-  -> std::string
+auto MakeContent(const std::string& aId, std::uint64_t aOffset,
+                 std::uint64_t aSize) -> std::string
 {
   const std::uint64_t seed = std::hash<std::string>()(aId);
   std::string content;
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -77,15 +77,14 @@
     boost::system::error_code ignored;
     aSocket.set_option(
       asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
-    aSocket.set_option(
-      asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+    aSocket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
+                       ignored);
     aSocket.non_blocking(true, ignored);
   }
 
   auto Chance(double aRatio) -> bool
   {
-    return aRatio > 0 &&
-           std::uniform_real_distribution<>()(m_random) < aRatio;
+    return aRatio > 0 && std::uniform_real_distribution<>()(m_random) < aRatio;
   }
 
   auto Pick() -> const Route&
@@ -114,8 +113,7 @@
     const int copies = Chance(m_faults.duplicateRatio) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       if (Chance(m_faults.delayRatio)) {
-        Spawn(m_context, "delayed",
-              SendLater(aPort, aToCaller, aTo, aData));
+        Spawn(m_context, "delayed", SendLater(aPort, aToCaller, aTo, aData));
         continue;
       }
       SendNow(*aPort, aToCaller, aTo, aData);
@@ -189,9 +187,8 @@
       m_routes.clear();
       for (const auto& row : body) {
         std::error_code error;
-        m_routes.push_back(
-          { ParseUdpEndpoint(row.value("address", ""), error),
-            row.value("weight", 1.0) });
+        m_routes.push_back({ ParseUdpEndpoint(row.value("address", ""), error),
+                             row.value("weight", 1.0) });
       }
     } else if (path == "/control/fault" && body.is_object()) {
       m_faults = { body.value("loss", 0.0), body.value("duplicate", 0.0),
@@ -213,8 +210,7 @@
 
 } // namespace
 
-auto
-RunFabric(int argc, char** argv) -> int
+auto RunFabric(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin fabric");
   options.add_options()(
--- a/standins/Proxy.cpp
+++ b/standins/Proxy.cpp
@@ -28,9 +28,8 @@
   int delayMs = 0;
 };
 
-auto
-Matches(const std::vector<std::string>& aPrefixes, const std::string& aSource)
-  -> bool
+auto Matches(const std::vector<std::string>& aPrefixes,
+             const std::string& aSource) -> bool
 {
   for (const auto& prefix : aPrefixes) {
     if (aSource.starts_with(prefix)) {
@@ -122,8 +121,8 @@
     std::array<char, 16384> buffer;
     boost::system::error_code failure;
     while (!failure) {
-      const auto size = co_await aFrom.async_read_some(asio::buffer(buffer),
-                                                       Into(failure));
+      const auto size =
+        co_await aFrom.async_read_some(asio::buffer(buffer), Into(failure));
       if (failure) {
         break;
       }
@@ -169,8 +168,7 @@
 
 } // namespace
 
-auto
-RunProxy(int argc, char** argv) -> int
+auto RunProxy(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin proxy");
   options.add_options()(
--- a/standins/Store.cpp
+++ b/standins/Store.cpp
@@ -140,8 +140,7 @@
   {
     const auto known =
       std::stoull(http::QueryOf(aRequest.target, "known", "0"));
-    const auto wait =
-      std::stoi(http::QueryOf(aRequest.target, "wait_ms", "0"));
+    const auto wait = std::stoi(http::QueryOf(aRequest.target, "wait_ms", "0"));
     const auto deadline = Clock::now() + Milliseconds(wait);
     while (Clock::now() < deadline && Find(aKey).revision == known &&
            !m_faults.down) {
@@ -154,8 +153,8 @@
     if (entry.revision == 0) {
       co_return ReplyJson(404, { { "error", "no such key" } });
     }
-    co_return ReplyJson(200, { { "value", entry.value },
-                               { "revision", entry.revision } });
+    co_return ReplyJson(
+      200, { { "value", entry.value }, { "revision", entry.revision } });
   }
 
   auto Control(const std::string& aAction, const http::Request& aRequest)
@@ -168,8 +167,8 @@
     if (aAction == "fault") {
       const auto body = json::parse(aRequest.body);
       m_faults = { body.value("down", false), body.value("slow_ms", 0),
-                   body.value("fail_ratio", 0.0),
-                   body.value("lose_answers", 0), body.value("vm_lag_ms", 0) };
+                   body.value("fail_ratio", 0.0), body.value("lose_answers", 0),
+                   body.value("vm_lag_ms", 0) };
       m_changed.Notify();
       return ReplyJson(200, {});
     }
@@ -222,8 +221,7 @@
 
 } // namespace
 
-auto
-RunStore(int argc, char** argv) -> int
+auto RunStore(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin store");
   options.add_options()(
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -101,12 +101,11 @@
     }
     if (path == "/control/behave") {
       const auto body = json::parse(aRequest.body);
-      m_behaviour = { body.value("shed_all", false),
-                      body.value("draining", false),
-                      body.value("lose_answers", false),
-                      body.value("extra_ms", 0),
-                      body.value("claim_healthy", true),
-                      body.value("claim_load", -1.0) };
+      m_behaviour = {
+        body.value("shed_all", false),     body.value("draining", false),
+        body.value("lose_answers", false), body.value("extra_ms", 0),
+        body.value("claim_healthy", true), body.value("claim_load", -1.0)
+      };
       co_return ReplyJson({});
     }
     http::Reply reply;
@@ -206,8 +205,7 @@
 
 } // namespace
 
-auto
-RunTarget(int argc, char** argv) -> int
+auto RunTarget(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin target");
   options.add_options()(
@@ -229,11 +227,10 @@
   const auto address =
     ParseTcpEndpoint(parsed["listen"].as<std::string>(), error);
   asio::io_context context(1);
-  TargetHost host(context, address,
-                  { parsed["name"].as<std::string>(),
-                    parsed["service"].as<std::string>(),
-                    parsed["slots"].as<std::size_t>(),
-                    parsed["backlog"].as<std::size_t>() });
+  TargetHost host(
+    context, address,
+    { parsed["name"].as<std::string>(), parsed["service"].as<std::string>(),
+      parsed["slots"].as<std::size_t>(), parsed["backlog"].as<std::size_t>() });
   std::cout << "ready target=" << host.Address() << std::endl;
   return RunUntilSignal(&context);
 }
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -11,14 +11,12 @@
 
 namespace bramleylock::standin {
 
-auto
-RunUntilSignal(void* aContext) -> int
+auto RunUntilSignal(void* aContext) -> int
 {
   auto& context = *static_cast<asio::io_context*>(aContext);
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](const boost::system::error_code&, int) {
-    context.stop();
-  });
+  signals.async_wait(
+    [&context](const boost::system::error_code&, int) { context.stop(); });
   context.run();
   return 0;
 }
@@ -36,8 +34,7 @@
 
 } // namespace
 
-auto
-main(int argc, char** argv) -> int
+auto main(int argc, char** argv) -> int
 {
   using namespace bramleylock::standin;
   static const std::array<Row, 4> kRows{ {
--- a/tools/bramleylock-call/main.cpp
+++ b/tools/bramleylock-call/main.cpp
@@ -36,16 +36,15 @@
 repeatable request may have run).
 )";
 
-static auto
-CallOnce(bramleylock::caller::Client& aClient, const cxxopts::ParseResult& aArgs,
-         const std::string& aCredential,
-         bramleylock::caller::CallResult& aResult)
+static auto CallOnce(bramleylock::caller::Client& aClient,
+                     const cxxopts::ParseResult& aArgs,
+                     const std::string& aCredential,
+                     bramleylock::caller::CallResult& aResult)
   -> bramleylock::awaitable<void>
 {
   using namespace bramleylock;
   {
-    caller::Flow flow(aClient, aArgs["service"].as<std::string>(),
-                      aCredential);
+    caller::Flow flow(aClient, aArgs["service"].as<std::string>(), aCredential);
     caller::CallOptions options;
     options.work = aArgs["work"].as<std::string>();
     options.payload = aArgs["payload"].as<std::string>();
@@ -55,12 +54,12 @@
   aClient.Close();
 }
 
-static auto
-Report(const bramleylock::caller::CallResult& aResult, bool aJson) -> void
+static auto Report(const bramleylock::caller::CallResult& aResult, bool aJson)
+  -> void
 {
   using namespace bramleylock;
-  const auto milliseconds = std::chrono::duration<double, std::milli>(
-                              aResult.latency).count();
+  const auto milliseconds =
+    std::chrono::duration<double, std::milli>(aResult.latency).count();
   const auto outcome = NameOf(caller::kCallOutcomeNames, aResult.outcome);
   const auto reason = NameOf(wire::kReasonNames, aResult.reason);
   if (aJson) {
@@ -81,8 +80,7 @@
              aResult.retryAfterMs, milliseconds, aResult.sends);
 }
 
-static auto
-ExitCodeOf(const bramleylock::caller::CallResult& aResult) -> int
+static auto ExitCodeOf(const bramleylock::caller::CallResult& aResult) -> int
 {
   using bramleylock::caller::CallOutcome;
   switch (aResult.outcome) {
@@ -98,8 +96,8 @@
   return Unknown;
 }
 
-static auto
-WriteBody(const std::string& aFile, const std::string& aBody) -> void
+static auto WriteBody(const std::string& aFile, const std::string& aBody)
+  -> void
 {
   if (aFile.empty()) {
     return;
@@ -115,8 +113,7 @@
   }
 }
 
-auto
-main(int argc, char** argv) -> int
+auto main(int argc, char** argv) -> int
 {
   using namespace bramleylock;
   cxxopts::Options options("bramleylock-call",
@@ -131,9 +128,8 @@
     "deadline-ms", "time for the whole answer",
     cxxopts::value<int>()->default_value("5000"))(
     "output", "file for the answer, - for standard output",
-    cxxopts::value<std::string>()->default_value(""))(
-    "json", "report as JSON")("version", "print the version")("help",
-                                                              "print this help");
+    cxxopts::value<std::string>()->default_value(""))("json", "report as JSON")(
+    "version", "print the version")("help", "print this help");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0) {
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -50,10 +50,9 @@
 static constexpr Milliseconds kCallTimeout{ 5000 };
 static constexpr Milliseconds kPollEvery{ 50 };
 
-static auto
-Call(const Session& aSession, const std::string& aServer,
-     const std::string& aMethod, const std::string& aTarget,
-     const std::string& aBody, json& aAnswer) -> unsigned
+static auto Call(const Session& aSession, const std::string& aServer,
+                 const std::string& aMethod, const std::string& aTarget,
+                 const std::string& aBody, json& aAnswer) -> unsigned
 {
   http::Request request;
   request.method = aMethod;
@@ -74,8 +73,7 @@
   return reply.status;
 }
 
-static auto
-PrintError(const json& aAnswer) -> int
+static auto PrintError(const json& aAnswer) -> int
 {
   fmt::print(stderr, "bramleylockctl: {}: {}\n",
              aAnswer.value("error", "failed"), aAnswer.value("detail", ""));
@@ -83,8 +81,7 @@
 }
 
 /// Reads the lists from the first server that answers.
-static auto
-ReadLists(const Session& aSession, json& aAnswer) -> bool
+static auto ReadLists(const Session& aSession, json& aAnswer) -> bool
 {
   for (const auto& server : aSession.servers) {
     if (Call(aSession, server, "GET", "/lists", "", aAnswer) == 200) {
@@ -94,8 +91,7 @@
   return false;
 }
 
-static auto
-ShowLists(const Session& aSession) -> int
+static auto ShowLists(const Session& aSession) -> int
 {
   json answer;
   if (!ReadLists(aSession, answer)) {
@@ -105,8 +101,7 @@
   return Success;
 }
 
-static auto
-RevisionAt(const Session& aSession, const std::string& aServer)
+static auto RevisionAt(const Session& aSession, const std::string& aServer)
   -> std::uint64_t
 {
   json answer;
@@ -117,8 +112,7 @@
 }
 
 /// Waits until every server has aRevision and reports who has not.
-static auto
-WaitInForce(const Session& aSession, std::uint64_t aRevision) -> int
+static auto WaitInForce(const Session& aSession, std::uint64_t aRevision) -> int
 {
   const auto started = Clock::now();
   const auto limit = started + Milliseconds(aSession.waitMs);
@@ -146,15 +140,15 @@
   } else {
     fmt::print("revision={} in_force={} not_yet={} waited_ms={:.0f}\n",
                aRevision, aSession.servers.size() - missing.size(),
-               missing.empty() ? "none" : fmt::format("{}", fmt::join(missing, ",")),
+               missing.empty() ? "none"
+                               : fmt::format("{}", fmt::join(missing, ",")),
                waited);
   }
   return missing.empty() ? Success : NotEverywhere;
 }
 
-static auto
-Submit(const Session& aSession, std::uint64_t aExpected,
-       const std::string& aDocument) -> int
+static auto Submit(const Session& aSession, std::uint64_t aExpected,
+                   const std::string& aDocument) -> int
 {
   json answer;
   const auto status =
@@ -167,8 +161,7 @@
   return WaitInForce(aSession, answer.value("revision", std::uint64_t{ 0 }));
 }
 
-static auto
-ReadFile(const std::string& aFile, std::string& aText) -> bool
+static auto ReadFile(const std::string& aFile, std::string& aText) -> bool
 {
   std::ifstream file(aFile);
   std::ostringstream text;
@@ -177,8 +170,7 @@
   return static_cast<bool>(file);
 }
 
-static auto
-ApplyFile(const Session& aSession) -> int
+static auto ApplyFile(const Session& aSession) -> int
 {
   std::string document;
   if (!ReadFile(aSession.words[2], document)) {
@@ -192,8 +184,7 @@
   return Submit(aSession, expected, document);
 }
 
-static auto
-DiffFile(const Session& aSession) -> int
+static auto DiffFile(const Session& aSession) -> int
 {
   std::string document;
   json current;
@@ -217,8 +208,7 @@
 }
 
 /// Sets one field: lists set plans/clubes/weight 2
-static auto
-SetField(const Session& aSession) -> int
+static auto SetField(const Session& aSession) -> int
 {
   json current;
   if (!ReadLists(aSession, current)) {
@@ -239,8 +229,7 @@
                 current["lists"].dump());
 }
 
-static auto
-RemoveEntry(const Session& aSession) -> int
+static auto RemoveEntry(const Session& aSession) -> int
 {
   json current;
   if (!ReadLists(aSession, current)) {
@@ -260,9 +249,8 @@
 }
 
 /// Prints what every server answers on one path.
-static auto
-PrintEach(const Session& aSession, const char* aMethod, const char* aPath)
-  -> int
+static auto PrintEach(const Session& aSession, const char* aMethod,
+                      const char* aPath) -> int
 {
   int code = Success;
   for (const auto& server : aSession.servers) {
@@ -281,32 +269,27 @@
   return code;
 }
 
-static auto
-ShowStatus(const Session& aSession) -> int
+static auto ShowStatus(const Session& aSession) -> int
 {
   return PrintEach(aSession, "GET", "/status");
 }
 
-static auto
-ShowTargets(const Session& aSession) -> int
+static auto ShowTargets(const Session& aSession) -> int
 {
   return PrintEach(aSession, "GET", "/targets");
 }
 
-static auto
-ShowCounters(const Session& aSession) -> int
+static auto ShowCounters(const Session& aSession) -> int
 {
   return PrintEach(aSession, "GET", "/counters");
 }
 
-static auto
-StartDrain(const Session& aSession) -> int
+static auto StartDrain(const Session& aSession) -> int
 {
   return PrintEach(aSession, "POST", "/drain");
 }
 
-static auto
-NewCredential(const Session& aSession) -> int
+static auto NewCredential(const Session& aSession) -> int
 {
   const auto secret = SecretIdentifier();
   fmt::print("credential={}.{}\nsecret_hash={}\n", aSession.words[1], secret,
@@ -340,8 +323,7 @@
 meanwhile, 4 accepted but not yet in force everywhere.
 )";
 
-static auto
-RunVerb(Session& aSession) -> int
+static auto RunVerb(Session& aSession) -> int
 {
   for (const auto& verb : kVerbs) {
     std::string name = aSession.words.empty() ? "" : aSession.words[0];
@@ -365,8 +347,7 @@
   return Usage;
 }
 
-auto
-main(int argc, char** argv) -> int
+auto main(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylockctl",
                            "Shows and edits the lists, and shows balancers.");
@@ -408,8 +389,8 @@
         return Usage;
       }
       session.servers = parsed["server"].as<std::vector<std::string>>();
-      session.token = kernel::ReadSecretFile(
-        parsed["token-file"].as<std::string>(), error);
+      session.token =
+        kernel::ReadSecretFile(parsed["token-file"].as<std::string>(), error);
       if (error) {
         std::cerr << "bramleylockctl: --token-file cannot be read\n";
         return Usage;
--- a/tools/bramleylockd/main.cpp
+++ b/tools/bramleylockd/main.cpp
@@ -35,8 +35,7 @@
 4 cannot start.
 )";
 
-static auto
-Run(const bramleylock::kernel::Settings& aSettings) -> int
+static auto Run(const bramleylock::kernel::Settings& aSettings) -> int
 {
   using namespace bramleylock;
   ConfigureLog({ *ValueOf(kLogLevelNames, aSettings.logLevel),
@@ -52,23 +51,22 @@
     return CannotStart;
   }
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait(
-    [&balancer](const boost::system::error_code& aError, int) {
-      if (!aError) {
-        balancer.Drain();
-      }
-    });
+  signals.async_wait([&balancer](const boost::system::error_code& aError, int) {
+    if (!aError) {
+      balancer.Drain();
+    }
+  });
   std::cout << balancer.ReadyLine() << std::endl;
   context.run();
   return Success;
 }
 
-auto
-main(int argc, char** argv) -> int
+auto main(int argc, char** argv) -> int
 {
   using namespace bramleylock;
   cxxopts::Options options("bramleylockd", "The bramleylock balancer.");
-  options.add_options()("config", "settings file", cxxopts::value<std::string>())(
+  options.add_options()("config", "settings file",
+                        cxxopts::value<std::string>())(
     "check", "validate the settings and exit")(
     "print-defaults", "print every setting with its default")(
     "version", "print the version")("help", "print this help");
@@ -92,8 +90,8 @@
     }
     std::error_code error;
     std::vector<std::string> problems;
-    const auto settings = kernel::LoadSettings(
-      parsed["config"].as<std::string>(), error, problems);
+    const auto settings =
+      kernel::LoadSettings(parsed["config"].as<std::string>(), error, problems);
     for (const auto& problem : problems) {
       std::cerr << problem << "\n";
     }
