Move the token keys out of the platform watcher

Key rotation needs more than the watcher's poll; its code gets a class of its own. A peer that has newer keys now sends them unasked on a heartbeat, so that the request for lists no longer carries keys.

--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -1,4 +1,4 @@
-// Keeps the lists, the token keys and the VM list current.
+// Keeps the lists and the VM list current.
 #pragma once
 
 #include <functional>
@@ -7,7 +7,6 @@
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
 #include "bramleylock/Target/TargetTable.h"
-#include "bramleylock/Wire/Token.h"
 
 namespace bramleylock::kernel {
 
@@ -17,9 +16,8 @@
 {
 public:
   PlatformWatcher(asio::io_context& aContext, lists::PlatformStore& aStore,
-                  lists::ListKeeper& aLists, wire::KeyRing& aKeys,
-                  peer::PeerHub& aHub, peer::Membership& aMembers,
-                  target::TargetTable& aTargets);
+                  lists::ListKeeper& aLists, peer::PeerHub& aHub,
+                  peer::Membership& aMembers, target::TargetTable& aTargets);
 
   auto Start() -> void;
 
@@ -29,22 +27,15 @@
   /// Calls aListener after the targets were read from the VM list.
   auto OnTargets(std::function<void()> aListener) -> void;
 
-  auto NewestKey() const -> std::uint32_t;
-
 private:
   auto WatchLists() -> awaitable<void>;
-  auto KeepKeys() -> awaitable<void>;
-  auto CreateKeys() -> awaitable<void>;
   auto WatchVms() -> awaitable<void>;
-  auto InstallKeys(const std::string& aDocument) -> void;
   auto SendLists(const std::string& aAddress) -> void;
-  auto SendKeys(const std::string& aAddress) -> void;
   auto ListenToPeers() -> void;
 
   asio::io_context& m_context;
   lists::PlatformStore& m_store;
   lists::ListKeeper& m_lists;
-  wire::KeyRing& m_keys;
   peer::PeerHub& m_hub;
   peer::Membership& m_members;
   target::TargetTable& m_targets;
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -5,6 +5,7 @@
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Kernel/AdminApi.h"
 #include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/KeyKeeper.h"
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
@@ -52,6 +53,7 @@
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<PlatformWatcher> watcher;
+  std::unique_ptr<KeyKeeper> keyKeeper;
   std::unique_ptr<AdminApi> admin;
   bool draining = false;
 };
@@ -118,15 +120,16 @@
                        *admission, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
-  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, keys,
-                                              *hub, *members, *targets);
+  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, *hub,
+                                              *members, *targets);
+  keyKeeper = std::make_unique<KeyKeeper>(context, *store, keys, *hub);
   hub->Start(self);
 }
 
 auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
-  aHeartbeat.newestKey = watcher->NewestKey();
+  aHeartbeat.newestKey = keyKeeper->NewestKey();
   aHeartbeat.draining = draining;
   for (const auto& [address, target] : targets->All()) {
     if (target->inFlight > 0) {
@@ -205,8 +208,10 @@
   parts.dispatcher->Start();
   parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
   parts.watcher->Start();
+  parts.keyKeeper->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
+    parts.keyKeeper->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
   });
   parts.members->Start(
@@ -233,6 +238,7 @@
   dispatcher->Drain();
   members->Announce();
   const auto limit = Clock::now() + std::chrono::seconds(settings.drainSeconds);
+  co_await dispatcher->HandOverFlows(limit);
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -4,28 +4,20 @@
 
 #include "bramleylock/Support/Log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace bramleylock::kernel {
 
-using lists::StoreError;
-using nlohmann::json;
-
 static constexpr Milliseconds kWatchWait{ 10000 };
 static constexpr Milliseconds kRetryStore{ 500 };
 static constexpr Milliseconds kPollVms{ 1000 };
-static constexpr Milliseconds kPollKeys{ 5000 };
 
 PlatformWatcher::PlatformWatcher(asio::io_context& aContext,
                                  lists::PlatformStore& aStore,
-                                 lists::ListKeeper& aLists,
-                                 wire::KeyRing& aKeys, peer::PeerHub& aHub,
+                                 lists::ListKeeper& aLists, peer::PeerHub& aHub,
                                  peer::Membership& aMembers,
                                  target::TargetTable& aTargets)
   : m_context(aContext)
   , m_store(aStore)
   , m_lists(aLists)
-  , m_keys(aKeys)
   , m_hub(aHub)
   , m_members(aMembers)
   , m_targets(aTargets)
@@ -36,7 +28,6 @@
 {
   ListenToPeers();
   Spawn(m_context, "watch-lists", WatchLists());
-  Spawn(m_context, "keep-keys", KeepKeys());
   Spawn(m_context, "watch-vms", WatchVms());
 }
 
@@ -48,26 +39,12 @@
                m_lists.Install(message->revision, message->document);
              }
            });
-  m_hub.On(wire::MessageType::Keys,
-           [this](const wire::Hello&, const std::string& aBody) {
-             auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
-             if (!message) {
-               return;
-             }
-             for (const auto& [id, text] : message->keys) {
-               wire::SigningKey key{};
-               if (wire::KeyFromHex(text, key)) {
-                 m_keys.Add(id, key);
-               }
-             }
-           });
   m_hub.On(wire::MessageType::ListsRequest,
            [this](const wire::Hello& aSender, const std::string& aBody) {
              const auto request = wire::UnpackBody<wire::ListsRequest>(aBody);
              if (request && request->haveRevision < m_lists.Revision()) {
                SendLists(aSender.address);
              }
-             SendKeys(aSender.address);
            });
 }
 
@@ -78,24 +55,13 @@
     wire::ListsMessage{ m_lists.Revision(), m_lists.Document() });
 }
 
-auto PlatformWatcher::SendKeys(const std::string& aAddress) -> void
-{
-  wire::KeysMessage message;
-  for (const auto& [id, key] : m_keys.Keys()) {
-    message.keys.emplace_back(id, wire::KeyToHex(key));
-  }
-  if (!message.keys.empty()) {
-    m_hub.SendMessage(aAddress, wire::MessageType::Keys, message);
-  }
-}
-
 auto PlatformWatcher::OnHeartbeat(const peer::Member& aMember) -> void
 {
   const auto theirs = aMember.latest.listsRevision;
   if (theirs < m_lists.Revision()) {
     SendLists(aMember.address);
   }
-  if (theirs > m_lists.Revision() || aMember.latest.newestKey > NewestKey()) {
+  if (theirs > m_lists.Revision()) {
     m_hub.SendMessage(aMember.address, wire::MessageType::ListsRequest,
                       wire::ListsRequest{ m_lists.Revision() });
   }
@@ -106,11 +72,6 @@
   m_onTargets = std::move(aListener);
 }
 
-auto PlatformWatcher::NewestKey() const -> std::uint32_t
-{
-  return m_keys.Empty() ? 0 : m_keys.Keys().rbegin()->first;
-}
-
 auto PlatformWatcher::WatchLists() -> awaitable<void>
 {
   for (;;) {
@@ -131,46 +92,6 @@
   }
 }
 
-auto PlatformWatcher::InstallKeys(const std::string& aDocument) -> void
-{
-  const auto document = json::parse(aDocument, nullptr, false);
-  if (!document.is_object()) {
-    LogError("token-keys-invalid", {});
-    return;
-  }
-  for (const auto& [id, text] : document.items()) {
-    wire::SigningKey key{};
-    if (text.is_string() && wire::KeyFromHex(text.get<std::string>(), key)) {
-      m_keys.Add(static_cast<std::uint32_t>(std::stoul(id)), key);
-    }
-  }
-}
-
-auto PlatformWatcher::CreateKeys() -> awaitable<void>
-{
-  // The first writer wins; whoever loses reads the winner's key next time.
-  const json document{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
-  std::error_code error;
-  co_await m_store.CompareAndSwap(lists::kTokenKeysKey, 0, document.dump(),
-                                  error);
-}
-
-auto PlatformWatcher::KeepKeys() -> awaitable<void>
-{
-  for (;;) {
-    std::error_code error;
-    const auto stored = co_await m_store.Get(lists::kTokenKeysKey, error);
-    if (error == StoreError::NotFound) {
-      co_await CreateKeys();
-      continue;
-    }
-    if (!error) {
-      InstallKeys(stored.value);
-    }
-    co_await Sleep(error ? kRetryStore : kPollKeys);
-  }
-}
-
 auto PlatformWatcher::WatchVms() -> awaitable<void>
 {
   for (;;) {
