--- a/include/bramleylock/Caller/Client.h
+++ b/include/bramleylock/Caller/Client.h
@@ -53,6 +53,8 @@
   std::chrono::nanoseconds latency{};
   /// Request packets sent, the first included.
   std::uint32_t sends = 0;
+  /// The token under which the request was last sent; empty when it had none.
+  std::string token;
 };
 
 class Client;
@@ -93,6 +95,8 @@
   std::uint64_t m_id;
   std::uint32_t m_nextSequence = 1;
   std::string m_token;
+  /// When the owner behind m_token was last heard.
+  Clock::time_point m_ownerHeard{};
   std::map<std::uint32_t, std::shared_ptr<Pending>> m_pending;
 };
 
--- a/include/bramleylock/Flow/AnswerSender.h
+++ b/include/bramleylock/Flow/AnswerSender.h
@@ -47,6 +47,9 @@
   /// The first part that the caller has not acknowledged.
   auto Base() const -> std::uint32_t;
 
+  /// The tag that SetCode set.
+  auto Tag() const -> std::uint64_t;
+
 private:
   struct Part
   {
--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -5,7 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "bramleylock/Flow/FlowTable.h"
+#include "bramleylock/Flow/HandOver.h"
+#include "bramleylock/Flow/PauseWatch.h"
 
 namespace bramleylock::flow {
 
@@ -28,6 +29,9 @@
 
   auto Draining() const -> bool;
 
+  /// Hands the flows of a draining balancer to a peer and tells all peers.
+  auto HandOverFlows(Clock::time_point aLimit) -> awaitable<void>;
+
   auto Flows() const -> const FlowTable&;
 
 private:
@@ -46,11 +50,19 @@
     -> void;
   auto RepeatKnown(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
     -> bool;
-  auto Authorize(Arrival& aArrival) -> wire::Reason;
+  auto HandleActive(const Arrival& aArrival, Flow& aFlow) -> void;
+  auto OwnedHere(const Arrival& aArrival, const wire::Owner& aOwner) -> bool;
+  auto Reachable(const wire::Owner& aOwner) -> bool;
+  auto PassToSuccessor(const Arrival& aArrival) -> void;
+  auto Begin(const std::shared_ptr<Flow>& aFlow,
+             const std::shared_ptr<Exchange>& aExchange) -> void;
+  auto RunCounted(std::shared_ptr<Flow> aFlow,
+                  std::shared_ptr<Exchange> aExchange) -> awaitable<void>;
+  auto MakeForwarded(const Arrival& aArrival) const -> wire::Forwarded;
   auto Forward(const Arrival& aArrival, const std::string& aOwner) -> void;
   auto PassToPeer(const Arrival& aArrival) -> bool;
   auto SendWithToken(const Arrival& aArrival, wire::PacketType aType,
-                     const Flow& aFlow) -> void;
+                     const std::string& aToken) -> void;
   auto Refuse(const Arrival& aArrival, wire::Reason aReason,
               std::uint32_t aRetryAfterMs) -> void;
   auto Reply(const Arrival& aArrival, wire::PacketType aType,
@@ -60,6 +72,11 @@
   Environment& m_environment;
   std::chrono::seconds m_idleFlow;
   FlowTable m_flows;
+  PauseWatch m_pauses;
+  Continuations m_continuations;
+  HandOver m_handOver;
+  /// When packets first came for owners that no heartbeat has named yet.
+  std::map<wire::Owner, Clock::time_point> m_unheard;
   bool m_draining = false;
   std::size_t m_nextPeer = 0;
 };
--- a/include/bramleylock/Flow/FlowTable.h
+++ b/include/bramleylock/Flow/FlowTable.h
@@ -31,6 +31,10 @@
   Clock::time_point deadline{};
   Stage stage = Stage::Waiting;
   bool cancelled = false;
+  /// Its flow was handed over: this owner neither sends nor records any more.
+  bool frozen = false;
+  /// The token in the packets to the caller.
+  std::string token;
   std::unique_ptr<AnswerSender> answer;
   std::unique_ptr<target::TargetConnection> connection;
 };
@@ -52,6 +56,10 @@
   std::string token;
   /// No at-most-once request at or below this sequence is ever run.
   std::uint32_t floor = 0;
+  /// Starts no new request here, because it waits to be handed over.
+  bool frozen = false;
+  /// Earlier owners, whose tokens are good here because the whole flow came.
+  std::vector<wire::Owner> origins;
   Clock::time_point lastUsed{};
   std::map<std::uint32_t, std::shared_ptr<Exchange>> active;
   std::map<std::uint32_t, Outcome> outcomes;
@@ -78,7 +86,16 @@
   /// Requests in progress over all flows.
   auto Active() const -> std::size_t;
 
+  /// Counts a request that begins, and one that has ended.
+  auto CountBegun() -> void;
+  auto CountEnded() -> void;
+
+  /// All flows, for an owner that stops.
+  auto All() const
+    -> const std::unordered_map<std::uint64_t, std::shared_ptr<Flow>>&;
+
 private:
+  std::size_t m_active = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<Flow>> m_flows;
 };
 
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -66,6 +66,9 @@
   auto IsAlive(const std::string& aAddress, std::uint64_t aIncarnation) const
     -> bool;
 
+  /// Whether a heartbeat of a balancer at aAddress has ever come.
+  auto Heard(const std::string& aAddress) const -> bool;
+
   /// Alive members, without this balancer.
   auto Alive() const -> std::vector<Member>;
 
--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -65,6 +65,17 @@
   ListsLowerRevision,
   ListsInvalid,
   AdminUnauthorized,
+  PacketStale,
+  PacketsHeld,
+  PacketsHeldDropped,
+  OwnerContinued,
+  FlowsHandedOver,
+  FlowsInherited,
+  HandOverRefused,
+  HandOverInDoubt,
+  HandOverUnread,
+  ContinuationsDropped,
+  PauseNoticed,
   Count
 };
 
@@ -123,6 +134,17 @@
   { Counter::ListsLowerRevision, "lists_lower_revision" },
   { Counter::ListsInvalid, "lists_invalid" },
   { Counter::AdminUnauthorized, "admin_unauthorized" },
+  { Counter::PacketStale, "packet_stale" },
+  { Counter::PacketsHeld, "packets_held" },
+  { Counter::PacketsHeldDropped, "packets_held_dropped" },
+  { Counter::OwnerContinued, "owner_continued" },
+  { Counter::FlowsHandedOver, "flows_handed_over" },
+  { Counter::FlowsInherited, "flows_inherited" },
+  { Counter::HandOverRefused, "hand_over_refused" },
+  { Counter::HandOverInDoubt, "hand_over_in_doubt" },
+  { Counter::HandOverUnread, "hand_over_unread" },
+  { Counter::ContinuationsDropped, "continuations_dropped" },
+  { Counter::PauseNoticed, "pause_noticed" },
 } };
 
 /// A summary of observed latencies in seconds.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -21,10 +21,15 @@
   Heartbeat,
   Lists,
   Keys,
-  ListsRequest
+  ListsRequest,
+  HandOver,
+  HandOverReply,
+  Continues,
+  ContinuesReply,
+  ContinuesRequest
 };
 
-inline constexpr std::array<NameRow<MessageType>, 7> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 12> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -32,6 +37,11 @@
   { MessageType::Lists, "lists" },
   { MessageType::Keys, "keys" },
   { MessageType::ListsRequest, "lists-request" },
+  { MessageType::HandOver, "hand-over" },
+  { MessageType::HandOverReply, "hand-over-reply" },
+  { MessageType::Continues, "continues" },
+  { MessageType::ContinuesReply, "continues-reply" },
+  { MessageType::ContinuesRequest, "continues-request" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
@@ -58,7 +68,9 @@
   /// "ip:port" of the caller.
   std::string caller;
   std::string datagram;
-  MSGPACK_DEFINE_ARRAY(caller, datagram)
+  /// How often it was passed on before.
+  std::uint32_t hops = 0;
+  MSGPACK_DEFINE_ARRAY(caller, datagram, hops)
 };
 
 /// Tells that the sender is alive, and what it knows.
@@ -94,6 +106,106 @@
   MSGPACK_DEFINE_ARRAY(haveRevision)
 };
 
+/// One run of a balancer, as flow tokens name it.
+struct Owner
+{
+  /// "ip:port" of its peer listener.
+  std::string address;
+  std::uint64_t incarnation = 0;
+  auto operator<=>(const Owner&) const = default;
+  MSGPACK_DEFINE_ARRAY(address, incarnation)
+};
+
+/// The final word on an at-most-once request of a flow that changes hands.
+struct HandedOutcome
+{
+  std::uint32_t sequence = 0;
+  std::vector<std::string> datagrams;
+  std::uint32_t keepMs = 0;
+  MSGPACK_DEFINE_ARRAY(sequence, datagrams, keepMs)
+};
+
+/// A repeatable request that the receiver continues.
+struct HandedRequest
+{
+  /// The request packet; its part is the first that the caller lacks.
+  std::string datagram;
+  std::string plan;
+  /// "ip:port" of the caller.
+  std::string caller;
+  /// The token that the caller knows for this request.
+  std::string token;
+  std::uint32_t leftMs = 0;
+  std::uint32_t urgency = 0;
+  std::uint32_t size = 0;
+  MSGPACK_DEFINE_ARRAY(datagram, plan, caller, token, leftMs, urgency, size)
+};
+
+/// A whole flow.
+struct HandedFlow
+{
+  std::uint64_t id = 0;
+  std::string plan;
+  std::string service;
+  std::uint32_t floor = 0;
+  /// The owners before the receiver; tokens that name them stay good.
+  std::vector<Owner> origins;
+  std::vector<HandedOutcome> outcomes;
+  std::vector<HandedRequest> requests;
+  MSGPACK_DEFINE_ARRAY(id, plan, service, floor, origins, outcomes, requests)
+};
+
+/// Flows that the sender gives up for good. A batch is sent again until it is
+/// answered; the receiver takes it once.
+struct HandOver
+{
+  /// Another incarnation at the receiver's address must not take it.
+  std::uint64_t receiverIncarnation = 0;
+  /// Numbered from 1 for each receiver.
+  std::uint32_t batch = 0;
+  std::vector<HandedFlow> flows;
+  MSGPACK_DEFINE_ARRAY(receiverIncarnation, batch, flows)
+};
+
+/// Whether the receiver holds the batch now. A refusal is final.
+struct HandOverReply
+{
+  std::uint64_t receiverIncarnation = 0;
+  std::uint32_t batch = 0;
+  bool accepted = false;
+  MSGPACK_DEFINE_ARRAY(receiverIncarnation, batch, accepted)
+};
+
+/// The flows of `from` continue at `to`.
+struct Continuation
+{
+  Owner from;
+  Owner to;
+  /// For how much longer the record is kept.
+  std::uint32_t keepSeconds = 0;
+  MSGPACK_DEFINE_ARRAY(from, to, keepSeconds)
+};
+
+struct Continues
+{
+  std::vector<Continuation> records;
+  MSGPACK_DEFINE_ARRAY(records)
+};
+
+/// Says that the records of `owners` are kept now.
+struct ContinuesReply
+{
+  std::vector<Owner> owners;
+  MSGPACK_DEFINE_ARRAY(owners)
+};
+
+/// Asks for records, unless the receiver's have the same digest.
+struct ContinuesRequest
+{
+  std::uint64_t digest = 0;
+  MSGPACK_DEFINE_ARRAY(digest)
+};
+
 /// Packs the body of a message.
 template<typename Message>
 auto PackBody(const Message& aMessage) -> std::string
--- a/include/bramleylock/Wire/Packet.h
+++ b/include/bramleylock/Wire/Packet.h
@@ -27,7 +27,8 @@
 /// NotRun vouches that no target ran the request: with a token it is the
 /// owner's word, without one it speaks of the packet without a token, which is
 /// never run for at-most-once work. Refused makes no such claim; another copy
-/// of a repeatable request may run elsewhere.
+/// of a repeatable request may run elsewhere. Moved brings the token for the
+/// flow's next requests; requests in progress keep theirs.
 enum class PacketType
 {
   Request,
@@ -39,10 +40,11 @@
   NotRun,
   Unknown,
   Accepted,
-  Refused
+  Refused,
+  Moved
 };
 
-inline constexpr std::array<NameRow<PacketType>, 10> kPacketTypeNames{ {
+inline constexpr std::array<NameRow<PacketType>, 11> kPacketTypeNames{ {
   { PacketType::Request, "request" },
   { PacketType::Acknowledge, "acknowledge" },
   { PacketType::Cancel, "cancel" },
@@ -53,6 +55,7 @@
   { PacketType::Unknown, "unknown" },
   { PacketType::Accepted, "accepted" },
   { PacketType::Refused, "refused" },
+  { PacketType::Moved, "moved" },
 } };
 
 /// Why a request was not run, or why its outcome is not known.
--- a/lib/Caller/Client.cpp
+++ b/lib/Caller/Client.cpp
@@ -28,6 +28,10 @@
 /// so that another balancer can continue it.
 static constexpr Milliseconds kAnswerSilence{ 600 };
 
+/// An owner that was not heard for this long may be dead. A request without a
+/// token finds a live owner, while one that names a dead owner is lost.
+static constexpr Milliseconds kOwnerProven{ 1000 };
+
 static constexpr std::size_t kMissingLimit = 60;
 
 /// Parts of the largest answer that this library takes, 1 GB.
@@ -142,7 +146,9 @@
   pending->options = std::move(aOptions);
   pending->sequence = m_nextSequence++;
   pending->deadline = started + pending->options.deadline;
-  pending->token = m_token;
+  if (started - m_ownerHeard < kOwnerProven) {
+    pending->token = m_token;
+  }
   m_pending[pending->sequence] = pending;
   SendRequest(*pending);
   pending->nextResend = started + kFirstResend;
@@ -179,6 +185,7 @@
     co_await pending->changed.WaitUntil(std::min(tick, pending->deadline));
   }
   m_pending.erase(pending->sequence);
+  pending->result.token = pending->token;
   pending->result.latency = Clock::now() - started;
   co_return std::move(pending->result);
 }
@@ -196,6 +203,11 @@
 
 auto Flow::Receive(wire::Packet& aPacket) -> void
 {
+  if (aPacket.type == PacketType::Moved) {
+    // Requests in progress keep the token under which they were sent.
+    m_token = aPacket.token;
+    return;
+  }
   const auto found = m_pending.find(aPacket.sequence);
   if (found == m_pending.end() || found->second->done) {
     ++m_client.m_stray;
@@ -266,7 +278,12 @@
     return true;
   }
   const auto now = Clock::now();
-  const bool other = !aPending.token.empty() && aPacket.token != aPending.token;
+  if (aPacket.token == aPending.token) {
+    aPending.lastHeard = now;
+    m_ownerHeard = now;
+    return true;
+  }
+  const bool other = !aPending.token.empty();
   if (other && aPacket.type == PacketType::Opened) {
     ++m_client.m_stray;
     return false;
@@ -280,6 +297,7 @@
   aPending.token = aPacket.token;
   aPending.lastHeard = now;
   m_token = aPacket.token;
+  m_ownerHeard = now;
   return true;
 }
 
--- a/lib/Flow/AnswerSender.cpp
+++ b/lib/Flow/AnswerSender.cpp
@@ -54,6 +54,11 @@
   return m_base;
 }
 
+auto AnswerSender::Tag() const -> std::uint64_t
+{
+  return m_template.answerTag;
+}
+
 auto AnswerSender::Window() const -> std::uint32_t
 {
   return static_cast<std::uint32_t>(m_window);
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -5,11 +5,10 @@
 // answered with a token, because two copies of a first packet may open two
 // owners and only a token names one.
 
-#include "bramleylock/Flow/Dispatcher.h"
+#include "Arrival.h"
 
-#include "bramleylock/Flow/RequestRunner.h"
+#include "bramleylock/Flow/Authorization.h"
 #include "bramleylock/Support/Log.h"
-#include "bramleylock/Support/Random.h"
 
 #include <algorithm>
 
@@ -23,24 +22,23 @@
 static constexpr std::uint32_t kNotReadyRetryAfterMs = 500;
 static constexpr std::uint32_t kDrainingRetryAfterMs = 100;
 
-/// A packet on its way through the dispatcher.
-struct Dispatcher::Arrival
-{
-  const char* data = nullptr;
-  std::size_t size = 0;
-  Udp::endpoint caller;
-  /// Whether a peer passed it on; such a packet is not passed on again.
-  bool forwarded = false;
-  wire::Packet packet;
-  wire::FlowToken token;
-  std::string plan;
-  lists::Work work;
-};
+/// An owner that is named by packets, but by no heartbeat for this long, is
+/// not there any more.
+static constexpr Milliseconds kUnheardLimit{ 3000 };
+static constexpr std::size_t kUnheardOwners = 1024;
 
 Dispatcher::Dispatcher(Environment& aEnvironment,
                        std::chrono::seconds aIdleFlow)
   : m_environment(aEnvironment)
   , m_idleFlow(aIdleFlow)
+  , m_pauses(aEnvironment.context, aEnvironment.metrics)
+  // A flow that nobody used for so long is forgotten by its owner as well.
+  , m_continuations(aEnvironment, aIdleFlow * 2)
+  , m_handOver(aEnvironment, m_flows, m_continuations,
+               [this](const std::shared_ptr<Flow>& aFlow,
+                      const std::shared_ptr<Exchange>& aExchange) {
+                 Begin(aFlow, aExchange);
+               })
 {
 }
 
@@ -56,7 +54,10 @@
       }
       OnForwarded(*forwarded);
     });
+  m_continuations.Start();
+  m_handOver.Start();
   Spawn(m_environment.context, "expire-flows", ExpireLoop());
+  m_pauses.Start();
 }
 
 auto Dispatcher::Drain() -> void
@@ -69,6 +70,11 @@
   return m_draining;
 }
 
+auto Dispatcher::HandOverFlows(Clock::time_point aLimit) -> awaitable<void>
+{
+  co_await m_handOver.Run(aLimit);
+}
+
 auto Dispatcher::Flows() const -> const FlowTable&
 {
   return m_flows;
@@ -101,7 +107,7 @@
   arrival.data = aForwarded.datagram.data();
   arrival.size = aForwarded.datagram.size();
   arrival.caller = ParseUdpEndpoint(aForwarded.caller, error);
-  arrival.forwarded = true;
+  arrival.hops = aForwarded.hops + 1;
   if (error) {
     m_environment.metrics.Add(Counter::PeerFrameMalformed);
     return;
@@ -126,6 +132,11 @@
     m_environment.metrics.Add(CounterFor(error));
     return;
   }
+  if (aArrival.packet.type == PacketType::Request && m_pauses.MayBeStale()) {
+    // The caller sends it again if it still wants it.
+    m_environment.metrics.Add(Counter::PacketStale);
+    return;
+  }
   switch (aArrival.packet.type) {
     case PacketType::Request:
       HandleRequest(aArrival);
@@ -142,48 +153,13 @@
   }
 }
 
-auto Dispatcher::Authorize(Arrival& aArrival) -> Reason
-{
-  const auto lists = m_environment.lists.Current();
-  if (!lists || m_environment.keys.Empty()) {
-    return Reason::NotReady;
-  }
-  const auto& packet = aArrival.packet;
-  const auto dot = packet.credential.find('.');
-  if (dot == std::string::npos) {
-    return Reason::Credential;
-  }
-  aArrival.plan = packet.credential.substr(0, dot);
-  const auto plan = lists->plans.find(aArrival.plan);
-  if (plan == lists->plans.end() ||
-      !EqualSecrets(HashHex(packet.credential.substr(dot + 1)),
-                    plan->second.secretHash)) {
-    return Reason::Credential;
-  }
-  const auto service = lists->services.find(packet.service);
-  if (service == lists->services.end()) {
-    return Reason::Service;
-  }
-  const auto& allowed = service->second.plans;
-  if (std::find(allowed.begin(), allowed.end(), aArrival.plan) ==
-      allowed.end()) {
-    return Reason::NotAllowed;
-  }
-  const auto work = service->second.works.find(packet.work);
-  if (work == service->second.works.end()) {
-    return Reason::Work;
-  }
-  aArrival.work = work->second;
-  if (packet.payload.size() > wire::kRequestBytes) {
-    return Reason::TooLarge;
-  }
-  return Reason::None;
-}
-
 /// Refuses what the lists do not allow; true when the packet may go on.
 auto Dispatcher::CheckAuthorized(Arrival& aArrival) -> bool
 {
-  const auto refusal = Authorize(aArrival);
+  auto authorization = Authorize(m_environment, aArrival.packet);
+  const auto refusal = authorization.refusal;
+  aArrival.plan = std::move(authorization.plan);
+  aArrival.work = authorization.work;
   if (refusal == Reason::None) {
     return true;
   }
@@ -205,7 +181,7 @@
     return;
   }
   if (m_draining) {
-    if (aArrival.forwarded || !PassToPeer(aArrival)) {
+    if (aArrival.hops > 0 || !PassToPeer(aArrival)) {
       CountReason(m_environment.metrics, Reason::Draining);
       Refuse(aArrival, Reason::Draining, kDrainingRetryAfterMs);
     }
@@ -214,42 +190,6 @@
   OpenFlow(aArrival);
 }
 
-auto Dispatcher::OpenFlow(Arrival& aArrival) -> void
-{
-  auto flow = m_flows.Find(aArrival.packet.flow);
-  if (!flow) {
-    flow = NewFlow(aArrival);
-  } else if (RepeatKnown(aArrival, flow)) {
-    return;
-  }
-  if (aArrival.work.execution == Execution::AtMostOnce) {
-    m_environment.metrics.Add(Counter::RefusedOpenFirst);
-    SendWithToken(aArrival, PacketType::Opened, *flow);
-    return;
-  }
-  StartRequest(aArrival, flow);
-}
-
-auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
-{
-  const auto& self = m_environment.members.Self();
-  auto flow = std::make_shared<Flow>();
-  flow->id = aArrival.packet.flow;
-  flow->plan = aArrival.plan;
-  flow->service = aArrival.packet.service;
-  flow->lastUsed = Clock::now();
-  wire::FlowToken token;
-  token.service = flow->service;
-  token.failureDomain = self.failureDomain;
-  token.owner = self.address;
-  token.ownerIncarnation = self.incarnation;
-  token.listsRevision = m_environment.lists.Revision();
-  flow->token = m_environment.keys.Sign(token, flow->id);
-  m_flows.Add(flow);
-  m_environment.metrics.Add(Counter::FlowsOpened);
-  return flow;
-}
-
 auto Dispatcher::HandleRouted(Arrival& aArrival) -> void
 {
   std::error_code error;
@@ -271,163 +211,98 @@
     Reply(aArrival, PacketType::Unknown, Reason::ForeignService);
     return;
   }
-  const auto& self = m_environment.members.Self();
-  if (aArrival.token.owner == self.address &&
-      aArrival.token.ownerIncarnation == self.incarnation) {
+  const auto owner = m_continuations.Resolve(OwnerOf(aArrival.token));
+  if (OwnedHere(aArrival, owner)) {
     HandleOwned(aArrival);
     return;
   }
-  const bool replaced = aArrival.token.owner == self.address;
-  if (replaced || !m_environment.members.IsAlive(
-                    aArrival.token.owner, aArrival.token.ownerIncarnation)) {
+  if (owner != OwnerOf(aArrival.token)) {
+    m_environment.metrics.Add(Counter::OwnerContinued);
+  }
+  if (!Reachable(owner)) {
     HandleOwnerLost(aArrival);
     return;
   }
-  Forward(aArrival, aArrival.token.owner);
+  Forward(aArrival, owner.address);
 }
 
-auto Dispatcher::HandleOwnerLost(Arrival& aArrival) -> void
+/// Whether this balancer decides about the packet: its token names this
+/// incarnation or one whose flows continue here, or the flow has come already
+/// from an owner that is still handing over.
+auto Dispatcher::OwnedHere(const Arrival& aArrival, const wire::Owner& aOwner)
+  -> bool
 {
-  if (aArrival.packet.type != PacketType::Request) {
-    m_environment.metrics.Add(Counter::PacketStray);
-    return;
+  if (aOwner == OwnerOf(m_environment.members.Self())) {
+    return true;
   }
-  const auto refusal = Authorize(aArrival);
-  if (refusal != Reason::None ||
-      aArrival.work.execution == Execution::AtMostOnce) {
-    CountReason(m_environment.metrics, Reason::OwnerLost);
-    Reply(aArrival, PacketType::Unknown, Reason::OwnerLost);
-    return;
+  if (!m_handOver.Inherits(OwnerOf(aArrival.token))) {
+    return false;
   }
-  // Repeatable work continues here, from the part that the caller asks for.
-  OpenFlow(aArrival);
+  const auto flow = m_flows.Find(aArrival.packet.flow);
+  return flow || m_handOver.Moving(aArrival.packet.flow);
 }
 
-auto Dispatcher::HandleOwned(Arrival& aArrival) -> void
+/// A balancer that has just started knows no members yet, so an owner that it
+/// has not heard of is taken for alive for a while.
+auto Dispatcher::Reachable(const wire::Owner& aOwner) -> bool
 {
-  const auto& packet = aArrival.packet;
-  auto flow = m_flows.Find(packet.flow);
-  if (packet.type == PacketType::Request) {
-    if (flow && RepeatKnown(aArrival, flow)) {
-      return;
-    }
-    if (!CheckAuthorized(aArrival)) {
-      return;
-    }
-    if (!flow && aArrival.work.execution == Execution::AtMostOnce) {
-      CountReason(m_environment.metrics, Reason::FlowForgotten);
-      Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
-      return;
-    }
-    StartRequest(aArrival, flow ? flow : NewFlow(aArrival));
-    return;
-  }
-  if (!flow) {
-    m_environment.metrics.Add(Counter::PacketStray);
-    return;
-  }
-  if (packet.type == PacketType::Close) {
-    if (flow->active.empty() && flow->outcomes.empty()) {
-      m_flows.Remove(flow->id);
-      m_environment.metrics.Add(Counter::FlowsClosed);
-    }
-    return;
-  }
-  const auto active = flow->active.find(packet.sequence);
-  if (active == flow->active.end()) {
-    m_environment.metrics.Add(Counter::PacketStray);
-    return;
-  }
-  auto& exchange = *active->second;
-  if (packet.type == PacketType::Acknowledge) {
-    exchange.caller = aArrival.caller;
-    if (exchange.answer) {
-      exchange.answer->Acknowledge(packet, aArrival.caller);
-    }
-    return;
-  }
-  m_environment.metrics.Add(Counter::RequestsCancelled);
-  exchange.cancelled = true;
-  if (exchange.connection) {
-    exchange.connection->Close();
-  }
-  if (exchange.answer) {
-    exchange.answer->Abort();
+  const auto& members = m_environment.members;
+  if (aOwner.address == members.Self().address ||
+      !members.IsAlive(aOwner.address, aOwner.incarnation)) {
+    return false;
   }
-}
-
-auto Dispatcher::RepeatKnown(Arrival& aArrival,
-                             const std::shared_ptr<Flow>& aFlow) -> bool
-{
-  const auto sequence = aArrival.packet.sequence;
-  const auto active = aFlow->active.find(sequence);
-  if (active != aFlow->active.end()) {
-    m_environment.metrics.Add(Counter::PacketDuplicate);
-    active->second->caller = aArrival.caller;
-    SendWithToken(aArrival, PacketType::Accepted, *aFlow);
+  if (members.Heard(aOwner.address)) {
+    m_unheard.erase(aOwner);
     return true;
   }
-  const auto outcome = aFlow->outcomes.find(sequence);
-  if (outcome != aFlow->outcomes.end()) {
-    m_environment.metrics.Add(Counter::PacketDuplicate);
-    for (const auto& datagram : outcome->second.datagrams) {
-      m_environment.send(aArrival.caller, datagram);
-    }
-    return true;
+  if (m_unheard.size() >= kUnheardOwners) {
+    m_unheard.clear();
   }
-  return false;
+  const auto now = Clock::now();
+  const auto [position, added] = m_unheard.try_emplace(aOwner, now);
+  return now - position->second < kUnheardLimit;
 }
 
-auto Dispatcher::StartRequest(Arrival& aArrival,
-                              const std::shared_ptr<Flow>& aFlow) -> void
+auto Dispatcher::HandleOwnerLost(Arrival& aArrival) -> void
 {
-  if (aFlow->plan != aArrival.plan ||
-      aFlow->service != aArrival.packet.service) {
-    CountReason(m_environment.metrics, Reason::ForeignService);
-    Reply(aArrival, PacketType::Unknown, Reason::ForeignService);
+  if (aArrival.packet.type != PacketType::Request) {
+    m_environment.metrics.Add(Counter::PacketStray);
     return;
   }
-  aFlow->lastUsed = Clock::now();
-  const bool once = aArrival.work.execution == Execution::AtMostOnce;
-  if (once && aArrival.packet.sequence <= aFlow->floor) {
-    CountReason(m_environment.metrics, Reason::FlowForgotten);
-    Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
+  auto authorization = Authorize(m_environment, aArrival.packet);
+  aArrival.plan = std::move(authorization.plan);
+  aArrival.work = authorization.work;
+  if (authorization.refusal != Reason::None ||
+      aArrival.work.execution == Execution::AtMostOnce) {
+    CountReason(m_environment.metrics, Reason::OwnerLost);
+    Reply(aArrival, PacketType::Unknown, Reason::OwnerLost);
     return;
   }
-  if (aArrival.work.size == lists::SizeClass::Long) {
-    // The caller learns the owner before its first resend, so that one long
-    // answer is not started twice.
-    SendWithToken(aArrival, PacketType::Accepted, *aFlow);
-  }
-  auto exchange = std::make_shared<Exchange>();
-  exchange->request = std::move(aArrival.packet);
-  exchange->plan = aArrival.plan;
-  exchange->work = aArrival.work;
-  exchange->caller = aArrival.caller;
-  const auto deadlineMs = exchange->request.deadlineMs != 0
-                            ? exchange->request.deadlineMs
-                            : aArrival.work.deadlineMs;
-  exchange->deadline = Clock::now() + Milliseconds(deadlineMs);
-  aFlow->active.emplace(exchange->request.sequence, exchange);
-  Spawn(m_environment.context, "request",
-        RunRequest(m_environment, aFlow, exchange));
+  // Repeatable work continues here, from the part that the caller asks for.
+  OpenFlow(aArrival);
+}
+
+auto Dispatcher::MakeForwarded(const Arrival& aArrival) const -> wire::Forwarded
+{
+  wire::Forwarded forwarded;
+  forwarded.caller =
+    FormatEndpoint(aArrival.caller.address(), aArrival.caller.port());
+  forwarded.datagram.assign(aArrival.data, aArrival.size);
+  forwarded.hops = aArrival.hops;
+  return forwarded;
 }
 
 auto Dispatcher::Forward(const Arrival& aArrival, const std::string& aOwner)
   -> void
 {
-  if (aArrival.forwarded) {
-    // The sender took us for the owner; its caller will send again.
+  if (aArrival.hops >= kHopLimit) {
+    // Balancers disagree about the owner; the caller will send again.
     m_environment.metrics.Add(Counter::PacketStray);
     return;
   }
   m_environment.metrics.Add(Counter::PacketsForwarded);
-  wire::Forwarded forwarded;
-  forwarded.caller =
-    FormatEndpoint(aArrival.caller.address(), aArrival.caller.port());
-  forwarded.datagram.assign(aArrival.data, aArrival.size);
   m_environment.hub.SendMessage(aOwner, wire::MessageType::Forwarded,
-                                forwarded);
+                                MakeForwarded(aArrival));
 }
 
 auto Dispatcher::PassToPeer(const Arrival& aArrival) -> bool
@@ -446,13 +321,13 @@
 }
 
 auto Dispatcher::SendWithToken(const Arrival& aArrival, PacketType aType,
-                               const Flow& aFlow) -> void
+                               const std::string& aToken) -> void
 {
   wire::Packet packet;
   packet.type = aType;
-  packet.flow = aFlow.id;
+  packet.flow = aArrival.packet.flow;
   packet.sequence = aArrival.packet.sequence;
-  packet.token = aFlow.token;
+  packet.token = aToken;
   SendPacket(m_environment, aArrival.caller, packet);
 }
 
--- a/lib/Flow/FlowTable.cpp
+++ b/lib/Flow/FlowTable.cpp
@@ -55,11 +55,24 @@
 
 auto FlowTable::Active() const -> std::size_t
 {
-  std::size_t active = 0;
-  for (const auto& [id, flow] : m_flows) {
-    active += flow->active.size();
-  }
-  return active;
+  return m_active;
+}
+
+auto FlowTable::CountBegun() -> void
+{
+  ++m_active;
+}
+
+auto FlowTable::CountEnded() -> void
+{
+  assert(m_active > 0);
+  --m_active;
+}
+
+auto FlowTable::All() const
+  -> const std::unordered_map<std::uint64_t, std::shared_ptr<Flow>>&
+{
+  return m_flows;
 }
 
 } // namespace bramleylock::flow
--- /dev/null
+++ b/lib/Flow/HandOver.cpp
@@ -0,0 +1,483 @@
+// The transfer of flows at a planned stop.
+//
+// Batches go one after the other, each sent again until the receiver answers,
+// and the receiver takes each once. Only a refusal of the first batch lets the
+// flows go to another peer: it says that the receiver has nothing.
+
+#include "bramleylock/Flow/HandOver.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+
+namespace bramleylock::flow {
+
+using lists::Execution;
+
+/// How long short work may still finish here before new requests wait.
+static constexpr Milliseconds kFinishShort{ 500 };
+static constexpr Milliseconds kPollFlows{ 20 };
+static constexpr Milliseconds kRepeatBatch{ 300 };
+
+/// A receiver that is thought alive but has not answered for this long.
+static constexpr Milliseconds kAnswerLimit{ 5000 };
+static constexpr Milliseconds kAnnounceLimit{ 5000 };
+
+/// A sender that was not heard for this long has finished or died.
+static constexpr Milliseconds kIncomingSilence{ 1500 };
+
+static constexpr std::size_t kBatchFlows = 512;
+static constexpr std::size_t kBatchBytes = 256U << 10;
+
+/// Answers of at-most-once requests that one flow may bring along.
+static constexpr std::size_t kFlowBytes = 512U << 10;
+static constexpr std::size_t kHeldLimit = 8192;
+static constexpr std::size_t kOriginLimit = 8;
+
+HandOver::HandOver(Environment& aEnvironment, FlowTable& aFlows,
+                   Continuations& aContinuations, Resume aResume)
+  : m_environment(aEnvironment)
+  , m_flows(aFlows)
+  , m_continuations(aContinuations)
+  , m_resume(std::move(aResume))
+  , m_replied(aEnvironment.context)
+{
+}
+
+auto HandOver::Start() -> void
+{
+  m_environment.hub.On(
+    wire::MessageType::HandOver,
+    [this](const wire::Hello& aSender, const std::string& aBody) {
+      Receive(aSender, aBody);
+    });
+  m_environment.hub.On(wire::MessageType::HandOverReply,
+                       [this](const wire::Hello&, const std::string& aBody) {
+                         m_reply = wire::UnpackBody<wire::HandOverReply>(aBody);
+                         m_replied.Notify();
+                       });
+}
+
+auto HandOver::Moving(std::uint64_t aFlow) const -> bool
+{
+  return m_moving.contains(aFlow);
+}
+
+auto HandOver::Hold(std::uint64_t aFlow, wire::Forwarded aPacket) -> void
+{
+  if (m_heldCount >= kHeldLimit) {
+    m_environment.metrics.Add(Counter::PacketsHeldDropped);
+    return;
+  }
+  ++m_heldCount;
+  m_environment.metrics.Add(Counter::PacketsHeld);
+  m_held[aFlow].push_back(std::move(aPacket));
+}
+
+auto HandOver::Successor() const -> std::optional<wire::Owner>
+{
+  if (!m_successor || !m_begun) {
+    return std::nullopt;
+  }
+  return m_continuations.Resolve(*m_successor);
+}
+
+auto HandOver::Inherits(const wire::Owner& aOwner) const -> bool
+{
+  return m_incoming.contains(aOwner);
+}
+
+/// Whether a request must end here: it may have run, and nobody else could
+/// tell what became of it.
+static auto MustFinish(const Flow& aFlow, const Exchange& aExchange) -> bool
+{
+  return aExchange.work.execution == Execution::AtMostOnce &&
+         !aFlow.outcomes.contains(aExchange.request.sequence);
+}
+
+static auto Busy(const Flow& aFlow, bool aFreeze) -> bool
+{
+  return std::any_of(
+    aFlow.active.begin(), aFlow.active.end(), [&](const auto& aEntry) {
+      const auto& exchange = *aEntry.second;
+      return MustFinish(aFlow, exchange) ||
+             (!aFreeze && exchange.work.size == lists::SizeClass::Short);
+    });
+}
+
+static auto LeftMs(Clock::time_point aUntil) -> std::uint32_t
+{
+  const auto left =
+    std::chrono::duration_cast<Milliseconds>(aUntil - Clock::now());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+}
+
+static auto DescribeRequest(const Exchange& aExchange) -> wire::HandedRequest
+{
+  auto packet = aExchange.request;
+  packet.credential.clear();
+  packet.token.clear();
+  if (aExchange.answer) {
+    packet.part = aExchange.answer->Base();
+    packet.answerTag = aExchange.answer->Tag();
+  }
+  wire::HandedRequest request;
+  request.datagram = wire::Encode(packet);
+  request.plan = aExchange.plan;
+  request.caller =
+    FormatEndpoint(aExchange.caller.address(), aExchange.caller.port());
+  request.token = aExchange.token;
+  request.leftMs = LeftMs(aExchange.deadline);
+  request.urgency = static_cast<std::uint32_t>(aExchange.work.urgency);
+  request.size = static_cast<std::uint32_t>(aExchange.work.size);
+  return request;
+}
+
+static auto BytesOf(const Outcome& aOutcome) -> std::size_t
+{
+  std::size_t bytes = 0;
+  for (const auto& datagram : aOutcome.datagrams) {
+    bytes += datagram.size();
+  }
+  return bytes;
+}
+
+static auto BytesOf(const Flow& aFlow) -> std::size_t
+{
+  std::size_t bytes = aFlow.plan.size() + aFlow.service.size();
+  for (const auto& [sequence, outcome] : aFlow.outcomes) {
+    bytes += BytesOf(outcome);
+  }
+  return std::min(bytes, kFlowBytes);
+}
+
+/// The record of a request whose answer is too large to go along.
+static auto UnknownOutcome(const Flow& aFlow, std::uint32_t aSequence)
+  -> std::vector<std::string>
+{
+  wire::Packet packet;
+  packet.type = wire::PacketType::Unknown;
+  packet.flow = aFlow.id;
+  packet.sequence = aSequence;
+  packet.code = static_cast<std::uint32_t>(wire::Reason::FlowForgotten);
+  return { wire::Encode(packet) };
+}
+
+static auto DescribeOutcomes(const Flow& aFlow)
+  -> std::vector<wire::HandedOutcome>
+{
+  std::vector<wire::HandedOutcome> outcomes;
+  std::size_t bytes = 0;
+  for (const auto& [sequence, outcome] : aFlow.outcomes) {
+    bytes += BytesOf(outcome);
+    const bool fits = bytes <= kFlowBytes || outcome.datagrams.size() == 1;
+    outcomes.push_back(
+      { sequence, fits ? outcome.datagrams : UnknownOutcome(aFlow, sequence),
+        LeftMs(outcome.keepUntil) });
+  }
+  return outcomes;
+}
+
+static auto StopHere(Exchange& aExchange) -> void
+{
+  aExchange.frozen = true;
+  aExchange.cancelled = true;
+  if (aExchange.connection) {
+    aExchange.connection->Close();
+  }
+  if (aExchange.answer) {
+    aExchange.answer->Abort();
+  }
+}
+
+auto Freeze(Flow& aFlow, const wire::Owner& aSelf) -> wire::HandedFlow
+{
+  aFlow.frozen = true;
+  wire::HandedFlow handed;
+  handed.id = aFlow.id;
+  handed.plan = aFlow.plan;
+  handed.service = aFlow.service;
+  handed.floor = aFlow.floor;
+  handed.origins = aFlow.origins;
+  handed.origins.push_back(aSelf);
+  if (handed.origins.size() > kOriginLimit) {
+    handed.origins.erase(handed.origins.begin());
+  }
+  handed.outcomes = DescribeOutcomes(aFlow);
+  for (const auto& [sequence, exchange] : aFlow.active) {
+    if (exchange->work.execution == Execution::Repeatable &&
+        !exchange->cancelled) {
+      handed.requests.push_back(DescribeRequest(*exchange));
+    }
+    StopHere(*exchange);
+  }
+  return handed;
+}
+
+auto HandOver::ChooseSuccessor() -> bool
+{
+  auto peers = m_environment.members.AliveInDomain();
+  const auto unfit = [this](const peer::Member& aMember) {
+    return aMember.latest.draining || m_refusedBy.contains(aMember.address);
+  };
+  std::erase_if(peers, unfit);
+  if (peers.empty()) {
+    // Another failure domain is better than cutting the flows.
+    peers = m_environment.members.Alive();
+    std::erase_if(peers, unfit);
+  }
+  if (peers.empty()) {
+    m_refusedBy.clear();
+    return false;
+  }
+  // Balancers that stop together must not all choose the same peer.
+  const auto choice = m_environment.members.Self().incarnation % peers.size();
+  m_successor = wire::Owner{ peers[choice].address, peers[choice].incarnation };
+  m_begun = false;
+  m_batch = 0;
+  return true;
+}
+
+auto HandOver::TakeReady(bool aFreeze) -> Batch
+{
+  Batch batch;
+  std::size_t bytes = 0;
+  for (const auto& [id, flow] : m_flows.All()) {
+    if (batch.size() >= kBatchFlows || bytes >= kBatchBytes) {
+      break;
+    }
+    if (Busy(*flow, aFreeze)) {
+      flow->frozen |= aFreeze;
+      continue;
+    }
+    bytes += BytesOf(*flow);
+    batch.push_back(flow);
+  }
+  return batch;
+}
+
+auto HandOver::Run(Clock::time_point aLimit) -> awaitable<void>
+{
+  m_running = true;
+  m_limit = aLimit;
+  const auto freezeAt = Clock::now() + kFinishShort;
+  while (Clock::now() < aLimit && (m_flows.Size() > 0 || Incomplete())) {
+    const bool chosen = m_successor || ChooseSuccessor();
+    if (chosen && m_flows.Size() > 0) {
+      const bool progress = co_await HandOverReady(Clock::now() >= freezeAt);
+      if (progress) {
+        continue;
+      }
+    }
+    co_await Sleep(kPollFlows);
+  }
+  if (m_successor && m_begun) {
+    const auto successor = *m_successor;
+    const auto limit = std::min(aLimit, Clock::now() + kAnnounceLimit);
+    co_await m_continuations.Announce(successor, limit);
+  }
+}
+
+/// Sends one batch; false when no flow was ready.
+auto HandOver::HandOverReady(bool aFreeze) -> awaitable<bool>
+{
+  const auto batch = TakeReady(aFreeze);
+  if (batch.empty()) {
+    co_return false;
+  }
+  const auto result = co_await Transfer(batch);
+  if (result == Result::Accepted) {
+    m_begun = true;
+    m_environment.metrics.Add(Counter::FlowsHandedOver, batch.size());
+  } else {
+    m_environment.metrics.Add(Counter::HandOverInDoubt, batch.size());
+    m_successor.reset();
+  }
+  Finish(batch);
+  co_return true;
+}
+
+auto HandOver::Transfer(const Batch& aBatch) -> awaitable<Result>
+{
+  const auto self = OwnerOf(m_environment.members.Self());
+  wire::HandOver message;
+  for (const auto& flow : aBatch) {
+    message.flows.push_back(Freeze(*flow, self));
+    m_moving.emplace(flow->id, flow);
+    m_flows.Remove(flow->id);
+  }
+  for (;;) {
+    message.receiverIncarnation = m_successor->incarnation;
+    message.batch = ++m_batch;
+    m_reply.reset();
+    const auto body = wire::PackBody(message);
+    const auto result = co_await Await(body);
+    if (result != Result::Refused) {
+      co_return result;
+    }
+    // The receiver has nothing of this owner, so another one may have it.
+    m_environment.metrics.Add(Counter::HandOverRefused);
+    m_refusedBy.insert(m_successor->address);
+    while (!ChooseSuccessor()) {
+      if (Clock::now() >= m_limit) {
+        co_return Result::InDoubt;
+      }
+      co_await Sleep(kRepeatBatch);
+    }
+  }
+}
+
+auto HandOver::Await(const std::string& aBody) -> awaitable<Result>
+{
+  const auto successor = *m_successor;
+  const auto limit = Clock::now() + kAnswerLimit;
+  while (Clock::now() < limit) {
+    const bool alive =
+      m_environment.members.IsAlive(successor.address, successor.incarnation);
+    if (!alive) {
+      co_return Result::InDoubt;
+    }
+    m_environment.hub.Send(successor.address, wire::MessageType::HandOver,
+                           aBody);
+    const auto repeat = Clock::now() + kRepeatBatch;
+    while (Clock::now() < repeat) {
+      co_await m_replied.WaitUntil(repeat);
+      const bool mine = m_reply && m_reply->batch == m_batch &&
+                        m_reply->receiverIncarnation == successor.incarnation;
+      if (mine) {
+        const bool first = m_batch == 1;
+        co_return m_reply->accepted ? Result::Accepted
+        : first                     ? Result::Refused
+                                    : Result::InDoubt;
+      }
+    }
+  }
+  co_return Result::InDoubt;
+}
+
+/// Passes on what waited for the flows of aBatch.
+auto HandOver::Finish(const Batch& aBatch) -> void
+{
+  const auto successor = Successor();
+  for (const auto& flow : aBatch) {
+    m_moving.erase(flow->id);
+    const auto held = m_held.find(flow->id);
+    if (held == m_held.end()) {
+      continue;
+    }
+    m_heldCount -= held->second.size();
+    for (const auto& packet : held->second) {
+      if (successor) {
+        m_environment.hub.SendMessage(successor->address,
+                                      wire::MessageType::Forwarded, packet);
+      }
+    }
+    m_held.erase(held);
+  }
+}
+
+/// Whether a peer is still handing its flows to this balancer.
+auto HandOver::Incomplete() const -> bool
+{
+  const auto now = Clock::now();
+  return std::any_of(m_incoming.begin(), m_incoming.end(),
+                     [&](const auto& aEntry) {
+                       return now - aEntry.second.lastHeard < kIncomingSilence;
+                     });
+}
+
+auto HandOver::Receive(const wire::Hello& aSender, const std::string& aBody)
+  -> void
+{
+  const auto message = wire::UnpackBody<wire::HandOver>(aBody);
+  if (!message) {
+    m_environment.metrics.Add(Counter::HandOverUnread);
+    return;
+  }
+  const auto self = OwnerOf(m_environment.members.Self());
+  wire::HandOverReply reply{ self.incarnation, message->batch, true };
+  const auto sender = OwnerOf(aSender);
+  const auto known = m_incoming.find(sender);
+  if (message->receiverIncarnation != self.incarnation) {
+    // It was meant for an earlier run at this address; only that one could
+    // tell whether it took it.
+    return;
+  }
+  if (known == m_incoming.end() && m_running) {
+    reply.accepted = false;
+  } else {
+    auto& incoming = m_incoming[sender];
+    incoming.lastHeard = Clock::now();
+    if (message->batch > incoming.lastBatch) {
+      incoming.lastBatch = message->batch;
+      for (const auto& flow : message->flows) {
+        Install(flow);
+      }
+    }
+  }
+  m_environment.hub.SendMessage(aSender.address,
+                                wire::MessageType::HandOverReply, reply);
+}
+
+auto HandOver::MakeToken(const Flow& aFlow) const -> std::string
+{
+  const auto& self = m_environment.members.Self();
+  wire::FlowToken token;
+  token.service = aFlow.service;
+  token.failureDomain = self.failureDomain;
+  token.owner = self.address;
+  token.ownerIncarnation = self.incarnation;
+  token.listsRevision = m_environment.lists.Revision();
+  return m_environment.keys.Sign(token, aFlow.id);
+}
+
+auto HandOver::Install(const wire::HandedFlow& aHanded) -> void
+{
+  auto flow = m_flows.Find(aHanded.id);
+  if (!flow) {
+    flow = std::make_shared<Flow>();
+    flow->id = aHanded.id;
+    flow->plan = aHanded.plan;
+    flow->service = aHanded.service;
+    flow->token = MakeToken(*flow);
+    m_flows.Add(flow);
+  }
+  // A copy of the first packet may have opened the flow here as well.
+  flow->floor = std::max(flow->floor, aHanded.floor);
+  flow->lastUsed = Clock::now();
+  flow->origins.insert(flow->origins.end(), aHanded.origins.begin(),
+                       aHanded.origins.end());
+  for (const auto& outcome : aHanded.outcomes) {
+    flow->outcomes[outcome.sequence] = {
+      outcome.datagrams, Clock::now() + Milliseconds(outcome.keepMs)
+    };
+  }
+  for (const auto& request : aHanded.requests) {
+    InstallRequest(flow, request);
+  }
+  m_environment.metrics.Add(Counter::FlowsInherited);
+}
+
+auto HandOver::InstallRequest(const std::shared_ptr<Flow>& aFlow,
+                              const wire::HandedRequest& aRequest) -> void
+{
+  std::error_code error;
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request =
+    wire::Decode(aRequest.datagram.data(), aRequest.datagram.size(), error);
+  if (!error) {
+    exchange->caller = ParseUdpEndpoint(aRequest.caller, error);
+  }
+  if (error || aFlow->active.contains(exchange->request.sequence)) {
+    return;
+  }
+  exchange->plan = aRequest.plan;
+  exchange->token = aRequest.token;
+  exchange->work.execution = Execution::Repeatable;
+  exchange->work.urgency = static_cast<lists::Urgency>(aRequest.urgency);
+  exchange->work.size = static_cast<lists::SizeClass>(aRequest.size);
+  exchange->deadline = Clock::now() + Milliseconds(aRequest.leftMs);
+  m_resume(aFlow, exchange);
+}
+
+} // namespace bramleylock::flow
--- /dev/null
+++ b/lib/Flow/OwnedFlows.cpp
@@ -0,0 +1,229 @@
+// The dispatcher's part for flows that this balancer owns.
+
+#include "Arrival.h"
+
+#include "bramleylock/Flow/RequestRunner.h"
+
+#include <algorithm>
+
+namespace bramleylock::flow {
+
+using lists::Execution;
+using wire::PacketType;
+using wire::Reason;
+
+auto Dispatcher::OpenFlow(Arrival& aArrival) -> void
+{
+  auto flow = m_flows.Find(aArrival.packet.flow);
+  if (!flow) {
+    flow = NewFlow(aArrival);
+  } else if (RepeatKnown(aArrival, flow)) {
+    return;
+  }
+  if (aArrival.work.execution == Execution::AtMostOnce) {
+    m_environment.metrics.Add(Counter::RefusedOpenFirst);
+    SendWithToken(aArrival, PacketType::Opened, flow->token);
+    return;
+  }
+  StartRequest(aArrival, flow);
+}
+
+auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
+{
+  const auto& self = m_environment.members.Self();
+  auto flow = std::make_shared<Flow>();
+  flow->id = aArrival.packet.flow;
+  flow->plan = aArrival.plan;
+  flow->service = aArrival.packet.service;
+  flow->lastUsed = Clock::now();
+  wire::FlowToken token;
+  token.service = flow->service;
+  token.failureDomain = self.failureDomain;
+  token.owner = self.address;
+  token.ownerIncarnation = self.incarnation;
+  token.listsRevision = m_environment.lists.Revision();
+  flow->token = m_environment.keys.Sign(token, flow->id);
+  m_flows.Add(flow);
+  m_environment.metrics.Add(Counter::FlowsOpened);
+  return flow;
+}
+
+/// Whether the whole flow is here for this token. A flow that was opened again
+/// for repeatable work has no record of what its earlier owner ran.
+static auto HoldsRecord(const Flow& aFlow, const wire::Owner& aNamed,
+                        const wire::Owner& aSelf) -> bool
+{
+  const auto& origins = aFlow.origins;
+  return aNamed == aSelf ||
+         std::find(origins.begin(), origins.end(), aNamed) != origins.end();
+}
+
+auto Dispatcher::HandleOwned(Arrival& aArrival) -> void
+{
+  const auto& packet = aArrival.packet;
+  auto flow = m_flows.Find(packet.flow);
+  if (m_handOver.Moving(packet.flow)) {
+    m_handOver.Hold(packet.flow, MakeForwarded(aArrival));
+    return;
+  }
+  if (!flow && m_draining) {
+    // It was handed over, perhaps to nobody knows whom. Opening it again would
+    // lose the record of what ran here.
+    PassToSuccessor(aArrival);
+    return;
+  }
+  if (packet.type != PacketType::Request) {
+    if (!flow) {
+      m_environment.metrics.Add(Counter::PacketStray);
+      return;
+    }
+    HandleActive(aArrival, *flow);
+    return;
+  }
+  if (flow && RepeatKnown(aArrival, flow)) {
+    return;
+  }
+  if (!CheckAuthorized(aArrival)) {
+    return;
+  }
+  const auto self = OwnerOf(m_environment.members.Self());
+  if (aArrival.work.execution == Execution::AtMostOnce &&
+      (!flow || !HoldsRecord(*flow, OwnerOf(aArrival.token), self))) {
+    CountReason(m_environment.metrics, Reason::FlowForgotten);
+    Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
+    return;
+  }
+  if (!flow) {
+    flow = NewFlow(aArrival);
+  }
+  if (flow->frozen) {
+    m_handOver.Hold(flow->id, MakeForwarded(aArrival));
+    return;
+  }
+  if (packet.token != flow->token) {
+    // Later requests of the flow need no detour by the earlier owner.
+    SendWithToken(aArrival, PacketType::Moved, flow->token);
+  }
+  StartRequest(aArrival, flow);
+}
+
+auto Dispatcher::HandleActive(const Arrival& aArrival, Flow& aFlow) -> void
+{
+  const auto& packet = aArrival.packet;
+  if (packet.type == PacketType::Close) {
+    if (aFlow.active.empty() && aFlow.outcomes.empty()) {
+      m_flows.Remove(aFlow.id);
+      m_environment.metrics.Add(Counter::FlowsClosed);
+    }
+    return;
+  }
+  const auto active = aFlow.active.find(packet.sequence);
+  if (active == aFlow.active.end()) {
+    m_environment.metrics.Add(Counter::PacketStray);
+    return;
+  }
+  auto& exchange = *active->second;
+  if (packet.type == PacketType::Acknowledge) {
+    exchange.caller = aArrival.caller;
+    if (exchange.answer) {
+      exchange.answer->Acknowledge(packet, aArrival.caller);
+    }
+    return;
+  }
+  m_environment.metrics.Add(Counter::RequestsCancelled);
+  exchange.cancelled = true;
+  if (exchange.connection) {
+    exchange.connection->Close();
+  }
+  if (exchange.answer) {
+    exchange.answer->Abort();
+  }
+}
+
+auto Dispatcher::PassToSuccessor(const Arrival& aArrival) -> void
+{
+  if (const auto successor = m_handOver.Successor()) {
+    Forward(aArrival, successor->address);
+    return;
+  }
+  m_environment.metrics.Add(Counter::PacketStray);
+}
+
+auto Dispatcher::RepeatKnown(Arrival& aArrival,
+                             const std::shared_ptr<Flow>& aFlow) -> bool
+{
+  const auto sequence = aArrival.packet.sequence;
+  const auto active = aFlow->active.find(sequence);
+  if (active != aFlow->active.end()) {
+    m_environment.metrics.Add(Counter::PacketDuplicate);
+    active->second->caller = aArrival.caller;
+    SendWithToken(aArrival, PacketType::Accepted, active->second->token);
+    return true;
+  }
+  const auto outcome = aFlow->outcomes.find(sequence);
+  if (outcome != aFlow->outcomes.end()) {
+    m_environment.metrics.Add(Counter::PacketDuplicate);
+    for (const auto& datagram : outcome->second.datagrams) {
+      m_environment.send(aArrival.caller, datagram);
+    }
+    return true;
+  }
+  return false;
+}
+
+auto Dispatcher::StartRequest(Arrival& aArrival,
+                              const std::shared_ptr<Flow>& aFlow) -> void
+{
+  if (aFlow->plan != aArrival.plan ||
+      aFlow->service != aArrival.packet.service) {
+    CountReason(m_environment.metrics, Reason::ForeignService);
+    Reply(aArrival, PacketType::Unknown, Reason::ForeignService);
+    return;
+  }
+  aFlow->lastUsed = Clock::now();
+  const bool once = aArrival.work.execution == Execution::AtMostOnce;
+  if (once && aArrival.packet.sequence <= aFlow->floor) {
+    CountReason(m_environment.metrics, Reason::FlowForgotten);
+    Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
+    return;
+  }
+  auto exchange = std::make_shared<Exchange>();
+  // The caller takes the answer under the token that it knows, as long as that
+  // leads here.
+  const auto& known = aArrival.packet.token;
+  const auto owner = m_continuations.Resolve(OwnerOf(aArrival.token));
+  const bool leadsHere = !known.empty() && OwnedHere(aArrival, owner);
+  exchange->token = leadsHere ? known : aFlow->token;
+  if (aArrival.work.size == lists::SizeClass::Long) {
+    // The caller learns the owner before its first resend, so that one long
+    // answer is not started twice.
+    SendWithToken(aArrival, PacketType::Accepted, exchange->token);
+  }
+  exchange->request = std::move(aArrival.packet);
+  exchange->plan = aArrival.plan;
+  exchange->work = aArrival.work;
+  exchange->caller = aArrival.caller;
+  const auto deadlineMs = exchange->request.deadlineMs != 0
+                            ? exchange->request.deadlineMs
+                            : aArrival.work.deadlineMs;
+  exchange->deadline = Clock::now() + Milliseconds(deadlineMs);
+  Begin(aFlow, exchange);
+}
+
+auto Dispatcher::Begin(const std::shared_ptr<Flow>& aFlow,
+                       const std::shared_ptr<Exchange>& aExchange) -> void
+{
+  aFlow->active.emplace(aExchange->request.sequence, aExchange);
+  m_flows.CountBegun();
+  Spawn(m_environment.context, "request", RunCounted(aFlow, aExchange));
+}
+
+auto Dispatcher::RunCounted(std::shared_ptr<Flow> aFlow,
+                            std::shared_ptr<Exchange> aExchange)
+  -> awaitable<void>
+{
+  co_await RunRequest(m_environment, std::move(aFlow), std::move(aExchange));
+  m_flows.CountEnded();
+}
+
+} // namespace bramleylock::flow
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -210,7 +210,7 @@
     packet.type = aType;
     packet.flow = m_flow->id;
     packet.sequence = m_exchange->request.sequence;
-    packet.token = m_flow->token;
+    packet.token = m_exchange->token;
     return packet;
   }
 
@@ -309,7 +309,7 @@
 
   auto RememberParts(const target::TargetHead& aHead) -> void
   {
-    if (Repeatable()) {
+    if (Repeatable() || m_exchange->frozen) {
       return;
     }
     auto packet = MakeTemplate(PacketType::Answer);
@@ -337,6 +337,9 @@
   /// Sends aPacket as the final word and keeps it for at-most-once requests.
   auto EndWith(const wire::Packet& aPacket) -> void
   {
+    if (m_exchange->frozen) {
+      return;
+    }
     SendPacket(m_environment, m_exchange->caller, aPacket);
     if (!Repeatable()) {
       NewOutcome().datagrams.push_back(wire::Encode(aPacket));
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -66,6 +66,13 @@
   return !replaced && !gone;
 }
 
+auto Membership::Heard(const std::string& aAddress) const -> bool
+{
+  const auto found = m_members.find(aAddress);
+  return found != m_members.end() &&
+         found->second.state != MemberState::Candidate;
+}
+
 auto Membership::Alive() const -> std::vector<Member>
 {
   std::vector<Member> alive;
--- a/measure/Load.cpp
+++ b/measure/Load.cpp
@@ -6,6 +6,7 @@
 #include "standins/Content.h"
 
 #include <fmt/format.h>
+#include <msgpack.hpp>
 
 #include <algorithm>
 #include <thread>
@@ -89,6 +90,26 @@
   return m_state->records;
 }
 
+auto Load::Stray() const -> std::uint64_t
+{
+  return m_state->client.Stray();
+}
+
+/// The owner's address in a token, without a check of the signature.
+static auto OwnerIn(const std::string& aToken) -> std::string
+{
+  static constexpr std::uint32_t kOwnerField = 4;
+  try {
+    std::size_t offset = 0;
+    const auto handle = msgpack::unpack(aToken.data(), aToken.size(), offset);
+    const auto& fields = handle.get().via.array;
+    return fields.size > kOwnerField ? fields.ptr[kOwnerField].as<std::string>()
+                                     : "";
+  } catch (const std::exception&) {
+    return "";
+  }
+}
+
 auto Load::State::Finished() -> void
 {
   if (--open == 0) {
@@ -145,6 +166,7 @@
   record.reason = result.reason;
   record.retryAfterMs = result.retryAfterMs;
   record.sends = result.sends;
+  record.owner = OwnerIn(result.token);
   record.latencyMs =
     std::chrono::duration<double, std::milli>(result.latency).count();
   record.atMostOnce = aShape.work == "confirm" || aShape.work == "booking";
--- a/measure/Load.h
+++ b/measure/Load.h
@@ -26,6 +26,8 @@
   double startedAt = 0;
   std::uint32_t retryAfterMs = 0;
   std::uint32_t sends = 0;
+  /// "ip:port" of the owner in the request's token; empty without one.
+  std::string owner;
 };
 
 /// Requests of one kind at a steady rate.
@@ -59,6 +61,9 @@
   /// Seconds since Start.
   auto Elapsed() const -> double;
 
+  /// Answers that matched no call, after Join.
+  auto Stray() const -> std::uint64_t;
+
   /// Records by label, after Join.
   auto Records() const -> const std::map<std::string, std::vector<Record>>&;
 
--- /dev/null
+++ b/measure/RollingReplace.cpp
@@ -0,0 +1,155 @@
+// Scenario "rolling-replace": every balancer and a third of the targets are
+// replaced under short and long flows.
+
+#include "measure/Scenario.h"
+
+#include <csignal>
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr double kSeconds = 40;
+static constexpr Milliseconds kDrainLimit{ 30000 };
+
+/// How long a leaving target stays, so that its work ends.
+static constexpr Milliseconds kTargetLeaves{ 5000 };
+static constexpr Milliseconds kBetween{ 300 };
+
+/// Delay of every packet, which keeps long answers under way.
+static constexpr int kDelayMs = 10;
+static constexpr int kLongAnswerBytes = 2000000;
+
+/// Requests of a flow that lives through the whole scenario.
+static constexpr int kLongFlow = 100000;
+
+namespace {
+
+class RollingReplace : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "every balancer and a third of the targets replaced under load";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    const auto& deployment = *aOptions.deployment;
+    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
+    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
+    cluster.Start();
+    cluster.Control(cluster.FabricControl(), "/control/fault",
+                    { { "delay", 1.0 }, { "delay_ms", kDelayMs } });
+    Load load(cluster.CallerAddress(), aOptions.seed);
+    AddLoad(load, deployment, seconds);
+    load.Start();
+    const auto balancers = cluster.Balancers().size();
+    LeaveTargets(cluster, deployment);
+    const auto targetsLeave = Clock::now();
+    std::uint64_t replaced = 0;
+    std::uint64_t inherited = 0;
+    bool stopped = true;
+    while (replaced < balancers && load.Elapsed() < seconds) {
+      stopped = ReplaceBalancer(cluster, replaced++) && stopped;
+      inherited = std::max(inherited, cluster.CounterSum("flows_inherited"));
+      if (Clock::now() - targetsLeave > kTargetLeaves) {
+        StopTargets(cluster);
+      }
+    }
+    load.Join();
+    StopTargets(cluster);
+    const auto checks = CheckRecords(load.Records(), cluster);
+    aReport.AddChecks(checks);
+    aReport.Add("balancers_replaced", replaced);
+    aReport.Add("targets_replaced", m_replacedTargets);
+    aReport.Add("flows_inherited_most", inherited);
+    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
+    aReport.Require("every balancer replaced within the load",
+                    replaced == balancers);
+    aReport.Require("every balancer stopped by itself", stopped);
+    for (const auto* name : { "packets_held", "owner_continued",
+                              "hand_over_in_doubt", "hand_over_refused" }) {
+      aReport.Add(name, cluster.CounterSum(name));
+    }
+    aReport.AddReasons(load.Records());
+    aReport.AddLatencies(load.Records());
+  }
+
+private:
+  static auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+                      double aSeconds) -> void
+  {
+    auto longAnswer = aDeployment.bulk;
+    longAnswer.answerBytes = kLongAnswerBytes;
+    aLoad.Add({ aDeployment.booking, 30, 5, 0, aSeconds, "booking" });
+    aLoad.Add({ aDeployment.reading, 60, 5, 0, aSeconds, "reading" });
+    aLoad.Add({ longAnswer, 2, 1, 0, aSeconds, "bulk" });
+    for (int i = 0; i < 8; ++i) {
+      const auto number = std::to_string(i);
+      aLoad.Add({ aDeployment.booking, 3, kLongFlow, 0, aSeconds,
+                  "long_booking_" + number });
+      aLoad.Add({ aDeployment.reading, 5, kLongFlow, 0, aSeconds,
+                  "long_reading_" + number });
+    }
+  }
+
+  /// Starts a new balancer, lists it, then drains the old one; false when the
+  /// old one did not stop by itself.
+  static auto ReplaceBalancer(Cluster& aCluster, std::size_t aIndex) -> bool
+  {
+    const auto domain = aCluster.Balancers()[aIndex].failureDomain;
+    auto& added = aCluster.AddBalancer(domain);
+    aCluster.Publish();
+    aCluster.WaitReady(added);
+    std::this_thread::sleep_for(kBetween);
+    auto& old = aCluster.Balancers()[aIndex];
+    old.process->Signal(SIGTERM);
+    const bool stopped = old.process->Wait(kDrainLimit);
+    old.listed = false;
+    old.sprayed = false;
+    aCluster.Publish();
+    return stopped;
+  }
+
+  auto LeaveTargets(Cluster& aCluster, const Deployment& aDeployment) -> void
+  {
+    for (const auto& service : aDeployment.services) {
+      std::vector<std::size_t> leaving;
+      for (std::size_t i = 0; i < aCluster.Targets().size(); ++i) {
+        const auto& target = aCluster.Targets()[i];
+        if (target.service == service.name &&
+            leaving.size() < static_cast<std::size_t>(service.hosts + 2) / 3) {
+          leaving.push_back(i);
+        }
+      }
+      for (const auto index : leaving) {
+        const auto domain = aCluster.Targets()[index].failureDomain;
+        aCluster.AddTarget(service.name, domain);
+        aCluster.Targets()[index].leaving = true;
+      }
+    }
+    aCluster.Publish();
+  }
+
+  auto StopTargets(Cluster& aCluster) -> void
+  {
+    for (auto& target : aCluster.Targets()) {
+      if (target.leaving && target.listed) {
+        target.listed = false;
+        aCluster.SaveJournal(target);
+        target.process->Signal(SIGTERM);
+        ++m_replacedTargets;
+      }
+    }
+    aCluster.Publish();
+  }
+
+  std::uint64_t m_replacedTargets = 0;
+};
+
+const Registration<ScenarioRegistry, RollingReplace> kRegistration(
+  "rolling-replace");
+
+} // namespace
+
+} // namespace bramleylock::measure
