--- a/include/bramleylock/Flow/AnswerSender.h
+++ b/include/bramleylock/Flow/AnswerSender.h
@@ -56,6 +56,7 @@
     std::string payload;
     Clock::time_point sentAt{};
     bool sent = false;
+    bool resent = false;
   };
 
   auto Window() const -> std::uint32_t;
@@ -63,6 +64,8 @@
   auto SendWaiting() -> void;
   auto SendPart(std::uint32_t aIndex) -> void;
   auto Resend(std::uint32_t aIndex) -> void;
+  auto Spacing() const -> std::chrono::duration<double, std::milli>;
+  auto MeasureRoundTrip(const Part& aPart) -> void;
   auto ResendOverdue() -> void;
   auto WaitForProgress() -> awaitable<bool>;
 
@@ -73,6 +76,8 @@
   std::uint32_t m_base = 0;
   std::uint32_t m_unsent = 0;
   double m_window;
+  double m_roundTripMs = 0;
+  double m_variationMs = 0;
   std::string m_partial;
   Signal m_progress;
   Clock::time_point m_lastHeard;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -112,7 +113,15 @@
   /// "ip:port" of its peer listener.
   std::string address;
   std::uint64_t incarnation = 0;
-  auto operator<=>(const Owner&) const = default;
+  auto operator==(const Owner& aOther) const -> bool
+  {
+    return address == aOther.address && incarnation == aOther.incarnation;
+  }
+  auto operator<(const Owner& aOther) const -> bool
+  {
+    return std::tie(address, incarnation) <
+           std::tie(aOther.address, aOther.incarnation);
+  }
   MSGPACK_DEFINE_ARRAY(address, incarnation)
 };
 
--- a/lib/Flow/AnswerSender.cpp
+++ b/lib/Flow/AnswerSender.cpp
@@ -4,6 +4,7 @@
 #include "bramleylock/Flow/AnswerSender.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bramleylock::flow {
 
@@ -12,8 +13,17 @@
 static constexpr Milliseconds kFirstResend{ 80 };
 static constexpr Milliseconds kLastResend{ 1000 };
 
-/// A part is not sent again sooner than this after it was last sent.
-static constexpr Milliseconds kResendSpacing{ 25 };
+/// A part is not sent again sooner than a round trip after it was last sent;
+/// these bound what is taken for one, and what is assumed at first.
+static constexpr Milliseconds kLeastSpacing{ 25 };
+static constexpr Milliseconds kFirstSpacing{ 100 };
+static constexpr Milliseconds kMostSpacing{ 1000 };
+
+/// Shares of a new sample in the round trip and in its variation, and how many
+/// variations later than the round trip a part counts as lost.
+static constexpr double kRoundTripShare = 0.125;
+static constexpr double kVariationShare = 0.25;
+static constexpr double kVariations = 2;
 
 /// A caller that acknowledges nothing for this long is gone.
 static constexpr std::chrono::seconds kCallerSilence{ 10 };
@@ -130,17 +140,49 @@
     return;
   }
   const auto now = Clock::now();
-  if (now - m_parts[aIndex - m_base].sentAt < kResendSpacing) {
+  const auto spacing = Spacing();
+  if (now - m_parts[aIndex - m_base].sentAt < spacing) {
+    // It may be under way; parts overtake each other.
     return;
   }
-  if (now - m_lastDecrease > kResendSpacing) {
+  if (now - m_lastDecrease > spacing) {
     m_lastDecrease = now;
     m_window = std::max(kLeastWindowParts, m_window / 2);
   }
   m_environment.metrics.Add(Counter::PartsResent);
+  m_parts[aIndex - m_base].resent = true;
   SendPart(aIndex);
 }
 
+auto AnswerSender::Spacing() const -> std::chrono::duration<double, std::milli>
+{
+  using Span = std::chrono::duration<double, std::milli>;
+  if (m_roundTripMs == 0) {
+    return kFirstSpacing;
+  }
+  const Span estimate(m_roundTripMs + kVariations * m_variationMs);
+  return std::clamp<Span>(estimate, kLeastSpacing, kMostSpacing);
+}
+
+/// A part that was sent twice tells nothing: the acknowledgement may be for
+/// either.
+auto AnswerSender::MeasureRoundTrip(const Part& aPart) -> void
+{
+  if (aPart.resent) {
+    return;
+  }
+  const std::chrono::duration<double, std::milli> sample =
+    Clock::now() - aPart.sentAt;
+  const double difference = std::abs(sample.count() - m_roundTripMs);
+  if (m_roundTripMs == 0) {
+    m_roundTripMs = sample.count();
+    m_variationMs = sample.count() / 2;
+    return;
+  }
+  m_variationMs += kVariationShare * (difference - m_variationMs);
+  m_roundTripMs += kRoundTripShare * (sample.count() - m_roundTripMs);
+}
+
 auto AnswerSender::ResendOverdue() -> void
 {
   if (m_parts.empty()) {
@@ -178,6 +220,7 @@
   const auto end = m_base + static_cast<std::uint32_t>(m_parts.size());
   const auto received = std::min({ aPacket.part, end, m_unsent });
   while (m_base < received) {
+    MeasureRoundTrip(m_parts.front());
     m_parts.pop_front();
     ++m_base;
     m_window += 1.0 / m_window;
--- a/measure/AtMostOnce.cpp
+++ b/measure/AtMostOnce.cpp
@@ -12,6 +12,7 @@
 static constexpr double kTargetsLoseAt = 2;
 static constexpr double kTargetsKeepAt = 6;
 static constexpr double kCrashAt = 7;
+static constexpr int kFlows = 16;
 
 namespace {
 
@@ -35,7 +36,10 @@
                       { "delay", 0.2 },
                       { "delay_ms", 250 } });
     Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 150, 5, 0, seconds, "booking" });
+    // Each label has one flow open at a time, so there are several.
+    for (int i = 0; i < kFlows; ++i) {
+      load.Add({ deployment.booking, 10, 10, 0, seconds, "booking" });
+    }
     load.Add({ deployment.reading, 50, 5, 0, seconds, "reading" });
     load.Start();
     Wait(load, kTargetsLoseAt);
--- a/measure/BalancerCrash.cpp
+++ b/measure/BalancerCrash.cpp
@@ -11,6 +11,7 @@
 static constexpr double kFirstCrash = 3;
 static constexpr double kBetweenCrashes = 4;
 static constexpr int kCrashes = 2;
+static constexpr int kFlows = 16;
 
 /// How long the fabric goes on spraying over a dead balancer.
 static constexpr Milliseconds kFabricLag{ 1000 };
@@ -38,8 +39,11 @@
     auto longAnswer = deployment.bulk;
     longAnswer.answerBytes = kLongAnswerBytes;
     Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 60, 20, 0, seconds, "booking" });
-    load.Add({ deployment.reading, 100, 20, 0, seconds, "reading" });
+    // Each label has one flow open at a time, so there are several.
+    for (int i = 0; i < kFlows; ++i) {
+      load.Add({ deployment.booking, 5, 10, 0, seconds, "booking" });
+      load.Add({ deployment.reading, 8, 10, 0, seconds, "reading" });
+    }
     load.Add({ longAnswer, 3, 1, 0, seconds, "bulk" });
     load.Start();
     std::vector<OwnerFault> faults;
--- a/measure/PausedOwner.cpp
+++ b/measure/PausedOwner.cpp
@@ -13,6 +13,7 @@
 /// Longer than heartbeats, deadlines of short work and link silence allow.
 static constexpr double kPauseSeconds = 7;
 static constexpr std::size_t kPaused = 2;
+static constexpr int kFlows = 16;
 
 namespace {
 
@@ -31,8 +32,11 @@
     Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
     cluster.Start();
     Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 80, 20, 0, seconds, "booking" });
-    load.Add({ deployment.reading, 120, 20, 0, seconds, "reading" });
+    // Each label has one flow open at a time, so there are several.
+    for (int i = 0; i < kFlows; ++i) {
+      load.Add({ deployment.booking, 6, 10, 0, seconds, "booking" });
+      load.Add({ deployment.reading, 8, 10, 0, seconds, "reading" });
+    }
     load.Add({ deployment.bulk, 3, 1, 0, seconds, "bulk" });
     load.Start();
     Wait(load, kPauseAt);
--- a/measure/RollingReplace.cpp
+++ b/measure/RollingReplace.cpp
@@ -85,11 +85,10 @@
     aLoad.Add({ aDeployment.reading, 60, 5, 0, aSeconds, "reading" });
     aLoad.Add({ longAnswer, 2, 1, 0, aSeconds, "bulk" });
     for (int i = 0; i < 8; ++i) {
-      const auto number = std::to_string(i);
-      aLoad.Add({ aDeployment.booking, 3, kLongFlow, 0, aSeconds,
-                  "long_booking_" + number });
-      aLoad.Add({ aDeployment.reading, 5, kLongFlow, 0, aSeconds,
-                  "long_reading_" + number });
+      aLoad.Add(
+        { aDeployment.booking, 3, kLongFlow, 0, aSeconds, "long_booking" });
+      aLoad.Add(
+        { aDeployment.reading, 5, kLongFlow, 0, aSeconds, "long_reading" });
     }
   }
 
