--- /dev/null
+++ b/fuzz/FuzzLists.cpp
@@ -0,0 +1,25 @@
+// Fuzzes the lists' reader: what it accepts must survive a round trip.
+
+#include "bramleylock/Lists/PlanLists.h"
+
+#include <cstdlib>
+
+using namespace bramleylock::lists;
+
+extern "C" auto
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) -> int
+{
+  const std::string text(reinterpret_cast<const char*>(aData), aSize);
+  std::error_code error;
+  std::string detail;
+  const auto lists = ParseLists(text, error, detail);
+  if (error) {
+    return 0;
+  }
+  const auto formatted = FormatLists(lists);
+  const auto again = ParseLists(formatted, error, detail);
+  if (error || FormatLists(again) != formatted) {
+    std::abort();
+  }
+  return 0;
+}
--- a/measure/Speed.cpp
+++ b/measure/Speed.cpp
@@ -44,8 +44,7 @@
   double residentBytes = 0;
 };
 
-auto
-UseOf(int aProcess) -> ProcessUse
+auto UseOf(int aProcess) -> ProcessUse
 {
   std::ifstream file(fmt::format("/proc/{}/stat", aProcess));
   std::string line;
@@ -63,8 +62,7 @@
            pages * static_cast<double>(sysconf(_SC_PAGESIZE)) };
 }
 
-auto
-ServerOf(Cluster& aCluster) -> Udp::endpoint
+auto ServerOf(Cluster& aCluster) -> Udp::endpoint
 {
   std::error_code error;
   return ParseUdpEndpoint(
@@ -72,9 +70,8 @@
 }
 
 /// Calls without a pause until aUntil.
-auto
-CallerLoop(caller::Client& aClient, const Deployment& aDeployment,
-           Clock::time_point aUntil, Totals& aTotals) -> awaitable<void>
+auto CallerLoop(caller::Client& aClient, const Deployment& aDeployment,
+                Clock::time_point aUntil, Totals& aTotals) -> awaitable<void>
 {
   const auto& shape = aDeployment.reading;
   while (Clock::now() < aUntil) {
@@ -95,8 +92,8 @@
 
 /// Runs the coroutines of one thread to their end.
 template<typename MakeTask>
-auto
-RunThread(const Udp::endpoint& aServer, int aTasks, MakeTask aMakeTask) -> void
+auto RunThread(const Udp::endpoint& aServer, int aTasks, MakeTask aMakeTask)
+  -> void
 {
   asio::io_context context(1);
   caller::Client client(context, aServer);
@@ -114,9 +111,8 @@
   context.run();
 }
 
-auto
-MeasureThroughput(Cluster& aCluster, const Deployment& aDeployment,
-                  double aSeconds, Report& aReport) -> void
+auto MeasureThroughput(Cluster& aCluster, const Deployment& aDeployment,
+                       double aSeconds, Report& aReport) -> void
 {
   auto& process = *aCluster.Balancers().front().process;
   Totals totals;
@@ -159,16 +155,14 @@
   aReport.Require("failed=0", totals.failed == 0);
 }
 
-auto
-MedianAndTail(std::vector<double>& aValues) -> std::pair<double, double>
+auto MedianAndTail(std::vector<double>& aValues) -> std::pair<double, double>
 {
   std::sort(aValues.begin(), aValues.end());
   return { aValues[aValues.size() / 2], aValues[aValues.size() * 99 / 100] };
 }
 
-auto
-SequentialThrough(caller::Client& aClient, const Deployment& aDeployment,
-                  std::vector<double>& aLatencies) -> awaitable<void>
+auto SequentialThrough(caller::Client& aClient, const Deployment& aDeployment,
+                       std::vector<double>& aLatencies) -> awaitable<void>
 {
   const auto& shape = aDeployment.reading;
   caller::Flow flow(aClient, shape.service, CredentialOf(shape.plan));
@@ -182,9 +176,8 @@
   }
 }
 
-auto
-SequentialDirect(asio::io_context& aContext, std::string aTarget,
-                 std::vector<double>& aLatencies) -> awaitable<void>
+auto SequentialDirect(asio::io_context& aContext, std::string aTarget,
+                      std::vector<double>& aLatencies) -> awaitable<void>
 {
   const auto transport =
     target::TransportRegistry::Instance().Create("http1", aContext);
@@ -210,17 +203,16 @@
   }
 }
 
-auto
-MeasureAddedLatency(Cluster& aCluster, const Deployment& aDeployment,
-                    Report& aReport) -> void
+auto MeasureAddedLatency(Cluster& aCluster, const Deployment& aDeployment,
+                         Report& aReport) -> void
 {
   std::vector<double> direct;
   std::vector<double> through;
   asio::io_context context(1);
   Spawn(context, "direct",
-        SequentialDirect(
-          context, aCluster.Targets().front().process->Value("target"),
-          direct));
+        SequentialDirect(context,
+                         aCluster.Targets().front().process->Value("target"),
+                         direct));
   context.run();
   RunThread(ServerOf(aCluster), 1, [&](caller::Client& aClient) {
     return SequentialThrough(aClient, aDeployment, through);
@@ -238,9 +230,9 @@
 }
 
 /// Opens aCount flows, which stay open at the balancer.
-auto
-OpenLoop(caller::Client& aClient, const Deployment& aDeployment, int aCount,
-         std::vector<std::unique_ptr<caller::Flow>>& aFlows) -> awaitable<void>
+auto OpenLoop(caller::Client& aClient, const Deployment& aDeployment,
+              int aCount, std::vector<std::unique_ptr<caller::Flow>>& aFlows)
+  -> awaitable<void>
 {
   const auto& shape = aDeployment.reading;
   for (int i = 0; i < aCount; ++i) {
@@ -254,9 +246,8 @@
   }
 }
 
-auto
-MeasureFlowMemory(Cluster& aCluster, const Deployment& aDeployment,
-                  Report& aReport) -> void
+auto MeasureFlowMemory(Cluster& aCluster, const Deployment& aDeployment,
+                       Report& aReport) -> void
 {
   auto& balancer = aCluster.Balancers().front();
   const auto before = UseOf(balancer.process->Id());
--- /dev/null
+++ b/test/docs.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# The operators' pages name every counter, setting and scenario, and no
+# scenario that does not exist.
+set -euo pipefail
+bin=$1
+cd "$(dirname "$0")/.."
+status=0
+missing() {
+  echo "$1" >&2
+  status=1
+}
+for counter in $(sed -n 's/.*{ Counter::[A-Za-z]*, "\([a-z_]*\)" }.*/\1/p' \
+  include/bramleylock/Support/Counters.h); do
+  grep -q "\`$counter\`" docs/OPERATING.md docs/operating/*.md ||
+    missing "counter $counter is on no operators' page"
+done
+section=
+while IFS= read -r line; do
+  case $line in
+    '['*) section=${line#\[} section=${section%\]} ;;
+    [a-z]*' = '*)
+      grep -q "\`$section.${line%% = *}\`" docs/OPERATING.md docs/operating/*.md ||
+        missing "setting $section.${line%% = *} is on no operators' page" ;;
+  esac
+done < <("$bin/bramleylockd" --print-defaults)
+scenarios=$("$bin/bramleylock-measure" --list | cut -d ' ' -f 1)
+for named in $(grep -rhoE '`bramleylock-measure [a-z-]+' README.md docs | cut -d ' ' -f 2 | sort -u); do
+  [ "$named" = SCENARIO ] || [[ $named = --* ]] || grep -qx -- "$named" <<<"$scenarios" ||
+    missing "the pages name scenario $named, which does not exist"
+done
+for scenario in $scenarios; do
+  grep -rq -- "$scenario" docs/*.md docs/operating || missing "no page names scenario $scenario"
+done
+exit $status
