--- a/fuzz/FuzzPacket.cpp
+++ b/fuzz/FuzzPacket.cpp
@@ -7,8 +7,8 @@
 
 using namespace bramleylock::wire;
 
-extern "C" auto
-LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) -> int
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* aData,
+                                       std::size_t aSize) -> int
 {
   std::error_code error;
   const auto* data = reinterpret_cast<const char*>(aData);
--- a/fuzz/FuzzSettings.cpp
+++ b/fuzz/FuzzSettings.cpp
@@ -6,8 +6,8 @@
 
 using namespace bramleylock::kernel;
 
-extern "C" auto
-LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) -> int
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* aData,
+                                       std::size_t aSize) -> int
 {
   const std::string text(reinterpret_cast<const char*>(aData), aSize);
   std::error_code error;
--- a/fuzz/FuzzToken.cpp
+++ b/fuzz/FuzzToken.cpp
@@ -8,8 +8,7 @@
 
 using namespace bramleylock::wire;
 
-static auto
-MakeRing() -> KeyRing
+static auto MakeRing() -> KeyRing
 {
   if (sodium_init() < 0) {
     std::abort();
@@ -21,8 +20,8 @@
   return ring;
 }
 
-extern "C" auto
-LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize) -> int
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* aData,
+                                       std::size_t aSize) -> int
 {
   static const KeyRing ring = MakeRing();
   const std::string text(reinterpret_cast<const char*>(aData), aSize);
--- /dev/null
+++ b/measure/Slopes.cpp
@@ -0,0 +1,231 @@
+// Scenario "slopes": what single mechanisms cost as their sizes grow, measured
+// in this process with the library's own code. docs/CAPACITY.md uses the fits.
+
+#include "measure/ProcessUse.h"
+#include "measure/Scenario.h"
+
+#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Peer/PeerHub.h"
+#include "bramleylock/Target/TargetTable.h"
+#include "bramleylock/Wire/Token.h"
+
+#include <fmt/format.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <ctime>
+
+namespace bramleylock::measure {
+
+static constexpr int kRepetitions = 5;
+
+namespace {
+
+auto CpuSeconds() -> double
+{
+  std::timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+/// Bytes that the process has allocated and not freed.
+auto HeapBytes() -> double
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// The median processor time of one run of aWork, in seconds.
+template<typename Work>
+auto MedianCpu(Work aWork) -> double
+{
+  std::vector<double> times;
+  for (int i = 0; i < kRepetitions; ++i) {
+    const auto before = CpuSeconds();
+    aWork();
+    times.push_back(CpuSeconds() - before);
+  }
+  std::sort(times.begin(), times.end());
+  return times[times.size() / 2];
+}
+
+auto MakeLists(int aServices) -> std::string
+{
+  lists::PlanLists lists;
+  for (int i = 0; i < aServices; ++i) {
+    const auto plan = fmt::format("plan-{}", i);
+    lists.plans[plan].secretHash = HashHex(plan);
+    auto& service = lists.services[fmt::format("service-{}", i)];
+    service.plans = { plan };
+    service.works["read"] = {};
+  }
+  return lists::FormatLists(lists);
+}
+
+/// Lists of a plan and a service for each address.
+auto MeasureLists(Report& aReport) -> void
+{
+  std::vector<Point> bytes;
+  std::vector<Point> cpu;
+  for (const int services : { 200, 400, 800, 1600, 3200 }) {
+    const auto document = MakeLists(services);
+    bytes.push_back({ double(services), double(document.size()) });
+    cpu.push_back({ double(services), MedianCpu([&document] {
+                      std::error_code error;
+                      std::string detail;
+                      lists::ParseLists(document, error, detail);
+                    }) });
+  }
+  const auto bytesFit = FitLine(bytes);
+  const auto cpuFit = FitLine(cpu);
+  aReport.Add("lists_bytes_per_service", bytesFit.slope);
+  aReport.Add("lists_bytes_r2", bytesFit.explained);
+  aReport.Add("lists_parse_us_per_service", cpuFit.slope * 1e6);
+  aReport.Add("lists_parse_r2", cpuFit.explained);
+}
+
+auto MeasureTokens(Report& aReport) -> void
+{
+  wire::KeyRing ring;
+  ring.Add(1, wire::NewSigningKey());
+  const wire::FlowToken token{ "encomendas",     "guimaraes",
+                               "127.0.0.1:8080", "127.0.0.1:7401",
+                               NewIncarnation(), 1 };
+  std::vector<Point> sign;
+  std::vector<Point> verify;
+  const auto text = ring.Sign(token, 1);
+  for (const int count : { 20000, 40000, 80000 }) {
+    sign.push_back({ double(count), MedianCpu([&] {
+                       for (int i = 0; i < count; ++i) {
+                         ring.Sign(token, 1);
+                       }
+                     }) });
+    verify.push_back({ double(count), MedianCpu([&] {
+                         std::error_code error;
+                         for (int i = 0; i < count; ++i) {
+                           ring.Verify(text, 1, error);
+                         }
+                       }) });
+  }
+  aReport.Add("token_bytes", static_cast<std::uint64_t>(text.size()));
+  aReport.Add("token_sign_us", FitLine(sign).slope * 1e6);
+  aReport.Add("token_verify_us", FitLine(verify).slope * 1e6);
+  aReport.Add("token_r2", FitLine(verify).explained);
+}
+
+auto MakeTable(Metrics& aMetrics, asio::io_context& aContext)
+  -> std::unique_ptr<target::TargetTable>
+{
+  return std::make_unique<target::TargetTable>(
+    "domain", target::TransportRegistry::Instance().Create("http1", aContext),
+    target::ChoiceRegistry::Instance().Create("two-choices"), aMetrics, 1);
+}
+
+/// Hosts that one balancer knows: memory, a new list, and one choice among
+/// hosts of which each service has twelve.
+auto MeasureTargets(Report& aReport) -> void
+{
+  static constexpr int kHostsPerService = 12;
+  static constexpr int kChoices = 200;
+  std::vector<Point> memory;
+  std::vector<Point> install;
+  std::vector<Point> choose;
+  for (const int hosts : { 1000, 2000, 4000, 8000 }) {
+    Metrics metrics;
+    asio::io_context context(1);
+    std::vector<target::TargetHint> hints;
+    for (int i = 0; i < hosts; ++i) {
+      hints.push_back({ fmt::format("10.0.{}.{}:8080", i / 256, i % 256),
+                        fmt::format("service-{}", i / kHostsPerService),
+                        "domain", false });
+    }
+    const auto before = HeapBytes();
+    auto table = MakeTable(metrics, context);
+    install.push_back(
+      { double(hosts), MedianCpu([&] { table->SetTargets(hints); }) });
+    memory.push_back({ double(hosts), HeapBytes() - before });
+    choose.push_back({ double(hosts), MedianCpu([&] {
+                                        for (int i = 0; i < kChoices; ++i) {
+                                          table->Choose("service-0", {});
+                                        }
+                                      }) /
+                                        kChoices });
+  }
+  aReport.Add("target_bytes_per_host", FitLine(memory).slope);
+  aReport.Add("target_list_us_per_host", FitLine(install).slope * 1e6);
+  aReport.Add("target_choice_us_per_host", FitLine(choose).slope * 1e6);
+  aReport.Add("target_choice_r2", FitLine(choose).explained);
+}
+
+auto RunFor(asio::io_context& aContext, Milliseconds aTime) -> void
+{
+  aContext.restart();
+  aContext.run_for(aTime);
+}
+
+/// Links from one hub to many others in this process: both ends count.
+auto MeasureLinks(Report& aReport) -> void
+{
+  static constexpr Milliseconds kSettle{ 1500 };
+  static constexpr Milliseconds kIdleWatch{ 2000 };
+  std::vector<Point> memory;
+  std::vector<Point> opening;
+  std::vector<Point> idle;
+  for (const int links : { 50, 100, 200 }) {
+    Metrics metrics;
+    asio::io_context context(1);
+    const peer::ClusterKey key{};
+    const Tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const auto before = HeapBytes();
+    std::vector<std::unique_ptr<peer::PeerHub>> hubs;
+    for (int i = 0; i <= links; ++i) {
+      hubs.push_back(
+        std::make_unique<peer::PeerHub>(context, any, key, metrics));
+      hubs.back()->On(wire::MessageType::Heartbeat,
+                      [](const wire::Hello&, const std::string&) {});
+      hubs.back()->Start(
+        { fmt::format("vm-{}", i), "domain", hubs.back()->Address(), 1 });
+    }
+    const auto cpuBefore = CpuSeconds();
+    for (int i = 1; i <= links; ++i) {
+      hubs[0]->SendMessage(hubs[i]->Address(), wire::MessageType::Heartbeat,
+                           wire::Heartbeat{});
+    }
+    RunFor(context, kSettle);
+    opening.push_back({ double(links), CpuSeconds() - cpuBefore });
+    memory.push_back({ double(links), HeapBytes() - before });
+    const auto idleBefore = CpuSeconds();
+    RunFor(context, kIdleWatch);
+    idle.push_back(
+      { double(links), (CpuSeconds() - idleBefore) /
+                         std::chrono::duration<double>(kIdleWatch).count() });
+  }
+  aReport.Add("link_bytes_both_ends", FitLine(memory).slope);
+  aReport.Add("link_open_us_both_ends", FitLine(opening).slope * 1e6);
+  aReport.Add("link_idle_us_per_second_both_ends", FitLine(idle).slope * 1e6);
+  aReport.Add("link_r2", FitLine(memory).explained);
+}
+
+class Slopes : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "costs of single mechanisms as their sizes grow, for the capacity "
+           "account";
+  }
+
+  auto Run(const ScenarioOptions&, Report& aReport) -> void override
+  {
+    MeasureLists(aReport);
+    MeasureTokens(aReport);
+    MeasureTargets(aReport);
+    MeasureLinks(aReport);
+  }
+};
+
+const Registration<ScenarioRegistry, Slopes> kRegistration("slopes");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- a/measure/Speed.cpp
+++ b/measure/Speed.cpp
@@ -1,17 +1,13 @@
 // Scenario "speed": what one balancer on one core does. It is a benchmark with
 // aims, not a test: its figures depend on the machine.
 
+#include "measure/ProcessUse.h"
 #include "measure/Scenario.h"
 
 #include "bramleylock/Target/TargetTransport.h"
 
-#include <fmt/format.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <atomic>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace bramleylock::measure {
@@ -38,30 +34,6 @@
   std::atomic<std::uint64_t> flows{ 0 };
 };
 
-struct ProcessUse
-{
-  double cpuSeconds = 0;
-  double residentBytes = 0;
-};
-
-auto UseOf(int aProcess) -> ProcessUse
-{
-  std::ifstream file(fmt::format("/proc/{}/stat", aProcess));
-  std::string line;
-  std::getline(file, line);
-  std::istringstream words(line.substr(line.rfind(')') + 2));
-  std::vector<std::string> fields;
-  std::string word;
-  while (words >> word) {
-    fields.push_back(word);
-  }
-  // Fields 14, 15 and 24 of proc(5), counted from the state, which is third.
-  const double ticks = std::stod(fields.at(11)) + std::stod(fields.at(12));
-  const double pages = std::stod(fields.at(21));
-  return { ticks / static_cast<double>(sysconf(_SC_CLK_TCK)),
-           pages * static_cast<double>(sysconf(_SC_PAGESIZE)) };
-}
-
 auto ServerOf(Cluster& aCluster) -> Udp::endpoint
 {
   std::error_code error;
