--- a/measure/Slopes.cpp
+++ b/measure/Slopes.cpp
@@ -134,6 +134,7 @@
     Metrics metrics;
     asio::io_context context(1);
     std::vector<target::TargetHint> hints;
+    hints.reserve(hosts);
     for (int i = 0; i < hosts; ++i) {
       hints.push_back({ fmt::format("10.0.{}.{}:8080", i / 256, i % 256),
                         fmt::format("service-{}", i / kHostsPerService),
--- a/measure/Speed.cpp
+++ b/measure/Speed.cpp
@@ -70,15 +70,15 @@
   asio::io_context context(1);
   caller::Client client(context, aServer);
   int open = aTasks;
-  const auto count = [&](awaitable<void> aTask) -> awaitable<void> {
-    co_await std::move(aTask);
+  const auto count = [&]() -> awaitable<void> {
+    co_await aMakeTask(client);
     if (--open == 0) {
       client.Close();
       context.stop();
     }
   };
   for (int i = 0; i < aTasks; ++i) {
-    Spawn(context, "speed", count(aMakeTask(client)));
+    Spawn(context, "speed", count());
   }
   context.run();
 }
@@ -95,6 +95,7 @@
   const auto until = started + std::chrono::duration_cast<Clock::duration>(
                                  std::chrono::duration<double>(aSeconds));
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       RunThread(ServerOf(aCluster), kCallersPerThread,
--- /dev/null
+++ b/unittests/Kernel/SettingsTest.cpp
@@ -0,0 +1,82 @@
+// Settings: every fault is named with its place and what is allowed.
+
+#include "bramleylock/Kernel/Settings.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock::kernel;
+
+static const char* const kValid = R"([vm]
+name = "entry-1"
+failure_domain = "braga"
+[listen]
+callers = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+administration = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+[secrets]
+cluster_key_file = "cluster.key"
+administration_token_file = "admin.token"
+)";
+
+static auto ProblemsOf(const std::string& aText) -> std::vector<std::string>
+{
+  std::error_code error;
+  std::vector<std::string> problems;
+  ParseSettings(aText, "b.toml", error, problems);
+  cr_assert(static_cast<bool>(error) == !problems.empty());
+  return problems;
+}
+
+static auto ExpectOnly(const std::string& aText, const std::string& aProblem)
+  -> void
+{
+  const auto problems = ProblemsOf(aText);
+  cr_assert(problems.size() == 1);
+  cr_assert(problems.front().starts_with(aProblem), "%s",
+            problems.front().c_str());
+}
+
+Test(Settings, ValidFileTakesDefaults)
+{
+  std::error_code error;
+  std::vector<std::string> problems;
+  const auto settings = ParseSettings(kValid, "b.toml", error, problems);
+  cr_assert(!error);
+  cr_assert(settings.vmName == "entry-1");
+  cr_assert(settings.idleFlowSeconds == 600);
+}
+
+Test(Settings, UnknownKeyIsNamedWithItsLine)
+{
+  ExpectOnly(std::string(kValid) + "[flows]\nidle = 5\n",
+             "b.toml:14: flows.idle: found 5; no such setting");
+}
+
+Test(Settings, NumberOutOfRangeSaysWhatIsAllowed)
+{
+  ExpectOnly(std::string(kValid) + "[flows]\nidle_seconds = 0\n",
+             "b.toml:14: flows.idle_seconds: found 0; allowed: 1 to 86400 s");
+}
+
+Test(Settings, UnknownPluginListsTheKnownOnes)
+{
+  ExpectOnly(std::string(kValid) + "[plugins]\ntarget_choice = \"x\"\n",
+             "b.toml:14: plugins.target_choice: found 'x'; allowed: ");
+}
+
+Test(Settings, MissingKeyIsNamed)
+{
+  std::string text = kValid;
+  text.erase(text.find("name = "),
+             text.find("failure_domain") - text.find("name = "));
+  ExpectOnly(text, "b.toml: vm.name: missing");
+}
+
+Test(Settings, BrokenTomlIsNamedWithItsLine)
+{
+  const auto problems = ProblemsOf("[vm]\nname = \n");
+  cr_assert(problems.size() == 1);
+  cr_assert(problems.front().starts_with("b.toml:2:"));
+}
