--- a/include/bramleylock/Flow/Environment.h
+++ b/include/bramleylock/Flow/Environment.h
@@ -31,6 +31,10 @@
 auto SendPacket(Environment& aEnvironment, const Udp::endpoint& aCaller,
                 const wire::Packet& aPacket) -> void;
 
+/// A token that names this balancer as the owner of flow aFlow.
+auto SignFlow(const Environment& aEnvironment, const std::string& aService,
+              std::uint64_t aFlow) -> std::string;
+
 /// Counts a refusal or unknown outcome for aReason.
 auto CountReason(Metrics& aMetrics, wire::Reason aReason) -> void;
 
--- a/include/bramleylock/Flow/FlowTable.h
+++ b/include/bramleylock/Flow/FlowTable.h
@@ -1,6 +1,7 @@
 // The flows that this balancer owns.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
   std::string plan;
   std::string service;
   std::string token;
+  /// The key that signed the token.
+  std::uint32_t keyId = 0;
   /// No at-most-once request at or below this sequence is ever run.
   std::uint32_t floor = 0;
   /// Starts no new request here, because it waits to be handed over.
@@ -77,7 +80,8 @@
 
   auto Remove(std::uint64_t aId) -> void;
 
-  /// Forgets outcomes past their time and flows idle for aIdle; returns how
+  /// Looks at the flows that are due for a look, a bounded number at a time:
+  /// forgets outcomes past their time and flows idle for aIdle. Returns how
   /// many flows were forgotten.
   auto Expire(std::chrono::seconds aIdle) -> std::size_t;
 
@@ -95,7 +99,17 @@
     -> const std::unordered_map<std::uint64_t, std::shared_ptr<Flow>>&;
 
 private:
+  /// When a flow is looked at next.
+  struct Check
+  {
+    Clock::time_point at{};
+    std::uint64_t flow = 0;
+  };
+
   std::size_t m_active = 0;
+  Clock::duration m_checkEvery{};
+  /// In the order of their times, because each is the same time ahead.
+  std::deque<Check> m_checks;
   std::unordered_map<std::uint64_t, std::shared_ptr<Flow>> m_flows;
 };
 
--- a/include/bramleylock/Flow/HandOver.h
+++ b/include/bramleylock/Flow/HandOver.h
@@ -65,7 +65,6 @@
   auto Install(const wire::HandedFlow& aHanded) -> void;
   auto InstallRequest(const std::shared_ptr<Flow>& aFlow,
                       const wire::HandedRequest& aRequest) -> void;
-  auto MakeToken(const Flow& aFlow) const -> std::string;
   auto ChooseSuccessor() -> bool;
   auto HandOverReady(bool aFreeze) -> awaitable<bool>;
   auto TakeReady(bool aFreeze) -> Batch;
--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -8,6 +8,7 @@
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Kernel/KeyKeeper.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
@@ -26,6 +27,7 @@
   admission::AdmissionPolicy& admission;
   peer::PeerHub& hub;
   std::function<void()> drain;
+  KeyKeeper& keys;
 };
 
 /// Serves the API.
@@ -51,6 +53,7 @@
   auto GetLists(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto PutLists(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto PostDrain(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto PostRotateKeys(const http::Request& aRequest) -> awaitable<http::Reply>;
 
   std::string m_token;
   AdminView m_view;
--- a/include/bramleylock/Kernel/KeyKeeper.h
+++ b/include/bramleylock/Kernel/KeyKeeper.h
@@ -7,13 +7,30 @@
 
 namespace bramleylock::kernel {
 
+enum class RotationError
+{
+  UnderWay = 1,
+  Lost,
+  Store
+};
+
+inline constexpr std::array<NameRow<RotationError>, 3> kRotationErrorNames{ {
+  { RotationError::UnderWay, "the last rotation is not finished" },
+  { RotationError::Lost, "another rotation came first" },
+  { RotationError::Store, "the platform's store did not answer" },
+} };
+
 /// Reads the token keys from the platform's store, and from peers while the
-/// store is down.
+/// store is down. Two keys overlap: a new one signs only when every live peer
+/// can verify it, and the old one goes when no flow can need it.
 class KeyKeeper
 {
 public:
+  /// aOverlap is how long the old key stays after the new one signs.
   KeyKeeper(asio::io_context& aContext, lists::PlatformStore& aStore,
-            wire::KeyRing& aKeys, peer::PeerHub& aHub);
+            wire::KeyRing& aKeys, peer::PeerHub& aHub,
+            peer::Membership& aMembers, Metrics& aMetrics,
+            std::chrono::seconds aOverlap);
 
   auto Start() -> void;
 
@@ -23,17 +40,38 @@
   /// The highest key id, 0 while there is none.
   auto NewestKey() const -> std::uint32_t;
 
+  /// The id of the key that signs, 0 while there is none.
+  auto SigningKey() const -> std::uint32_t;
+
+  /// Adds a new key in the store and returns its id; aError is a
+  /// RotationError.
+  auto Rotate(std::error_code& aError) -> awaitable<std::uint32_t>;
+
 private:
   auto ListenToPeers() -> void;
   auto KeepKeys() -> awaitable<void>;
   auto CreateKeys() -> awaitable<void>;
-  auto InstallKeys(const std::string& aDocument) -> void;
+  auto WatchPeers() -> awaitable<void>;
+  auto SwitchSigning() -> void;
+  auto ExpireOld() -> void;
+  auto Install(std::uint32_t aId, const std::string& aText) -> void;
+  auto InstallDocument(const std::string& aDocument) -> void;
   auto SendKeys(const std::string& aAddress) -> void;
 
   asio::io_context& m_context;
   lists::PlatformStore& m_store;
   wire::KeyRing& m_keys;
   peer::PeerHub& m_hub;
+  peer::Membership& m_members;
+  Metrics& m_metrics;
+  std::chrono::seconds m_overlap;
+  Clock::time_point m_newestSince{};
+  Clock::time_point m_switchedAt{};
+  /// Keys below this have expired here.
+  std::uint32_t m_expiredBelow = 0;
 };
 
 } // namespace bramleylock::kernel
+
+BRAMLEYLOCK_ERROR_ENUM(bramleylock::kernel, RotationError, kRotationErrorNames,
+                       "bramleylock.rotation");
--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -76,6 +76,9 @@
   HandOverUnread,
   ContinuationsDropped,
   PauseNoticed,
+  TokenKeyNewer,
+  KeysRotated,
+  KeysExpired,
   Count
 };
 
@@ -145,6 +148,9 @@
   { Counter::HandOverUnread, "hand_over_unread" },
   { Counter::ContinuationsDropped, "continuations_dropped" },
   { Counter::PauseNoticed, "pause_noticed" },
+  { Counter::TokenKeyNewer, "token_key_newer" },
+  { Counter::KeysRotated, "keys_rotated" },
+  { Counter::KeysExpired, "keys_expired" },
 } };
 
 /// A summary of observed latencies in seconds.
--- a/include/bramleylock/Wire/Token.h
+++ b/include/bramleylock/Wire/Token.h
@@ -28,12 +28,14 @@
 enum class TokenError
 {
   Forged = 1,
-  KeyUnknown
+  KeyUnknown,
+  KeyNewer
 };
 
-inline constexpr std::array<NameRow<TokenError>, 2> kTokenErrorNames{ {
+inline constexpr std::array<NameRow<TokenError>, 3> kTokenErrorNames{ {
   { TokenError::Forged, "token is malformed or its signature is wrong" },
   { TokenError::KeyUnknown, "token is signed with a key not known here" },
+  { TokenError::KeyNewer, "token is signed with a key that is yet to come" },
 } };
 
 /// A secret key of 32 bytes.
@@ -49,7 +51,16 @@
   auto Empty() const -> bool;
   auto Keys() const -> const std::map<std::uint32_t, SigningKey>&;
 
-  /// Signs with the key of the highest id; there must be one.
+  /// Chooses the key that signs; it must be there.
+  auto SignWith(std::uint32_t aId) -> void;
+
+  /// The key that signs: the chosen one, or the oldest. 0 without keys.
+  auto Signing() const -> std::uint32_t;
+
+  /// The highest id, 0 without keys.
+  auto Newest() const -> std::uint32_t;
+
+  /// Signs with the key Signing(); there must be one.
   auto Sign(const FlowToken& aToken, std::uint64_t aFlow) const -> std::string;
 
   /// Parses and checks a token of flow aFlow; aError is a TokenError.
@@ -58,6 +69,7 @@
 
 private:
   std::map<std::uint32_t, SigningKey> m_keys;
+  std::uint32_t m_signing = 0;
 };
 
 /// Serializes a key as hexadecimal digits.
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -195,6 +195,11 @@
   std::error_code error;
   const auto& packet = aArrival.packet;
   aArrival.token = m_environment.keys.Verify(packet.token, packet.flow, error);
+  if (error == wire::TokenError::KeyNewer) {
+    // This balancer has yet to hear of the key; the caller sends again.
+    m_environment.metrics.Add(Counter::TokenKeyNewer);
+    return;
+  }
   if (error) {
     const auto reason = error == wire::TokenError::KeyUnknown
                           ? Reason::KeyUnknown
--- a/lib/Flow/Environment.cpp
+++ b/lib/Flow/Environment.cpp
@@ -47,6 +47,19 @@
   }
 }
 
+auto SignFlow(const Environment& aEnvironment, const std::string& aService,
+              std::uint64_t aFlow) -> std::string
+{
+  const auto& self = aEnvironment.members.Self();
+  wire::FlowToken token;
+  token.service = aService;
+  token.failureDomain = self.failureDomain;
+  token.owner = self.address;
+  token.ownerIncarnation = self.incarnation;
+  token.listsRevision = aEnvironment.lists.Revision();
+  return aEnvironment.keys.Sign(token, aFlow);
+}
+
 auto SendPacket(Environment& aEnvironment, const Udp::endpoint& aCaller,
                 const wire::Packet& aPacket) -> void
 {
--- a/lib/Flow/FlowTable.cpp
+++ b/lib/Flow/FlowTable.cpp
@@ -2,10 +2,15 @@
 
 #include "bramleylock/Flow/FlowTable.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace bramleylock::flow {
 
+/// How often a flow is looked at, and how many are in one go.
+static constexpr std::chrono::seconds kCheckEvery{ 10 };
+static constexpr std::size_t kChecksAtOnce = 50000;
+
 auto FlowTable::Find(std::uint64_t aId) -> std::shared_ptr<Flow>
 {
   const auto found = m_flows.find(aId);
@@ -15,6 +20,7 @@
 auto FlowTable::Add(std::shared_ptr<Flow> aFlow) -> void
 {
   assert(!m_flows.contains(aFlow->id));
+  m_checks.push_back({ Clock::now() + m_checkEvery, aFlow->id });
   m_flows.emplace(aFlow->id, std::move(aFlow));
 }
 
@@ -39,13 +45,29 @@
 
 auto FlowTable::Expire(std::chrono::seconds aIdle) -> std::size_t
 {
+  m_checkEvery = std::min<Clock::duration>(aIdle, kCheckEvery);
   const auto now = Clock::now();
-  return std::erase_if(m_flows, [now, aIdle](auto& aEntry) {
-    auto& flow = *aEntry.second;
+  const auto before = m_flows.size();
+  for (std::size_t i = 0; i < kChecksAtOnce; ++i) {
+    if (m_checks.empty() || m_checks.front().at > now) {
+      break;
+    }
+    const auto id = m_checks.front().flow;
+    m_checks.pop_front();
+    const auto found = m_flows.find(id);
+    if (found == m_flows.end()) {
+      continue;
+    }
+    auto& flow = *found->second;
     ForgetOutcomes(flow, now);
-    return flow.active.empty() && flow.outcomes.empty() &&
-           now - flow.lastUsed > aIdle;
-  });
+    if (flow.active.empty() && flow.outcomes.empty() &&
+        now - flow.lastUsed > aIdle) {
+      m_flows.erase(found);
+      continue;
+    }
+    m_checks.push_back({ now + m_checkEvery, id });
+  }
+  return before - m_flows.size();
 }
 
 auto FlowTable::Size() const -> std::size_t
--- a/lib/Flow/HandOver.cpp
+++ b/lib/Flow/HandOver.cpp
@@ -419,18 +419,6 @@
                                 wire::MessageType::HandOverReply, reply);
 }
 
-auto HandOver::MakeToken(const Flow& aFlow) const -> std::string
-{
-  const auto& self = m_environment.members.Self();
-  wire::FlowToken token;
-  token.service = aFlow.service;
-  token.failureDomain = self.failureDomain;
-  token.owner = self.address;
-  token.ownerIncarnation = self.incarnation;
-  token.listsRevision = m_environment.lists.Revision();
-  return m_environment.keys.Sign(token, aFlow.id);
-}
-
 auto HandOver::Install(const wire::HandedFlow& aHanded) -> void
 {
   auto flow = m_flows.Find(aHanded.id);
@@ -439,7 +427,8 @@
     flow->id = aHanded.id;
     flow->plan = aHanded.plan;
     flow->service = aHanded.service;
-    flow->token = MakeToken(*flow);
+    flow->token = SignFlow(m_environment, flow->service, flow->id);
+    flow->keyId = m_environment.keys.Signing();
     m_flows.Add(flow);
   }
   // A copy of the first packet may have opened the flow here as well.
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -30,19 +30,13 @@
 
 auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
 {
-  const auto& self = m_environment.members.Self();
   auto flow = std::make_shared<Flow>();
   flow->id = aArrival.packet.flow;
   flow->plan = aArrival.plan;
   flow->service = aArrival.packet.service;
   flow->lastUsed = Clock::now();
-  wire::FlowToken token;
-  token.service = flow->service;
-  token.failureDomain = self.failureDomain;
-  token.owner = self.address;
-  token.ownerIncarnation = self.incarnation;
-  token.listsRevision = m_environment.lists.Revision();
-  flow->token = m_environment.keys.Sign(token, flow->id);
+  flow->token = SignFlow(m_environment, flow->service, flow->id);
+  flow->keyId = m_environment.keys.Signing();
   m_flows.Add(flow);
   m_environment.metrics.Add(Counter::FlowsOpened);
   return flow;
@@ -100,8 +94,13 @@
     m_handOver.Hold(flow->id, MakeForwarded(aArrival));
     return;
   }
+  if (flow->keyId != m_environment.keys.Signing()) {
+    flow->token = SignFlow(m_environment, flow->service, flow->id);
+    flow->keyId = m_environment.keys.Signing();
+  }
   if (packet.token != flow->token) {
-    // Later requests of the flow need no detour by the earlier owner.
+    // Later requests of the flow need no detour by an earlier owner, and no
+    // key that is about to go.
     SendWithToken(aArrival, PacketType::Moved, flow->token);
   }
   StartRequest(aArrival, flow);
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -64,7 +64,7 @@
     bool open;
     Route route;
   };
-  static const std::array<Row, 8> kRoutes{ {
+  static const std::array<Row, 9> kRoutes{ {
     { "GET", "/healthz", true, &AdminApi::GetHealth },
     { "GET", "/status", false, &AdminApi::GetStatus },
     { "GET", "/targets", false, &AdminApi::GetTargets },
@@ -73,6 +73,7 @@
     { "GET", "/lists", false, &AdminApi::GetLists },
     { "PUT", "/lists", false, &AdminApi::PutLists },
     { "POST", "/drain", false, &AdminApi::PostDrain },
+    { "POST", "/keys/rotate", false, &AdminApi::PostRotateKeys },
   } };
   const auto path = http::PathOf(aRequest.target);
   bool known = false;
@@ -123,6 +124,8 @@
                         { "incarnation", self.incarnation },
                         { "lists_revision", m_view.lists.Revision() },
                         { "draining", m_view.dispatcher.Draining() },
+                        { "newest_key", m_view.keys.NewestKey() },
+                        { "signing_key", m_view.keys.SigningKey() },
                         { "flows", m_view.dispatcher.Flows().Size() },
                         { "requests", m_view.dispatcher.Flows().Active() },
                         { "waiting", m_view.admission.Waiting() },
@@ -218,4 +221,16 @@
   co_return ReplyJson(202, { { "draining", true } });
 }
 
+auto AdminApi::PostRotateKeys(const http::Request&) -> awaitable<http::Reply>
+{
+  std::error_code error;
+  const auto key = co_await m_view.keys.Rotate(error);
+  if (error) {
+    const unsigned status = error == RotationError::Store ? 503 : 409;
+    co_return ReplyError(status, error.message(),
+                         "the newest key is " + std::to_string(key));
+  }
+  co_return ReplyJson(202, { { "key", key } });
+}
+
 } // namespace bramleylock::kernel
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -20,6 +20,9 @@
 
 static constexpr Milliseconds kCapacityEvery{ 500 };
 
+/// How many idle times of a flow an old token key outlives its successor.
+static constexpr int kKeyOverlapIdles = 2;
+
 struct Balancer::Parts
 {
   Parts(asio::io_context& aContext, Settings aSettings)
@@ -122,7 +125,9 @@
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
   watcher = std::make_unique<PlatformWatcher>(context, *store, lists, *hub,
                                               *members, *targets);
-  keyKeeper = std::make_unique<KeyKeeper>(context, *store, keys, *hub);
+  keyKeeper = std::make_unique<KeyKeeper>(
+    context, *store, keys, *hub, *members, metrics,
+    kKeyOverlapIdles * std::chrono::seconds(settings.idleFlowSeconds));
   hub->Start(self);
 }
 
@@ -196,7 +201,8 @@
   }
   AdminView view{ parts.metrics,    parts.lists,       *parts.members,
                   *parts.targets,   *parts.dispatcher, *parts.store,
-                  *parts.admission, *parts.hub,        [this] { Drain(); } };
+                  *parts.admission, *parts.hub,        [this] { Drain(); },
+                  *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
       parts.context, parts.settings.adminAddress, parts.adminToken, view);
--- a/lib/Kernel/KeyKeeper.cpp
+++ b/lib/Kernel/KeyKeeper.cpp
@@ -1,4 +1,4 @@
-// Token keys from the store, and their exchange between peers.
+// Token keys from the store, their exchange between peers, and rotation.
 
 #include "bramleylock/Kernel/KeyKeeper.h"
 
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace bramleylock::kernel {
 
 using lists::StoreError;
@@ -13,13 +15,26 @@
 
 static constexpr Milliseconds kRetryStore{ 500 };
 static constexpr Milliseconds kPollKeys{ 5000 };
+static constexpr Milliseconds kWatchPeers{ 500 };
+
+/// How long a new key waits at least, so that every peer's last heartbeat is
+/// younger than the key.
+static constexpr Milliseconds kSettle{ 3000 };
+
+/// Keys that the store's document holds.
+static constexpr std::size_t kKeysKept = 2;
 
 KeyKeeper::KeyKeeper(asio::io_context& aContext, lists::PlatformStore& aStore,
-                     wire::KeyRing& aKeys, peer::PeerHub& aHub)
+                     wire::KeyRing& aKeys, peer::PeerHub& aHub,
+                     peer::Membership& aMembers, Metrics& aMetrics,
+                     std::chrono::seconds aOverlap)
   : m_context(aContext)
   , m_store(aStore)
   , m_keys(aKeys)
   , m_hub(aHub)
+  , m_members(aMembers)
+  , m_metrics(aMetrics)
+  , m_overlap(aOverlap)
 {
 }
 
@@ -27,6 +42,7 @@
 {
   ListenToPeers();
   Spawn(m_context, "keep-keys", KeepKeys());
+  Spawn(m_context, "watch-peers-keys", WatchPeers());
 }
 
 auto KeyKeeper::ListenToPeers() -> void
@@ -38,10 +54,7 @@
                return;
              }
              for (const auto& [id, text] : message->keys) {
-               wire::SigningKey key{};
-               if (wire::KeyFromHex(text, key)) {
-                 m_keys.Add(id, key);
-               }
+               Install(id, text);
              }
            });
 }
@@ -65,10 +78,31 @@
 
 auto KeyKeeper::NewestKey() const -> std::uint32_t
 {
-  return m_keys.Empty() ? 0 : m_keys.Keys().rbegin()->first;
+  return m_keys.Newest();
+}
+
+auto KeyKeeper::SigningKey() const -> std::uint32_t
+{
+  return m_keys.Signing();
 }
 
-auto KeyKeeper::InstallKeys(const std::string& aDocument) -> void
+auto KeyKeeper::Install(std::uint32_t aId, const std::string& aText) -> void
+{
+  wire::SigningKey key{};
+  if (aId < m_expiredBelow || m_keys.Keys().contains(aId) ||
+      !wire::KeyFromHex(aText, key)) {
+    return;
+  }
+  const bool newest = aId > NewestKey();
+  m_keys.Add(aId, key);
+  if (newest) {
+    m_newestSince = Clock::now();
+    LogInfo("token-key", { { "id", std::to_string(aId) } });
+    m_members.Announce();
+  }
+}
+
+auto KeyKeeper::InstallDocument(const std::string& aDocument) -> void
 {
   const auto document = json::parse(aDocument, nullptr, false);
   if (!document.is_object()) {
@@ -76,9 +110,9 @@
     return;
   }
   for (const auto& [id, text] : document.items()) {
-    wire::SigningKey key{};
-    if (text.is_string() && wire::KeyFromHex(text.get<std::string>(), key)) {
-      m_keys.Add(static_cast<std::uint32_t>(std::stoul(id)), key);
+    if (text.is_string()) {
+      Install(static_cast<std::uint32_t>(std::stoul(id)),
+              text.get<std::string>());
     }
   }
 }
@@ -102,10 +136,89 @@
       continue;
     }
     if (!error) {
-      InstallKeys(stored.value);
+      InstallDocument(stored.value);
     }
     co_await Sleep(error ? kRetryStore : kPollKeys);
   }
 }
 
+auto KeyKeeper::WatchPeers() -> awaitable<void>
+{
+  for (;;) {
+    co_await Sleep(kWatchPeers);
+    SwitchSigning();
+    ExpireOld();
+  }
+}
+
+auto KeyKeeper::SwitchSigning() -> void
+{
+  const auto newest = NewestKey();
+  if (newest == SigningKey() || Clock::now() - m_newestSince < kSettle) {
+    return;
+  }
+  const auto alive = m_members.Alive();
+  const bool everywhere =
+    std::all_of(alive.begin(), alive.end(), [newest](const auto& aMember) {
+      return aMember.latest.newestKey >= newest;
+    });
+  if (!everywhere) {
+    return;
+  }
+  m_keys.SignWith(newest);
+  m_switchedAt = Clock::now();
+  m_metrics.Add(Counter::KeysRotated);
+  LogInfo("token-key-signs", { { "id", std::to_string(newest) } });
+}
+
+auto KeyKeeper::ExpireOld() -> void
+{
+  const auto signing = SigningKey();
+  if (m_keys.Keys().size() < kKeysKept || signing != NewestKey() ||
+      Clock::now() - m_switchedAt < m_overlap) {
+    return;
+  }
+  m_expiredBelow = signing;
+  while (m_keys.Keys().begin()->first < signing) {
+    m_keys.Remove(m_keys.Keys().begin()->first);
+    m_metrics.Add(Counter::KeysExpired);
+  }
+}
+
+auto KeyKeeper::Rotate(std::error_code& aError) -> awaitable<std::uint32_t>
+{
+  const auto newest = NewestKey();
+  if (newest == 0 || m_keys.Keys().size() > 1) {
+    // A third key would push out one that flows may still need.
+    aError = RotationError::UnderWay;
+    co_return newest;
+  }
+  std::error_code error;
+  const auto stored = co_await m_store.Get(lists::kTokenKeysKey, error);
+  if (error) {
+    aError = RotationError::Store;
+    co_return newest;
+  }
+  const auto current = std::to_string(newest);
+  const auto next = newest + 1;
+  const auto document = json::parse(stored.value, nullptr, false);
+  if (!document.is_object() || document.contains(std::to_string(next))) {
+    aError = RotationError::Lost;
+    co_return newest;
+  }
+  const json rotated{ { current, document.value(current, "") },
+                      { std::to_string(next),
+                        wire::KeyToHex(wire::NewSigningKey()) } };
+  co_await m_store.CompareAndSwap(lists::kTokenKeysKey, stored.revision,
+                                  rotated.dump(), error);
+  if (error) {
+    // After a lost answer the poll shows whether the write took effect.
+    aError = error == StoreError::Conflict ? RotationError::Lost
+                                           : RotationError::Store;
+    co_return newest;
+  }
+  InstallDocument(rotated.dump());
+  co_return next;
+}
+
 } // namespace bramleylock::kernel
--- a/lib/Wire/Token.cpp
+++ b/lib/Wire/Token.cpp
@@ -51,11 +51,30 @@
   return m_keys;
 }
 
+auto KeyRing::SignWith(std::uint32_t aId) -> void
+{
+  assert(m_keys.contains(aId));
+  m_signing = aId;
+}
+
+auto KeyRing::Signing() const -> std::uint32_t
+{
+  if (m_keys.empty()) {
+    return 0;
+  }
+  return m_keys.contains(m_signing) ? m_signing : m_keys.begin()->first;
+}
+
+auto KeyRing::Newest() const -> std::uint32_t
+{
+  return m_keys.empty() ? 0 : m_keys.rbegin()->first;
+}
+
 auto KeyRing::Sign(const FlowToken& aToken, std::uint64_t aFlow) const
   -> std::string
 {
   assert(!m_keys.empty());
-  const auto& [id, key] = *m_keys.rbegin();
+  const auto& [id, key] = *m_keys.find(Signing());
   msgpack::sbuffer buffer(128);
   msgpack::packer<msgpack::sbuffer> packer(buffer);
   packer.pack_array(kTokenFields);
@@ -91,9 +110,10 @@
       return token;
     }
     const auto* field = body.via.array.ptr;
-    const auto found = m_keys.find(field[0].as<std::uint32_t>());
+    const auto id = field[0].as<std::uint32_t>();
+    const auto found = m_keys.find(id);
     if (found == m_keys.end()) {
-      aError = TokenError::KeyUnknown;
+      aError = id > Newest() ? TokenError::KeyNewer : TokenError::KeyUnknown;
       return token;
     }
     const auto mac = Authenticate(aText.data(), size, aFlow, found->second);
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -289,6 +289,19 @@
   return PrintEach(aSession, "POST", "/drain");
 }
 
+static auto RotateKeys(const Session& aSession) -> int
+{
+  json answer;
+  const auto status = Call(aSession, aSession.servers.front(), "POST",
+                           "/keys/rotate", "", answer);
+  if (status != 202) {
+    const auto result = PrintError(answer);
+    return status == 409 ? Conflict : result;
+  }
+  std::cout << answer.dump() << "\n";
+  return Success;
+}
+
 static auto NewCredential(const Session& aSession) -> int
 {
   const auto secret = SecretIdentifier();
@@ -297,7 +310,7 @@
   return Success;
 }
 
-static const std::array<Verb, 10> kVerbs{ {
+static const std::array<Verb, 11> kVerbs{ {
   { "lists show", 2, ShowLists, "lists show" },
   { "lists apply", 3, ApplyFile, "lists apply FILE" },
   { "lists diff", 3, DiffFile, "lists diff FILE" },
@@ -307,6 +320,7 @@
   { "targets", 1, ShowTargets, "targets" },
   { "counters", 1, ShowCounters, "counters" },
   { "drain", 1, StartDrain, "drain" },
+  { "keys rotate", 2, RotateKeys, "keys rotate" },
   { "credential", 2, NewCredential, "credential PLAN" },
 } };
 
--- /dev/null
+++ b/unittests/Flow/FlowTableTest.cpp
@@ -0,0 +1,86 @@
+// Flows: when they are forgotten, and what goes along when they are handed over.
+
+#include "bramleylock/Flow/HandOver.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::flow;
+
+static auto MakeFlow(std::uint64_t aId, std::chrono::seconds aUnused)
+  -> std::shared_ptr<flow::Flow>
+{
+  auto flow = std::make_shared<flow::Flow>();
+  flow->id = aId;
+  flow->lastUsed = Clock::now() - aUnused;
+  return flow;
+}
+
+Test(FlowTable, OnlyIdleFlowsAreForgotten)
+{
+  FlowTable table;
+  table.Add(MakeFlow(1, std::chrono::seconds(100)));
+  table.Add(MakeFlow(2, std::chrono::seconds(0)));
+  cr_assert(table.Expire(std::chrono::seconds(60)) == 1);
+  cr_assert(!table.Find(1));
+  cr_assert(table.Find(2));
+}
+
+Test(FlowTable, FloorRisesOverForgottenOutcomes)
+{
+  FlowTable table;
+  const auto flow = MakeFlow(1, std::chrono::seconds(0));
+  flow->outcomes[4].keepUntil = Clock::now() - std::chrono::seconds(1);
+  flow->outcomes[7].keepUntil = Clock::now() + std::chrono::seconds(60);
+  table.Add(flow);
+  table.Expire(std::chrono::seconds(60));
+  cr_assert(flow->floor == 4);
+  cr_assert(flow->outcomes.size() == 1);
+}
+
+static auto AddExchange(flow::Flow& aFlow, std::uint32_t aSequence,
+                        lists::Execution aExecution)
+  -> std::shared_ptr<Exchange>
+{
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request.sequence = aSequence;
+  exchange->request.credential = "plan.secret";
+  exchange->work.execution = aExecution;
+  exchange->deadline = Clock::now() + std::chrono::seconds(5);
+  aFlow.active[aSequence] = exchange;
+  return exchange;
+}
+
+Test(HandOver, OnlyRepeatableRequestsContinueElsewhere)
+{
+  const auto flow = MakeFlow(9, std::chrono::seconds(0));
+  flow->outcomes[3].datagrams = { "answer" };
+  AddExchange(*flow, 3, lists::Execution::AtMostOnce);
+  const auto repeatable =
+    AddExchange(*flow, 4, lists::Execution::Repeatable);
+  const auto handed = Freeze(*flow, { "127.0.0.1:1", 5 });
+  cr_assert(handed.requests.size() == 1);
+  cr_assert(handed.outcomes.size() == 1);
+  cr_assert(handed.outcomes[0].datagrams[0] == "answer");
+  cr_assert(handed.origins.size() == 1);
+  // The old owner sends nothing more for it.
+  cr_assert(repeatable->frozen && repeatable->cancelled);
+  std::error_code error;
+  const auto& datagram = handed.requests[0].datagram;
+  const auto packet = wire::Decode(datagram.data(), datagram.size(), error);
+  cr_assert(!error && packet.sequence == 4 && packet.credential.empty());
+}
+
+Test(HandOver, LargeAnswersBecomeUnknown)
+{
+  const auto flow = MakeFlow(9, std::chrono::seconds(0));
+  flow->outcomes[1].datagrams =
+    std::vector<std::string>(1000, std::string(1000, 'x'));
+  const auto handed = Freeze(*flow, { "127.0.0.1:1", 5 });
+  std::error_code error;
+  const auto& datagrams = handed.outcomes[0].datagrams;
+  cr_assert(datagrams.size() == 1);
+  const auto packet =
+    wire::Decode(datagrams[0].data(), datagrams[0].size(), error);
+  cr_assert(!error && packet.type == wire::PacketType::Unknown);
+}
--- a/unittests/Wire/TokenTest.cpp
+++ b/unittests/Wire/TokenTest.cpp
@@ -64,3 +64,13 @@
               "size %zu", size);
   }
 }
+
+Test(Token, NewKeySignsOnlyWhenChosen)
+{
+  auto ring = RingWithKey(1, 7);
+  const auto withOld = RingWithKey(1, 7);
+  ring.Add(2, SigningKey{});
+  cr_assert(!ErrorOf(withOld, ring.Sign({}, 9), 9));
+  ring.SignWith(2);
+  cr_assert(ErrorOf(withOld, ring.Sign({}, 9), 9) == TokenError::KeyNewer);
+}
