--- a/measure/KeyRotation.cpp
+++ b/measure/KeyRotation.cpp
@@ -54,9 +54,8 @@
     aReport.AddChecks(checks);
     aReport.Require("broken_flows=0", checks.brokenFlows == 0);
     aReport.Require("every rotation ended", done == kRotations);
-    for (const auto* name :
-         { "keys_rotated", "keys_expired", "token_key_newer",
-           "token_key_unknown", "token_forged" }) {
+    for (const auto* name : { "keys_rotated", "keys_expired", "token_key_newer",
+                              "token_key_unknown", "token_forged" }) {
       aReport.Add(name, cluster.CounterSum(name));
     }
     aReport.Require("token_key_unknown=0",
--- a/unittests/Flow/FlowTableTest.cpp
+++ b/unittests/Flow/FlowTableTest.cpp
@@ -1,4 +1,5 @@
-// Flows: when they are forgotten, and what goes along when they are handed over.
+// Flows: when they are forgotten, and what goes along when they are handed
+// over.
 
 #include "bramleylock/Flow/HandOver.h"
 
@@ -56,8 +57,7 @@
   const auto flow = MakeFlow(9, std::chrono::seconds(0));
   flow->outcomes[3].datagrams = { "answer" };
   AddExchange(*flow, 3, lists::Execution::AtMostOnce);
-  const auto repeatable =
-    AddExchange(*flow, 4, lists::Execution::Repeatable);
+  const auto repeatable = AddExchange(*flow, 4, lists::Execution::Repeatable);
   const auto handed = Freeze(*flow, { "127.0.0.1:1", 5 });
   cr_assert(handed.requests.size() == 1);
   cr_assert(handed.outcomes.size() == 1);
