--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -5,6 +5,7 @@
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Kernel/AdminApi.h"
 #include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/KeyKeeper.h"
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
@@ -19,6 +20,9 @@
 
 static constexpr Milliseconds kCapacityEvery{ 500 };
 
+/// How many idle times of a flow an old token key outlives its successor.
+static constexpr int kKeyOverlapIdles = 2;
+
 struct Balancer::Parts
 {
   Parts(asio::io_context& aContext, Settings aSettings)
@@ -52,6 +56,7 @@
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<PlatformWatcher> watcher;
+  std::unique_ptr<KeyKeeper> keyKeeper;
   std::unique_ptr<AdminApi> admin;
   bool draining = false;
 };
@@ -118,15 +123,18 @@
                        *admission, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
-  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, keys,
-                                              *hub, *members, *targets);
+  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, *hub,
+                                              *members, *targets);
+  keyKeeper = std::make_unique<KeyKeeper>(
+    context, *store, keys, *hub, *members, metrics,
+    kKeyOverlapIdles * std::chrono::seconds(settings.idleFlowSeconds));
   hub->Start(self);
 }
 
 auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
-  aHeartbeat.newestKey = watcher->NewestKey();
+  aHeartbeat.newestKey = keyKeeper->NewestKey();
   aHeartbeat.draining = draining;
   for (const auto& [address, target] : targets->All()) {
     if (target->inFlight > 0) {
@@ -193,7 +201,8 @@
   }
   AdminView view{ parts.metrics,    parts.lists,       *parts.members,
                   *parts.targets,   *parts.dispatcher, *parts.store,
-                  *parts.admission, *parts.hub,        [this] { Drain(); } };
+                  *parts.admission, *parts.hub,        [this] { Drain(); },
+                  *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
       parts.context, parts.settings.adminAddress, parts.adminToken, view);
@@ -205,8 +214,10 @@
   parts.dispatcher->Start();
   parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
   parts.watcher->Start();
+  parts.keyKeeper->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
+    parts.keyKeeper->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
   });
   parts.members->Start(
@@ -233,6 +244,7 @@
   dispatcher->Drain();
   members->Announce();
   const auto limit = Clock::now() + std::chrono::seconds(settings.drainSeconds);
+  co_await dispatcher->HandOverFlows(limit);
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
