--- a/measure/DrainFaults.cpp
+++ b/measure/DrainFaults.cpp
@@ -169,6 +169,7 @@
     cluster.Publish();
     const bool stopped = Stopped(cluster, *domain.front());
     std::vector<OwnerFault> faults;
+    faults.reserve(domain.size());
     for (const auto* balancer : domain) {
       faults.push_back(
         { balancer->process->Value("peers"), kStopAt, load.Elapsed() });
