Send requests again every 500 ms, and open nothing at a draining balancer for a lost owner

Its owner was paused; the peers called it dead after about 3 s, and the two copies that the caller still sent, a second apart, went to the paused balancers (2 of 7).

--- a/lib/Caller/Client.cpp
+++ b/lib/Caller/Client.cpp
@@ -12,11 +12,11 @@
 using wire::Reason;
 
 static constexpr Milliseconds kFirstResend{ 100 };
-static constexpr Milliseconds kLastResend{ 1000 };
+static constexpr Milliseconds kLastResend{ 500 };
 
 /// How often a request that the owner has accepted is sent again, which finds
 /// an owner that died.
-static constexpr Milliseconds kAcceptedResend{ 1000 };
+static constexpr Milliseconds kAcceptedResend{ 500 };
 
 /// Parts received before an acknowledgement is due.
 static constexpr std::uint32_t kAcknowledgeEvery = 8;
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -283,6 +283,9 @@
     Reply(aArrival, PacketType::Unknown, Reason::OwnerLost);
     return;
   }
+  if (m_draining && PassToPeer(aArrival)) {
+    return;
+  }
   // Repeatable work continues here, from the part that the caller asks for.
   OpenFlow(aArrival);
 }
