Keep members by random probes and domains by summaries

Cause: every balancer sent a heartbeat to every other each 500 ms, so a node's control bytes grew with the fleet. Members of the own failure domain are now probed at random, directly and through others, with suspicion and refutation; other domains are held as bounded summaries that relays exchange. Links are closed when idle, bounded in number, leave from the listener's address, and report addresses that cannot be reached.

--- a/include/bramleylock/Flow/Environment.h
+++ b/include/bramleylock/Flow/Environment.h
@@ -6,6 +6,7 @@
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Support/Counters.h"
 #include "bramleylock/Target/TargetTable.h"
 #include "bramleylock/Wire/Token.h"
--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -11,6 +11,7 @@
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 
 namespace bramleylock::kernel {
 
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -6,6 +6,7 @@
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Target/TargetTable.h"
 #include "bramleylock/Wire/Token.h"
 
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -18,6 +18,7 @@
   std::string failureDomain;
   std::string callerAddress;
   std::string peerAddress;
+  std::string peerAdvertised;
   std::string adminAddress;
   std::string storeAddress;
   std::string clusterKeyFile;
--- a/include/bramleylock/Peer/PeerHub.h
+++ b/include/bramleylock/Peer/PeerHub.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
+#include "bramleylock/Peer/PeerLinks.h"
 #include "bramleylock/Peer/SecureLink.h"
 #include "bramleylock/Support/Asio.h"
 #include "bramleylock/Support/Counters.h"
@@ -14,54 +16,52 @@
 
 namespace bramleylock::peer {
 
-/// Handles one message; the identity is the authenticated sender's own word.
-using MessageHandler =
-  std::function<void(const wire::Hello& aSender, const std::string& aBody)>;
-
 /// Owns the peer listener and one outgoing link for each peer that this
 /// balancer sends to. A link is opened by the first message and carries
 /// messages one way; the other way carries only acknowledgements, which tell
-/// a silent link from an idle one.
-class PeerHub
+/// a silent link from an idle one. Links that are not used are closed, and
+/// their number is bounded.
+class PeerHub : public PeerLinks
 {
 public:
   /// Binds aAddress; port 0 lets the kernel choose.
   PeerHub(asio::io_context& aContext, const Tcp::endpoint& aAddress,
           const ClusterKey& aKey, Metrics& aMetrics);
 
-  /// "ip:port" of the listener.
+  /// Sets the address at which the others reach the listener, where that is
+  /// not the bound one.
+  auto SetAdvertised(const std::string& aAddress) -> void;
+
+  /// "ip:port" at which the others reach the listener.
   auto Address() const -> std::string;
 
   /// Starts accepting links; aSelf is sent on every link.
   auto Start(const wire::Hello& aSelf) -> void;
 
-  /// Sets the handler of aType; there is one for each type.
-  auto On(wire::MessageType aType, MessageHandler aHandler) -> void;
-
-  /// Queues a message for the peer at aAddress. It may be lost with the link;
-  /// false when it was dropped at once because the queue is full.
+  auto On(wire::MessageType aType, MessageHandler aHandler) -> void override;
   auto Send(const std::string& aAddress, wire::MessageType aType,
-            std::string aBody) -> bool;
-
-  template<typename Message>
-  auto SendMessage(const std::string& aAddress, wire::MessageType aType,
-                   const Message& aMessage) -> bool
-  {
-    return Send(aAddress, aType, wire::PackBody(aMessage));
-  }
+            std::string aBody) -> bool override;
+  auto OnUnreachable(std::function<void(const std::string& aAddress)> aListener)
+    -> void override;
 
   /// Bytes on peer links since the start, both directions.
   auto BytesSent() const -> std::uint64_t;
   auto BytesReceived() const -> std::uint64_t;
 
+  /// Outgoing links that are open or being opened.
+  auto OpenLinks() const -> std::size_t;
+
 private:
   struct Outgoing;
+  struct Incoming;
 
   auto AcceptLoop() -> awaitable<void>;
   auto ServeIncoming(Tcp::socket aSocket) -> awaitable<void>;
+  auto ReadIncoming(std::shared_ptr<SecureLink> aLink,
+                    std::shared_ptr<Incoming> aIncoming,
+                    std::error_code& aError) -> awaitable<void>;
   auto AcknowledgeLoop(std::shared_ptr<SecureLink> aLink,
-                       std::shared_ptr<std::uint64_t> aCount)
-    -> awaitable<void>;
+                       std::shared_ptr<Incoming> aIncoming) -> awaitable<void>;
   auto RunOutgoing(std::string aAddress, std::shared_ptr<Outgoing> aLink)
     -> awaitable<void>;
   auto Connect(const std::string& aAddress, std::error_code& aError)
@@ -73,7 +73,10 @@
   auto ReadAcknowledgements(std::shared_ptr<Outgoing> aOutgoing,
                             std::shared_ptr<SecureLink> aLink)
     -> awaitable<void>;
-  auto Count(const SecureLink& aLink) -> void;
+  auto Fail(const std::string& aAddress) -> void;
+  auto HeldOff(const std::string& aAddress) -> bool;
+  auto CloseLeastUsed() -> void;
+  auto Count(const std::shared_ptr<SecureLink>& aLink) -> void;
 
   asio::io_context& m_context;
   Tcp::acceptor m_acceptor;
@@ -82,6 +85,10 @@
   wire::Hello m_self;
   std::map<wire::MessageType, MessageHandler> m_handlers;
   std::map<std::string, std::shared_ptr<Outgoing>> m_outgoing;
+  std::map<std::string, Clock::time_point> m_heldOff;
+  std::function<void(const std::string&)> m_onUnreachable;
+  std::string m_advertised;
+  std::set<std::shared_ptr<SecureLink>> m_links;
   std::uint64_t m_bytesSent = 0;
   std::uint64_t m_bytesReceived = 0;
 };
--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -65,6 +65,18 @@
   ListsLowerRevision,
   ListsInvalid,
   AdminUnauthorized,
+  PeerUnreachable,
+  PeerLinkSilent,
+  PeerLinkEvicted,
+  MemberProbes,
+  MemberProbesFailed,
+  MemberSuspected,
+  MemberDied,
+  MemberRefuted,
+  MemberStale,
+  MemberDamped,
+  MemberSyncs,
+  DomainsLost,
   Count
 };
 
@@ -123,6 +135,18 @@
   { Counter::ListsLowerRevision, "lists_lower_revision" },
   { Counter::ListsInvalid, "lists_invalid" },
   { Counter::AdminUnauthorized, "admin_unauthorized" },
+  { Counter::PeerUnreachable, "peer_unreachable" },
+  { Counter::PeerLinkSilent, "peer_link_silent" },
+  { Counter::PeerLinkEvicted, "peer_link_evicted" },
+  { Counter::MemberProbes, "member_probes" },
+  { Counter::MemberProbesFailed, "member_probes_failed" },
+  { Counter::MemberSuspected, "member_suspected" },
+  { Counter::MemberDied, "member_died" },
+  { Counter::MemberRefuted, "member_refuted" },
+  { Counter::MemberStale, "member_stale" },
+  { Counter::MemberDamped, "member_damped" },
+  { Counter::MemberSyncs, "member_syncs" },
+  { Counter::DomainsLost, "domains_lost" },
 } };
 
 /// A summary of observed latencies in seconds.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -21,10 +21,14 @@
   Heartbeat,
   Lists,
   Keys,
-  ListsRequest
+  ListsRequest,
+  Probe,
+  ProbeAnswer,
+  ProbeRequest,
+  MemberSync
 };
 
-inline constexpr std::array<NameRow<MessageType>, 7> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 11> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -32,6 +36,10 @@
   { MessageType::Lists, "lists" },
   { MessageType::Keys, "keys" },
   { MessageType::ListsRequest, "lists-request" },
+  { MessageType::Probe, "probe" },
+  { MessageType::ProbeAnswer, "probe-answer" },
+  { MessageType::ProbeRequest, "probe-request" },
+  { MessageType::MemberSync, "member-sync" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
@@ -72,6 +80,79 @@
   MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight)
 };
 
+/// What one balancer says of another, or of itself.
+struct MemberRecord
+{
+  std::string vm;
+  std::string failureDomain;
+  std::string address;
+  std::uint64_t incarnation = 0;
+  /// Raised by the balancer itself when its record has to be replaced.
+  std::uint64_t refutation = 0;
+  /// A peer::MemberState.
+  std::uint8_t state = 0;
+  bool draining = false;
+  MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation, refutation,
+                       state, draining)
+};
+
+/// A failure domain as the others need to know it.
+struct DomainSummary
+{
+  std::string failureDomain;
+  std::uint64_t version = 0;
+  /// Balancers alive there.
+  std::uint32_t alive = 0;
+  /// Some of them, its relays first.
+  std::vector<MemberRecord> members;
+  MSGPACK_DEFINE_ARRAY(failureDomain, version, alive, members)
+};
+
+/// The body of a heartbeat, and of probes and their answers.
+struct Gossip
+{
+  Heartbeat heartbeat;
+  std::uint64_t refutation = 0;
+  /// Hash of the members that the sender holds alive in its failure domain.
+  std::uint64_t digest = 0;
+  std::vector<MemberRecord> updates;
+  std::vector<DomainSummary> domains;
+  MSGPACK_DEFINE_ARRAY(heartbeat, refutation, digest, updates, domains)
+};
+
+/// Asks the receiver to answer.
+struct Probe
+{
+  std::uint64_t sequence = 0;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, gossip)
+};
+
+/// Answers a probe, or tells that the balancer at about has answered.
+struct ProbeAnswer
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, about, gossip)
+};
+
+/// Asks the receiver to probe the balancer at about.
+struct ProbeRequest
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  MSGPACK_DEFINE_ARRAY(sequence, about)
+};
+
+/// Member records in full, for joining and repair.
+struct MemberSync
+{
+  bool wantAnswer = false;
+  std::vector<MemberRecord> records;
+  MSGPACK_DEFINE_ARRAY(wantAnswer, records)
+};
+
 /// The lists at a revision.
 struct ListsMessage
 {
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -106,9 +106,10 @@
     aDetail = "listen.peers = " + settings.peerAddress;
     return;
   }
+  hub->SetAdvertised(settings.peerAdvertised);
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
-  members = std::make_unique<peer::Membership>(context, *hub, self);
+  members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   const auto send = [this](const Udp::endpoint& aCaller,
                            const std::string& aData) {
     entry->Send(aCaller, aData);
@@ -153,7 +154,7 @@
   if (!current) {
     return;
   }
-  const auto balancers = static_cast<double>(members->Alive().size() + 1);
+  const auto balancers = static_cast<double>(members->AliveCount());
   for (const auto& [name, service] : current->services) {
     targets->SetSlots(name, service.slots);
     admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
@@ -236,6 +237,7 @@
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
+  members->Leave();
   co_await Sleep(kFarewell);
   LogInfo("drain-finished",
           { { "cut_requests", std::to_string(dispatcher->Flows().Active()) } });
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -25,6 +25,7 @@
 {
   Name,
   TcpAddress,
+  OptionalTcpAddress,
   File,
   Choice
 };
@@ -67,7 +68,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 15> kTextRows{ {
+const std::array<TextRow, 16> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -76,6 +77,10 @@
     nullptr, "ip:port for callers' datagrams" },
   { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
     nullptr, "ip:port for the other balancers" },
+  { "listen.peers_advertised", &Settings::peerAdvertised,
+    TextKind::OptionalTcpAddress, "", nullptr,
+    "ip:port at which the other balancers reach listen.peers; empty for the "
+    "bound address" },
   { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
     nullptr, nullptr, "ip:port of the administration API" },
   { "platform.address", &Settings::storeAddress, TextKind::TcpAddress, nullptr,
@@ -185,6 +190,8 @@
     switch (aRow.kind) {
       case TextKind::TcpAddress:
         return "allowed: \"ip:port\"";
+      case TextKind::OptionalTcpAddress:
+        return "allowed: \"ip:port\" or empty";
       case TextKind::File:
         return "allowed: a file path";
       case TextKind::Name:
@@ -202,6 +209,9 @@
       case TextKind::TcpAddress:
         ParseTcpEndpoint(aText, error);
         return !error;
+      case TextKind::OptionalTcpAddress:
+        ParseTcpEndpoint(aText, error);
+        return aText.empty() || !error;
       case TextKind::File:
         return !aText.empty();
       case TextKind::Name:
--- /dev/null
+++ b/lib/Peer/DomainExchange.cpp
@@ -0,0 +1,203 @@
+// What failure domains tell each other: a few relays of each, chosen by all
+// its members alike, exchange summaries with relays of the others.
+
+#include "bramleylock/Peer/Membership.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+
+namespace bramleylock::peer {
+
+/// Balancers of a domain that speak to other domains.
+static constexpr std::size_t kRelays = 2;
+
+
+/// Summaries that a message to another domain carries, the own one first.
+static constexpr std::size_t kDomainsToOthers = 2;
+
+auto Membership::SetHints(const std::vector<MemberHint>& aHints) -> void
+{
+  std::map<std::string, std::vector<std::string>> others;
+  std::map<std::string, const MemberHint*> byAddress;
+  for (const auto& hint : aHints) {
+    byAddress[hint.address] = &hint;
+    if (hint.failureDomain == Self().failureDomain) {
+      m_table.AddCandidate(hint.vm, hint.failureDomain, hint.address);
+      continue;
+    }
+    others[hint.failureDomain].push_back(hint.address);
+  }
+  // The list lags: it names addresses to try, and takes away only those that
+  // nobody was heard at.
+  std::vector<std::string> unlisted;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (member.state == MemberState::Candidate &&
+        !byAddress.contains(address)) {
+      unlisted.push_back(address);
+    }
+  }
+  for (const auto& address : unlisted) {
+    m_table.Forget(address);
+  }
+  for (auto& [domain, addresses] : others) {
+    auto order = RendezvousOrder(domain, std::move(addresses));
+    order.resize(std::min(order.size(), DomainTable::kSummaryMembers));
+    for (const auto& address : order) {
+      const auto* hint = byAddress.at(address);
+      m_table.AddCandidate(hint->vm, hint->failureDomain, hint->address);
+    }
+  }
+}
+
+auto Membership::AliveCount() const -> std::size_t
+{
+  std::size_t count = 1 + InDomain().size();
+  for (const auto& [domain, view] : m_domains.All()) {
+    if (domain != Self().failureDomain && !view.lost) {
+      count += view.summary.alive;
+    }
+  }
+  return count;
+}
+
+auto Membership::LostDomains() const -> std::vector<std::string>
+{
+  std::vector<std::string> lost;
+  for (const auto& [domain, view] : m_domains.All()) {
+    if (view.lost) {
+      lost.push_back(domain);
+    }
+  }
+  return lost;
+}
+
+auto Membership::TakeDomains(const std::vector<wire::DomainSummary>& aDomains)
+  -> void
+{
+  const auto now = Clock::now();
+  for (const auto& summary : aDomains) {
+    if (!m_domains.Apply(summary, now) ||
+        summary.failureDomain == Self().failureDomain) {
+      continue;
+    }
+    std::set<std::string> named;
+    for (const auto& record : summary.members) {
+      if (record.failureDomain == summary.failureDomain) {
+        named.insert(record.address);
+        m_table.Apply(record, now);
+      }
+    }
+    // What is held of other domains stays bounded: those that a summary leaves
+    // out are forgotten. When it names all that live, they are gone.
+    const bool complete = summary.alive <= DomainTable::kSummaryMembers;
+    std::vector<std::string> dropped;
+    for (const auto& [address, member] : m_table.Members()) {
+      if (member.failureDomain == summary.failureDomain &&
+          Reachable(member.state) && !named.contains(address)) {
+        dropped.push_back(address);
+      }
+    }
+    for (const auto& address : dropped) {
+      if (complete) {
+        m_table.Find(address)->state = MemberState::Candidate;
+      } else {
+        m_table.Forget(address);
+      }
+    }
+  }
+}
+
+/// The first of the domain's members writes its summary.
+auto Membership::RaiseSummary() -> void
+{
+  m_order = InDomain();
+  m_order.push_back(Self().address);
+  const auto alive = m_order.size();
+  m_order = RendezvousOrder(Self().failureDomain, std::move(m_order));
+  for (const auto& domain : m_domains.Expire(Clock::now())) {
+    if (domain == Self().failureDomain) {
+      continue;
+    }
+    m_metrics.Add(Counter::DomainsLost);
+    LogWarning("domain-lost", { { "failure_domain", domain } });
+    for (const auto& [address, member] : m_table.Members()) {
+      auto& held = *m_table.Find(address);
+      if (held.failureDomain == domain && Reachable(held.state)) {
+        // Not a verdict to pass on: only this side cannot hear them.
+        held.state = MemberState::Candidate;
+      }
+    }
+  }
+  if (m_order.front() != Self().address) {
+    return;
+  }
+  wire::DomainSummary summary;
+  summary.failureDomain = Self().failureDomain;
+  const auto* last = m_domains.Find(Self().failureDomain);
+  summary.version = last == nullptr ? 1 : last->summary.version + 1;
+  summary.alive = static_cast<std::uint32_t>(alive);
+  for (const auto& address : m_order) {
+    if (summary.members.size() == DomainTable::kSummaryMembers) {
+      break;
+    }
+    summary.members.push_back(address == Self().address
+                                ? m_table.SelfRecord()
+                                : MemberTable::RecordOf(*m_table.Find(address)));
+  }
+  m_domains.Apply(summary, Clock::now());
+}
+
+auto Membership::OtherDomains() const -> std::vector<std::string>
+{
+  std::set<std::string> domains;
+  for (const auto& [address, member] : m_table.Members()) {
+    domains.insert(member.failureDomain);
+  }
+  for (const auto& [domain, view] : m_domains.All()) {
+    domains.insert(domain);
+  }
+  domains.erase(Self().failureDomain);
+  return { domains.begin(), domains.end() };
+}
+
+auto Membership::ContactsOf(const std::string& aFailureDomain) const
+  -> std::vector<std::string>
+{
+  std::vector<std::string> alive;
+  std::vector<std::string> others;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (member.failureDomain == aFailureDomain &&
+        member.state != MemberState::Left) {
+      (Reachable(member.state) ? alive : others).push_back(address);
+    }
+  }
+  alive = RendezvousOrder(aFailureDomain, std::move(alive));
+  alive.resize(std::min(alive.size(), kRelays));
+  return alive.empty() ? others : alive;
+}
+
+auto Membership::SpeakToOtherDomains() -> void
+{
+  const auto relays =
+    m_order.begin() +
+    static_cast<std::ptrdiff_t>(std::min(kRelays, m_order.size()));
+  if (std::find(m_order.begin(), relays, Self().address) == relays) {
+    return;
+  }
+  const auto domains = OtherDomains();
+  if (domains.empty()) {
+    return;
+  }
+  const auto& domain = domains[m_nextDomain++ % domains.size()];
+  for (const auto& address : Choose(ContactsOf(domain), 1)) {
+    auto gossip = MakeGossip(address, kDomainsToOthers - 1);
+    const auto* own = m_domains.Find(Self().failureDomain);
+    if (own != nullptr) {
+      gossip.domains.push_back(own->summary);
+    }
+    m_links.SendMessage(address, wire::MessageType::Heartbeat, gossip);
+  }
+}
+
+} // namespace bramleylock::peer
--- /dev/null
+++ b/lib/Peer/DomainTable.cpp
@@ -0,0 +1,90 @@
+// Versions of summaries, and the order of relays.
+
+#include "bramleylock/Peer/DomainTable.h"
+
+#include "bramleylock/Support/Random.h"
+
+#include <algorithm>
+
+namespace bramleylock::peer {
+
+/// A domain whose version stands still this long is lost. Summaries reach a
+/// domain through relays that speak to one other domain at a time, so the time
+/// grows with the number of domains.
+static constexpr Milliseconds kDomainSilence{ 2500 };
+static constexpr Milliseconds kSilencePerDomain{ 500 };
+
+auto DomainTable::Apply(const wire::DomainSummary& aSummary,
+                        Clock::time_point aNow) -> bool
+{
+  if (aSummary.members.size() > kSummaryMembers) {
+    return false;
+  }
+  auto& view = m_views[aSummary.failureDomain];
+  if (aSummary.version <= view.summary.version) {
+    return false;
+  }
+  view.summary = aSummary;
+  view.advancedAt = aNow;
+  view.lost = false;
+  return true;
+}
+
+auto DomainTable::Expire(Clock::time_point aNow) -> std::vector<std::string>
+{
+  const auto silence =
+    kDomainSilence + kSilencePerDomain * static_cast<int>(m_views.size());
+  std::vector<std::string> lost;
+  for (auto& [domain, view] : m_views) {
+    if (!view.lost && aNow - view.advancedAt > silence) {
+      view.lost = true;
+      lost.push_back(domain);
+    }
+  }
+  return lost;
+}
+
+auto DomainTable::Take(std::size_t aLimit) -> std::vector<wire::DomainSummary>
+{
+  std::vector<wire::DomainSummary> taken;
+  const auto count = std::min(aLimit, m_views.size());
+  while (taken.size() < count) {
+    auto next = m_views.upper_bound(m_lastTaken);
+    if (next == m_views.end()) {
+      next = m_views.begin();
+    }
+    taken.push_back(next->second.summary);
+    m_lastTaken = next->first;
+  }
+  return taken;
+}
+
+auto DomainTable::Find(const std::string& aFailureDomain) const
+  -> const DomainView*
+{
+  const auto found = m_views.find(aFailureDomain);
+  return found == m_views.end() ? nullptr : &found->second;
+}
+
+auto DomainTable::All() const -> const std::map<std::string, DomainView>&
+{
+  return m_views;
+}
+
+auto RendezvousOrder(const std::string& aFailureDomain,
+                     std::vector<std::string> aAddresses)
+  -> std::vector<std::string>
+{
+  std::vector<std::pair<std::string, std::string>> weighted;
+  for (auto& address : aAddresses) {
+    auto weight = HashHex(aFailureDomain + '/' + address);
+    weighted.emplace_back(std::move(weight), std::move(address));
+  }
+  std::sort(weighted.begin(), weighted.end());
+  for (std::size_t i = 0; i < weighted.size(); ++i) {
+    aAddresses[i] = std::move(weighted[i].second);
+  }
+  return aAddresses;
+}
+
+} // namespace bramleylock::peer
--- /dev/null
+++ b/lib/Peer/MemberTable.cpp
@@ -0,0 +1,288 @@
+// Records are ordered by incarnation, refutation and state; the higher one
+// wins wherever and however late it arrives, so all views end up the same.
+
+#include "bramleylock/Peer/MemberTable.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <bit>
+#include <tuple>
+
+namespace bramleylock::peer {
+
+/// How long a suspect has to refute.
+static constexpr Milliseconds kSuspicion{ 1500 };
+
+/// A dead member is remembered this long, so that late news of its life does
+/// not bring it back.
+static constexpr Milliseconds kRememberDead{ 60000 };
+
+/// Changes of one member that are passed on within kDampingWindow.
+static constexpr int kChangesPassedOn = 6;
+static constexpr Milliseconds kDampingWindow{ 10000 };
+
+/// Each news is passed on this often for each doubling of the members.
+static constexpr int kRetransmitFactor = 3;
+
+auto Reachable(MemberState aState) -> bool
+{
+  return aState == MemberState::Alive || aState == MemberState::Suspect;
+}
+
+MemberTable::MemberTable(wire::Hello aSelf, Metrics& aMetrics)
+  : m_self(std::move(aSelf))
+  , m_metrics(aMetrics)
+{
+  PassOn(m_self.address);
+}
+
+auto MemberTable::Self() const -> const wire::Hello&
+{
+  return m_self;
+}
+
+auto MemberTable::SelfRecord() const -> wire::MemberRecord
+{
+  return { m_self.vm,          m_self.failureDomain, m_self.address,
+           m_self.incarnation, m_refutation,
+           static_cast<std::uint8_t>(m_selfState), m_selfDraining };
+}
+
+auto MemberTable::SetSelf(MemberState aState, bool aDraining) -> void
+{
+  const bool same = m_selfState == aState && m_selfDraining == aDraining;
+  if (same || m_selfState == MemberState::Left) {
+    return;
+  }
+  m_selfState = aState;
+  m_selfDraining = aDraining;
+  ++m_refutation;
+  PassOn(m_self.address);
+}
+
+auto MemberTable::RecordOf(const Member& aMember) -> wire::MemberRecord
+{
+  return { aMember.vm,          aMember.failureDomain,
+           aMember.address,     aMember.incarnation,
+           aMember.refutation,  static_cast<std::uint8_t>(aMember.state),
+           aMember.latest.draining };
+}
+
+auto MemberTable::ApplyToSelf(const wire::MemberRecord& aRecord) -> bool
+{
+  const bool aboutThisRun = aRecord.incarnation == m_self.incarnation;
+  const bool harmless =
+    aRecord.state == static_cast<std::uint8_t>(m_selfState) ||
+    aRecord.state == static_cast<std::uint8_t>(MemberState::Alive);
+  if (!aboutThisRun || harmless || aRecord.refutation < m_refutation) {
+    return false;
+  }
+  // The tokens of open flows name the incarnation, so a refutation must not
+  // change it and has a number of its own.
+  m_refutation = aRecord.refutation + 1;
+  m_metrics.Add(Counter::MemberRefuted);
+  LogWarning("refuted", { { "refutation", std::to_string(m_refutation) } });
+  PassOn(m_self.address);
+  return true;
+}
+
+auto MemberTable::Apply(const wire::MemberRecord& aRecord,
+                        Clock::time_point aNow) -> bool
+{
+  if (aRecord.address == m_self.address) {
+    return ApplyToSelf(aRecord);
+  }
+  const auto state = static_cast<MemberState>(aRecord.state);
+  if (aRecord.address.empty() || state <= MemberState::Candidate ||
+      state > MemberState::Left) {
+    return false;
+  }
+  auto& member = m_members[aRecord.address];
+  const auto held = std::tuple(member.incarnation, member.refutation,
+                               member.state);
+  const auto offered =
+    std::tuple(aRecord.incarnation, aRecord.refutation, state);
+  if (offered <= held) {
+    if (offered < held) {
+      m_metrics.Add(Counter::MemberStale);
+    }
+    return false;
+  }
+  if (aRecord.incarnation > member.incarnation) {
+    member.latest = {};
+  }
+  const bool announced = Reachable(member.state) == Reachable(state);
+  member.vm = aRecord.vm;
+  member.failureDomain = aRecord.failureDomain;
+  member.address = aRecord.address;
+  member.incarnation = aRecord.incarnation;
+  member.refutation = aRecord.refutation;
+  member.state = state;
+  member.latest.draining = aRecord.draining;
+  member.changedAt = aNow;
+  if (state == MemberState::Dead) {
+    m_metrics.Add(Counter::MemberDied);
+  }
+  if (!announced) {
+    LogInfo("member-changed",
+            { { "peer", member.vm },
+              { "state", std::string(NameOf(kMemberStateNames, state)) } });
+  }
+  if (!Damped(member, aNow) && member.failureDomain == m_self.failureDomain) {
+    PassOn(member.address);
+  }
+  return true;
+}
+
+auto MemberTable::Damped(Member& aMember, Clock::time_point aNow) -> bool
+{
+  if (aNow - aMember.changesFrom > kDampingWindow) {
+    aMember.changesFrom = aNow;
+    aMember.changes = 0;
+  }
+  if (++aMember.changes <= kChangesPassedOn) {
+    return false;
+  }
+  // Digests bring the rest of the domain to the last state later.
+  m_metrics.Add(Counter::MemberDamped);
+  return true;
+}
+
+auto MemberTable::Hear(const wire::Hello& aSender, const wire::Gossip& aGossip,
+                       Clock::time_point aNow) -> bool
+{
+  auto* known = Find(aSender.address);
+  if (known != nullptr && aSender.incarnation < known->incarnation) {
+    m_metrics.Add(Counter::MemberStale);
+    return false;
+  }
+  Apply({ aSender.vm, aSender.failureDomain, aSender.address,
+          aSender.incarnation, aGossip.refutation,
+          static_cast<std::uint8_t>(MemberState::Alive),
+          aGossip.heartbeat.draining },
+        aNow);
+  auto& member = m_members[aSender.address];
+  if (!Reachable(member.state)) {
+    return false;
+  }
+  member.lastHeard = aNow;
+  member.latest = aGossip.heartbeat;
+  return true;
+}
+
+auto MemberTable::Suspect(const std::string& aAddress, Clock::time_point aNow)
+  -> void
+{
+  auto* member = Find(aAddress);
+  if (member == nullptr || member->state != MemberState::Alive) {
+    return;
+  }
+  m_metrics.Add(Counter::MemberSuspected);
+  auto record = RecordOf(*member);
+  record.state = static_cast<std::uint8_t>(MemberState::Suspect);
+  Apply(record, aNow);
+}
+
+auto MemberTable::Expire(Clock::time_point aNow) -> void
+{
+  std::vector<std::string> forgotten;
+  for (auto& [address, member] : m_members) {
+    if (member.state == MemberState::Suspect &&
+        aNow - member.changedAt > kSuspicion) {
+      auto record = RecordOf(member);
+      record.state = static_cast<std::uint8_t>(MemberState::Dead);
+      Apply(record, aNow);
+    }
+    const bool gone = member.state > MemberState::Suspect;
+    if (gone && aNow - member.changedAt > kRememberDead) {
+      forgotten.push_back(address);
+    }
+  }
+  for (const auto& address : forgotten) {
+    Forget(address);
+  }
+}
+
+auto MemberTable::AddCandidate(const std::string& aVm,
+                               const std::string& aFailureDomain,
+                               const std::string& aAddress) -> void
+{
+  if (aAddress == m_self.address) {
+    return;
+  }
+  auto [position, added] = m_members.try_emplace(aAddress);
+  if (added) {
+    position->second.vm = aVm;
+    position->second.failureDomain = aFailureDomain;
+    position->second.address = aAddress;
+  }
+}
+
+auto MemberTable::Find(const std::string& aAddress) -> Member*
+{
+  const auto found = m_members.find(aAddress);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+auto MemberTable::Members() const -> const std::map<std::string, Member>&
+{
+  return m_members;
+}
+
+auto MemberTable::Forget(const std::string& aAddress) -> void
+{
+  m_members.erase(aAddress);
+}
+
+auto MemberTable::Retransmissions() const -> int
+{
+  return kRetransmitFactor *
+         static_cast<int>(std::bit_width(m_members.size() + 1));
+}
+
+auto MemberTable::PassOn(const std::string& aAddress) -> void
+{
+  std::erase_if(
+    m_news, [&](const News& aNews) { return aNews.address == aAddress; });
+  // The newest goes first: it has been passed on least.
+  m_news.push_front({ aAddress, Retransmissions() });
+}
+
+auto MemberTable::TakeUpdates() -> std::vector<wire::MemberRecord>
+{
+  std::vector<wire::MemberRecord> updates;
+  const auto count = std::min(kUpdatesPerMessage, m_news.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    auto news = m_news.front();
+    m_news.pop_front();
+    const auto* member = Find(news.address);
+    if (news.address == m_self.address) {
+      updates.push_back(SelfRecord());
+    } else if (member != nullptr) {
+      updates.push_back(RecordOf(*member));
+    } else {
+      continue;
+    }
+    if (--news.left > 0) {
+      m_news.push_back(std::move(news));
+    }
+  }
+  return updates;
+}
+
+auto MemberTable::Digest() const -> std::uint64_t
+{
+  const auto hash = [](const std::string& aAddress, std::uint64_t aRun) {
+    return std::hash<std::string>{}(aAddress + '#' + std::to_string(aRun));
+  };
+  std::uint64_t digest = hash(m_self.address, m_self.incarnation);
+  for (const auto& [address, member] : m_members) {
+    if (Reachable(member.state) &&
+        member.failureDomain == m_self.failureDomain) {
+      digest ^= hash(address, member.incarnation);
+    }
+  }
+  return digest;
+}
+
+} // namespace bramleylock::peer
--- a/lib/Peer/PeerHub.cpp
+++ b/lib/Peer/PeerHub.cpp
@@ -21,10 +21,21 @@
 /// An outgoing link without messages for this long is closed.
 static constexpr Milliseconds kIdle{ 30000 };
 
+/// An incoming link without messages for this long is closed: its other end is
+/// gone, or it would have closed it.
+static constexpr Milliseconds kIncomingIdle{ 60000 };
+
+/// Outgoing links before the least used one is closed for a new one.
+static constexpr std::size_t kOutgoingLimit = 1024;
+
+/// After a failed connect, messages to the address are dropped this long.
+static constexpr Milliseconds kHoldOff{ 200 };
+
 struct PeerHub::Outgoing
 {
   explicit Outgoing(asio::io_context& aContext)
     : wake(aContext)
+    , owing(aContext)
   {
   }
 
@@ -34,7 +45,24 @@
   std::uint64_t written = 0;
   std::uint64_t acknowledged = 0;
   Clock::time_point oldestUnacknowledged{};
+  Clock::time_point lastUse = Clock::now();
+  Signal owing;
   bool linkFailed = false;
+  /// Closed to make room as soon as it owes nothing.
+  bool evicted = false;
+};
+
+struct PeerHub::Incoming
+{
+  explicit Incoming(asio::io_context& aContext)
+    : read(aContext)
+  {
+  }
+
+  Signal read;
+  std::uint64_t count = 0;
+  Clock::time_point lastRead = Clock::now();
+  bool closed = false;
 };
 
 PeerHub::PeerHub(asio::io_context& aContext, const Tcp::endpoint& aAddress,
@@ -46,8 +74,16 @@
 {
 }
 
+auto PeerHub::SetAdvertised(const std::string& aAddress) -> void
+{
+  m_advertised = aAddress;
+}
+
 auto PeerHub::Address() const -> std::string
 {
+  if (!m_advertised.empty()) {
+    return m_advertised;
+  }
   const auto endpoint = m_acceptor.local_endpoint();
   return FormatEndpoint(endpoint.address(), endpoint.port());
 }
@@ -63,11 +99,65 @@
   m_handlers[aType] = std::move(aHandler);
 }
 
+auto PeerHub::OnUnreachable(
+  std::function<void(const std::string& aAddress)> aListener) -> void
+{
+  m_onUnreachable = std::move(aListener);
+}
+
+auto PeerHub::HeldOff(const std::string& aAddress) -> bool
+{
+  const auto found = m_heldOff.find(aAddress);
+  if (found == m_heldOff.end()) {
+    return false;
+  }
+  if (Clock::now() < found->second) {
+    return true;
+  }
+  m_heldOff.erase(found);
+  return false;
+}
+
+auto PeerHub::Fail(const std::string& aAddress) -> void
+{
+  m_metrics.Add(Counter::PeerUnreachable);
+  const auto now = Clock::now();
+  std::erase_if(m_heldOff,
+                [now](const auto& aEntry) { return aEntry.second < now; });
+  m_heldOff[aAddress] = now + kHoldOff;
+  if (m_onUnreachable) {
+    m_onUnreachable(aAddress);
+  }
+}
+
+auto PeerHub::CloseLeastUsed() -> void
+{
+  std::shared_ptr<Outgoing> least;
+  for (const auto& [address, outgoing] : m_outgoing) {
+    const bool idle = outgoing->queue.empty() && !outgoing->evicted;
+    if (idle && (!least || outgoing->lastUse < least->lastUse)) {
+      least = outgoing;
+    }
+  }
+  if (least) {
+    least->evicted = true;
+    least->wake.Notify();
+    m_metrics.Add(Counter::PeerLinkEvicted);
+  }
+}
+
 auto PeerHub::Send(const std::string& aAddress, wire::MessageType aType,
                    std::string aBody) -> bool
 {
+  if (HeldOff(aAddress)) {
+    m_metrics.Add(Counter::PeerSendDropped);
+    return false;
+  }
   auto& outgoing = m_outgoing[aAddress];
   if (!outgoing) {
+    if (m_outgoing.size() > kOutgoingLimit) {
+      CloseLeastUsed();
+    }
     outgoing = std::make_shared<Outgoing>(m_context);
     Spawn(m_context, "peer-link", RunOutgoing(aAddress, outgoing));
   }
@@ -83,18 +173,33 @@
 
 auto PeerHub::BytesSent() const -> std::uint64_t
 {
-  return m_bytesSent;
+  auto bytes = m_bytesSent;
+  for (const auto& link : m_links) {
+    bytes += link->BytesSent();
+  }
+  return bytes;
 }
 
 auto PeerHub::BytesReceived() const -> std::uint64_t
 {
-  return m_bytesReceived;
+  auto bytes = m_bytesReceived;
+  for (const auto& link : m_links) {
+    bytes += link->BytesReceived();
+  }
+  return bytes;
+}
+
+auto PeerHub::OpenLinks() const -> std::size_t
+{
+  return m_outgoing.size();
 }
 
-auto PeerHub::Count(const SecureLink& aLink) -> void
+/// Keeps the byte counts of a link that ends.
+auto PeerHub::Count(const std::shared_ptr<SecureLink>& aLink) -> void
 {
-  m_bytesSent += aLink.BytesSent();
-  m_bytesReceived += aLink.BytesReceived();
+  m_bytesSent += aLink->BytesSent();
+  m_bytesReceived += aLink->BytesReceived();
+  m_links.erase(aLink);
 }
 
 auto PeerHub::AcceptLoop() -> awaitable<void>
@@ -136,57 +241,72 @@
     LogWarning("peer-rejected", { { "why", error.message() } });
     co_return;
   }
-  auto count = std::make_shared<std::uint64_t>(0);
-  Spawn(m_context, "peer-acknowledge", AcknowledgeLoop(link, count));
+  auto incoming = std::make_shared<Incoming>(m_context);
+  m_links.insert(link);
+  Spawn(m_context, "peer-acknowledge", AcknowledgeLoop(link, incoming));
+  co_await ReadIncoming(link, incoming, error);
+  if (error == LinkError::Malformed || error == LinkError::Oversized) {
+    m_metrics.Add(Counter::PeerFrameMalformed);
+  }
+  if (error == LinkError::Authentication) {
+    m_metrics.Add(Counter::PeerAuthFailed);
+  }
+  Count(link);
+  link->Close();
+  incoming->closed = true;
+  incoming->read.Notify();
+}
+
+auto PeerHub::ReadIncoming(std::shared_ptr<SecureLink> aLink,
+                           std::shared_ptr<Incoming> aIncoming,
+                           std::error_code& aError) -> awaitable<void>
+{
   wire::Hello sender;
   for (;;) {
-    const auto message = co_await link->Read(error);
-    if (error) {
-      break;
+    const auto message = co_await aLink->Read(aError);
+    if (aError) {
+      co_return;
     }
-    ++*count;
+    ++aIncoming->count;
+    aIncoming->lastRead = Clock::now();
+    aIncoming->read.Notify();
     if (message.type == wire::MessageType::Hello) {
       auto hello = wire::UnpackBody<wire::Hello>(message.body);
       if (!hello) {
-        error = LinkError::Malformed;
-        break;
+        aError = LinkError::Malformed;
+        co_return;
       }
       sender = *hello;
       continue;
     }
     const auto handler = m_handlers.find(message.type);
     if (sender.vm.empty() || handler == m_handlers.end()) {
-      error = LinkError::Malformed;
-      break;
+      aError = LinkError::Malformed;
+      co_return;
     }
     handler->second(sender, message.body);
   }
-  if (error == LinkError::Malformed || error == LinkError::Oversized) {
-    m_metrics.Add(Counter::PeerFrameMalformed);
-  }
-  if (error == LinkError::Authentication) {
-    m_metrics.Add(Counter::PeerAuthFailed);
-  }
-  Count(*link);
-  link->Close();
 }
 
+/// Acknowledges while messages come, and closes a link on which none do.
 auto PeerHub::AcknowledgeLoop(std::shared_ptr<SecureLink> aLink,
-                              std::shared_ptr<std::uint64_t> aCount)
+                              std::shared_ptr<Incoming> aIncoming)
   -> awaitable<void>
 {
   std::uint64_t sent = 0;
   std::error_code error;
-  while (!error) {
-    co_await Sleep(kAcknowledgeEvery);
-    if (*aCount == sent) {
-      // A closed link is found by its reader; nothing is owed until then.
-      if (aLink.use_count() == 1) {
+  while (!error && !aIncoming->closed) {
+    if (aIncoming->count == sent) {
+      const auto limit = aIncoming->lastRead + kIncomingIdle;
+      if (Clock::now() >= limit) {
+        aLink->Close();
         co_return;
       }
+      co_await aIncoming->read.WaitUntil(limit);
       continue;
     }
-    sent = *aCount;
+    co_await Sleep(kAcknowledgeEvery);
+    sent = aIncoming->count;
     const Envelope message{ wire::MessageType::Received,
                             wire::PackBody(wire::Received{ sent }) };
     co_await aLink->Write(message, error);
@@ -202,6 +322,10 @@
   }
   Tcp::socket socket(m_context);
   boost::system::error_code failure;
+  // Links leave from the listener's address, by which filters know this VM.
+  const auto source = m_acceptor.local_endpoint().address();
+  socket.open(endpoint.protocol(), failure);
+  socket.bind(Tcp::endpoint(source, 0), failure);
   asio::steady_timer timer(m_context);
   timer.expires_after(kConnectTimeout);
   timer.async_wait([&socket](const boost::system::error_code& aCancelled) {
@@ -222,7 +346,9 @@
   co_await link->Handshake(m_key, true, aError);
   *done = true;
   if (aError) {
-    m_metrics.Add(Counter::PeerAuthFailed);
+    if (aError == LinkError::Authentication) {
+      m_metrics.Add(Counter::PeerAuthFailed);
+    }
     co_return nullptr;
   }
   const Envelope hello{ wire::MessageType::Hello, wire::PackBody(m_self) };
@@ -237,13 +363,15 @@
   auto link = co_await Connect(aAddress, error);
   if (!error) {
     m_metrics.Add(Counter::PeerLinkOpened);
+    m_links.insert(link);
     aLink->written = 1;
     aLink->oldestUnacknowledged = Clock::now();
     Spawn(m_context, "peer-read", ReadAcknowledgements(aLink, link));
     Spawn(m_context, "peer-guard", GuardSilence(aAddress, aLink, link));
     co_await Drain(aLink, link);
     aLink->linkFailed = true;
-    Count(*link);
+    aLink->owing.Notify();
+    Count(link);
     link->Close();
   }
   if (!aLink->queue.empty() || error) {
@@ -253,21 +381,24 @@
   // Queued messages go with the link: their senders repair on their own, and
   // an old heartbeat or packet is worth less than a prompt new link.
   m_outgoing.erase(aAddress);
+  if (error) {
+    Fail(aAddress);
+  }
 }
 
 auto PeerHub::Drain(std::shared_ptr<Outgoing> aOutgoing,
                     std::shared_ptr<SecureLink> aLink) -> awaitable<void>
 {
-  auto lastUse = Clock::now();
   std::error_code error;
   while (!aOutgoing->linkFailed) {
     const auto now = Clock::now();
     const bool owed = aOutgoing->acknowledged < aOutgoing->written;
     if (aOutgoing->queue.empty()) {
-      if (now - lastUse > kIdle) {
+      const auto limit = aOutgoing->lastUse + kIdle;
+      if (now >= limit || (aOutgoing->evicted && !owed)) {
         co_return;
       }
-      co_await aOutgoing->wake.WaitUntil(now + kAcknowledgeEvery);
+      co_await aOutgoing->wake.WaitUntil(limit);
       continue;
     }
     const auto message = std::move(aOutgoing->queue.front());
@@ -277,7 +408,8 @@
       aOutgoing->oldestUnacknowledged = now;
     }
     ++aOutgoing->written;
-    lastUse = now;
+    aOutgoing->lastUse = now;
+    aOutgoing->owing.Notify();
     co_await aLink->Write(message, error);
     if (error) {
       co_return;
@@ -292,13 +424,20 @@
                            std::shared_ptr<SecureLink> aLink) -> awaitable<void>
 {
   while (!aOutgoing->linkFailed) {
-    co_await Sleep(kAcknowledgeEvery);
-    const bool owed = aOutgoing->acknowledged < aOutgoing->written;
-    if (owed && Clock::now() - aOutgoing->oldestUnacknowledged > kSilence) {
+    if (aOutgoing->acknowledged >= aOutgoing->written) {
+      co_await aOutgoing->owing.Wait();
+      continue;
+    }
+    const auto limit = aOutgoing->oldestUnacknowledged + kSilence;
+    const auto now = Clock::now();
+    if (now >= limit) {
+      m_metrics.Add(Counter::PeerLinkSilent);
       LogWarning("peer-silent", { { "peer", aAddress } });
       aLink->Close();
+      Fail(aAddress);
       co_return;
     }
+    co_await Sleep(limit - now);
   }
 }
 
@@ -315,6 +454,9 @@
     }
     aOutgoing->acknowledged = received->count;
     aOutgoing->oldestUnacknowledged = Clock::now();
+    if (aOutgoing->evicted) {
+      aOutgoing->wake.Notify();
+    }
   }
   aOutgoing->linkFailed = true;
   aOutgoing->wake.Notify();
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -137,8 +137,9 @@
   if (aDialer) {
     co_await asio::async_read(socket, theirBuffers, Into(failure));
     if (failure || !CheckGreeting(aKey, theirs, false, &mine)) {
-      // An end that rejects our greeting closes without an answer.
-      aError = LinkError::Authentication;
+      // An end that rejects our greeting closes without an answer, which
+      // looks the same here as a lost connection; that end counts it.
+      aError = failure ? LinkError::Lost : LinkError::Authentication;
       co_return;
     }
   }
