--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -12,7 +12,6 @@
 /// Balancers of a domain that speak to other domains.
 static constexpr std::size_t kRelays = 2;
 
-
 /// Summaries that a message to another domain carries, the own one first.
 static constexpr std::size_t kDomainsToOthers = 2;
 
@@ -141,9 +140,10 @@
     if (summary.members.size() == DomainTable::kSummaryMembers) {
       break;
     }
-    summary.members.push_back(address == Self().address
-                                ? m_table.SelfRecord()
-                                : MemberTable::RecordOf(*m_table.Find(address)));
+    summary.members.push_back(
+      address == Self().address
+        ? m_table.SelfRecord()
+        : MemberTable::RecordOf(*m_table.Find(address)));
   }
   m_domains.Apply(summary, Clock::now());
 }
@@ -179,9 +179,8 @@
 
 auto Membership::SpeakToOtherDomains() -> void
 {
-  const auto relays =
-    m_order.begin() +
-    static_cast<std::ptrdiff_t>(std::min(kRelays, m_order.size()));
+  const auto relays = m_order.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(kRelays, m_order.size()));
   if (std::find(m_order.begin(), relays, Self().address) == relays) {
     return;
   }
--- a/lib/Peer/MemberTable.cpp
+++ b/lib/Peer/MemberTable.cpp
@@ -43,9 +43,10 @@
 
 auto MemberTable::SelfRecord() const -> wire::MemberRecord
 {
-  return { m_self.vm,          m_self.failureDomain, m_self.address,
-           m_self.incarnation, m_refutation,
-           static_cast<std::uint8_t>(m_selfState), m_selfDraining };
+  return { m_self.vm,      m_self.failureDomain,
+           m_self.address, m_self.incarnation,
+           m_refutation,   static_cast<std::uint8_t>(m_selfState),
+           m_selfDraining };
 }
 
 auto MemberTable::SetSelf(MemberState aState, bool aDraining) -> void
@@ -62,9 +63,12 @@
 
 auto MemberTable::RecordOf(const Member& aMember) -> wire::MemberRecord
 {
-  return { aMember.vm,          aMember.failureDomain,
-           aMember.address,     aMember.incarnation,
-           aMember.refutation,  static_cast<std::uint8_t>(aMember.state),
+  return { aMember.vm,
+           aMember.failureDomain,
+           aMember.address,
+           aMember.incarnation,
+           aMember.refutation,
+           static_cast<std::uint8_t>(aMember.state),
            aMember.latest.draining };
 }
 
@@ -98,8 +102,8 @@
     return false;
   }
   auto& member = m_members[aRecord.address];
-  const auto held = std::tuple(member.incarnation, member.refutation,
-                               member.state);
+  const auto held =
+    std::tuple(member.incarnation, member.refutation, member.state);
   const auto offered =
     std::tuple(aRecord.incarnation, aRecord.refutation, state);
   if (offered <= held) {
@@ -242,8 +246,8 @@
 
 auto MemberTable::PassOn(const std::string& aAddress) -> void
 {
-  std::erase_if(
-    m_news, [&](const News& aNews) { return aNews.address == aAddress; });
+  std::erase_if(m_news,
+                [&](const News& aNews) { return aNews.address == aAddress; });
   // The newest goes first: it has been passed on least.
   m_news.push_front({ aAddress, Retransmissions() });
 }
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -108,6 +108,8 @@
 {
   m_balancers.clear();
   m_targets.clear();
+  m_peerProxies.clear();
+  m_storeProxies.clear();
   m_fabric.reset();
   m_store.reset();
   std::error_code ignored;
@@ -133,9 +135,10 @@
     fmt::format("name = \"{}\"\nfailure_domain = \"{}\"\n"
                 "seed = {}\n",
                 aName, aDomain, m_options.seed * 1000 + m_nextName);
-  sections["listen"] += "callers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-                        "administration = \"127.0.0.1:0\"\n";
-  sections["platform"] += fmt::format("address = \"{}\"\n", StoreAddress());
+  sections["listen"] += "callers = \"127.0.0.1:0\"\n"
+                        "administration = \"127.0.0.1:0\"\n" +
+                        ListenLines(aName, aDomain);
+  sections["platform"] += fmt::format("address = \"{}\"\n", StoreFor(aDomain));
   sections["secrets"] +=
     fmt::format("cluster_key_file = \"{0}/cluster.key\"\n"
                 "administration_token_file = \"{0}/admin.token\"\n",
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -81,6 +81,9 @@
   int balancers = 0;
   /// Hosts to start for each service; 0 takes the deployment's numbers.
   int hosts = 0;
+  /// Gives each balancer an address by failure domain, with a proxy before its
+  /// peer listener and one before the store for each domain.
+  bool proxied = false;
 };
 
 /// Starts and stops a deployment, and injects faults into it. Every method
@@ -110,6 +113,17 @@
 
   auto WaitReady(BalancerProcess& aBalancer) -> void;
 
+  /// Cuts the links from balancers of aFrom to those of aTo, or heals them;
+  /// needs the option proxied, as the next two.
+  auto CutLinks(const std::string& aFrom, const std::string& aTo, bool aCut)
+    -> void;
+
+  /// Cuts aDomain from the platform, or heals it.
+  auto CutStore(const std::string& aDomain, bool aCut) -> void;
+
+  /// Loses aPart of the packets on all peer links.
+  auto LosePackets(double aPart) -> void;
+
   /// Sends a control document to a stand-in at "ip:port".
   auto Control(const std::string& aAddress, const std::string& aPath,
                const nlohmann::json& aBody) -> nlohmann::json;
@@ -142,6 +156,13 @@
   auto StartBalancer(const std::string& aName, const std::string& aDomain)
     -> std::unique_ptr<Process>;
   auto Journal(TargetProcess& aTarget) -> nlohmann::json;
+  auto StartProxy(const std::string& aName, const std::string& aListen,
+                  const std::string& aTo) -> std::unique_ptr<Process>;
+  auto StoreFor(const std::string& aDomain) -> std::string;
+  auto ListenLines(const std::string& aName, const std::string& aDomain)
+    -> std::string;
+  auto DomainPrefix(const std::string& aDomain) const -> std::string;
+  auto SetFaults(const std::string& aBalancer) -> void;
 
   const Deployment& m_deployment;
   ClusterOptions m_options;
@@ -152,6 +173,11 @@
   std::vector<BalancerProcess> m_balancers;
   std::vector<TargetProcess> m_targets;
   std::map<std::string, nlohmann::json> m_savedJournals;
+  std::map<std::string, std::unique_ptr<Process>> m_storeProxies;
+  std::map<std::string, std::unique_ptr<Process>> m_peerProxies;
+  /// Domains that are cut, by the domain that they cannot send to.
+  std::map<std::string, std::set<std::string>> m_cutInto;
+  double m_loss = 0;
   int m_nextName = 1;
 };
 
--- /dev/null
+++ b/measure/ClusterFaults.cpp
@@ -0,0 +1,117 @@
+// Cuts and losses between the balancers of a cluster, by proxies before their
+// peer listeners.
+
+#include "measure/Cluster.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace bramleylock::measure {
+
+using nlohmann::json;
+
+/// A port at aAddress that nobody listens at.
+static auto FreePort(const std::string& aAddress) -> std::uint16_t
+{
+  asio::io_context context;
+  const Tcp::acceptor acceptor(
+    context, Tcp::endpoint(asio::ip::make_address(aAddress), 0));
+  return acceptor.local_endpoint().port();
+}
+
+auto Cluster::DomainPrefix(const std::string& aDomain) const -> std::string
+{
+  const auto& domains = m_deployment.failureDomains;
+  const auto position = std::find(domains.begin(), domains.end(), aDomain);
+  return fmt::format("127.10.{}.", position - domains.begin() + 1);
+}
+
+auto Cluster::StartProxy(const std::string& aName, const std::string& aListen,
+                         const std::string& aTo) -> std::unique_ptr<Process>
+{
+  const std::vector<std::string> arguments{
+    "proxy", "--listen", aListen,
+    "--to",  aTo,        "--seed",
+    std::to_string(m_options.seed * 1000 + m_nextName)
+  };
+  return std::make_unique<Process>(m_programs + "/bramleylock-standin",
+                                   arguments,
+                                   m_directory + "/" + aName + "-proxy.log");
+}
+
+auto Cluster::StoreFor(const std::string& aDomain) -> std::string
+{
+  if (!m_options.proxied) {
+    return StoreAddress();
+  }
+  auto& proxy = m_storeProxies[aDomain];
+  if (!proxy) {
+    proxy = StartProxy("store-" + aDomain, "127.0.0.1:0", StoreAddress());
+  }
+  return proxy->Value("proxy");
+}
+
+auto Cluster::ListenLines(const std::string& aName, const std::string& aDomain)
+  -> std::string
+{
+  if (!m_options.proxied) {
+    return "peers = \"127.0.0.1:0\"\n";
+  }
+  const auto address =
+    DomainPrefix(aDomain) + std::to_string(m_nextName % 250 + 1);
+  const auto peers = fmt::format("{}:{}", address, FreePort(address));
+  auto& proxy = m_peerProxies[aName];
+  proxy = StartProxy(aName, address + ":0", peers);
+  return fmt::format("peers = \"{}\"\npeers_advertised = \"{}\"\n", peers,
+                     proxy->Value("proxy"));
+}
+
+auto Cluster::SetFaults(const std::string& aBalancer) -> void
+{
+  const auto proxy = m_peerProxies.find(aBalancer);
+  const auto balancer = std::find_if(
+    m_balancers.begin(), m_balancers.end(),
+    [&](const BalancerProcess& aEach) { return aEach.name == aBalancer; });
+  if (proxy == m_peerProxies.end() || balancer == m_balancers.end()) {
+    return;
+  }
+  json cut = json::array();
+  for (const auto& domain : m_cutInto[balancer->failureDomain]) {
+    cut.push_back(DomainPrefix(domain));
+  }
+  Control(proxy->second->Value("control"), "/control/fault",
+          { { "cut", cut }, { "loss", m_loss } });
+}
+
+auto Cluster::CutLinks(const std::string& aFrom, const std::string& aTo,
+                       bool aCut) -> void
+{
+  if (aCut) {
+    m_cutInto[aTo].insert(aFrom);
+  } else {
+    m_cutInto[aTo].erase(aFrom);
+  }
+  for (const auto& balancer : m_balancers) {
+    if (balancer.failureDomain == aTo) {
+      SetFaults(balancer.name);
+    }
+  }
+}
+
+auto Cluster::CutStore(const std::string& aDomain, bool aCut) -> void
+{
+  const auto cut = aCut ? json::array({ "127." }) : json::array();
+  Control(m_storeProxies.at(aDomain)->Value("control"), "/control/fault",
+          { { "cut", cut } });
+}
+
+auto Cluster::LosePackets(double aPart) -> void
+{
+  m_loss = aPart;
+  for (const auto& balancer : m_balancers) {
+    SetFaults(balancer.name);
+  }
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/Views.cpp
@@ -0,0 +1,92 @@
+// Reads the balancers' status.
+
+#include "measure/Views.h"
+
+#include <set>
+#include <thread>
+
+namespace bramleylock::measure {
+
+using nlohmann::json;
+
+auto RevisionWatch::Look(Cluster& aCluster) -> void
+{
+  for (auto& balancer : aCluster.Balancers()) {
+    if (!balancer.process->Running()) {
+      continue;
+    }
+    const auto status = aCluster.Admin(balancer, "GET", "/status");
+    const auto revision = status.value("lists_revision", std::uint64_t{ 0 });
+    auto& last = m_last[balancer.name];
+    if (!status.empty() && revision < last) {
+      ++m_reverted;
+    }
+    last = std::max(last, revision);
+  }
+}
+
+auto RevisionWatch::Reverted() const -> std::uint64_t
+{
+  return m_reverted;
+}
+
+auto ViewsAgree(Cluster& aCluster) -> bool
+{
+  std::set<std::string> present;
+  for (auto& balancer : aCluster.Balancers()) {
+    if (balancer.listed && balancer.process->Running()) {
+      present.insert(balancer.name);
+    }
+  }
+  std::set<std::uint64_t> revisions;
+  for (auto& balancer : aCluster.Balancers()) {
+    if (!present.contains(balancer.name)) {
+      continue;
+    }
+    const auto status = aCluster.Admin(balancer, "GET", "/status");
+    revisions.insert(status.value("lists_revision", std::uint64_t{ 0 }));
+    std::set<std::string> held{ balancer.name };
+    for (const auto& member : status.value("members", json::array())) {
+      if (member.value("state", "") == "alive") {
+        held.insert(member.value("vm", ""));
+      }
+    }
+    if (held != present) {
+      return false;
+    }
+  }
+  return revisions.size() == 1;
+}
+
+auto SecondsUntilAgreed(Cluster& aCluster, RevisionWatch& aWatch, double aLimit)
+  -> double
+{
+  const auto from = Clock::now();
+  const auto elapsed = [from] {
+    return std::chrono::duration<double>(Clock::now() - from).count();
+  };
+  while (elapsed() < aLimit) {
+    if (ViewsAgree(aCluster)) {
+      return elapsed();
+    }
+    aWatch.Look(aCluster);
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
+  return aLimit;
+}
+
+auto EditWeight(Cluster& aCluster, BalancerProcess& aBalancer, double aWeight)
+  -> std::uint64_t
+{
+  auto held = aCluster.Admin(aBalancer, "GET", "/lists");
+  if (!held.contains("lists")) {
+    return 0;
+  }
+  auto& plans = held["lists"]["plans"];
+  plans.begin().value()["weight"] = aWeight;
+  const auto answer =
+    aCluster.Admin(aBalancer, "PUT", "/lists", held["lists"].dump());
+  return answer.value("revision", std::uint64_t{ 0 });
+}
+
+} // namespace bramleylock::measure
--- a/standins/Proxy.cpp
+++ b/standins/Proxy.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <random>
 #include <set>
 
 namespace bramleylock::standin {
@@ -26,8 +27,16 @@
   /// Connections from these stay open and carry nothing.
   std::vector<std::string> frozen;
   int delayMs = 0;
+  /// Part of the packets that is lost. TCP sends them again, so a loss shows as
+  /// a delay.
+  double loss = 0;
 };
 
+/// How long TCP waits before it sends a lost packet again, and a lost first
+/// packet of a connection.
+constexpr Milliseconds kResendAfter{ 200 };
+constexpr Milliseconds kResendConnectAfter{ 1000 };
+
 auto Matches(const std::vector<std::string>& aPrefixes,
              const std::string& aSource) -> bool
 {
@@ -63,10 +72,12 @@
 {
 public:
   Proxy(asio::io_context& aContext, const Tcp::endpoint& aListen,
-        const Tcp::endpoint& aTo, const Tcp::endpoint& aControl)
+        const Tcp::endpoint& aTo, const Tcp::endpoint& aControl,
+        std::uint64_t aSeed)
     : m_context(aContext)
     , m_acceptor(aContext, aListen)
     , m_to(aTo)
+    , m_random(aSeed)
     , m_server(aContext, aControl, [this](const http::Request& aRequest) {
       return Control(aRequest);
     })
@@ -102,6 +113,7 @@
     if (failure || Matches(m_cuts.cut, source)) {
       co_return;
     }
+    co_await Lose(kResendConnectAfter);
     Tcp::socket far(m_context);
     co_await far.async_connect(m_to, Into(failure));
     if (failure) {
@@ -132,12 +144,23 @@
       if (m_cuts.delayMs > 0) {
         co_await Sleep(Milliseconds(m_cuts.delayMs));
       }
+      co_await Lose(kResendAfter);
       co_await asio::async_write(aTo, asio::buffer(buffer.data(), size),
                                  Into(failure));
     }
     aPair->Close();
   }
 
+  /// Waits as long as a packet that is lost m_cuts.loss of the times.
+  auto Lose(Milliseconds aResendAfter) -> awaitable<void>
+  {
+    std::uniform_real_distribution<double> part(0, 1);
+    while (part(m_random) < m_cuts.loss) {
+      co_await Sleep(aResendAfter);
+      aResendAfter *= 2;
+    }
+  }
+
   auto Control(const http::Request& aRequest) -> awaitable<http::Reply>
   {
     const auto body = json::parse(aRequest.body, nullptr, false);
@@ -149,7 +172,7 @@
     }
     m_cuts = { body.value("cut", std::vector<std::string>()),
                body.value("frozen", std::vector<std::string>()),
-               body.value("delay_ms", 0) };
+               body.value("delay_ms", 0), body.value("loss", 0.0) };
     for (const auto& pair : m_pairs) {
       if (Matches(m_cuts.cut, pair->source)) {
         pair->Close();
@@ -162,6 +185,7 @@
   Tcp::acceptor m_acceptor;
   Tcp::endpoint m_to;
   Cuts m_cuts;
+  std::mt19937_64 m_random;
   std::set<std::shared_ptr<Pair>> m_pairs;
   http::Server m_server;
 };
@@ -176,8 +200,9 @@
     cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
     "to", "ip:port behind the proxy", cxxopts::value<std::string>())(
     "control", "ip:port for control",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))("help",
-                                                                 "help");
+    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+    "seed", "seed of random faults",
+    cxxopts::value<std::uint64_t>()->default_value("1"))("help", "help");
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     std::cout << options.help();
@@ -190,7 +215,7 @@
   const auto control =
     ParseTcpEndpoint(parsed["control"].as<std::string>(), error);
   asio::io_context context(1);
-  Proxy proxy(context, listen, to, control);
+  Proxy proxy(context, listen, to, control, parsed["seed"].as<std::uint64_t>());
   std::cout << proxy.ReadyLine() << std::endl;
   return RunUntilSignal(&context);
 }
