--- a/include/bramleylock/Peer/DomainTable.h
+++ b/include/bramleylock/Peer/DomainTable.h
@@ -18,6 +18,8 @@
   wire::DomainSummary summary;
   /// When its version last rose here.
   Clock::time_point advancedAt{};
+  Clock::time_point changedAt{};
+  int timesTaken = 0;
   bool lost = false;
 };
 
@@ -29,7 +31,8 @@
   /// Members in a summary.
   static constexpr std::size_t kSummaryMembers = 8;
 
-  /// Takes a summary; true when its version rose.
+  /// Takes a summary; true when its version rose. One without members only
+  /// raises the version of the contents that it names.
   auto Apply(const wire::DomainSummary& aSummary, Clock::time_point aNow)
     -> bool;
 
@@ -37,8 +40,10 @@
   /// lost ones.
   auto Expire(Clock::time_point aNow) -> std::vector<std::string>;
 
-  /// Up to aLimit summaries for a message, in turn.
-  auto Take(std::size_t aLimit) -> std::vector<wire::DomainSummary>;
+  /// Up to aLimit summaries for a message, in turn; in full when they are
+  /// news, and from time to time.
+  auto Take(std::size_t aLimit, Clock::time_point aNow)
+    -> std::vector<wire::DomainSummary>;
 
   auto Find(const std::string& aFailureDomain) const -> const DomainView*;
   auto All() const -> const std::map<std::string, DomainView>&;
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -95,6 +95,8 @@
   auto TakeSync(const wire::Hello& aSender, const wire::MemberSync& aSync)
     -> void;
   auto TakeDomains(const std::vector<wire::DomainSummary>& aDomains) -> void;
+  auto TakeMembersOf(const wire::DomainSummary& aSummary, bool aChanged)
+    -> void;
   auto MakeGossip(const std::string& aReceiver, std::size_t aDomains)
     -> wire::Gossip;
   auto SendHeartbeat(const std::string& aAddress, std::size_t aDomains) -> void;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -101,11 +101,13 @@
 {
   std::string failureDomain;
   std::uint64_t version = 0;
+  /// Names the rest: a hash of it.
+  std::uint64_t contents = 0;
   /// Balancers alive there.
   std::uint32_t alive = 0;
-  /// Some of them, its relays first.
+  /// Some of them, its relays first; none for "as before".
   std::vector<MemberRecord> members;
-  MSGPACK_DEFINE_ARRAY(failureDomain, version, alive, members)
+  MSGPACK_DEFINE_ARRAY(failureDomain, version, contents, alive, members)
 };
 
 /// The body of a heartbeat, and of probes and their answers.
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -12,8 +12,8 @@
 /// Balancers of a domain that speak to other domains.
 static constexpr std::size_t kRelays = 2;
 
-/// Summaries that a message to another domain carries, the own one first.
-static constexpr std::size_t kDomainsToOthers = 2;
+/// Summaries that a message to another domain carries beside the own one.
+static constexpr std::size_t kDomainsToOthers = 3;
 
 auto Membership::SetHints(const std::vector<MemberHint>& aHints) -> void
 {
@@ -76,33 +76,46 @@
 {
   const auto now = Clock::now();
   for (const auto& summary : aDomains) {
+    const auto* before = m_domains.Find(summary.failureDomain);
+    const bool wasLost = before != nullptr && before->lost;
     if (!m_domains.Apply(summary, now) ||
         summary.failureDomain == Self().failureDomain) {
       continue;
     }
-    std::set<std::string> named;
-    for (const auto& record : summary.members) {
-      if (record.failureDomain == summary.failureDomain) {
-        named.insert(record.address);
-        m_table.Apply(record, now);
-      }
+    TakeMembersOf(m_domains.Find(summary.failureDomain)->summary,
+                  !summary.members.empty() || wasLost);
+  }
+}
+
+auto Membership::TakeMembersOf(const wire::DomainSummary& aSummary,
+                               bool aChanged) -> void
+{
+  if (!aChanged) {
+    return;
+  }
+  const auto now = Clock::now();
+  std::set<std::string> named;
+  for (const auto& record : aSummary.members) {
+    if (record.failureDomain == aSummary.failureDomain) {
+      named.insert(record.address);
+      m_table.Apply(record, now);
     }
-    // What is held of other domains stays bounded: those that a summary leaves
-    // out are forgotten. When it names all that live, they are gone.
-    const bool complete = summary.alive <= DomainTable::kSummaryMembers;
-    std::vector<std::string> dropped;
-    for (const auto& [address, member] : m_table.Members()) {
-      if (member.failureDomain == summary.failureDomain &&
-          Reachable(member.state) && !named.contains(address)) {
-        dropped.push_back(address);
-      }
+  }
+  std::vector<std::string> dropped;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (member.failureDomain == aSummary.failureDomain &&
+        Reachable(member.state) && !named.contains(address)) {
+      dropped.push_back(address);
     }
-    for (const auto& address : dropped) {
-      if (complete) {
-        m_table.Find(address)->state = MemberState::Candidate;
-      } else {
-        m_table.Forget(address);
-      }
+  }
+  // What is held of other domains stays bounded: those that a summary leaves
+  // out are forgotten. When it names all that live, they are gone.
+  const bool complete = aSummary.alive <= DomainTable::kSummaryMembers;
+  for (const auto& address : dropped) {
+    if (complete) {
+      m_table.Find(address)->state = MemberState::Candidate;
+    } else {
+      m_table.Forget(address);
     }
   }
 }
@@ -140,11 +153,17 @@
     if (summary.members.size() == DomainTable::kSummaryMembers) {
       break;
     }
-    summary.members.push_back(
-      address == Self().address
-        ? m_table.SelfRecord()
-        : MemberTable::RecordOf(*m_table.Find(address)));
+    auto record = address == Self().address
+                    ? m_table.SelfRecord()
+                    : MemberTable::RecordOf(*m_table.Find(address));
+    // A suspicion is settled within the domain.
+    if (address != Self().address) {
+      record.state = static_cast<std::uint8_t>(MemberState::Alive);
+    }
+    summary.members.push_back(std::move(record));
   }
+  summary.contents = std::hash<std::string>{}(wire::PackBody(summary.members) +
+                                              std::to_string(alive));
   m_domains.Apply(summary, Clock::now());
 }
 
@@ -190,7 +209,7 @@
   }
   const auto& domain = domains[m_nextDomain++ % domains.size()];
   for (const auto& address : Choose(ContactsOf(domain), 1)) {
-    auto gossip = MakeGossip(address, kDomainsToOthers - 1);
+    auto gossip = MakeGossip(address, kDomainsToOthers);
     const auto* own = m_domains.Find(Self().failureDomain);
     if (own != nullptr) {
       gossip.domains.push_back(own->summary);
--- a/lib/Peer/DomainTable.cpp
+++ b/lib/Peer/DomainTable.cpp
@@ -14,17 +14,35 @@
 static constexpr Milliseconds kDomainSilence{ 2500 };
 static constexpr Milliseconds kSilencePerDomain{ 500 };
 
+/// A changed summary is sent in full this long, and then once in kFullEvery.
+static constexpr Milliseconds kNews{ 5000 };
+static constexpr int kFullEvery = 8;
+
 auto DomainTable::Apply(const wire::DomainSummary& aSummary,
                         Clock::time_point aNow) -> bool
 {
   if (aSummary.members.size() > kSummaryMembers) {
     return false;
   }
-  auto& view = m_views[aSummary.failureDomain];
-  if (aSummary.version <= view.summary.version) {
+  const bool full = !aSummary.members.empty();
+  const auto found = m_views.find(aSummary.failureDomain);
+  const bool known = found != m_views.end();
+  if (known && aSummary.version <= found->second.summary.version) {
+    return false;
+  }
+  if (!full &&
+      (!known || found->second.summary.contents != aSummary.contents)) {
+    // The contents that it names are not here yet.
     return false;
   }
-  view.summary = aSummary;
+  auto& view = m_views[aSummary.failureDomain];
+  if (full && view.summary.contents != aSummary.contents) {
+    view.changedAt = aNow;
+  }
+  if (full) {
+    view.summary = aSummary;
+  }
+  view.summary.version = aSummary.version;
   view.advancedAt = aNow;
   view.lost = false;
   return true;
@@ -44,7 +62,8 @@
   return lost;
 }
 
-auto DomainTable::Take(std::size_t aLimit) -> std::vector<wire::DomainSummary>
+auto DomainTable::Take(std::size_t aLimit, Clock::time_point aNow)
+  -> std::vector<wire::DomainSummary>
 {
   std::vector<wire::DomainSummary> taken;
   const auto count = std::min(aLimit, m_views.size());
@@ -53,7 +72,12 @@
     if (next == m_views.end()) {
       next = m_views.begin();
     }
-    taken.push_back(next->second.summary);
+    auto& view = next->second;
+    taken.push_back(view.summary);
+    const bool news = aNow - view.changedAt < kNews;
+    if (!news && ++view.timesTaken % kFullEvery != 0) {
+      taken.back().members.clear();
+    }
     m_lastTaken = next->first;
   }
   return taken;
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -19,6 +19,10 @@
 /// Heartbeats that a balancer sends a period beside its probe.
 static constexpr std::size_t kSpreadTo = 2;
 
+/// Summaries of domains in a heartbeat, and in a probe or its answer.
+static constexpr std::size_t kDomainsInHeartbeat = 4;
+static constexpr std::size_t kDomainsInProbe = 2;
+
 /// A fleet of this size hears every heartbeat of everybody.
 static constexpr std::size_t kSmallFleet = 8;
 
@@ -84,9 +88,10 @@
       return;
     }
     TakeGossip(aSender, probe->gossip);
-    m_links.SendMessage(aSender.address, MessageType::ProbeAnswer,
-                        wire::ProbeAnswer{ probe->sequence, Self().address,
-                                           MakeGossip(aSender.address, 0) });
+    m_links.SendMessage(
+      aSender.address, MessageType::ProbeAnswer,
+      wire::ProbeAnswer{ probe->sequence, Self().address,
+                         MakeGossip(aSender.address, kDomainsInProbe) });
   });
   m_links.On(MessageType::ProbeAnswer,
              [this](const wire::Hello& aSender, const std::string& aBody) {
@@ -251,7 +256,7 @@
     // Whoever is suspected or held dead has to hear it, to refute it.
     gossip.updates.push_back(MemberTable::RecordOf(*receiver));
   }
-  gossip.domains = m_domains.Take(aDomains);
+  gossip.domains = m_domains.Take(aDomains, Clock::now());
   return gossip;
 }
 
@@ -404,12 +409,12 @@
   const auto alive = Alive();
   if (alive.size() < kSmallFleet) {
     for (const auto& member : alive) {
-      SendHeartbeat(member.address, 1);
+      SendHeartbeat(member.address, kDomainsInHeartbeat);
     }
     return;
   }
   for (const auto& address : Choose(std::move(inDomain), kSpreadTo)) {
-    SendHeartbeat(address, 1);
+    SendHeartbeat(address, kDomainsInHeartbeat);
   }
 }
 
@@ -436,8 +441,9 @@
   const auto sequence = m_nextSequence++;
   m_waiting[sequence] = waiting;
   m_metrics.Add(Counter::MemberProbes);
-  m_links.SendMessage(aAddress, wire::MessageType::Probe,
-                      wire::Probe{ sequence, MakeGossip(aAddress, 0) });
+  m_links.SendMessage(
+    aAddress, wire::MessageType::Probe,
+    wire::Probe{ sequence, MakeGossip(aAddress, kDomainsInProbe) });
   return waiting;
 }
 
--- a/measure/ClusterFaults.cpp
+++ b/measure/ClusterFaults.cpp
@@ -31,8 +31,12 @@
                          const std::string& aTo) -> std::unique_ptr<Process>
 {
   const std::vector<std::string> arguments{
-    "proxy", "--listen", aListen,
-    "--to",  aTo,        "--seed",
+    "proxy",
+    "--listen",
+    aListen,
+    "--to",
+    aTo,
+    "--seed",
     std::to_string(m_options.seed * 1000 + m_nextName)
   };
   return std::make_unique<Process>(m_programs + "/bramleylock-standin",
--- a/measure/ControlSlope.cpp
+++ b/measure/ControlSlope.cpp
@@ -170,7 +170,8 @@
       each.insert(each.end(), seconds.begin(), seconds.end());
       everywhere.push_back(*std::max_element(seconds.begin(), seconds.end()));
     }
-    const auto slowest = *std::max_element(everywhere.begin(), everywhere.end());
+    const auto slowest =
+      *std::max_element(everywhere.begin(), everywhere.end());
     aReport.Add("edit_node_median_s", MedianOf(each));
     aReport.Add("edit_everywhere_median_s", MedianOf(everywhere));
     aReport.Add("edit_everywhere_max_s", slowest);
