--- a/include/bramleylock/Kernel/KeyKeeper.h
+++ b/include/bramleylock/Kernel/KeyKeeper.h
@@ -3,6 +3,7 @@
 
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Wire/Token.h"
 
 namespace bramleylock::kernel {
