--- a/include/bramleylock/Target/TargetChoice.h
+++ b/include/bramleylock/Target/TargetChoice.h
@@ -18,8 +18,16 @@
   /// Requests that peers last said they have in flight there.
   std::uint32_t peersInFlight = 0;
   std::uint32_t slots = 1;
-  /// 1 for a warm target, less while it starts.
-  double warmth = 1;
+  /// 1 for a target that can take its full part of the work, less while it
+  /// starts or after it has shed load.
+  double fitness = 1;
+  /// Whether it stands in this balancer's failure domain.
+  bool near = false;
+  /// The part of this balancer's work that should go there; the parts of all
+  /// candidates sum to 1.
+  double share = 0;
+  /// Requests that it is behind its share; negative when it is ahead.
+  double credit = 0;
 };
 
 /// Chooses one of some candidates.
--- a/include/bramleylock/Target/TargetTable.h
+++ b/include/bramleylock/Target/TargetTable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bramleylock/Support/Counters.h"
+#include "bramleylock/Target/Spill.h"
 #include "bramleylock/Target/TargetChoice.h"
 #include "bramleylock/Target/TargetTransport.h"
 
@@ -25,6 +26,8 @@
   std::uint32_t peersInFlight = 0;
   std::uint32_t failuresInRow = 0;
   Clock::time_point ejectedUntil{};
+  /// Requests that this balancer is behind the target's share of its work.
+  double credit = 0;
   std::vector<std::unique_ptr<TargetConnection>> idle;
 };
 
@@ -66,8 +69,15 @@
   auto SetPeersInFlight(const std::map<std::string, std::uint32_t>& aCounts)
     -> void;
 
-  /// A target for new work, or null. Targets of the own failure domain go
-  /// first; aTried lists addresses that this request has failed at.
+  /// Work that arrives in each failure domain, for each service, as this
+  /// balancer and its peers count it.
+  auto SetDemand(std::map<std::string, DomainShares> aDemand) -> void;
+
+  /// Requests a second that this balancer lately chose targets for, by
+  /// service.
+  auto Rates() const -> std::map<std::string, double>;
+
+  /// A target for new work, or null. Ejected targets come last; aTried lists addresses that this request has failed at.
   auto Choose(const std::string& aService, const std::set<std::string>& aTried)
     -> std::shared_ptr<Target>;
 
@@ -93,8 +103,20 @@
 private:
   auto Usable(const Target& aTarget, const std::string& aService,
               const std::set<std::string>& aTried) const -> bool;
-  auto Pick(const std::vector<std::shared_ptr<Target>>& aTargets)
+  auto Pick(const std::string& aService,
+            const std::vector<std::shared_ptr<Target>>& aTargets)
     -> std::shared_ptr<Target>;
+  auto MakeCandidates(const std::string& aService,
+                      const std::vector<std::shared_ptr<Target>>& aTargets)
+    -> std::vector<Candidate>;
+  auto CountChoice(const std::string& aService) -> void;
+
+  /// A rate that decays exponentially.
+  struct Rate
+  {
+    double perSecond = 0;
+    Clock::time_point at{};
+  };
 
   std::string m_failureDomain;
   std::unique_ptr<TargetTransport> m_transport;
@@ -103,6 +125,8 @@
   Random m_random;
   std::map<std::string, std::shared_ptr<Target>> m_targets;
   std::map<std::string, std::uint32_t> m_slots;
+  std::map<std::string, DomainShares> m_demand;
+  std::map<std::string, Rate> m_rates;
 };
 
 } // namespace bramleylock::target
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -69,7 +69,9 @@
   bool draining = false;
   /// Requests in flight by target address.
   std::vector<std::pair<std::string, std::uint32_t>> inFlight;
-  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight)
+  /// Requests a second that the sender sends to targets, by service.
+  std::vector<std::pair<std::string, float>> rates;
+  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates)
 };
 
 /// The lists at a revision.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -19,6 +19,9 @@
 
 static constexpr Milliseconds kCapacityEvery{ 500 };
 
+/// Requests a second below which a rate is not told to peers.
+static constexpr double kLeastToldRate = 0.5;
+
 struct Balancer::Parts
 {
   Parts(asio::io_context& aContext, Settings aSettings)
@@ -32,6 +35,7 @@
   auto Build(std::error_code& aError, std::string& aDetail) -> void;
   auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
   auto TakePeersInFlight() -> void;
+  auto TakeDemand() -> void;
   auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
@@ -133,6 +137,11 @@
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
     }
   }
+  for (const auto& [service, rate] : targets->Rates()) {
+    if (rate >= kLeastToldRate) {
+      aHeartbeat.rates.emplace_back(service, static_cast<float>(rate));
+    }
+  }
 }
 
 auto Balancer::Parts::TakePeersInFlight() -> void
@@ -146,6 +155,34 @@
   targets->SetPeersInFlight(counts);
 }
 
+/// Sums the work that arrives in each failure domain. Every balancer counts
+/// for a little, so that without traffic the numbers of balancers decide.
+auto Balancer::Parts::TakeDemand() -> void
+{
+  const auto current = lists.Current();
+  if (!current) {
+    return;
+  }
+  std::map<std::string, target::DomainShares> demand;
+  const auto alive = members->Alive();
+  for (const auto& [service, row] : current->services) {
+    auto& shares = demand[service];
+    shares[settings.failureDomain] += kLeastToldRate;
+    for (const auto& member : alive) {
+      shares[member.failureDomain] += kLeastToldRate;
+    }
+  }
+  for (const auto& [service, rate] : targets->Rates()) {
+    demand[service][settings.failureDomain] += rate;
+  }
+  for (const auto& member : alive) {
+    for (const auto& [service, rate] : member.latest.rates) {
+      demand[service][member.failureDomain] += rate;
+    }
+  }
+  targets->SetDemand(std::move(demand));
+}
+
 /// Splits every service's slots evenly over the balancers that are alive.
 auto Balancer::Parts::UpdateCapacity() -> void
 {
@@ -164,6 +201,7 @@
 {
   for (;;) {
     UpdateCapacity();
+    TakeDemand();
     co_await Sleep(kCapacityEvery);
   }
 }
--- a/lib/Target/TargetChoice.cpp
+++ b/lib/Target/TargetChoice.cpp
@@ -33,7 +33,7 @@
 auto LoadOf(const Candidate& aCandidate) -> double
 {
   const auto inFlight = aCandidate.inFlight + aCandidate.peersInFlight;
-  return (inFlight + 1) / (aCandidate.slots * aCandidate.warmth);
+  return (inFlight + 1) / (aCandidate.slots * aCandidate.fitness);
 }
 
 class LeastInFlight : public TargetChoice
@@ -69,10 +69,71 @@
   }
 };
 
+/// Prefers the own failure domain without regard to its slots.
+class OwnDomain : public TargetChoice
+{
+public:
+  auto Pick(const std::vector<Candidate>& aCandidates, Random& aRandom)
+    -> std::size_t override
+  {
+    std::vector<std::size_t> indices;
+    std::vector<Candidate> near;
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      if (aCandidates[i].near) {
+        indices.push_back(i);
+        near.push_back(aCandidates[i]);
+      }
+    }
+    return near.empty() ? m_choice.Pick(aCandidates, aRandom)
+                        : indices[m_choice.Pick(near, aRandom)];
+  }
+
+private:
+  TwoChoices m_choice;
+};
+
+/// Takes the less busy of the two candidates that are furthest behind their
+/// shares. Counts of peers are left out: they are as old as a heartbeat, and
+/// balancers that follow the same old counts rush to the same target.
+class SpillOver : public TargetChoice
+{
+public:
+  auto Pick(const std::vector<Candidate>& aCandidates, Random& aRandom)
+    -> std::size_t override
+  {
+    const auto size = aCandidates.size();
+    auto first = aRandom() % size;
+    auto second = first;
+    const auto start = first;
+    for (std::size_t i = 1; i < size; ++i) {
+      const auto index = (start + i) % size;
+      if (aCandidates[index].credit > aCandidates[first].credit) {
+        second = first;
+        first = index;
+      } else if (second == first ||
+                 aCandidates[index].credit > aCandidates[second].credit) {
+        second = index;
+      }
+    }
+    const bool secondIsBehind = aCandidates[second].credit > 0;
+    const bool secondIsLighter =
+      OwnLoad(aCandidates[second]) < OwnLoad(aCandidates[first]);
+    return secondIsBehind && secondIsLighter ? second : first;
+  }
+
+private:
+  static auto OwnLoad(const Candidate& aCandidate) -> double
+  {
+    return (aCandidate.inFlight + 1) / (aCandidate.slots * aCandidate.fitness);
+  }
+};
+
 const Registration<ChoiceRegistry, RandomChoice> kRandom("random");
 const Registration<ChoiceRegistry, RoundRobin> kRoundRobin("round-robin");
 const Registration<ChoiceRegistry, LeastInFlight> kLeast("least-in-flight");
 const Registration<ChoiceRegistry, TwoChoices> kTwo("two-choices");
+const Registration<ChoiceRegistry, OwnDomain> kOwnDomain("own-domain");
+const Registration<ChoiceRegistry, SpillOver> kSpillOver("spill-over");
 
 } // namespace
 
--- a/lib/Target/TargetTable.cpp
+++ b/lib/Target/TargetTable.cpp
@@ -4,6 +4,9 @@
 
 #include "bramleylock/Support/Log.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace bramleylock::target {
 
 static constexpr Milliseconds kConnectTimeout{ 500 };
@@ -16,6 +19,13 @@
 /// more look bad, this balancer's view is likelier wrong than the targets.
 static constexpr double kEjectedShareLimit = 0.5;
 
+/// How long requests weigh in the rates that balancers tell each other.
+static constexpr double kRateSeconds = 5;
+
+/// Requests that a target can be behind or ahead of its share, so that one
+/// that comes back is not flooded.
+static constexpr double kCreditLimit = 2;
+
 /// Idle connections kept to one target.
 static constexpr std::size_t kIdleConnections = 32;
 
@@ -80,19 +90,70 @@
          !aTried.contains(aTarget.address);
 }
 
-auto TargetTable::Pick(const std::vector<std::shared_ptr<Target>>& aTargets)
-  -> std::shared_ptr<Target>
+auto TargetTable::SetDemand(std::map<std::string, DomainShares> aDemand) -> void
 {
-  if (aTargets.empty()) {
-    return nullptr;
+  m_demand = std::move(aDemand);
+}
+
+static auto Decay(Clock::time_point aSince, Clock::time_point aNow) -> double
+{
+  const std::chrono::duration<double> passed = aNow - aSince;
+  return std::exp(-passed.count() / kRateSeconds);
+}
+
+auto TargetTable::CountChoice(const std::string& aService) -> void
+{
+  auto& rate = m_rates[aService];
+  const auto now = Clock::now();
+  rate.perSecond = rate.perSecond * Decay(rate.at, now) + 1 / kRateSeconds;
+  rate.at = now;
+}
+
+auto TargetTable::Rates() const -> std::map<std::string, double>
+{
+  const auto now = Clock::now();
+  std::map<std::string, double> rates;
+  for (const auto& [service, rate] : m_rates) {
+    rates[service] = rate.perSecond * Decay(rate.at, now);
+  }
+  return rates;
+}
+
+auto TargetTable::MakeCandidates(
+  const std::string& aService,
+  const std::vector<std::shared_ptr<Target>>& aTargets)
+  -> std::vector<Candidate>
+{
+  DomainShares supply;
+  for (const auto& target : aTargets) {
+    supply[target->failureDomain] += target->slots;
   }
+  auto shares = SpillShares(m_demand[aService], supply, m_failureDomain);
   std::vector<Candidate> candidates;
   candidates.reserve(aTargets.size());
   for (const auto& target : aTargets) {
-    candidates.push_back(
-      { target->inFlight, target->peersInFlight, target->slots, 1.0 });
+    const auto& domain = target->failureDomain;
+    const double share = shares[domain] * target->slots / supply[domain];
+    target->credit =
+      std::clamp(target->credit + share, -kCreditLimit, kCreditLimit);
+    candidates.push_back({ target->inFlight, target->peersInFlight,
+                           target->slots, 1, domain == m_failureDomain, share,
+                           target->credit });
   }
-  return aTargets[m_choice->Pick(candidates, m_random)];
+  return candidates;
+}
+
+auto TargetTable::Pick(const std::string& aService,
+                       const std::vector<std::shared_ptr<Target>>& aTargets)
+  -> std::shared_ptr<Target>
+{
+  if (aTargets.empty()) {
+    return nullptr;
+  }
+  const auto candidates = MakeCandidates(aService, aTargets);
+  const auto& chosen = aTargets[m_choice->Pick(candidates, m_random)];
+  chosen->credit -= 1;
+  return chosen;
 }
 
 auto TargetTable::Choose(const std::string& aService,
@@ -100,25 +161,16 @@
   -> std::shared_ptr<Target>
 {
   const auto now = Clock::now();
-  std::vector<std::shared_ptr<Target>> near;
-  std::vector<std::shared_ptr<Target>> far;
+  std::vector<std::shared_ptr<Target>> usable;
   std::vector<std::shared_ptr<Target>> ejected;
   for (const auto& [address, target] : m_targets) {
-    if (!Usable(*target, aService, aTried)) {
-      continue;
-    }
-    if (target->ejectedUntil > now) {
-      ejected.push_back(target);
-    } else if (target->failureDomain == m_failureDomain) {
-      near.push_back(target);
-    } else {
-      far.push_back(target);
+    if (Usable(*target, aService, aTried)) {
+      auto& list = target->ejectedUntil > now ? ejected : usable;
+      list.push_back(target);
     }
   }
-  if (!near.empty()) {
-    return Pick(near);
-  }
-  return far.empty() ? Pick(ejected) : Pick(far);
+  CountChoice(aService);
+  return Pick(aService, usable.empty() ? ejected : usable);
 }
 
 auto TargetTable::Connect(std::shared_ptr<Target> aTarget,
