--- a/lib/Target/Spill.cpp
+++ b/lib/Target/Spill.cpp
@@ -40,8 +40,8 @@
   DomainShares shares;
   for (const auto& [domain, supply] : aSupply) {
     // Without anything left anywhere, the slots alone decide.
-    const double part = leftSum > 0 ? left[domain] / leftSum
-                                    : PartOf(aSupply, domain, supplySum);
+    const double part =
+      leftSum > 0 ? left[domain] / leftSum : PartOf(aSupply, domain, supplySum);
     shares[domain] = (1 - kept) * part + (domain == aOwn ? kept : 0);
   }
   return shares;
