--- a/include/bramleylock/Flow/FlowTable.h
+++ b/include/bramleylock/Flow/FlowTable.h
@@ -32,7 +32,7 @@
   Stage stage = Stage::Waiting;
   bool cancelled = false;
   std::unique_ptr<AnswerSender> answer;
-  std::unique_ptr<target::TargetConnection> connection;
+  std::shared_ptr<target::TargetConnection> connection;
 };
 
 /// The final word on an at-most-once request, kept for late duplicates.
--- a/include/bramleylock/Http/Http.h
+++ b/include/bramleylock/Http/Http.h
@@ -17,6 +17,8 @@
   std::string target;
   std::string body;
   std::map<std::string, std::string> headers;
+  /// At a server: whether the client has closed the connection.
+  std::function<bool()> abandoned;
 };
 
 struct Reply
--- a/include/bramleylock/Target/TargetTable.h
+++ b/include/bramleylock/Target/TargetTable.h
@@ -9,28 +9,11 @@
 
 #include "bramleylock/Support/Counters.h"
 #include "bramleylock/Target/Spill.h"
+#include "bramleylock/Target/Target.h"
 #include "bramleylock/Target/TargetChoice.h"
-#include "bramleylock/Target/TargetTransport.h"
 
 namespace bramleylock::target {
 
-/// One target host as this balancer sees it.
-struct Target
-{
-  std::string address;
-  std::string service;
-  std::string failureDomain;
-  bool leaving = false;
-  std::uint32_t slots = 1;
-  std::uint32_t inFlight = 0;
-  std::uint32_t peersInFlight = 0;
-  std::uint32_t failuresInRow = 0;
-  Clock::time_point ejectedUntil{};
-  /// Requests that this balancer is behind the target's share of its work.
-  double credit = 0;
-  std::vector<std::unique_ptr<TargetConnection>> idle;
-};
-
 /// A row of the target list.
 struct TargetHint
 {
@@ -73,23 +56,44 @@
   /// balancer and its peers count it.
   auto SetDemand(std::map<std::string, DomainShares> aDemand) -> void;
 
+  /// Splits every target's connections over aBalancers, of which aSelf is one.
+  auto SetBalancers(std::size_t aBalancers, const std::string& aSelf) -> void;
+
+  /// Takes what a probe of aAddress found.
+  auto TakeHealth(const std::string& aAddress, bool aHealthy, bool aDraining)
+    -> void;
+
+  /// The target itself says in an answer that it is leaving.
+  auto NoteDraining(const std::shared_ptr<Target>& aTarget) -> void;
+
+  /// Targets that are leaving by their own answers or this balancer's probes.
+  auto Draining() const -> std::vector<std::string>;
+
+  /// Takes the word of peers on which targets are leaving.
+  auto TakePeersDraining(const std::vector<std::string>& aAddresses) -> void;
+
+  /// Whether one more request may be sent a second time because the first
+  /// shows no sign of life; takes it from the budget.
+  auto TakeHedge() -> bool;
+
   /// Requests a second that this balancer lately chose targets for, by
   /// service.
   auto Rates() const -> std::map<std::string, double>;
 
-  /// A target for new work, or null. Ejected targets come last; aTried lists addresses that this request has failed at.
+  /// A target for new work, or null. Ejected targets come last; aTried lists
+  /// addresses that this request has failed at.
   auto Choose(const std::string& aService, const std::set<std::string>& aTried)
     -> std::shared_ptr<Target>;
 
-  /// A connection to aTarget: an idle one, proven alive within aProvenWithin,
-  /// or a fresh one.
+  /// A connection to aTarget: an idle one that worked within aProvenWithin or
+  /// answers a probe now, or a fresh one.
   auto Connect(std::shared_ptr<Target> aTarget, Milliseconds aProvenWithin,
                std::error_code& aError)
-    -> awaitable<std::unique_ptr<TargetConnection>>;
+    -> awaitable<std::shared_ptr<TargetConnection>>;
 
   /// Takes back a connection after an exchange.
   auto Return(const std::shared_ptr<Target>& aTarget,
-              std::unique_ptr<TargetConnection> aConnection) -> void;
+              std::shared_ptr<TargetConnection> aConnection) -> void;
 
   /// Records how a request ended.
   auto Report(const std::shared_ptr<Target>& aTarget, TargetOutcome aOutcome)
@@ -110,6 +114,7 @@
                       const std::vector<std::shared_ptr<Target>>& aTargets)
     -> std::vector<Candidate>;
   auto CountChoice(const std::string& aService) -> void;
+  auto MayEject(const Target& aTarget, Clock::time_point aNow) const -> bool;
 
   /// A rate that decays exponentially.
   struct Rate
@@ -127,6 +132,9 @@
   std::map<std::string, std::uint32_t> m_slots;
   std::map<std::string, DomainShares> m_demand;
   std::map<std::string, Rate> m_rates;
+  std::size_t m_balancers = 1;
+  std::string m_self;
+  double m_hedges;
 };
 
 } // namespace bramleylock::target
--- a/include/bramleylock/Target/TargetTransport.h
+++ b/include/bramleylock/Target/TargetTransport.h
@@ -75,6 +75,11 @@
   virtual auto ReadSome(char* aData, std::size_t aSize, std::error_code& aError)
     -> awaitable<std::size_t> = 0;
 
+  /// Proves that an idle connection still reaches the target by a small
+  /// exchange; TargetError::Timeout when nothing comes back within aTimeout.
+  virtual auto Prove(Milliseconds aTimeout, std::error_code& aError)
+    -> awaitable<void> = 0;
+
   /// Whether another request can follow on this connection.
   virtual auto Reusable() const -> bool = 0;
 
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -71,7 +71,10 @@
   std::vector<std::pair<std::string, std::uint32_t>> inFlight;
   /// Requests a second that the sender sends to targets, by service.
   std::vector<std::pair<std::string, float>> rates;
-  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates)
+  /// Targets that the sender itself found to be leaving.
+  std::vector<std::string> drainingTargets;
+  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates,
+                       drainingTargets)
 };
 
 /// The lists at a revision.
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -2,6 +2,8 @@
 
 #include "bramleylock/Flow/RequestRunner.h"
 
+#include "bramleylock/Flow/HedgedReader.h"
+
 #include <fmt/format.h>
 
 namespace bramleylock::flow {
@@ -17,9 +19,10 @@
 static constexpr int kAttemptLimit = 3;
 
 /// How recently an idle connection must have worked to carry a request that
-/// may not be repeated, and one that may.
-static constexpr Milliseconds kProvenForOnce{ 1000 };
-static constexpr Milliseconds kProvenForRepeatable{ 30000 };
+/// may not be repeated, and one that may. The first is always proven anew,
+/// because nothing can be done for it on a connection that has gone silent.
+static constexpr Milliseconds kProvenForOnce{ 0 };
+static constexpr Milliseconds kProvenForRepeatable{ 100 };
 
 /// How long past its deadline an outcome is kept for late duplicates.
 static constexpr std::chrono::seconds kOutcomeMargin{ 30 };
@@ -44,6 +47,7 @@
     : m_environment(aEnvironment)
     , m_flow(std::move(aFlow))
     , m_exchange(std::move(aExchange))
+    , m_reader(aEnvironment, *m_exchange, m_flow->service, m_tried)
   {
   }
 
@@ -95,9 +99,7 @@
         break;
       }
       m_tried.insert(chosen->address);
-      ++chosen->inFlight;
       const auto result = co_await Attempt(chosen);
-      --chosen->inFlight;
       if (result == AttemptResult::Finished) {
         co_return;
       }
@@ -114,6 +116,7 @@
   auto Attempt(std::shared_ptr<target::Target> aTarget)
     -> awaitable<AttemptResult>
   {
+    target::InFlight inFlight(aTarget);
     const auto proven = Repeatable() ? kProvenForRepeatable : kProvenForOnce;
     std::error_code error;
     auto connection =
@@ -128,6 +131,11 @@
       EndUndecided(Reason::Cancelled);
       co_return AttemptResult::Finished;
     }
+    if (Clock::now() >= m_exchange->deadline) {
+      EndUndecided(Reason::Deadline);
+      co_return AttemptResult::Finished;
+    }
+    Leg leg{ aTarget, connection, std::move(inFlight) };
     m_exchange->connection = std::move(connection);
     m_exchange->stage = Stage::Dispatched;
     // From here on the target may have run the request.
@@ -139,16 +147,26 @@
     if (error) {
       co_return Lost(aTarget, error);
     }
-    const auto head = co_await m_exchange->connection->ReadHead(error);
+    const HedgedReader::MakeCall again = [this] { return MakeCall(); };
+    const auto head = co_await m_reader.ReadHead(leg, again, error);
     if (error) {
-      co_return Lost(aTarget, error);
+      co_return Lost(leg.target, error);
     }
+    m_exchange->connection = leg.connection;
+    NoteDraining(leg, head);
     m_outcome.latency = Clock::now() - started;
     if (head.notRun) {
-      co_return Shed(aTarget, head);
+      co_return Shed(leg.target, head);
     }
     m_outcome.answered = true;
-    co_return co_await Stream(aTarget, head);
+    co_return co_await Stream(leg, head);
+  }
+
+  auto NoteDraining(const Leg& aLeg, const target::TargetHead& aHead) -> void
+  {
+    if (aHead.draining) {
+      m_environment.targets.NoteDraining(aLeg.target);
+    }
   }
 
   auto MakeCall() -> target::TargetCall
@@ -222,8 +240,7 @@
                               : request.answerTag == aHead.tag;
   }
 
-  auto Stream(std::shared_ptr<target::Target> aTarget, target::TargetHead aHead)
-    -> awaitable<AttemptResult>
+  auto Stream(Leg& aLeg, target::TargetHead aHead) -> awaitable<AttemptResult>
   {
     m_exchange->stage = Stage::Answering;
     std::uint64_t skip = 0;
@@ -236,7 +253,7 @@
         m_exchange->connection.reset();
         m_exchange->request.part = 0;
         m_exchange->answer.reset();
-        m_tried.erase(aTarget->address);
+        m_tried.erase(aLeg.target->address);
         co_return AttemptResult::TryElsewhere;
       }
       m_exchange->answer = std::make_unique<AnswerSender>(
@@ -253,13 +270,28 @@
     }
     skip = m_pushed - std::min(m_pushed, aHead.offset);
     std::array<char, kReadBytes> buffer;
+    const HedgedReader::MakeCall onwards = [this] {
+      auto call = MakeCall();
+      call.offset = m_pushed;
+      return call;
+    };
+    const HedgedReader::Accept continues =
+      [this](const target::TargetHead& aOther) {
+        return aOther.tag == m_tag && aOther.offset <= m_pushed;
+      };
     for (;;) {
       std::error_code error;
-      const auto size = co_await m_exchange->connection->ReadSome(
-        buffer.data(), buffer.size(), error);
+      const auto read = co_await m_reader.ReadSome(
+        aLeg, buffer.data(), buffer.size(), onwards, continues, error);
       if (error) {
-        co_return Lost(aTarget, error);
+        co_return Lost(aLeg.target, error);
+      }
+      if (read.takenOver) {
+        m_exchange->connection = aLeg.connection;
+        skip = m_pushed - read.takenOver->offset;
+        continue;
       }
+      const auto size = read.size;
       if (size == 0) {
         break;
       }
@@ -274,8 +306,10 @@
         co_return AttemptResult::Finished;
       }
     }
-    m_environment.targets.Return(aTarget, std::move(m_exchange->connection));
-    m_environment.targets.Report(aTarget, TargetOutcome::Answered);
+    m_environment.targets.Return(aLeg.target,
+                                 std::move(m_exchange->connection));
+    m_environment.targets.Report(aLeg.target, TargetOutcome::Answered);
+    aLeg = Leg();
     m_permit.Finish(m_outcome);
     co_await FinishAnswer(aHead);
     co_return AttemptResult::Finished;
@@ -388,6 +422,7 @@
   admission::Permit m_permit;
   AdmissionOutcome m_outcome;
   std::set<std::string> m_tried;
+  HedgedReader m_reader;
   Reason m_failure = Reason::NoTarget;
   std::uint32_t m_retryAfterMs = 0;
   bool m_mayHaveRun = false;
--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
 namespace bramleylock::http {
 
 namespace beast = boost::beast;
@@ -127,6 +129,13 @@
   return request;
 }
 
+static auto Abandoned(Tcp::socket& aSocket) -> bool
+{
+  char byte = 0;
+  return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+         0;
+}
+
 auto Server::Serve(Tcp::socket aSocket) -> awaitable<void>
 {
   beast::tcp_stream stream(std::move(aSocket));
@@ -142,7 +151,8 @@
       co_return;
     }
     const bool keepAlive = parser.get().keep_alive();
-    const auto request = ToRequest(parser.get());
+    auto request = ToRequest(parser.get());
+    request.abandoned = [&stream] { return Abandoned(stream.socket()); };
     auto reply = co_await m_handler(request);
     if (reply.status == 0) {
       // The handler asks to drop the connection without an answer.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -8,6 +8,7 @@
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
+#include "bramleylock/Target/HealthProber.h"
 
 #include <fmt/format.h>
 
@@ -36,6 +37,7 @@
   auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
   auto TakePeersInFlight() -> void;
   auto TakeDemand() -> void;
+  auto TakeBalancers() -> void;
   auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
@@ -51,6 +53,7 @@
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   std::unique_ptr<target::TargetTable> targets;
+  std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<flow::Environment> environment;
@@ -113,6 +116,8 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self);
+  prober =
+    std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
                            const std::string& aData) {
     entry->Send(aCaller, aData);
@@ -137,6 +142,7 @@
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
     }
   }
+  aHeartbeat.drainingTargets = targets->Draining();
   for (const auto& [service, rate] : targets->Rates()) {
     if (rate >= kLeastToldRate) {
       aHeartbeat.rates.emplace_back(service, static_cast<float>(rate));
@@ -155,6 +161,20 @@
   targets->SetPeersInFlight(counts);
 }
 
+/// Tells the target layer who shares the targets' connections and probes.
+auto Balancer::Parts::TakeBalancers() -> void
+{
+  const auto& self = members->Self();
+  const auto alive = members->Alive();
+  target::BalancersByDomain balancers;
+  balancers[self.failureDomain].push_back(self.address);
+  for (const auto& member : alive) {
+    balancers[member.failureDomain].push_back(member.address);
+  }
+  targets->SetBalancers(alive.size() + 1, self.address);
+  prober->SetBalancers(std::move(balancers));
+}
+
 /// Sums the work that arrives in each failure domain. Every balancer counts
 /// for a little, so that without traffic the numbers of balancers decide.
 auto Balancer::Parts::TakeDemand() -> void
@@ -202,6 +222,7 @@
   for (;;) {
     UpdateCapacity();
     TakeDemand();
+    TakeBalancers();
     co_await Sleep(kCapacityEvery);
   }
 }
@@ -246,6 +267,7 @@
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
+    parts.targets->TakePeersDraining(aMember.latest.drainingTargets);
   });
   parts.members->Start(
     [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
@@ -254,6 +276,7 @@
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
+  parts.prober->Start();
 }
 
 auto Balancer::Drain() -> void
--- /dev/null
+++ b/lib/Target/HealthProber.cpp
@@ -0,0 +1,101 @@
+// Which balancer probes which target, and the probes.
+
+#include "bramleylock/Target/HealthProber.h"
+
+#include "bramleylock/Http/Http.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bramleylock::target {
+
+static constexpr Milliseconds kProbeEvery{ 1000 };
+static constexpr Milliseconds kProbeTimeout{ 500 };
+
+/// Balancers that probe each target, so that one of them may be cut off and
+/// one may be wrong.
+static constexpr std::size_t kProbersForTarget = 3;
+
+static auto RankOf(const std::string& aBalancer, const std::string& aTarget)
+  -> std::uint64_t
+{
+  return std::hash<std::string>()(aBalancer + "|" + aTarget);
+}
+
+/// Those who share the probes of aTarget: the balancers near it, or all of
+/// them when nobody stands near it.
+static auto SharersOf(const BalancersByDomain& aBalancers,
+                      const Target& aTarget) -> std::vector<std::string>
+{
+  const auto found = aBalancers.find(aTarget.failureDomain);
+  if (found != aBalancers.end() && !found->second.empty()) {
+    return found->second;
+  }
+  std::vector<std::string> everyone;
+  for (const auto& [domain, addresses] : aBalancers) {
+    everyone.insert(everyone.end(), addresses.begin(), addresses.end());
+  }
+  return everyone;
+}
+
+auto IsProber(const BalancersByDomain& aBalancers, const std::string& aSelf,
+              const Target& aTarget) -> bool
+{
+  const auto sharers = SharersOf(aBalancers, aTarget);
+  if (std::find(sharers.begin(), sharers.end(), aSelf) == sharers.end()) {
+    return false;
+  }
+  const auto own = RankOf(aSelf, aTarget.address);
+  const auto higher = std::count_if(
+    sharers.begin(), sharers.end(), [&](const std::string& aOther) {
+      return RankOf(aOther, aTarget.address) > own;
+    });
+  return static_cast<std::size_t>(higher) < kProbersForTarget;
+}
+
+HealthProber::HealthProber(asio::io_context& aContext, TargetTable& aTargets,
+                           std::string aSelf)
+  : m_context(aContext)
+  , m_targets(aTargets)
+  , m_self(std::move(aSelf))
+{
+}
+
+auto HealthProber::Start() -> void
+{
+  Spawn(m_context, "probe-targets", ProbeLoop());
+}
+
+auto HealthProber::SetBalancers(BalancersByDomain aBalancers) -> void
+{
+  m_balancers = std::move(aBalancers);
+}
+
+auto HealthProber::ProbeLoop() -> awaitable<void>
+{
+  for (;;) {
+    for (const auto& [address, target] : m_targets.All()) {
+      if (!target->leaving && IsProber(m_balancers, m_self, *target)) {
+        Spawn(m_context, "probe", Probe(address));
+      }
+    }
+    co_await Sleep(kProbeEvery);
+  }
+}
+
+auto HealthProber::Probe(std::string aAddress) -> awaitable<void>
+{
+  std::error_code error;
+  const auto endpoint = ParseTcpEndpoint(aAddress, error);
+  http::Request request;
+  request.target = "/health";
+  const auto reply = co_await http::Fetch(endpoint, std::move(request),
+                                          kProbeTimeout, error);
+  const auto document = nlohmann::json::parse(reply.body, nullptr, false);
+  const bool draining =
+    !error && document.is_object() && document.value("draining", false);
+  m_targets.TakeHealth(aAddress, !error && reply.status == 200, draining);
+}
+
+} // namespace bramleylock::target
--- a/lib/Target/HttpTransport.cpp
+++ b/lib/Target/HttpTransport.cpp
@@ -5,6 +5,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <charconv>
 
 namespace bramleylock::target {
@@ -14,6 +17,13 @@
 
 static constexpr std::uint64_t kAnswerLimitBytes = 1ULL << 40;
 
+/// After this much quiet the kernel probes a connection, and how often.
+static constexpr int kKeepAliveIdleSeconds = 1;
+static constexpr int kKeepAliveEverySeconds = 1;
+
+/// How long sent bytes or probes may stay unacknowledged.
+static constexpr int kUnacknowledgedMilliseconds = 3000;
+
 template<typename Number>
 static auto ParseNumber(beast::string_view aText, Number aDefault,
                         int aBase = 10) -> Number
@@ -124,6 +134,29 @@
     co_return got;
   }
 
+  auto Prove(Milliseconds aTimeout, std::error_code& aError)
+    -> awaitable<void> override
+  {
+    http::request<http::empty_body> message(http::verb::get, "/health", 11);
+    message.set(http::field::host, "target");
+    m_stream.expires_after(aTimeout);
+    boost::system::error_code failure;
+    co_await http::async_write(m_stream, message, Into(failure));
+    http::response_parser<http::string_body> parser;
+    if (!failure) {
+      co_await http::async_read(m_stream, m_buffer, parser, Into(failure));
+    }
+    aError = Translate(failure);
+    if (aError) {
+      co_return;
+    }
+    if (!parser.keep_alive()) {
+      aError = TargetError::Lost;
+      co_return;
+    }
+    lastProven = Clock::now();
+  }
+
   auto Reusable() const -> bool override
   {
     return m_parser && m_parser->is_done() && m_parser->keep_alive() &&
@@ -155,6 +188,21 @@
   std::optional<http::response_parser<http::buffer_body>> m_parser;
 };
 
+/// Lets the kernel find peers that no longer acknowledge. A target that works
+/// long on a request still acknowledges, so it is not cut.
+auto WatchForSilence(int aSocket) -> void
+{
+  const int on = 1;
+  ::setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+               sizeof kKeepAliveIdleSeconds);
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveEverySeconds,
+               sizeof kKeepAliveEverySeconds);
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &kUnacknowledgedMilliseconds,
+               sizeof kUnacknowledgedMilliseconds);
+}
+
 class HttpTransport : public TargetTransport
 {
 public:
@@ -180,6 +228,7 @@
       co_return nullptr;
     }
     stream.socket().set_option(Tcp::no_delay(true), failure);
+    WatchForSilence(stream.socket().native_handle());
     auto connection = std::make_unique<HttpConnection>(std::move(stream));
     connection->lastProven = Clock::now();
     co_return connection;
--- a/lib/Target/TargetTable.cpp
+++ b/lib/Target/TargetTable.cpp
@@ -12,11 +12,15 @@
 static constexpr Milliseconds kConnectTimeout{ 500 };
 static constexpr Milliseconds kEjection{ 3000 };
 
+/// The ejection doubles with each further failure, up to this many times.
+static constexpr std::uint32_t kEjectionDoublings = 3;
+
 /// Failures in a row after which a target is ejected.
 static constexpr std::uint32_t kFailuresToEject = 3;
 
-/// The part of a service's targets that may be ejected at the same time. When
-/// more look bad, this balancer's view is likelier wrong than the targets.
+/// The part of the targets in the own failure domain, and of all, that may be
+/// ejected at the same time. When more look bad, this balancer's view is
+/// likelier wrong than the targets.
 static constexpr double kEjectedShareLimit = 0.5;
 
 /// How long requests weigh in the rates that balancers tell each other.
@@ -26,9 +30,35 @@
 /// that comes back is not flooded.
 static constexpr double kCreditLimit = 2;
 
+/// Connections that one target accepts from all balancers together.
+static constexpr std::uint32_t kTargetConnections = 2000;
+
+/// How long a limit learnt from refused connections lasts.
+static constexpr std::chrono::seconds kLearntLimit{ 10 };
+
 /// Idle connections kept to one target.
 static constexpr std::size_t kIdleConnections = 32;
 
+/// How long an idle connection may take to answer a probe.
+static constexpr Milliseconds kProveTimeout{ 300 };
+
+/// What a shed request leaves of a target's share, what an answer gives back,
+/// and the least that stays so that its recovery is seen.
+static constexpr double kEaseOnShed = 0.5;
+static constexpr double kEaseOnAnswer = 0.05;
+static constexpr double kLeastEase = 0.05;
+
+/// How long a target counts as leaving after its own answer said so, after a
+/// probe, and after a peer's word.
+static constexpr std::chrono::seconds kDrainingByAnswer{ 60 };
+static constexpr std::chrono::seconds kDrainingByProbe{ 5 };
+static constexpr std::chrono::seconds kDrainingByPeer{ 3 };
+static constexpr std::chrono::seconds kUnhealthyByProbe{ 5 };
+
+/// Requests sent a second time, for each request sent, and at once.
+static constexpr double kHedgesEach = 0.05;
+static constexpr double kHedgesAtOnce = 20;
+
 TargetTable::TargetTable(std::string aFailureDomain,
                          std::unique_ptr<TargetTransport> aTransport,
                          std::unique_ptr<TargetChoice> aChoice,
@@ -38,11 +68,14 @@
   , m_choice(std::move(aChoice))
   , m_metrics(aMetrics)
   , m_random(aSeed)
+  , m_hedges(kHedgesAtOnce)
 {
 }
 
 auto TargetTable::SetTargets(const std::vector<TargetHint>& aHints) -> void
 {
+  // A balancer that has just started knows nothing of who is new.
+  const bool first = m_targets.empty();
   std::set<std::string> listed;
   for (const auto& hint : aHints) {
     listed.insert(hint.address);
@@ -50,6 +83,11 @@
     if (!target) {
       target = std::make_shared<Target>();
       target->address = hint.address;
+      target->connectionShare =
+        ConnectionShare(kTargetConnections, m_balancers, m_self, hint.address);
+      if (!first) {
+        target->warmingSince = Clock::now();
+      }
     }
     target->service = hint.service;
     target->failureDomain = hint.failureDomain;
@@ -86,7 +124,10 @@
 auto TargetTable::Usable(const Target& aTarget, const std::string& aService,
                          const std::set<std::string>& aTried) const -> bool
 {
+  const auto now = Clock::now();
   return aTarget.service == aService && !aTarget.leaving &&
+         aTarget.drainingUntil <= now &&
+         aTarget.inFlight < ConnectionLimitOf(aTarget, now) &&
          !aTried.contains(aTarget.address);
 }
 
@@ -107,6 +148,70 @@
   const auto now = Clock::now();
   rate.perSecond = rate.perSecond * Decay(rate.at, now) + 1 / kRateSeconds;
   rate.at = now;
+  m_hedges = std::min(m_hedges + kHedgesEach, kHedgesAtOnce);
+}
+
+auto TargetTable::TakeHedge() -> bool
+{
+  if (m_hedges < 1) {
+    m_metrics.Add(Counter::RetryBudgetEmpty);
+    return false;
+  }
+  m_hedges -= 1;
+  return true;
+}
+
+auto TargetTable::SetBalancers(std::size_t aBalancers, const std::string& aSelf)
+  -> void
+{
+  m_balancers = aBalancers;
+  m_self = aSelf;
+  for (const auto& [address, target] : m_targets) {
+    target->connectionShare =
+      ConnectionShare(kTargetConnections, aBalancers, aSelf, address);
+  }
+}
+
+auto TargetTable::TakeHealth(const std::string& aAddress, bool aHealthy,
+                             bool aDraining) -> void
+{
+  const auto found = m_targets.find(aAddress);
+  if (found == m_targets.end()) {
+    return;
+  }
+  const auto now = Clock::now();
+  auto& target = *found->second;
+  target.unhealthyUntil = aHealthy ? now : now + kUnhealthyByProbe;
+  target.probeDrainingUntil = aDraining ? now + kDrainingByProbe : now;
+}
+
+auto TargetTable::NoteDraining(const std::shared_ptr<Target>& aTarget) -> void
+{
+  aTarget->drainingUntil = Clock::now() + kDrainingByAnswer;
+}
+
+auto TargetTable::Draining() const -> std::vector<std::string>
+{
+  const auto now = Clock::now();
+  std::vector<std::string> draining;
+  for (const auto& [address, target] : m_targets) {
+    if (target->drainingUntil > now || target->probeDrainingUntil > now) {
+      draining.push_back(address);
+    }
+  }
+  return draining;
+}
+
+auto TargetTable::TakePeersDraining(const std::vector<std::string>& aAddresses)
+  -> void
+{
+  const auto until = Clock::now() + kDrainingByPeer;
+  for (const auto& address : aAddresses) {
+    const auto found = m_targets.find(address);
+    if (found != m_targets.end()) {
+      found->second->peerDrainingUntil = until;
+    }
+  }
 }
 
 auto TargetTable::Rates() const -> std::map<std::string, double>
@@ -124,21 +229,24 @@
   const std::vector<std::shared_ptr<Target>>& aTargets)
   -> std::vector<Candidate>
 {
+  const auto now = Clock::now();
   DomainShares supply;
   for (const auto& target : aTargets) {
-    supply[target->failureDomain] += target->slots;
+    supply[target->failureDomain] += target->slots * FitnessOf(*target, now);
   }
   auto shares = SpillShares(m_demand[aService], supply, m_failureDomain);
   std::vector<Candidate> candidates;
   candidates.reserve(aTargets.size());
   for (const auto& target : aTargets) {
     const auto& domain = target->failureDomain;
-    const double share = shares[domain] * target->slots / supply[domain];
+    const double fitness = FitnessOf(*target, now);
+    const double share =
+      shares[domain] * target->slots * fitness / supply[domain];
     target->credit =
       std::clamp(target->credit + share, -kCreditLimit, kCreditLimit);
     candidates.push_back({ target->inFlight, target->peersInFlight,
-                           target->slots, 1, domain == m_failureDomain, share,
-                           target->credit });
+                           target->slots, fitness, domain == m_failureDomain,
+                           share, target->credit });
   }
   return candidates;
 }
@@ -162,67 +270,114 @@
 {
   const auto now = Clock::now();
   std::vector<std::shared_ptr<Target>> usable;
-  std::vector<std::shared_ptr<Target>> ejected;
+  std::vector<std::shared_ptr<Target>> doubtful;
   for (const auto& [address, target] : m_targets) {
-    if (Usable(*target, aService, aTried)) {
-      auto& list = target->ejectedUntil > now ? ejected : usable;
-      list.push_back(target);
+    if (!Usable(*target, aService, aTried)) {
+      continue;
     }
+    const bool doubted = target->ejectedUntil > now ||
+                         target->probeDrainingUntil > now ||
+                         target->peerDrainingUntil > now;
+    auto& list = doubted ? doubtful : usable;
+    list.push_back(target);
   }
   CountChoice(aService);
-  return Pick(aService, usable.empty() ? ejected : usable);
+  return Pick(aService, usable.empty() ? doubtful : usable);
 }
 
 auto TargetTable::Connect(std::shared_ptr<Target> aTarget,
                           Milliseconds aProvenWithin, std::error_code& aError)
-  -> awaitable<std::unique_ptr<TargetConnection>>
+  -> awaitable<std::shared_ptr<TargetConnection>>
 {
   const auto oldest = Clock::now() - aProvenWithin;
   while (!aTarget->idle.empty()) {
     auto connection = std::move(aTarget->idle.back());
     aTarget->idle.pop_back();
+    aError.clear();
     if (connection->lastProven >= oldest) {
-      aError.clear();
+      co_return connection;
+    }
+    co_await connection->Prove(kProveTimeout, aError);
+    if (!aError) {
       co_return connection;
     }
     connection->Close();
+    if (aError == TargetError::Timeout) {
+      // What forgot this connection has likely forgotten its neighbours.
+      m_metrics.Add(Counter::TargetSilent);
+      aTarget->idle.clear();
+    }
   }
-  co_return co_await m_transport->Connect(aTarget->address, kConnectTimeout,
-                                          aError);
+  aError.clear();
+  std::shared_ptr<TargetConnection> fresh =
+    co_await m_transport->Connect(aTarget->address, kConnectTimeout, aError);
+  co_return fresh;
 }
 
 auto TargetTable::Return(const std::shared_ptr<Target>& aTarget,
-                         std::unique_ptr<TargetConnection> aConnection) -> void
+                         std::shared_ptr<TargetConnection> aConnection) -> void
 {
-  if (aConnection->Reusable() && aTarget->idle.size() < kIdleConnections) {
+  const auto open = aTarget->idle.size() + aTarget->inFlight;
+  if (aConnection->Reusable() && aTarget->idle.size() < kIdleConnections &&
+      open <= ConnectionLimitOf(*aTarget, Clock::now())) {
     aTarget->idle.push_back(std::move(aConnection));
   }
 }
 
+/// Whether one more target may be ejected. Far targets may all go while half
+/// of the near ones answer, because a whole failure domain can be cut off.
+auto TargetTable::MayEject(const Target& aTarget, Clock::time_point aNow) const
+  -> bool
+{
+  std::size_t near = 0;
+  std::size_t nearEjected = 0;
+  std::size_t total = 0;
+  std::size_t ejected = 0;
+  for (const auto& [address, target] : m_targets) {
+    if (target->service != aTarget.service) {
+      continue;
+    }
+    const bool isNear = target->failureDomain == m_failureDomain;
+    const std::size_t out = target->ejectedUntil > aNow ? 1 : 0;
+    ++total;
+    ejected += out;
+    near += isNear ? 1 : 0;
+    nearEjected += isNear ? out : 0;
+  }
+  const bool isFar = aTarget.failureDomain != m_failureDomain;
+  return ejected + 1 <= total * kEjectedShareLimit ||
+         (isFar && near > 0 && nearEjected <= near * kEjectedShareLimit);
+}
+
 auto TargetTable::Report(const std::shared_ptr<Target>& aTarget,
                          TargetOutcome aOutcome) -> void
 {
-  if (aOutcome == TargetOutcome::Answered || aOutcome == TargetOutcome::Shed) {
+  const auto now = Clock::now();
+  if (aOutcome == TargetOutcome::Answered) {
     aTarget->failuresInRow = 0;
+    aTarget->lastAnswered = now;
+    aTarget->ease = std::min(1.0, aTarget->ease + kEaseOnAnswer);
     return;
   }
-  aTarget->idle.clear();
-  if (++aTarget->failuresInRow < kFailuresToEject) {
+  if (aOutcome == TargetOutcome::Shed) {
+    aTarget->failuresInRow = 0;
+    aTarget->ease = std::max(kLeastEase, aTarget->ease * kEaseOnShed);
     return;
   }
-  const auto now = Clock::now();
-  std::size_t total = 0;
-  std::size_t ejected = 0;
-  for (const auto& [address, target] : m_targets) {
-    if (target->service == aTarget->service) {
-      ++total;
-      ejected += target->ejectedUntil > now ? 1 : 0;
-    }
+  aTarget->idle.clear();
+  if (aOutcome == TargetOutcome::ConnectFailed && aTarget->inFlight > 1) {
+    // It serves others of our connections but takes no more of them.
+    aTarget->learntShare = aTarget->inFlight - 1;
+    aTarget->learntUntil = now + kLearntLimit;
   }
-  if (ejected + 1 > total * kEjectedShareLimit) {
+  if (++aTarget->failuresInRow < kFailuresToEject ||
+      aTarget->ejectedUntil > now || !MayEject(*aTarget, now)) {
     return;
   }
-  aTarget->ejectedUntil = now + kEjection;
+  const auto doublings =
+    std::min(aTarget->failuresInRow - kFailuresToEject, kEjectionDoublings);
+  aTarget->ejectedUntil = now + kEjection * (1U << doublings);
+  aTarget->warmingSince = aTarget->ejectedUntil;
   m_metrics.Add(Counter::TargetEjected);
   LogWarning("target-ejected", { { "target", aTarget->address } });
 }
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -179,7 +179,16 @@
   m_targets.push_back(
     { name, aService, aFailureDomain,
       std::make_unique<Process>(m_programs + "/bramleylock-standin", arguments,
-                                m_directory + "/" + name + ".log") });
+                                m_directory + "/" + name + ".log"),
+      true, false, nullptr });
+  if (m_options.proxyTargets) {
+    auto& target = m_targets.back();
+    target.proxy = std::make_unique<Process>(
+      m_programs + "/bramleylock-standin",
+      std::vector<std::string>{ "proxy", "--to",
+                                target.process->Value("target") },
+      m_directory + "/" + name + "-proxy.log");
+  }
   return m_targets.back();
 }
 
@@ -254,12 +263,14 @@
   }
   for (const auto& target : m_targets) {
     if (target.listed) {
-      vms.push_back({ { "name", target.name },
-                      { "role", "target" },
-                      { "service", target.service },
-                      { "failure_domain", target.failureDomain },
-                      { "address", target.process->Value("target") },
-                      { "leaving", target.leaving } });
+      vms.push_back(
+        { { "name", target.name },
+          { "role", "target" },
+          { "service", target.service },
+          { "failure_domain", target.failureDomain },
+          { "address", target.proxy ? target.proxy->Value("proxy")
+                                    : target.process->Value("target") },
+          { "leaving", target.leaving } });
     }
   }
   Control(StoreAddress(), "/control/vms", vms);
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -63,6 +63,8 @@
   std::unique_ptr<Process> process;
   bool listed = true;
   bool leaving = false;
+  /// The proxy that balancers reach it through; null without one.
+  std::unique_ptr<Process> proxy;
 };
 
 /// How often a request ran, by the targets' journals.
@@ -81,6 +83,8 @@
   int balancers = 0;
   /// Hosts to start for each service; 0 takes the deployment's numbers.
   int hosts = 0;
+  /// Puts a proxy in front of every target.
+  bool proxyTargets = false;
 };
 
 /// Starts and stops a deployment, and injects faults into it. Every method
@@ -128,6 +132,9 @@
   /// Runs by target name.
   auto RunsByTarget(const std::string& aService) -> std::map<std::string, int>;
 
+  /// What a target tells of its runs and refusals.
+  auto Journal(TargetProcess& aTarget) -> nlohmann::json;
+
   /// Keeps the journal of a target that is about to stop.
   auto SaveJournal(TargetProcess& aTarget) -> void;
 
@@ -141,7 +148,6 @@
     -> std::string;
   auto StartBalancer(const std::string& aName, const std::string& aDomain)
     -> std::unique_ptr<Process>;
-  auto Journal(TargetProcess& aTarget) -> nlohmann::json;
 
   const Deployment& m_deployment;
   ClusterOptions m_options;
--- /dev/null
+++ b/measure/LyingHealth.cpp
@@ -0,0 +1,115 @@
+// Scenario "lying-health": health and load endpoints say the opposite of what
+// is true, and must neither draw all work to one host nor empty the rest.
+
+#include "measure/Scenario.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr double kSeconds = 9;
+static constexpr double kLieAt = 1;
+static constexpr double kImbalanceLimit = 1.25;
+static constexpr int kSlowerMs = 100;
+
+namespace {
+
+class LyingHealth : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "a shedding host claims health, a busy one no load, all others ill";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    const auto& deployment = *aOptions.deployment;
+    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
+    Cluster cluster(deployment, { aOptions.seed, {}, 0, 0 });
+    cluster.Start();
+    Load load(cluster.CallerAddress(), aOptions.seed);
+    load.Add({ deployment.booking, 100, 5, 0, seconds, "booking" });
+    load.Add({ deployment.reading, 200, 5, 0, seconds, "reading" });
+    load.Start();
+    std::this_thread::sleep_for(
+      std::chrono::duration<double>(kLieAt - load.Elapsed()));
+    Lie(cluster, deployment.reading.service);
+    load.Join();
+    const auto checks = CheckRecords(load.Records(), cluster);
+    aReport.AddChecks(checks);
+    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
+    aReport.Require("refused=0", checks.refused == 0);
+    AddShares(cluster, deployment.reading.service, aReport);
+    for (const auto* name : { "retry_target_shed", "target_ejected" }) {
+      aReport.Add(name, cluster.CounterSum(name));
+    }
+    aReport.AddReasons(load.Records());
+    aReport.AddLatencies(load.Records());
+  }
+
+private:
+  /// The first host sheds, the second is slow; the others are fine.
+  static auto Lie(Cluster& aCluster, const std::string& aService) -> void
+  {
+    int index = 0;
+    for (auto& target : aCluster.Targets()) {
+      if (target.service != aService) {
+        continue;
+      }
+      nlohmann::json behaviour{ { "claim_healthy", index < 2 },
+                                { "claim_load", index < 2 ? 0.0 : 9.0 },
+                                { "shed_all", index == 0 },
+                                { "extra_ms", index == 1 ? kSlowerMs : 0 } };
+      aCluster.Control(target.process->Value("target"), "/control/behave",
+                       behaviour);
+      ++index;
+    }
+  }
+
+  static auto AddShares(Cluster& aCluster, const std::string& aService,
+                        Report& aReport) -> void
+  {
+    std::vector<double> honest;
+    std::uint64_t sheds = 0;
+    double liarRuns = 0;
+    int index = 0;
+    for (auto& target : aCluster.Targets()) {
+      if (target.service != aService) {
+        continue;
+      }
+      const auto journal = aCluster.Journal(target);
+      const auto runs = static_cast<double>(journal["runs"].size());
+      sheds += journal.value("shed", std::uint64_t{ 0 });
+      if (index >= 2) {
+        honest.push_back(runs);
+      } else if (index == 1) {
+        liarRuns = runs;
+      }
+      ++index;
+    }
+    double mean = 0;
+    for (const auto runs : honest) {
+      mean += runs / static_cast<double>(honest.size());
+    }
+    const auto [least, most] = std::minmax_element(honest.begin(), honest.end());
+    aReport.Add("sheds", sheds);
+    aReport.Add("busiest_honest_over_mean", *most / mean);
+    aReport.Add("idlest_honest_over_mean", *least / mean);
+    aReport.Add("slow_liar_over_mean", liarRuns / mean);
+    aReport.Require("shedding host gets under half its share",
+                    static_cast<double>(sheds) < mean / 2);
+    aReport.Require("busiest_honest<=1.25", *most / mean <= kImbalanceLimit);
+    aReport.Require("slow_liar<=1.25", liarRuns / mean <= kImbalanceLimit);
+    aReport.Require("no honest host emptied", *least > 0);
+  }
+};
+
+const Registration<ScenarioRegistry, LyingHealth> kRegistration("lying-health");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- a/standins/Proxy.cpp
+++ b/standins/Proxy.cpp
@@ -50,6 +50,8 @@
   Tcp::socket near;
   Tcp::socket far;
   std::string source;
+  /// Carries nothing for good, while connections opened later work.
+  bool forgotten = false;
 
   auto Close() -> void
   {
@@ -126,7 +128,8 @@
       if (failure) {
         break;
       }
-      while (Matches(m_cuts.frozen, aPair->source) && aFrom.is_open()) {
+      while ((aPair->forgotten || Matches(m_cuts.frozen, aPair->source)) &&
+             aFrom.is_open()) {
         co_await Sleep(Milliseconds(20));
       }
       if (m_cuts.delayMs > 0) {
@@ -150,7 +153,9 @@
     m_cuts = { body.value("cut", std::vector<std::string>()),
                body.value("frozen", std::vector<std::string>()),
                body.value("delay_ms", 0) };
+    const bool forget = body.value("forget_existing", false);
     for (const auto& pair : m_pairs) {
+      pair->forgotten = pair->forgotten || forget;
       if (Matches(m_cuts.cut, pair->source)) {
         pair->Close();
       }
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -5,6 +5,7 @@
 #include "standins/Standin.h"
 
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Support/Random.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -17,6 +18,7 @@
 using nlohmann::json;
 
 static constexpr std::uint32_t kShedRetryAfterMs = 100;
+static constexpr Milliseconds kLookForCancel{ 20 };
 
 namespace {
 
@@ -97,7 +99,8 @@
                             { "service", m_options.service },
                             { "runs", m_journal },
                             { "shed", m_shed },
-                            { "expired", m_expired } });
+                            { "expired", m_expired },
+                            { "cancelled", m_cancelled } });
     }
     if (path == "/control/behave") {
       const auto body = json::parse(aRequest.body);
@@ -135,10 +138,16 @@
       co_return RefuseWork();
     }
     ++m_waiting;
-    while (m_running >= m_options.slots && Clock::now() < deadline) {
-      co_await m_slotFreed.WaitUntil(deadline);
+    while (m_running >= m_options.slots && Clock::now() < deadline &&
+           !aRequest.abandoned()) {
+      co_await m_slotFreed.WaitUntil(
+        std::min(deadline, Clock::now() + kLookForCancel));
     }
     --m_waiting;
+    if (aRequest.abandoned()) {
+      ++m_cancelled;
+      co_return http::Reply{ 0, "", "", {} };
+    }
     if (Clock::now() >= deadline) {
       ++m_expired;
       co_return RefuseWork();
@@ -146,19 +155,37 @@
     ++m_running;
     auto words = ParseWork(aRequest.body);
     const auto& id = words["id"];
-    m_journal.push_back({ { "id", id }, { "work", aWork } });
+    m_journal.push_back(
+      { { "id", id }, { "work", aWork }, { "at", WallMilliseconds() } });
     const auto ms = std::atoi(words["ms"].c_str()) + m_behaviour.extraMs;
-    if (ms > 0) {
-      co_await Sleep(Milliseconds(ms));
-    }
+    const bool finished = co_await WorkFor(Milliseconds(ms), aRequest);
     --m_running;
     m_slotFreed.Notify();
+    if (!finished) {
+      ++m_cancelled;
+      co_return http::Reply{ 0, "", "", {} };
+    }
     if (m_behaviour.loseAnswers) {
       co_return http::Reply{ 0, "", "", {} };
     }
     co_return MakeAnswer(id, words["bytes"], aRequest);
   }
 
+  /// False when the client goes away before the work is done.
+  static auto WorkFor(Milliseconds aTime, const http::Request& aRequest)
+    -> awaitable<bool>
+  {
+    const auto end = Clock::now() + aTime;
+    while (Clock::now() < end) {
+      if (aRequest.abandoned()) {
+        co_return false;
+      }
+      co_await Sleep(
+        std::min<Clock::duration>(end - Clock::now(), kLookForCancel));
+    }
+    co_return true;
+  }
+
   auto MakeAnswer(const std::string& aId, const std::string& aBytes,
                   const http::Request& aRequest) -> http::Reply
   {
@@ -199,6 +226,7 @@
   std::size_t m_waiting = 0;
   std::uint64_t m_shed = 0;
   std::uint64_t m_expired = 0;
+  std::uint64_t m_cancelled = 0;
   json m_journal = json::array();
   http::Server m_server;
 };
--- /dev/null
+++ b/unittests/Target/TableTest.cpp
@@ -0,0 +1,262 @@
+// What failures, sheds, age and limits do to the choice, with targets that are
+// only names.
+
+#include "bramleylock/Target/HealthProber.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::target;
+
+namespace {
+
+class MockConnection : public TargetConnection
+{
+public:
+  explicit MockConnection(bool aSilent)
+    : m_silent(aSilent)
+  {
+  }
+  auto Send(const TargetCall&, std::error_code&) -> awaitable<void> override
+  {
+    co_return;
+  }
+  auto ReadHead(std::error_code&) -> awaitable<TargetHead> override
+  {
+    co_return TargetHead{};
+  }
+  auto ReadSome(char*, std::size_t, std::error_code&)
+    -> awaitable<std::size_t> override
+  {
+    co_return 0;
+  }
+  auto Prove(Milliseconds, std::error_code& aError) -> awaitable<void> override
+  {
+    if (m_silent) {
+      aError = TargetError::Timeout;
+    }
+    co_return;
+  }
+  auto Reusable() const -> bool override { return true; }
+  auto Close() -> void override {}
+
+private:
+  bool m_silent;
+};
+
+class MockTransport : public TargetTransport
+{
+public:
+  auto Connect(std::string, Milliseconds, std::error_code&)
+    -> awaitable<std::unique_ptr<TargetConnection>> override
+  {
+    ++connects;
+    co_return std::make_unique<MockConnection>(false);
+  }
+  int connects = 0;
+};
+
+/// A table of targets a-1, a-2, ... and b-1, b-2, ... in domains a and b.
+struct Fixture
+{
+  Fixture(int aNear, int aFar)
+    : transport(new MockTransport)
+    , table("a", std::unique_ptr<TargetTransport>(transport),
+            ChoiceRegistry::Instance().Create("spill-over"), metrics, 1)
+  {
+    for (int i = 0; i < aNear; ++i) {
+      hints.push_back({ "a-" + std::to_string(i), "service", "a", false });
+    }
+    for (int i = 0; i < aFar; ++i) {
+      hints.push_back({ "b-" + std::to_string(i), "service", "b", false });
+    }
+    table.SetTargets(hints);
+  }
+
+  auto Fail(const std::string& aAddress, int aTimes) -> void
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      table.Report(table.All().at(aAddress), TargetOutcome::Lost);
+    }
+  }
+
+  auto Ejected() -> int
+  {
+    int count = 0;
+    for (const auto& [address, target] : table.All()) {
+      count += target->ejectedUntil > Clock::now() ? 1 : 0;
+    }
+    return count;
+  }
+
+  /// How often aAddress is chosen in aTimes choices.
+  auto Chosen(const std::string& aAddress, int aTimes) -> int
+  {
+    int count = 0;
+    for (int i = 0; i < aTimes; ++i) {
+      const auto target = table.Choose("service", {});
+      count += target && target->address == aAddress ? 1 : 0;
+    }
+    return count;
+  }
+
+  Metrics metrics;
+  MockTransport* transport;
+  TargetTable table;
+  std::vector<TargetHint> hints;
+};
+
+auto ConnectOnce(TargetTable& aTable, std::shared_ptr<Target> aTarget,
+                 std::error_code& aError) -> awaitable<void>
+{
+  co_await aTable.Connect(aTarget, Milliseconds(0), aError);
+}
+
+} // namespace
+
+Test(TargetTable, EjectsAtMostHalfWhenAllFail)
+{
+  Fixture fixture(6, 0);
+  for (const auto& hint : fixture.hints) {
+    fixture.Fail(hint.address, 5);
+  }
+  cr_assert_eq(fixture.Ejected(), 3);
+}
+
+Test(TargetTable, EjectsAWholeFarDomainThatIsCutOff)
+{
+  Fixture fixture(2, 6);
+  for (int i = 0; i < 6; ++i) {
+    fixture.Fail("b-" + std::to_string(i), 3);
+  }
+  cr_assert_eq(fixture.Ejected(), 6);
+}
+
+Test(TargetTable, SheddingTargetGetsLessAndRecovers)
+{
+  Fixture fixture(4, 0);
+  const auto target = fixture.table.All().at("a-0");
+  for (int i = 0; i < 8; ++i) {
+    fixture.table.Report(target, TargetOutcome::Shed);
+  }
+  cr_assert_lt(fixture.Chosen("a-0", 400), 20);
+  for (int i = 0; i < 20; ++i) {
+    fixture.table.Report(target, TargetOutcome::Answered);
+  }
+  cr_assert_gt(fixture.Chosen("a-0", 400), 80);
+}
+
+Test(TargetTable, AllSheddingKeepsTheChoiceEven)
+{
+  Fixture fixture(4, 0);
+  for (const auto& hint : fixture.hints) {
+    fixture.table.Report(fixture.table.All().at(hint.address),
+                         TargetOutcome::Shed);
+  }
+  cr_assert_geq(fixture.Chosen("a-0", 400), 95);
+}
+
+Test(TargetTable, NewTargetStartsSlowlyButAFirstListDoesNot)
+{
+  Fixture fixture(4, 0);
+  cr_assert_geq(fixture.Chosen("a-0", 400), 95);
+  fixture.hints.push_back({ "a-9", "service", "a", false });
+  fixture.table.SetTargets(fixture.hints);
+  const int chosen = fixture.Chosen("a-9", 400);
+  cr_assert_gt(chosen, 0);
+  cr_assert_lt(chosen, 40);
+}
+
+Test(TargetTable, UnhealthyEverywhereKeepsTheChoiceEven)
+{
+  Fixture fixture(4, 0);
+  for (const auto& hint : fixture.hints) {
+    fixture.table.TakeHealth(hint.address, false, false);
+  }
+  cr_assert_geq(fixture.Chosen("a-0", 400), 95);
+}
+
+Test(TargetTable, TargetThatSaysItIsLeavingIsNeverChosen)
+{
+  Fixture fixture(1, 0);
+  fixture.table.NoteDraining(fixture.table.All().at("a-0"));
+  cr_assert_null(fixture.table.Choose("service", {}));
+  cr_assert_eq(fixture.table.Draining().size(), 1u);
+}
+
+Test(TargetTable, PeersWordOnLeavingComesLast)
+{
+  Fixture fixture(2, 0);
+  fixture.table.TakePeersDraining({ "a-0" });
+  cr_assert_eq(fixture.Chosen("a-0", 100), 0);
+  cr_assert(fixture.table.Draining().empty(), "a peer's word is not repeated");
+  fixture.table.TakePeersDraining({ "a-1" });
+  cr_assert_not_null(fixture.table.Choose("service", {}));
+}
+
+Test(TargetTable, SilentIdleConnectionIsReplacedWithItsNeighbours)
+{
+  Fixture fixture(1, 0);
+  const auto target = fixture.table.All().at("a-0");
+  for (int i = 0; i < 3; ++i) {
+    target->idle.push_back(std::make_shared<MockConnection>(true));
+  }
+  asio::io_context context;
+  std::error_code error;
+  Spawn(context, "test", ConnectOnce(fixture.table, target, error));
+  context.run();
+  cr_assert(!error);
+  cr_assert(target->idle.empty());
+  cr_assert_eq(fixture.transport->connects, 1);
+  cr_assert_eq(fixture.metrics.Get(Counter::TargetSilent), 1u);
+}
+
+Test(ConnectionShare, BalancersTogetherStayUnderTheLimit)
+{
+  for (const std::size_t balancers : { 7, 800, 12000 }) {
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < balancers; ++i) {
+      total += ConnectionShare(2000, balancers, "vm-" + std::to_string(i),
+                               "10.0.0.1:80");
+    }
+    cr_assert_leq(total, 2000u, "%zu balancers", balancers);
+    cr_assert_gt(total, 1500u, "%zu balancers", balancers);
+  }
+}
+
+Test(ConnectionShare, RefusedConnectionLowersTheLimitForAWhile)
+{
+  Fixture fixture(1, 0);
+  fixture.table.SetBalancers(7, "self");
+  const auto target = fixture.table.All().at("a-0");
+  target->inFlight = 5;
+  fixture.table.Report(target, TargetOutcome::ConnectFailed);
+  cr_assert_null(fixture.table.Choose("service", {}));
+  target->inFlight = 3;
+  cr_assert_not_null(fixture.table.Choose("service", {}));
+}
+
+Test(HealthProber, ThreeOfTheDomainProbeEachTarget)
+{
+  BalancersByDomain balancers;
+  for (int i = 0; i < 9; ++i) {
+    balancers["a"].push_back("near-" + std::to_string(i));
+    balancers["b"].push_back("far-" + std::to_string(i));
+  }
+  Target target;
+  target.address = "10.0.0.1:80";
+  target.failureDomain = "a";
+  const auto count = [&](const std::string& aPrefix) {
+    int probers = 0;
+    for (int i = 0; i < 9; ++i) {
+      probers +=
+        IsProber(balancers, aPrefix + std::to_string(i), target) ? 1 : 0;
+    }
+    return probers;
+  };
+  cr_assert_eq(count("near-"), 3);
+  cr_assert_eq(count("far-"), 0);
+  balancers.erase("a");
+  cr_assert_leq(count("far-"), 3);
+  cr_assert_gt(count("far-"), 0);
+}
