--- a/include/bramleylock/Flow/FlowTable.h
+++ b/include/bramleylock/Flow/FlowTable.h
@@ -37,7 +37,7 @@
   /// The token in the packets to the caller.
   std::string token;
   std::unique_ptr<AnswerSender> answer;
-  std::unique_ptr<target::TargetConnection> connection;
+  std::shared_ptr<target::TargetConnection> connection;
 };
 
 /// The final word on an at-most-once request, kept for late duplicates.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -90,7 +90,12 @@
   bool draining = false;
   /// Requests in flight by target address.
   std::vector<std::pair<std::string, std::uint32_t>> inFlight;
-  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight)
+  /// Requests a second that the sender sends to targets, by service.
+  std::vector<std::pair<std::string, float>> rates;
+  /// Targets that the sender itself found to be leaving.
+  std::vector<std::string> drainingTargets;
+  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates,
+                       drainingTargets)
 };
 
 /// What one balancer says of another, or of itself.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -9,6 +9,7 @@
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
+#include "bramleylock/Target/HealthProber.h"
 
 #include <fmt/format.h>
 
@@ -20,6 +21,9 @@
 
 static constexpr Milliseconds kCapacityEvery{ 500 };
 
+/// Requests a second below which a rate is not told to peers.
+static constexpr double kLeastToldRate = 0.5;
+
 /// How many idle times of a flow an old token key outlives its successor.
 static constexpr int kKeyOverlapIdles = 2;
 
@@ -36,6 +40,8 @@
   auto Build(std::error_code& aError, std::string& aDetail) -> void;
   auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
   auto TakePeersInFlight() -> void;
+  auto TakeDemand() -> void;
+  auto TakeBalancers() -> void;
   auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
@@ -51,6 +57,7 @@
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   std::unique_ptr<target::TargetTable> targets;
+  std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<flow::Environment> environment;
@@ -115,6 +122,8 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
+  prober =
+    std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
                            const std::string& aData) {
     entry->Send(aCaller, aData);
@@ -142,6 +151,12 @@
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
     }
   }
+  aHeartbeat.drainingTargets = targets->Draining();
+  for (const auto& [service, rate] : targets->Rates()) {
+    if (rate >= kLeastToldRate) {
+      aHeartbeat.rates.emplace_back(service, static_cast<float>(rate));
+    }
+  }
 }
 
 auto Balancer::Parts::TakePeersInFlight() -> void
@@ -155,6 +170,48 @@
   targets->SetPeersInFlight(counts);
 }
 
+/// Tells the target layer who shares the targets' connections and probes.
+auto Balancer::Parts::TakeBalancers() -> void
+{
+  const auto& self = members->Self();
+  const auto alive = members->Alive();
+  target::BalancersByDomain balancers;
+  balancers[self.failureDomain].push_back(self.address);
+  for (const auto& member : alive) {
+    balancers[member.failureDomain].push_back(member.address);
+  }
+  targets->SetBalancers(alive.size() + 1, self.address);
+  prober->SetBalancers(std::move(balancers));
+}
+
+/// Sums the work that arrives in each failure domain. Every balancer counts
+/// for a little, so that without traffic the numbers of balancers decide.
+auto Balancer::Parts::TakeDemand() -> void
+{
+  const auto current = lists.Current();
+  if (!current) {
+    return;
+  }
+  std::map<std::string, target::DomainShares> demand;
+  const auto alive = members->Alive();
+  for (const auto& [service, row] : current->services) {
+    auto& shares = demand[service];
+    shares[settings.failureDomain] += kLeastToldRate;
+    for (const auto& member : alive) {
+      shares[member.failureDomain] += kLeastToldRate;
+    }
+  }
+  for (const auto& [service, rate] : targets->Rates()) {
+    demand[service][settings.failureDomain] += rate;
+  }
+  for (const auto& member : alive) {
+    for (const auto& [service, rate] : member.latest.rates) {
+      demand[service][member.failureDomain] += rate;
+    }
+  }
+  targets->SetDemand(std::move(demand));
+}
+
 /// Splits every service's slots evenly over the balancers that are alive.
 auto Balancer::Parts::UpdateCapacity() -> void
 {
@@ -173,6 +230,8 @@
 {
   for (;;) {
     UpdateCapacity();
+    TakeDemand();
+    TakeBalancers();
     co_await Sleep(kCapacityEvery);
   }
 }
@@ -220,6 +279,7 @@
     parts.watcher->OnHeartbeat(aMember);
     parts.keyKeeper->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
+    parts.targets->TakePeersDraining(aMember.latest.drainingTargets);
   });
   parts.members->Start(
     [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
@@ -228,6 +288,7 @@
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
+  parts.prober->Start();
 }
 
 auto Balancer::Drain() -> void
