--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -5,15 +5,19 @@
 #include <memory>
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Lists/ListKeeper.h"
-#include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Lists/ListEditor.h"
 #include "bramleylock/Peer/Membership.h"
 
 namespace bramleylock::kernel {
 
+class PlatformWatcher;
+
 /// The parts of the balancer that the API shows and drives.
 struct AdminView
 {
@@ -22,7 +26,8 @@
   peer::Membership& members;
   target::TargetTable& targets;
   flow::Dispatcher& dispatcher;
-  lists::PlatformStore& store;
+  lists::ListEditor& editor;
+  const PlatformWatcher& watcher;
   admission::AdmissionPolicy& admission;
   peer::PeerHub& hub;
   std::function<void()> drain;
@@ -50,6 +55,12 @@
   auto GetMetrics(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto GetLists(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto PutLists(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto PatchLists(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetHistory(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetEdit(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto SubmitEdit(lists::Edit aEdit, const http::Request& aRequest)
+    -> awaitable<http::Reply>;
+  auto WhyNotReady() const -> std::string;
   auto PostDrain(const http::Request& aRequest) -> awaitable<http::Reply>;
 
   std::string m_token;
@@ -57,4 +68,9 @@
   http::Server m_server;
 };
 
+auto ReplyJson(unsigned aStatus, const nlohmann::json& aBody) -> http::Reply;
+
+auto ReplyError(unsigned aStatus, const std::string& aError,
+                const std::string& aDetail) -> http::Reply;
+
 } // namespace bramleylock::kernel
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -3,23 +3,36 @@
 
 #include <functional>
 
-#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Kernel/VmSpread.h"
+#include "bramleylock/Lists/ListEditor.h"
+#include "bramleylock/Lists/ListSpread.h"
 #include "bramleylock/Lists/PlatformStore.h"
-#include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Target/TargetTable.h"
+#include "bramleylock/Lists/WatcherElection.h"
+#include "bramleylock/Support/Random.h"
 #include "bramleylock/Wire/Token.h"
 
 namespace bramleylock::kernel {
 
-/// Follows the platform's store, and hears from peers what it cannot get
-/// there.
+/// What the watcher works with; the balancer outlives it.
+struct PlatformView
+{
+  asio::io_context& context;
+  Metrics& metrics;
+  lists::PlatformStore& store;
+  lists::ListKeeper& lists;
+  lists::ListEditor& editor;
+  wire::KeyRing& keys;
+  peer::PeerHub& hub;
+  peer::Membership& members;
+  target::TargetTable& targets;
+};
+
+/// Follows the platform when it is this balancer's turn, and hears from peers
+/// what others of the failure domain read there.
 class PlatformWatcher
 {
 public:
-  PlatformWatcher(asio::io_context& aContext, lists::PlatformStore& aStore,
-                  lists::ListKeeper& aLists, wire::KeyRing& aKeys,
-                  peer::PeerHub& aHub, peer::Membership& aMembers,
-                  target::TargetTable& aTargets);
+  explicit PlatformWatcher(PlatformView aView);
 
   auto Start() -> void;
 
@@ -31,24 +44,45 @@
 
   auto NewestKey() const -> std::uint32_t;
 
+  /// Whether this balancer holds the platform's watches now.
+  auto Watching() const -> bool;
+
+  /// Whether the store answered this balancer, or a watcher that it heard,
+  /// lately.
+  auto StoreAnswers() const -> bool;
+
 private:
+  auto ElectLoop() -> awaitable<void>;
+  auto WordLoop() -> awaitable<void>;
+  auto SendWord() -> void;
+  auto SendWordAbroad(const std::string& aBody) -> void;
+  auto ReceiveWord(const wire::Hello& aSender, const std::string& aBody)
+    -> void;
   auto WatchLists() -> awaitable<void>;
+  auto TakeStored(std::string aDocument) -> awaitable<bool>;
   auto KeepKeys() -> awaitable<void>;
   auto CreateKeys() -> awaitable<void>;
   auto WatchVms() -> awaitable<void>;
+  auto UntilWatching() -> awaitable<void>;
+  auto PauseAfter(bool aFailed, Milliseconds aUsual) -> awaitable<void>;
+  auto Answered() -> void;
   auto InstallKeys(const std::string& aDocument) -> void;
-  auto SendLists(const std::string& aAddress) -> void;
   auto SendKeys(const std::string& aAddress) -> void;
-  auto ListenToPeers() -> void;
-
-  asio::io_context& m_context;
-  lists::PlatformStore& m_store;
-  lists::ListKeeper& m_lists;
-  wire::KeyRing& m_keys;
-  peer::PeerHub& m_hub;
-  peer::Membership& m_members;
-  target::TargetTable& m_targets;
-  std::function<void()> m_onTargets;
+  auto ListenForKeys() -> void;
+
+  PlatformView m_view;
+  lists::ListSpread m_spread;
+  VmSpread m_vms;
+  lists::FanOut m_fanOut;
+  lists::SeenMessages m_seen;
+  lists::WatcherElection m_election;
+  Signal m_elected;
+  Random m_random;
+  bool m_watching = true;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_storeRevision = 0;
+  Clock::time_point m_answered{};
+  Clock::time_point m_heardAnswered{};
 };
 
 } // namespace bramleylock::kernel
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -18,6 +18,8 @@
   std::string failureDomain;
   std::string callerAddress;
   std::string peerAddress;
+  /// "ip:port" of peers, separated by spaces.
+  std::string peerSeeds;
   std::string adminAddress;
   std::string storeAddress;
   std::string clusterKeyFile;
--- a/include/bramleylock/Lists/ListKeeper.h
+++ b/include/bramleylock/Lists/ListKeeper.h
@@ -11,32 +11,51 @@
 
 namespace bramleylock::lists {
 
-/// Holds the lists with the highest revision seen. A lower revision is never
-/// installed, whoever brings it.
+/// What became of lists that were offered.
+enum class InstallOutcome
+{
+  Installed,
+  Unchanged,
+  Invalid
+};
+
+/// Holds the merge of all lists seen. An entry's stamp never falls, so lists
+/// of a lower revision change nothing, whoever brings them.
 class ListKeeper
 {
 public:
   explicit ListKeeper(Metrics& aMetrics);
 
-  /// Installs a document if its revision is higher than the one in force and
-  /// it is valid; tells whether it did.
-  auto Install(std::uint64_t aRevision, const std::string& aDocument) -> bool;
+  /// Merges a document, or a part of one, into the lists in force.
+  auto Install(const std::string& aDocument) -> InstallOutcome;
 
-  /// Null until the first lists are installed.
+  /// The lists in force, without dangling references; null until the first
+  /// installation.
   auto Current() const -> std::shared_ptr<const PlanLists>;
 
-  /// The document behind Current(), as it was received.
+  /// The merged lists as they are passed on; null like Current().
+  auto Merged() const -> std::shared_ptr<const PlanLists>;
+
+  /// The document of Merged().
   auto Document() const -> const std::string&;
 
+  /// 0 until the first installation.
   auto Revision() const -> std::uint64_t;
 
+  /// Digest of Document(); equal ones need no repair.
+  auto Digest() const -> std::uint64_t;
+
   /// Calls aListener after each installation.
   auto OnInstall(std::function<void()> aListener) -> void;
 
 private:
+  auto Replace(PlanLists aMerged) -> void;
+
   Metrics& m_metrics;
   std::shared_ptr<const PlanLists> m_current;
+  std::shared_ptr<const PlanLists> m_merged;
   std::string m_document;
+  std::uint64_t m_digest = 0;
   std::vector<std::function<void()>> m_listeners;
 };
 
--- /dev/null
+++ b/include/bramleylock/Lists/ListSpread.h
@@ -0,0 +1,53 @@
+// Spreading of the lists between balancers, and its repair.
+#pragma once
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include "bramleylock/Lists/FanOut.h"
+#include "bramleylock/Lists/ListKeeper.h"
+
+namespace bramleylock::lists {
+
+/// Passes new lists on at once, and compares revisions and digests with peers
+/// so that whoever missed them asks for them.
+class ListSpread
+{
+public:
+  ListSpread(ListKeeper& aLists, peer::PeerHub& aHub,
+             peer::Membership& aMembers, Metrics& aMetrics);
+
+  /// Starts handling messages and following installations.
+  auto Start() -> void;
+
+  /// Compares what a peer says it holds with what is in force here, and asks
+  /// for what is missing.
+  auto Compare(const std::string& aAddress, std::uint64_t aRevision,
+               std::uint64_t aDigest) -> void;
+
+private:
+  auto PassOnInstalled() -> void;
+  auto Receive(const wire::Hello& aSender, const std::string& aBody) -> void;
+  auto Answer(const std::string& aAddress, const wire::ListsRequest& aRequest)
+    -> void;
+  auto Ask(const std::string& aAddress) -> void;
+
+  ListKeeper& m_lists;
+  peer::PeerHub& m_hub;
+  peer::Membership& m_members;
+  Metrics& m_metrics;
+  FanOut m_fanOut;
+  ByteBudget m_budget;
+  /// Revision and digest of what this balancer held before the last
+  /// installation.
+  std::uint64_t m_previousRevision = 0;
+  /// What was passed on lately, by origin, revision and digest.
+  std::set<std::string> m_passed;
+  /// Set while an installation came in a message that is passed on as it is.
+  bool m_relaying = false;
+  Clock::time_point m_asked{};
+  std::uint64_t m_askedFor = 0;
+};
+
+} // namespace bramleylock::lists
--- a/include/bramleylock/Lists/PlanLists.h
+++ b/include/bramleylock/Lists/PlanLists.h
@@ -64,6 +64,8 @@
   std::uint32_t concurrency = 0;
   /// Failure domains that may serve the plan; empty means all.
   std::vector<std::string> failureDomains;
+
+  auto operator==(const Plan&) const -> bool = default;
 };
 
 /// One kind of work of a service.
@@ -73,6 +75,8 @@
   SizeClass size = SizeClass::Short;
   Execution execution = Execution::Repeatable;
   std::uint32_t deadlineMs = 5000;
+
+  auto operator==(const Work&) const -> bool = default;
 };
 
 /// One service and who may use it.
@@ -85,16 +89,61 @@
   std::uint32_t slots = 1;
   /// Connections that one target host accepts.
   std::uint32_t connections = 2000;
+
+  auto operator==(const Service&) const -> bool = default;
 };
 
-/// Both lists at one revision of the platform's store.
+/// The edit that last changed an entry. Stamps of one entry are totally
+/// ordered; the highest one wins.
+struct Stamp
+{
+  /// Revision of the lists that the edit made.
+  std::uint64_t revision = 0;
+  std::string edit;
+
+  auto operator<=>(const Stamp&) const = default;
+};
+
+/// One accepted edit.
+struct EditRecord
+{
+  std::string id;
+  /// Revision of the lists that the edit made.
+  std::uint64_t revision = 0;
+  /// Milliseconds since the Unix epoch, by the clock of the balancer that
+  /// accepted it.
+  std::uint64_t acceptedAtMs = 0;
+  /// Paths of the entries that it changed.
+  std::vector<std::string> entries;
+
+  auto operator==(const EditRecord&) const -> bool = default;
+};
+
+/// Both lists at one revision. The revision stands in the document and orders
+/// everything; the store's own revision serves compare-and-swap only.
 struct PlanLists
 {
   std::uint64_t revision = 0;
   std::map<std::string, Plan> plans;
   std::map<std::string, Service> services;
-  /// Identifiers of recent edits, newest last.
-  std::vector<std::string> edits;
+  /// Stamps by entry path, such as "plans/clubs"; a path without an entry is
+  /// a removed entry.
+  std::map<std::string, Stamp> stamps;
+  /// Removed entries with stamps up to this revision are no longer kept.
+  std::uint64_t forgottenRevision = 0;
+  /// Recent edits in the order of their revisions, newest last.
+  std::vector<EditRecord> edits;
+
+  auto operator==(const PlanLists&) const -> bool = default;
+};
+
+/// Whether a document may name plans that it does not hold.
+enum class References
+{
+  /// Refuses the document.
+  Checked,
+  /// Accepts it, as merged documents need; see WithoutDangling.
+  Unchecked
 };
 
 enum class ListsError
@@ -115,16 +164,35 @@
 /// The largest document that the store takes.
 inline constexpr std::size_t kDocumentBytes = 1000000;
 
-/// The most edit identifiers that the document keeps.
+/// The most edits that the document keeps.
 inline constexpr std::size_t kEditsKept = 64;
 
+/// The most removed entries that the document keeps stamps of.
+inline constexpr std::size_t kRemovedKept = 1024;
+
+inline constexpr const char* kPlanPrefix = "plans/";
+inline constexpr const char* kServicePrefix = "services/";
+
 /// Parses and validates a document; aDetail says which entry is wrong.
 auto ParseLists(const std::string& aDocument, std::error_code& aError,
-                std::string& aDetail) -> PlanLists;
+                std::string& aDetail,
+                References aReferences = References::Checked) -> PlanLists;
+
+/// Parses one entry, such as "plans/clubs", into aLists.
+auto ParseEntry(const std::string& aPath, const std::string& aEntry,
+                PlanLists& aLists, std::error_code& aError,
+                std::string& aDetail) -> void;
 
-/// The document that ParseLists reads; the revision is not part of it.
+/// The document that ParseLists reads, without needless space.
 auto FormatLists(const PlanLists& aLists) -> std::string;
 
+/// The JSON of one entry; "null" when aLists does not hold it.
+auto FormatEntry(const PlanLists& aLists, const std::string& aPath)
+  -> std::string;
+
+/// Paths of all entries of aLists.
+auto EntryPaths(const PlanLists& aLists) -> std::vector<std::string>;
+
 } // namespace bramleylock::lists
 
 BRAMLEYLOCK_ERROR_ENUM(bramleylock::lists, ListsError, kListsErrorNames,
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -2,7 +2,7 @@
 
 #include "bramleylock/Kernel/AdminApi.h"
 
-#include "bramleylock/Support/Random.h"
+#include "bramleylock/Kernel/PlatformWatcher.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-static auto ReplyJson(unsigned aStatus, const json& aBody) -> http::Reply
+auto ReplyJson(unsigned aStatus, const json& aBody) -> http::Reply
 {
   http::Reply reply;
   reply.status = aStatus;
@@ -18,7 +18,7 @@
   return reply;
 }
 
-static auto ReplyError(unsigned aStatus, const std::string& aError,
+auto ReplyError(unsigned aStatus, const std::string& aError,
                        const std::string& aDetail) -> http::Reply
 {
   return ReplyJson(aStatus, { { "error", aError }, { "detail", aDetail } });
@@ -64,7 +64,7 @@
     bool open;
     Route route;
   };
-  static const std::array<Row, 8> kRoutes{ {
+  static const std::array<Row, 11> kRoutes{ {
     { "GET", "/healthz", true, &AdminApi::GetHealth },
     { "GET", "/status", false, &AdminApi::GetStatus },
     { "GET", "/targets", false, &AdminApi::GetTargets },
@@ -72,6 +72,9 @@
     { "GET", "/metrics", false, &AdminApi::GetMetrics },
     { "GET", "/lists", false, &AdminApi::GetLists },
     { "PUT", "/lists", false, &AdminApi::PutLists },
+    { "PATCH", "/lists", false, &AdminApi::PatchLists },
+    { "GET", "/lists/history", false, &AdminApi::GetHistory },
+    { "GET", "/lists/edit", false, &AdminApi::GetEdit },
     { "POST", "/drain", false, &AdminApi::PostDrain },
   } };
   const auto path = http::PathOf(aRequest.target);
@@ -95,12 +98,32 @@
                   : ReplyError(404, "path", "there is no " + path);
 }
 
+/// Empty when the balancer serves.
+auto AdminApi::WhyNotReady() const -> std::string
+{
+  const bool lists = m_view.lists.Revision() > 0;
+  const bool keys = m_view.watcher.NewestKey() > 0;
+  if (lists && keys) {
+    return {};
+  }
+  const std::string missing =
+    !lists && !keys ? "no lists and no token keys" : lists ? "no token keys"
+                                                           : "no lists";
+  const std::string store = m_view.watcher.StoreAnswers()
+                              ? "the platform's store answers"
+                              : "the platform's store does not answer";
+  const auto peers = m_view.members.Alive().size();
+  return missing + " yet: " + store + ", and " + std::to_string(peers) +
+         " peers are heard";
+}
+
 auto AdminApi::GetHealth(const http::Request&) -> awaitable<http::Reply>
 {
-  const bool ready = m_view.lists.Revision() > 0;
+  const auto why = WhyNotReady();
   const bool draining = m_view.dispatcher.Draining();
-  co_return ReplyJson(ready && !draining ? 200 : 503,
-                      { { "ready", ready }, { "draining", draining } });
+  co_return ReplyJson(
+    why.empty() && !draining ? 200 : 503,
+    { { "ready", why.empty() }, { "draining", draining }, { "why", why } });
 }
 
 auto AdminApi::GetStatus(const http::Request&) -> awaitable<http::Reply>
@@ -122,6 +145,9 @@
                         { "peer_address", self.address },
                         { "incarnation", self.incarnation },
                         { "lists_revision", m_view.lists.Revision() },
+                        { "lists_digest", m_view.lists.Digest() },
+                        { "watching", m_view.watcher.Watching() },
+                        { "store_answers", m_view.watcher.StoreAnswers() },
                         { "draining", m_view.dispatcher.Draining() },
                         { "flows", m_view.dispatcher.Flows().Size() },
                         { "requests", m_view.dispatcher.Flows().Active() },
@@ -169,49 +195,6 @@
   co_return reply;
 }
 
-auto AdminApi::GetLists(const http::Request&) -> awaitable<http::Reply>
-{
-  if (m_view.lists.Revision() == 0) {
-    co_return ReplyError(503, "not-ready", "no lists are in force yet");
-  }
-  co_return ReplyJson(200,
-                      { { "revision", m_view.lists.Revision() },
-                        { "lists", json::parse(m_view.lists.Document()) } });
-}
-
-auto AdminApi::PutLists(const http::Request& aRequest) -> awaitable<http::Reply>
-{
-  std::error_code error;
-  std::string detail;
-  auto lists = lists::ParseLists(aRequest.body, error, detail);
-  if (error) {
-    co_return ReplyError(422, error.message(), detail);
-  }
-  const auto expected = http::QueryOf(aRequest.target, "expected",
-                                      std::to_string(m_view.lists.Revision()));
-  const auto edit = SecretIdentifier();
-  lists.edits.push_back(edit);
-  if (lists.edits.size() > lists::kEditsKept) {
-    lists.edits.erase(lists.edits.begin());
-  }
-  const auto document = lists::FormatLists(lists);
-  const auto revision = co_await m_view.store.CompareAndSwap(
-    lists::kListsKey, std::strtoull(expected.c_str(), nullptr, 10), document,
-    error);
-  if (error == lists::StoreError::Conflict) {
-    co_return ReplyError(409, error.message(),
-                         "the lists changed after revision " + expected +
-                           "; read them and edit again");
-  }
-  if (error) {
-    co_return ReplyError(503, error.message(),
-                         "read the lists to see whether edit " + edit +
-                           " took effect");
-  }
-  m_view.lists.Install(revision, document);
-  co_return ReplyJson(200, { { "revision", revision }, { "edit", edit } });
-}
-
 auto AdminApi::PostDrain(const http::Request&) -> awaitable<http::Reply>
 {
   m_view.drain();
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -11,6 +11,8 @@
 
 #include <fmt/format.h>
 
+#include <sstream>
+
 namespace bramleylock::kernel {
 
 /// How long a stopping balancer stays after its last request, so that peers
@@ -51,6 +53,7 @@
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
+  std::unique_ptr<lists::ListEditor> editor;
   std::unique_ptr<PlatformWatcher> watcher;
   std::unique_ptr<AdminApi> admin;
   bool draining = false;
@@ -118,14 +121,17 @@
                        *admission, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
-  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, keys,
-                                              *hub, *members, *targets);
+  editor = std::make_unique<lists::ListEditor>(*store, lists, metrics);
+  watcher = std::make_unique<PlatformWatcher>(
+    PlatformView{ context, metrics, *store, lists, *editor, keys, *hub,
+                  *members, *targets });
   hub->Start(self);
 }
 
 auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
+  aHeartbeat.listsDigest = lists.Digest();
   aHeartbeat.newestKey = watcher->NewestKey();
   aHeartbeat.draining = draining;
   for (const auto& [address, target] : targets->All()) {
@@ -168,6 +174,19 @@
   }
 }
 
+/// Addresses of peers to try before the VM list is known.
+static auto SeedHints(const std::string& aSeeds)
+  -> std::vector<peer::MemberHint>
+{
+  std::vector<peer::MemberHint> hints;
+  std::istringstream words(aSeeds);
+  std::string address;
+  while (words >> address) {
+    hints.push_back({ address, {}, address });
+  }
+  return hints;
+}
+
 auto Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
 {
   auto& parts = *m_parts;
@@ -192,8 +211,9 @@
     return;
   }
   AdminView view{ parts.metrics,    parts.lists,       *parts.members,
-                  *parts.targets,   *parts.dispatcher, *parts.store,
-                  *parts.admission, *parts.hub,        [this] { Drain(); } };
+                  *parts.targets,   *parts.dispatcher, *parts.editor,
+                  *parts.watcher,   *parts.admission,  *parts.hub,
+                  [this] { Drain(); } };
   try {
     parts.admin = std::make_unique<AdminApi>(
       parts.context, parts.settings.adminAddress, parts.adminToken, view);
@@ -204,6 +224,7 @@
   }
   parts.dispatcher->Start();
   parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
+  parts.members->SetHints(SeedHints(parts.settings.peerSeeds));
   parts.watcher->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -1,4 +1,4 @@
-// Watches of the platform, and repair from peers.
+// Watches of the platform while elected, and words to the others about them.
 
 #include "bramleylock/Kernel/PlatformWatcher.h"
 
@@ -15,122 +15,274 @@
 static constexpr Milliseconds kRetryStore{ 500 };
 static constexpr Milliseconds kPollVms{ 1000 };
 static constexpr Milliseconds kPollKeys{ 5000 };
+static constexpr Milliseconds kElectEvery{ 100 };
+static constexpr Milliseconds kWordEvery{ 500 };
 
-PlatformWatcher::PlatformWatcher(asio::io_context& aContext,
-                                 lists::PlatformStore& aStore,
-                                 lists::ListKeeper& aLists,
-                                 wire::KeyRing& aKeys, peer::PeerHub& aHub,
-                                 peer::Membership& aMembers,
-                                 target::TargetTable& aTargets)
-  : m_context(aContext)
-  , m_store(aStore)
-  , m_lists(aLists)
-  , m_keys(aKeys)
-  , m_hub(aHub)
-  , m_members(aMembers)
-  , m_targets(aTargets)
+/// Every how many words the watchers of other failure domains get one.
+static constexpr std::uint64_t kAbroadEvery = 2;
+
+/// The store counts as answering this long after its last answer.
+static constexpr Milliseconds kAnswerFresh{ 5000 };
+
+/// Longest time that a writer of newer lists waits, so that one of many goes
+/// first and the others find its work done.
+static constexpr Milliseconds kWriteBackJitter{ 500 };
+
+PlatformWatcher::PlatformWatcher(PlatformView aView)
+  : m_view(aView)
+  , m_spread(aView.lists, aView.hub, aView.members, aView.metrics)
+  , m_vms(aView.hub, aView.members, aView.targets, aView.metrics)
+  , m_fanOut(aView.hub, aView.members)
+  , m_election(aView.members.Self().address)
+  , m_elected(aView.context)
+  , m_random(SecretNumber())
 {
 }
 
 auto PlatformWatcher::Start() -> void
 {
-  ListenToPeers();
-  Spawn(m_context, "watch-lists", WatchLists());
-  Spawn(m_context, "keep-keys", KeepKeys());
-  Spawn(m_context, "watch-vms", WatchVms());
-}
-
-auto PlatformWatcher::ListenToPeers() -> void
-{
-  m_hub.On(wire::MessageType::Lists,
-           [this](const wire::Hello&, const std::string& aBody) {
-             if (auto message = wire::UnpackBody<wire::ListsMessage>(aBody)) {
-               m_lists.Install(message->revision, message->document);
-             }
-           });
-  m_hub.On(wire::MessageType::Keys,
-           [this](const wire::Hello&, const std::string& aBody) {
-             auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
-             if (!message) {
-               return;
-             }
-             for (const auto& [id, text] : message->keys) {
-               wire::SigningKey key{};
-               if (wire::KeyFromHex(text, key)) {
-                 m_keys.Add(id, key);
-               }
-             }
-           });
-  m_hub.On(wire::MessageType::ListsRequest,
-           [this](const wire::Hello& aSender, const std::string& aBody) {
-             const auto request = wire::UnpackBody<wire::ListsRequest>(aBody);
-             if (request && request->haveRevision < m_lists.Revision()) {
-               SendLists(aSender.address);
-             }
-             SendKeys(aSender.address);
-           });
-}
-
-auto PlatformWatcher::SendLists(const std::string& aAddress) -> void
-{
-  m_hub.SendMessage(
-    aAddress, wire::MessageType::Lists,
-    wire::ListsMessage{ m_lists.Revision(), m_lists.Document() });
+  m_spread.Start();
+  m_vms.Start();
+  ListenForKeys();
+  m_view.hub.On(wire::MessageType::WatcherWord,
+                [this](const wire::Hello& aSender, const std::string& aBody) {
+                  ReceiveWord(aSender, aBody);
+                });
+  Spawn(m_view.context, "elect-watchers", ElectLoop());
+  Spawn(m_view.context, "watcher-words", WordLoop());
+  Spawn(m_view.context, "watch-lists", WatchLists());
+  Spawn(m_view.context, "keep-keys", KeepKeys());
+  Spawn(m_view.context, "watch-vms", WatchVms());
 }
 
-auto PlatformWatcher::SendKeys(const std::string& aAddress) -> void
+auto PlatformWatcher::OnTargets(std::function<void()> aListener) -> void
 {
-  wire::KeysMessage message;
-  for (const auto& [id, key] : m_keys.Keys()) {
-    message.keys.emplace_back(id, wire::KeyToHex(key));
+  m_vms.OnChange(std::move(aListener));
+}
+
+auto PlatformWatcher::Watching() const -> bool
+{
+  return m_watching;
+}
+
+auto PlatformWatcher::StoreAnswers() const -> bool
+{
+  return Clock::now() - std::max(m_answered, m_heardAnswered) <= kAnswerFresh;
+}
+
+auto PlatformWatcher::Answered() -> void
+{
+  m_answered = Clock::now();
+  m_election.Answered(m_answered);
+}
+
+auto PlatformWatcher::OnHeartbeat(const peer::Member& aMember) -> void
+{
+  m_spread.Compare(aMember.address, aMember.latest.listsRevision,
+                   aMember.latest.listsDigest);
+  m_vms.AskIfEmpty(aMember.address);
+  if (aMember.latest.newestKey < NewestKey()) {
+    SendKeys(aMember.address);
   }
-  if (!message.keys.empty()) {
-    m_hub.SendMessage(aAddress, wire::MessageType::Keys, message);
+}
+
+auto PlatformWatcher::ElectLoop() -> awaitable<void>
+{
+  for (;;) {
+    std::vector<std::string> others;
+    for (const auto& member : m_view.members.AliveInDomain()) {
+      others.push_back(member.address);
+    }
+    const bool watching = m_election.ShouldWatch(others, Clock::now());
+    if (watching && !m_watching) {
+      if (!m_election.IsRegular()) {
+        m_view.metrics.Add(Counter::WatchTakeover);
+      }
+      LogInfo("watch-started", {});
+      m_elected.Notify();
+    }
+    m_watching = watching;
+    co_await Sleep(kElectEvery);
   }
 }
 
-auto PlatformWatcher::OnHeartbeat(const peer::Member& aMember) -> void
+auto PlatformWatcher::UntilWatching() -> awaitable<void>
 {
-  const auto theirs = aMember.latest.listsRevision;
-  if (theirs < m_lists.Revision()) {
-    SendLists(aMember.address);
+  while (!m_watching) {
+    co_await m_elected.Wait();
   }
-  if (theirs > m_lists.Revision() || aMember.latest.newestKey > NewestKey()) {
-    m_hub.SendMessage(aMember.address, wire::MessageType::ListsRequest,
-                      wire::ListsRequest{ m_lists.Revision() });
+}
+
+auto PlatformWatcher::PauseAfter(bool aFailed, Milliseconds aUsual)
+  -> awaitable<void>
+{
+  // Spread over as much time again, so that balancers which failed together
+  // do not come back together.
+  const auto pause = aFailed ? kRetryStore : aUsual;
+  auto jitter =
+    std::uniform_int_distribution<Milliseconds::rep>(0, pause.count());
+  co_await Sleep(aFailed ? pause + Milliseconds(jitter(m_random)) : pause);
+}
+
+auto PlatformWatcher::WordLoop() -> awaitable<void>
+{
+  for (;;) {
+    co_await Sleep(kWordEvery);
+    if (m_watching) {
+      SendWord();
+    }
   }
 }
 
-auto PlatformWatcher::OnTargets(std::function<void()> aListener) -> void
+auto PlatformWatcher::SendWord() -> void
 {
-  m_onTargets = std::move(aListener);
+  const auto& self = m_view.members.Self();
+  const wire::WatcherWord word{ self.address,
+                                self.incarnation,
+                                ++m_sequence,
+                                Clock::now() - m_answered <= kAnswerFresh,
+                                m_view.lists.Revision(),
+                                m_view.lists.Digest(),
+                                m_vms.Digest() };
+  const auto body = wire::PackBody(word);
+  m_fanOut.PassOn(self.address, wire::MessageType::WatcherWord, body);
+  if (m_election.IsRegular() && m_sequence % kAbroadEvery == 0) {
+    SendWordAbroad(body);
+  }
 }
 
-auto PlatformWatcher::NewestKey() const -> std::uint32_t
+auto PlatformWatcher::SendWordAbroad(const std::string& aBody) -> void
 {
-  return m_keys.Empty() ? 0 : m_keys.Keys().rbegin()->first;
+  std::map<std::string, std::vector<std::string>> domains;
+  for (const auto& member : m_view.members.Alive()) {
+    if (member.failureDomain != m_view.members.Self().failureDomain) {
+      domains[member.failureDomain].push_back(member.address);
+    }
+  }
+  for (auto& [domain, addresses] : domains) {
+    const auto turn = m_sequence / kAbroadEvery;
+    const auto order =
+      lists::RendezvousOrder("relay", std::move(addresses));
+    const auto& relay =
+      order[turn % std::min(order.size(), lists::kWatchers)];
+    m_view.hub.Send(relay, wire::MessageType::WatcherWord, aBody);
+  }
+}
+
+auto PlatformWatcher::ReceiveWord(const wire::Hello& aSender,
+                                  const std::string& aBody) -> void
+{
+  const auto word = wire::UnpackBody<wire::WatcherWord>(aBody);
+  if (!word ||
+      !m_seen.IsNew(word->origin, word->incarnation, word->sequence)) {
+    return;
+  }
+  m_spread.Compare(aSender.address, word->listsRevision, word->listsDigest);
+  if (word->storeAnswers) {
+    m_heardAnswered = Clock::now();
+  }
+  if (aSender.failureDomain != m_view.members.Self().failureDomain) {
+    return;
+  }
+  if (word->storeAnswers) {
+    m_election.Heard(word->origin, Clock::now());
+  }
+  m_vms.Compare(aSender.address, word->vmsDigest);
+  m_fanOut.PassOn(word->origin, wire::MessageType::WatcherWord, aBody);
 }
 
 auto PlatformWatcher::WatchLists() -> awaitable<void>
 {
   for (;;) {
+    co_await UntilWatching();
     std::error_code error;
-    const auto stored = co_await m_store.Watch(
-      lists::kListsKey, m_lists.Revision(), kWatchWait, error);
-    if (error) {
-      co_await Sleep(kRetryStore);
+    auto stored = co_await m_view.store.Watch(
+      lists::kListsKey, m_storeRevision, kWatchWait, error);
+    if (error && error != StoreError::NotFound) {
+      co_await PauseAfter(true, kRetryStore);
       continue;
     }
-    if (stored.revision < m_lists.Revision()) {
-      // Counted and logged by the keeper; do not spin on a restored store.
-      m_lists.Install(stored.revision, stored.value);
-      co_await Sleep(kRetryStore);
+    Answered();
+    const bool settled = co_await TakeStored(std::move(stored.value));
+    if (!settled) {
+      m_storeRevision = 0;
+      co_await PauseAfter(true, kRetryStore);
       continue;
     }
-    m_lists.Install(stored.revision, stored.value);
+    m_storeRevision = stored.revision;
+  }
+}
+
+/// Installs what the store holds; when that is behind the lists in force, the
+/// store gets those. False when the store has to be read again.
+auto PlatformWatcher::TakeStored(std::string aDocument) -> awaitable<bool>
+{
+  if (!aDocument.empty()) {
+    m_view.lists.Install(aDocument);
+  }
+  if (m_view.lists.Revision() == 0) {
+    co_return false;
+  }
+  if (m_view.editor.Holds(aDocument)) {
+    co_return true;
+  }
+  m_view.metrics.Add(Counter::ListsStoreOlder);
+  LogError("store-older",
+           { { "in_force", std::to_string(m_view.lists.Revision()) } });
+  std::uniform_int_distribution<Milliseconds::rep> jitter(
+    0, kWriteBackJitter.count());
+  co_await Sleep(Milliseconds(jitter(m_random)));
+  co_await m_view.editor.WriteBack();
+  co_return false;
+}
+
+auto PlatformWatcher::WatchVms() -> awaitable<void>
+{
+  for (;;) {
+    co_await UntilWatching();
+    std::error_code error;
+    const auto vms = co_await m_view.store.ListVms(error);
+    if (!error) {
+      Answered();
+      m_vms.TakePolled(vms);
+    }
+    co_await PauseAfter(static_cast<bool>(error), kPollVms);
   }
 }
 
+auto PlatformWatcher::ListenForKeys() -> void
+{
+  m_view.hub.On(wire::MessageType::Keys,
+                [this](const wire::Hello&, const std::string& aBody) {
+                  auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
+                  if (!message) {
+                    return;
+                  }
+                  for (const auto& [id, text] : message->keys) {
+                    wire::SigningKey key{};
+                    if (wire::KeyFromHex(text, key)) {
+                      m_view.keys.Add(id, key);
+                    }
+                  }
+                });
+}
+
+auto PlatformWatcher::SendKeys(const std::string& aAddress) -> void
+{
+  wire::KeysMessage message;
+  for (const auto& [id, key] : m_view.keys.Keys()) {
+    message.keys.emplace_back(id, wire::KeyToHex(key));
+  }
+  if (!message.keys.empty()) {
+    m_view.hub.SendMessage(aAddress, wire::MessageType::Keys, message);
+  }
+}
+
+auto PlatformWatcher::NewestKey() const -> std::uint32_t
+{
+  return m_view.keys.Empty() ? 0 : m_view.keys.Keys().rbegin()->first;
+}
+
 auto PlatformWatcher::InstallKeys(const std::string& aDocument) -> void
 {
   const auto document = json::parse(aDocument, nullptr, false);
@@ -141,7 +293,7 @@
   for (const auto& [id, text] : document.items()) {
     wire::SigningKey key{};
     if (text.is_string() && wire::KeyFromHex(text.get<std::string>(), key)) {
-      m_keys.Add(static_cast<std::uint32_t>(std::stoul(id)), key);
+      m_view.keys.Add(static_cast<std::uint32_t>(std::stoul(id)), key);
     }
   }
 }
@@ -151,49 +303,26 @@
   // The first writer wins; whoever loses reads the winner's key next time.
   const json document{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
   std::error_code error;
-  co_await m_store.CompareAndSwap(lists::kTokenKeysKey, 0, document.dump(),
-                                  error);
+  co_await m_view.store.CompareAndSwap(lists::kTokenKeysKey, 0, document.dump(),
+                                       error);
 }
 
 auto PlatformWatcher::KeepKeys() -> awaitable<void>
 {
   for (;;) {
+    co_await UntilWatching();
     std::error_code error;
-    const auto stored = co_await m_store.Get(lists::kTokenKeysKey, error);
+    const auto stored =
+      co_await m_view.store.Get(lists::kTokenKeysKey, error);
     if (error == StoreError::NotFound) {
       co_await CreateKeys();
       continue;
     }
     if (!error) {
+      Answered();
       InstallKeys(stored.value);
     }
-    co_await Sleep(error ? kRetryStore : kPollKeys);
-  }
-}
-
-auto PlatformWatcher::WatchVms() -> awaitable<void>
-{
-  for (;;) {
-    std::error_code error;
-    const auto vms = co_await m_store.ListVms(error);
-    if (!error) {
-      std::vector<peer::MemberHint> members;
-      std::vector<target::TargetHint> targets;
-      for (const auto& vm : vms) {
-        if (vm.role == lists::VmRole::Balancer) {
-          members.push_back({ vm.name, vm.failureDomain, vm.address });
-          continue;
-        }
-        targets.push_back(
-          { vm.address, vm.service, vm.failureDomain, vm.leaving });
-      }
-      m_members.SetHints(members);
-      m_targets.SetTargets(targets);
-      if (m_onTargets) {
-        m_onTargets();
-      }
-    }
-    co_await Sleep(kPollVms);
+    co_await PauseAfter(static_cast<bool>(error), kPollKeys);
   }
 }
 
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -25,6 +25,7 @@
 {
   Name,
   TcpAddress,
+  TcpAddresses,
   File,
   Choice
 };
@@ -67,7 +68,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 15> kTextRows{ {
+const std::array<TextRow, 16> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -76,6 +77,8 @@
     nullptr, "ip:port for callers' datagrams" },
   { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
     nullptr, "ip:port for the other balancers" },
+  { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
+    "peers to ask for lists and keys while the platform does not answer" },
   { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
     nullptr, nullptr, "ip:port of the administration API" },
   { "platform.address", &Settings::storeAddress, TextKind::TcpAddress, nullptr,
@@ -112,6 +115,17 @@
     "seed of choices between targets; 0 takes one from the system" },
 } };
 
+auto AllAddresses(const std::string& aText) -> bool
+{
+  std::istringstream words(aText);
+  std::string address;
+  std::error_code error;
+  while (!error && words >> address) {
+    ParseTcpEndpoint(address, error);
+  }
+  return !error;
+}
+
 /// Collects faults while the rows are read.
 class Reader
 {
@@ -185,6 +199,8 @@
     switch (aRow.kind) {
       case TextKind::TcpAddress:
         return "allowed: \"ip:port\"";
+      case TextKind::TcpAddresses:
+        return "allowed: \"ip:port ip:port ...\"";
       case TextKind::File:
         return "allowed: a file path";
       case TextKind::Name:
@@ -202,6 +218,8 @@
       case TextKind::TcpAddress:
         ParseTcpEndpoint(aText, error);
         return !error;
+      case TextKind::TcpAddresses:
+        return AllAddresses(aText);
       case TextKind::File:
         return !aText.empty();
       case TextKind::Name:
--- /dev/null
+++ b/lib/Lists/ListEditor.cpp
@@ -0,0 +1,159 @@
+// Read, merge, validate, compare-and-swap, and read back after a lost answer.
+
+#include "bramleylock/Lists/ListEditor.h"
+
+#include "bramleylock/Support/Log.h"
+#include "bramleylock/Support/Random.h"
+
+namespace bramleylock::lists {
+
+static constexpr Milliseconds kLongestPause{ 500 };
+
+ListEditor::ListEditor(PlatformStore& aStore, ListKeeper& aLists,
+                       Metrics& aMetrics, EditorOptions aOptions)
+  : m_store(aStore)
+  , m_lists(aLists)
+  , m_metrics(aMetrics)
+  , m_options(aOptions)
+{
+}
+
+auto ListEditor::InForce() const -> PlanLists
+{
+  return m_lists.Merged() ? *m_lists.Merged() : PlanLists{};
+}
+
+auto ListEditor::Refresh(std::error_code& aError) -> awaitable<std::uint64_t>
+{
+  const auto stored = co_await m_store.Get(kListsKey, aError);
+  if (aError == StoreError::NotFound) {
+    aError.clear();
+    co_return 0;
+  }
+  if (aError) {
+    co_return 0;
+  }
+  m_lists.Install(stored.value);
+  co_return stored.revision;
+}
+
+/// Fills aResult for an edit that is already among the accepted ones.
+static auto FindAccepted(const PlanLists& aLists, const Edit& aEdit,
+                         EditResult& aResult) -> bool
+{
+  for (const auto& record : aLists.edits) {
+    if (record.id == aEdit.id) {
+      aResult.status = EditStatus::Accepted;
+      aResult.revision = record.revision;
+      return true;
+    }
+  }
+  return false;
+}
+
+/// One try; true when aResult is final.
+auto ListEditor::TryOnce(const Edit& aEdit, EditMode aMode, EditResult& aResult)
+  -> awaitable<bool>
+{
+  std::error_code error;
+  const auto storeRevision = co_await Refresh(error);
+  if (error) {
+    aResult.detail = error.message();
+    co_return false;
+  }
+  const auto current = InForce();
+  if (FindAccepted(current, aEdit, aResult)) {
+    co_return true;
+  }
+  aResult.conflicts.clear();
+  const auto next = ApplyEdit(current, aEdit, WallMilliseconds(),
+                              aResult.conflicts, error, aResult.detail);
+  if (error || !aResult.conflicts.empty()) {
+    // An earlier try that was refused by nobody may still be under way, but
+    // its write expects a revision that is gone by now.
+    aResult.status = error ? EditStatus::Invalid : EditStatus::Conflict;
+    m_metrics.Add(error ? Counter::ListsEditInvalid
+                        : Counter::ListsEditConflict);
+    co_return true;
+  }
+  aResult.changes = ChangesBetween(current, next);
+  aResult.revision = next.revision;
+  if (aResult.changes.empty()) {
+    aResult.status = EditStatus::Unchanged;
+    aResult.revision = current.revision;
+    co_return true;
+  }
+  if (aMode == EditMode::DryRun) {
+    aResult.status = EditStatus::DryRun;
+    co_return true;
+  }
+  const auto document = FormatLists(next);
+  co_await m_store.CompareAndSwap(kListsKey, storeRevision, document, error);
+  if (!error) {
+    m_lists.Install(document);
+    aResult.status = EditStatus::Accepted;
+    m_metrics.Add(Counter::ListsEditAccepted);
+    co_return true;
+  }
+  if (error == StoreError::OutcomeUnknown) {
+    m_metrics.Add(Counter::ListsEditUnknown);
+    aResult.status = EditStatus::Unknown;
+  }
+  aResult.detail = error.message();
+  co_return false;
+}
+
+auto ListEditor::Submit(Edit aEdit, EditMode aMode) -> awaitable<EditResult>
+{
+  EditResult result;
+  const auto limit = Clock::now() + m_options.budget;
+  auto pause = m_options.firstPause;
+  for (;;) {
+    const bool final = co_await TryOnce(aEdit, aMode, result);
+    if (final || Clock::now() + pause > limit) {
+      co_return result;
+    }
+    m_metrics.Add(Counter::ListsEditRetried);
+    // Two editors that met once must not go on in step.
+    co_await Sleep(pause + Milliseconds(SecretNumber() % pause.count()));
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+auto ListEditor::Holds(const std::string& aDocument) const -> bool
+{
+  std::error_code error;
+  std::string detail;
+  const auto held = ParseLists(aDocument, error, detail, References::Unchecked);
+  return !error && m_lists.Merged() && held == *m_lists.Merged();
+}
+
+auto ListEditor::WriteBack() -> awaitable<bool>
+{
+  if (m_lists.Revision() == 0) {
+    co_return false;
+  }
+  std::error_code error;
+  const auto stored = co_await m_store.Get(kListsKey, error);
+  if (error && error != StoreError::NotFound) {
+    co_return false;
+  }
+  if (!error) {
+    m_lists.Install(stored.value);
+  }
+  if (Holds(stored.value)) {
+    co_return true;
+  }
+  const auto document = m_lists.Document();
+  co_await m_store.CompareAndSwap(kListsKey, error ? 0 : stored.revision,
+                                  document, error);
+  if (error) {
+    co_return false;
+  }
+  m_metrics.Add(Counter::ListsWrittenBack);
+  LogWarning("lists-written-back",
+             { { "revision", std::to_string(m_lists.Revision()) } });
+  co_return true;
+}
+
+} // namespace bramleylock::lists
--- /dev/null
+++ b/lib/Lists/ListMerge.cpp
@@ -0,0 +1,302 @@
+// Entry-wise merging by stamps.
+
+#include "bramleylock/Lists/ListMerge.h"
+
+#include "bramleylock/Support/Random.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace bramleylock::lists {
+
+using nlohmann::json;
+
+/// Digits of the document's hash that make its digest.
+static constexpr std::size_t kDigestDigits = 16;
+
+/// Copies the entry at aPath, or its absence.
+static auto CopyEntry(const PlanLists& aFrom, const std::string& aPath,
+                      PlanLists& aTo) -> void
+{
+  const auto name = aPath.substr(aPath.find('/') + 1);
+  if (aPath.starts_with(kPlanPrefix)) {
+    const auto found = aFrom.plans.find(name);
+    if (found != aFrom.plans.end()) {
+      aTo.plans[name] = found->second;
+    }
+    return;
+  }
+  const auto found = aFrom.services.find(name);
+  if (found != aFrom.services.end()) {
+    aTo.services[name] = found->second;
+  }
+}
+
+static auto EraseEntry(PlanLists& aLists, const std::string& aPath) -> void
+{
+  const auto name = aPath.substr(aPath.find('/') + 1);
+  if (aPath.starts_with(kPlanPrefix)) {
+    aLists.plans.erase(name);
+  } else {
+    aLists.services.erase(name);
+  }
+}
+
+static auto HasEntry(const PlanLists& aLists, const std::string& aPath) -> bool
+{
+  const auto name = aPath.substr(aPath.find('/') + 1);
+  return aPath.starts_with(kPlanPrefix) ? aLists.plans.contains(name)
+                                        : aLists.services.contains(name);
+}
+
+auto HasEdit(const PlanLists& aLists, const std::string& aId) -> bool
+{
+  return std::any_of(aLists.edits.begin(), aLists.edits.end(),
+                     [&aId](const EditRecord& aEdit) { return aEdit.id == aId; });
+}
+
+/// Whether aWinner was made without knowledge of the change that aLoser names.
+/// Edits older than the history are taken as known.
+static auto MadeApart(const PlanLists& aWinner, const Stamp& aLoser) -> bool
+{
+  if (aLoser.edit.empty() || HasEdit(aWinner, aLoser.edit)) {
+    return false;
+  }
+  return aWinner.edits.size() < kEditsKept ||
+         aWinner.edits.front().revision <= aLoser.revision;
+}
+
+static auto MergeEdits(const PlanLists& aLeft, const PlanLists& aRight)
+  -> std::vector<EditRecord>
+{
+  std::map<std::pair<std::uint64_t, std::string>, EditRecord> byOrder;
+  for (const auto* side : { &aLeft, &aRight }) {
+    for (const auto& edit : side->edits) {
+      byOrder.emplace(std::pair{ edit.revision, edit.id }, edit);
+    }
+  }
+  while (byOrder.size() > kEditsKept) {
+    byOrder.erase(byOrder.begin());
+  }
+  std::vector<EditRecord> edits;
+  for (auto& [order, edit] : byOrder) {
+    edits.push_back(std::move(edit));
+  }
+  return edits;
+}
+
+/// Forgets the oldest removed entries beyond the number that is kept.
+static auto ForgetRemoved(PlanLists& aLists) -> void
+{
+  std::vector<std::pair<std::uint64_t, std::string>> removed;
+  for (const auto& [path, stamp] : aLists.stamps) {
+    if (!HasEntry(aLists, path)) {
+      removed.emplace_back(stamp.revision, path);
+    }
+  }
+  std::sort(removed.begin(), removed.end());
+  if (removed.size() > kRemovedKept) {
+    const auto& last = removed[removed.size() - kRemovedKept - 1];
+    aLists.forgottenRevision = std::max(aLists.forgottenRevision, last.first);
+  }
+  for (const auto& [revision, path] : removed) {
+    if (revision <= aLists.forgottenRevision) {
+      aLists.stamps.erase(path);
+    }
+  }
+}
+
+/// Whether an entry that only the other side has was removed here so long ago
+/// that its stamp is forgotten.
+static auto Forgotten(const PlanLists& aHere, const Stamp& aTheirs) -> bool
+{
+  return aTheirs.revision <= aHere.forgottenRevision;
+}
+
+auto Merge(const PlanLists& aLeft, const PlanLists& aRight, MergeNotes* aNotes)
+  -> PlanLists
+{
+  PlanLists merged;
+  merged.revision = std::max(aLeft.revision, aRight.revision);
+  merged.forgottenRevision =
+    std::max(aLeft.forgottenRevision, aRight.forgottenRevision);
+  merged.edits = MergeEdits(aLeft, aRight);
+  std::set<std::string> paths;
+  for (const auto* side : { &aLeft, &aRight }) {
+    for (const auto& [path, stamp] : side->stamps) {
+      paths.insert(path);
+    }
+  }
+  for (const auto& path : paths) {
+    const auto left = aLeft.stamps.find(path);
+    const auto right = aRight.stamps.find(path);
+    const bool inLeft = left != aLeft.stamps.end();
+    const bool inRight = right != aRight.stamps.end();
+    if (!inLeft || !inRight) {
+      const auto& holder = inLeft ? aLeft : aRight;
+      const auto& stamp = inLeft ? left->second : right->second;
+      if (!Forgotten(inLeft ? aRight : aLeft, stamp)) {
+        merged.stamps[path] = stamp;
+        CopyEntry(holder, path, merged);
+      }
+      continue;
+    }
+    const bool takeLeft = left->second >= right->second;
+    const auto& winner = takeLeft ? aLeft : aRight;
+    const auto& lost = takeLeft ? right->second : left->second;
+    merged.stamps[path] = takeLeft ? left->second : right->second;
+    CopyEntry(winner, path, merged);
+    if (aNotes != nullptr && left->second != right->second &&
+        MadeApart(winner, lost)) {
+      aNotes->superseded.push_back(path);
+    }
+  }
+  ForgetRemoved(merged);
+  return merged;
+}
+
+auto ChangesSince(const PlanLists& aLists, std::uint64_t aRevision) -> PlanLists
+{
+  PlanLists changes;
+  changes.revision = aLists.revision;
+  for (const auto& [path, stamp] : aLists.stamps) {
+    if (stamp.revision > aRevision) {
+      changes.stamps[path] = stamp;
+      CopyEntry(aLists, path, changes);
+    }
+  }
+  for (const auto& edit : aLists.edits) {
+    if (edit.revision > aRevision) {
+      changes.edits.push_back(edit);
+    }
+  }
+  return changes;
+}
+
+auto WithoutDangling(const PlanLists& aLists) -> PlanLists
+{
+  auto lists = aLists;
+  for (auto& [name, service] : lists.services) {
+    std::erase_if(service.plans, [&lists](const std::string& aPlan) {
+      return !lists.plans.contains(aPlan);
+    });
+  }
+  return lists;
+}
+
+auto DigestOf(const std::string& aDocument) -> std::uint64_t
+{
+  return std::stoull(HashHex(aDocument).substr(0, kDigestDigits), nullptr, 16);
+}
+
+/// Compares two JSON texts by value; plain objects differ in key order only.
+static auto SameEntry(const std::string& aLeft, const std::string& aRight)
+  -> bool
+{
+  return json::parse(aLeft, nullptr, false) ==
+         json::parse(aRight, nullptr, false);
+}
+
+/// The entry as FormatEntry prints it, with all defaults filled in.
+static auto Canonical(const EntryChange& aChange, const std::string& aEntry,
+                      std::error_code& aError, std::string& aDetail)
+  -> std::string
+{
+  if (SameEntry(aEntry, "null")) {
+    return "null";
+  }
+  PlanLists scratch;
+  ParseEntry(aChange.path, aEntry, scratch, aError, aDetail);
+  return aError ? "" : FormatEntry(scratch, aChange.path);
+}
+
+/// Services that lost a reference to a removed plan take the shorter list with
+/// this edit, so that the result is valid as it stands.
+static auto SettleDangling(PlanLists& aLists, const Stamp& aStamp) -> void
+{
+  const auto settled = WithoutDangling(aLists);
+  for (const auto& [name, service] : settled.services) {
+    if (service != aLists.services[name]) {
+      aLists.services[name] = service;
+      aLists.stamps[kServicePrefix + name] = aStamp;
+    }
+  }
+}
+
+static auto Validate(const PlanLists& aLists, std::error_code& aError,
+                     std::string& aDetail) -> void
+{
+  ParseLists(FormatLists(aLists), aError, aDetail);
+}
+
+auto ApplyEdit(const PlanLists& aLists, const Edit& aEdit, std::uint64_t aNowMs,
+               std::vector<EntryConflict>& aConflicts, std::error_code& aError,
+               std::string& aDetail) -> PlanLists
+{
+  auto next = aLists;
+  next.revision = aLists.revision + 1;
+  const Stamp stamp{ next.revision, aEdit.id };
+  SettleDangling(next, stamp);
+  const auto readable = WithoutDangling(aLists);
+  EditRecord record{ aEdit.id, next.revision, aNowMs, {} };
+  for (const auto& change : aEdit.changes) {
+    const auto base = Canonical(change, change.base, aError, aDetail);
+    const auto wanted =
+      aError ? "" : Canonical(change, change.wanted, aError, aDetail);
+    if (aError) {
+      return aLists;
+    }
+    const auto current = FormatEntry(readable, change.path);
+    if (current == wanted) {
+      continue;
+    }
+    if (current != base) {
+      const auto found = aLists.stamps.find(change.path);
+      aConflicts.push_back(
+        { change.path, base, wanted, current,
+          found == aLists.stamps.end() ? "" : found->second.edit });
+      continue;
+    }
+    EraseEntry(next, change.path);
+    if (wanted != "null") {
+      ParseEntry(change.path, wanted, next, aError, aDetail);
+    }
+    next.stamps[change.path] = stamp;
+    record.entries.push_back(change.path);
+  }
+  if (!aConflicts.empty()) {
+    return aLists;
+  }
+  next.edits.push_back(std::move(record));
+  if (next.edits.size() > kEditsKept) {
+    next.edits.erase(next.edits.begin());
+  }
+  ForgetRemoved(next);
+  Validate(next, aError, aDetail);
+  return aError ? aLists : next;
+}
+
+auto ChangesBetween(const PlanLists& aBase, const PlanLists& aWanted)
+  -> std::vector<EntryChange>
+{
+  std::set<std::string> paths;
+  for (const auto* side : { &aBase, &aWanted }) {
+    for (auto& path : EntryPaths(*side)) {
+      paths.insert(std::move(path));
+    }
+  }
+  std::vector<EntryChange> changes;
+  for (const auto& path : paths) {
+    auto base = FormatEntry(aBase, path);
+    auto wanted = FormatEntry(aWanted, path);
+    if (base != wanted) {
+      changes.push_back({ path, std::move(base), std::move(wanted) });
+    }
+  }
+  return changes;
+}
+
+} // namespace bramleylock::lists
--- a/lib/Lists/PlanLists.cpp
+++ b/lib/Lists/PlanLists.cpp
@@ -18,6 +18,9 @@
 static constexpr std::uint32_t kCountLimit = 1000000;
 static constexpr std::uint32_t kDeadlineLimitMs = 3600000;
 
+/// Highest revision, exact also in readers that hold numbers as doubles.
+static constexpr std::uint64_t kRevisionLimit = 1ULL << 53U;
+
 namespace {
 
 /// Thrown inside this file only, to leave nested readers at the first fault.
@@ -119,6 +122,19 @@
     return *value;
   }
 
+  /// The array under aKey; an empty one when it is missing.
+  auto ReadArray(const char* aKey) -> json
+  {
+    const auto* value = Take(aKey);
+    if (value == nullptr) {
+      return json::array();
+    }
+    if (!value->is_array()) {
+      Fail(aKey, "expected an array");
+    }
+    return *value;
+  }
+
   /// Refuses fields that no reader has taken.
   auto Finish() -> void
   {
@@ -232,10 +248,47 @@
   }
 }
 
-static auto ReadDocument(const json& aDocument) -> PlanLists
+static auto ReadStamps(const json& aStamps) -> std::map<std::string, Stamp>
+{
+  std::map<std::string, Stamp> stamps;
+  for (const auto& [path, entry] : aStamps.items()) {
+    EntryReader reader(entry, "stamps." + path);
+    auto& stamp = stamps[path];
+    stamp.revision =
+      reader.ReadNumber<std::uint64_t>("revision", 1, 1, kRevisionLimit);
+    stamp.edit = reader.ReadText("edit");
+    reader.Finish();
+  }
+  return stamps;
+}
+
+static auto ReadEdits(const json& aEdits) -> std::vector<EditRecord>
+{
+  std::vector<EditRecord> edits;
+  for (const auto& entry : aEdits) {
+    EntryReader reader(entry, "edits");
+    EditRecord edit;
+    edit.id = reader.ReadText("id");
+    edit.revision =
+      reader.ReadNumber<std::uint64_t>("revision", 1, 1, kRevisionLimit);
+    edit.acceptedAtMs =
+      reader.ReadNumber<std::uint64_t>("accepted_at_ms", 0, 0, kRevisionLimit);
+    edit.entries = reader.ReadTexts("entries");
+    reader.Finish();
+    edits.push_back(std::move(edit));
+  }
+  return edits;
+}
+
+static auto ReadDocument(const json& aDocument, References aReferences)
+  -> PlanLists
 {
   EntryReader reader(aDocument, "lists");
   PlanLists lists;
+  lists.revision =
+    reader.ReadNumber<std::uint64_t>("revision", 1, 1, kRevisionLimit);
+  lists.forgottenRevision = reader.ReadNumber<std::uint64_t>(
+    "forgotten_revision", 0, 0, kRevisionLimit);
   const auto plans = reader.ReadObject("plans");
   for (const auto& [name, entry] : plans.items()) {
     CheckName("plans", name);
@@ -246,14 +299,21 @@
     CheckName("services", name);
     lists.services[name] = ReadService(name, entry);
   }
-  lists.edits = reader.ReadTexts("edits");
+  lists.stamps = ReadStamps(reader.ReadObject("stamps"));
+  lists.edits = ReadEdits(reader.ReadArray("edits"));
   reader.Finish();
-  CheckReferences(lists);
+  // Entries that no edit has touched are as old as the first document.
+  for (const auto& path : EntryPaths(lists)) {
+    lists.stamps.try_emplace(path, Stamp{ 1, {} });
+  }
+  if (aReferences == References::Checked) {
+    CheckReferences(lists);
+  }
   return lists;
 }
 
 auto ParseLists(const std::string& aDocument, std::error_code& aError,
-                std::string& aDetail) -> PlanLists
+                std::string& aDetail, References aReferences) -> PlanLists
 {
   aError.clear();
   aDetail.clear();
@@ -264,7 +324,7 @@
     return {};
   }
   try {
-    return ReadDocument(json::parse(aDocument));
+    return ReadDocument(json::parse(aDocument), aReferences);
   } catch (const json::exception& failure) {
     aError = ListsError::Syntax;
     aDetail = failure.what();
@@ -275,6 +335,38 @@
   return {};
 }
 
+/// The name in aPath when it starts with aPrefix; empty otherwise.
+static auto NameIn(const std::string& aPath, const std::string& aPrefix)
+  -> std::string
+{
+  return aPath.starts_with(aPrefix) ? aPath.substr(aPrefix.size()) : "";
+}
+
+auto ParseEntry(const std::string& aPath, const std::string& aEntry,
+                PlanLists& aLists, std::error_code& aError,
+                std::string& aDetail) -> void
+{
+  aError.clear();
+  const auto plan = NameIn(aPath, kPlanPrefix);
+  const auto service = NameIn(aPath, kServicePrefix);
+  try {
+    const auto entry = json::parse(aEntry);
+    if (!plan.empty()) {
+      CheckName("plans", plan);
+      aLists.plans[plan] = ReadPlan(plan, entry);
+      return;
+    }
+    CheckName("services", service);
+    aLists.services[service] = ReadService(service, entry);
+  } catch (const json::exception& failure) {
+    aError = ListsError::Syntax;
+    aDetail = failure.what();
+  } catch (const Fault& fault) {
+    aError = fault.error;
+    aDetail = fault.detail;
+  }
+}
+
 static auto FormatPlan(const Plan& aPlan) -> json
 {
   json entry{ { "secret_hash", aPlan.secretHash }, { "weight", aPlan.weight } };
@@ -305,11 +397,39 @@
            { "works", works } };
 }
 
+static auto FormatStamps(const PlanLists& aLists) -> json
+{
+  json stamps = json::object();
+  for (const auto& [path, stamp] : aLists.stamps) {
+    stamps[path] = { { "revision", stamp.revision }, { "edit", stamp.edit } };
+  }
+  return stamps;
+}
+
+static auto FormatEdits(const PlanLists& aLists) -> json
+{
+  json edits = json::array();
+  for (const auto& edit : aLists.edits) {
+    edits.push_back({ { "id", edit.id },
+                      { "revision", edit.revision },
+                      { "accepted_at_ms", edit.acceptedAtMs },
+                      { "entries", edit.entries } });
+  }
+  return edits;
+}
+
 auto FormatLists(const PlanLists& aLists) -> std::string
 {
   json document{ { "plans", json::object() },
                  { "services", json::object() },
-                 { "edits", aLists.edits } };
+                 { "stamps", FormatStamps(aLists) },
+                 { "edits", FormatEdits(aLists) } };
+  if (aLists.revision > 0) {
+    document["revision"] = aLists.revision;
+  }
+  if (aLists.forgottenRevision > 0) {
+    document["forgotten_revision"] = aLists.forgottenRevision;
+  }
   for (const auto& [name, plan] : aLists.plans) {
     document["plans"][name] = FormatPlan(plan);
   }
@@ -319,4 +439,29 @@
   return document.dump();
 }
 
+auto FormatEntry(const PlanLists& aLists, const std::string& aPath)
+  -> std::string
+{
+  const auto plan = aLists.plans.find(NameIn(aPath, kPlanPrefix));
+  if (plan != aLists.plans.end()) {
+    return FormatPlan(plan->second).dump();
+  }
+  const auto service = aLists.services.find(NameIn(aPath, kServicePrefix));
+  return service == aLists.services.end()
+           ? "null"
+           : FormatService(service->second).dump();
+}
+
+auto EntryPaths(const PlanLists& aLists) -> std::vector<std::string>
+{
+  std::vector<std::string> paths;
+  for (const auto& [name, plan] : aLists.plans) {
+    paths.push_back(kPlanPrefix + name);
+  }
+  for (const auto& [name, service] : aLists.services) {
+    paths.push_back(kServicePrefix + name);
+  }
+  return paths;
+}
+
 } // namespace bramleylock::lists
--- /dev/null
+++ b/lib/Lists/WatcherElection.cpp
@@ -0,0 +1,88 @@
+// Rendezvous ranks and their succession.
+
+#include "bramleylock/Lists/WatcherElection.h"
+
+#include "bramleylock/Support/Random.h"
+
+#include <algorithm>
+
+namespace bramleylock::lists {
+
+/// The key that all balancers hash their names with.
+static constexpr const char* kElectionKey = "platform-watch";
+
+auto RendezvousOrder(const std::string& aKey, std::vector<std::string> aNodes)
+  -> std::vector<std::string>
+{
+  std::vector<std::pair<std::string, std::string>> hashed;
+  hashed.reserve(aNodes.size());
+  for (auto& node : aNodes) {
+    hashed.emplace_back(HashHex(aKey + "|" + node), std::move(node));
+  }
+  std::sort(hashed.begin(), hashed.end(), std::greater<>());
+  std::vector<std::string> order;
+  order.reserve(hashed.size());
+  for (auto& [hash, node] : hashed) {
+    order.push_back(std::move(node));
+  }
+  return order;
+}
+
+WatcherElection::WatcherElection(std::string aSelf)
+  : m_self(std::move(aSelf))
+{
+}
+
+auto WatcherElection::Heard(const std::string& aWatcher, Clock::time_point aNow)
+  -> void
+{
+  m_heard[aWatcher] = aNow;
+}
+
+auto WatcherElection::Answered(Clock::time_point aNow) -> void
+{
+  m_answered = aNow;
+}
+
+auto WatcherElection::IsRegular() const -> bool
+{
+  return m_regular;
+}
+
+auto WatcherElection::ShouldWatch(const std::vector<std::string>& aOthers,
+                                  Clock::time_point aNow) -> bool
+{
+  std::erase_if(m_heard, [aNow](const auto& aRow) {
+    return aNow - aRow.second > kWordFresh;
+  });
+  auto nodes = aOthers;
+  nodes.push_back(m_self);
+  const auto order = RendezvousOrder(kElectionKey, std::move(nodes));
+  const auto self = std::find(order.begin(), order.end(), m_self);
+  const auto rank = static_cast<std::size_t>(self - order.begin());
+  m_regular = rank < kWatchers;
+  if (m_regular) {
+    m_enough = true;
+    return true;
+  }
+  const auto fresh = static_cast<std::size_t>(
+    std::count_if(order.begin(), self, [this](const std::string& aNode) {
+      return m_heard.contains(aNode);
+    }));
+  const bool enough = fresh >= kWatchers;
+  if (m_enough && !enough) {
+    m_lacking = aNow;
+  }
+  m_enough = enough;
+  if (enough) {
+    return false;
+  }
+  const bool serving = aNow - m_answered <= kWordFresh;
+  const auto turn =
+    1 + static_cast<std::size_t>((aNow - m_lacking) / kSuccession);
+  // Turns go round, so that after a long outage the first ones try again.
+  const auto pairs = (order.size() + kWatchers - 1) / kWatchers;
+  return serving || rank / kWatchers == turn % pairs;
+}
+
+} // namespace bramleylock::lists
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -159,6 +159,12 @@
   return m_balancers.back();
 }
 
+auto Cluster::SetSettings(const std::string& aSection,
+                          const std::string& aLines) -> void
+{
+  m_options.settings[aSection] = aLines;
+}
+
 auto Cluster::AddTarget(const std::string& aService,
                         const std::string& aFailureDomain) -> TargetProcess&
 {
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -102,6 +102,11 @@
 
   /// Starts one more balancer, not yet listed.
   auto AddBalancer(const std::string& aFailureDomain) -> BalancerProcess&;
+
+  /// Sets extra lines of a settings section for balancers started from now on.
+  auto SetSettings(const std::string& aSection, const std::string& aLines)
+    -> void;
+
   auto AddTarget(const std::string& aService, const std::string& aFailureDomain)
     -> TargetProcess&;
 
--- /dev/null
+++ b/measure/EditProbe.cpp
@@ -0,0 +1,196 @@
+// Counting edits and reading them back.
+
+#include "measure/EditProbe.h"
+
+#include "bramleylock/Support/Random.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace bramleylock::measure {
+
+using nlohmann::json;
+
+static constexpr Milliseconds kPollEvery{ 20 };
+static constexpr double kWaitLimitSeconds = 10;
+
+auto Pause(double aSeconds) -> void
+{
+  std::this_thread::sleep_for(std::chrono::duration<double>(aSeconds));
+}
+
+static auto SecondsSince(Clock::time_point aStart) -> double
+{
+  return std::chrono::duration<double>(Clock::now() - aStart).count();
+}
+
+EditProbe::EditProbe(Cluster& aCluster, const Deployment& aDeployment)
+  : m_cluster(aCluster)
+{
+  for (const auto& [name, plan] : aDeployment.lists.plans) {
+    m_plans.push_back(name);
+    m_entries["plans/" + name] =
+      json::parse(lists::FormatEntry(aDeployment.lists, "plans/" + name));
+  }
+}
+
+auto EditProbe::Plans() const -> const std::vector<std::string>&
+{
+  return m_plans;
+}
+
+auto EditProbe::NextEdit(const std::string& aPlan) -> json
+{
+  const auto path = "plans/" + aPlan;
+  auto wanted = m_entries[path];
+  wanted["rate_per_second"] = 1000 + m_nextValue++;
+  return { { "edit", SecretIdentifier() },
+           { "changes", json::array({ { { "path", path },
+                                        { "base", m_entries[path] },
+                                        { "wanted", wanted } } }) } };
+}
+
+auto EditProbe::Submit(BalancerProcess& aThrough, const json& aEdit) -> json
+{
+  return m_cluster.Admin(aThrough, "PATCH", "/lists", aEdit.dump());
+}
+
+auto EditProbe::Accepted(const json& aEdit) -> void
+{
+  for (const auto& change : aEdit["changes"]) {
+    const auto path = change["path"].get<std::string>();
+    m_entries[path] = change["wanted"];
+    m_accepted[path.substr(path.find('/') + 1)] =
+      change["wanted"]["rate_per_second"].get<double>();
+  }
+}
+
+auto EditProbe::Poll() -> bool
+{
+  bool all = true;
+  for (auto& balancer : m_cluster.Balancers()) {
+    if (m_skipped.contains(balancer.name) || !balancer.process->Running()) {
+      continue;
+    }
+    const auto answer = m_cluster.Admin(balancer, "GET", "/lists");
+    const auto plans =
+      answer.value("lists", json::object()).value("plans", json::object());
+    for (const auto& plan : m_plans) {
+      const auto value = plans.value(plan, json::object())
+                           .value("rate_per_second", 0.0);
+      auto& seen = m_seen[balancer.name][plan];
+      m_reverted += !plans.empty() && value < seen ? 1 : 0;
+      seen = std::max(seen, value);
+      const auto accepted = m_accepted.find(plan);
+      all = all && (accepted == m_accepted.end() || value >= accepted->second);
+    }
+  }
+  return all;
+}
+
+auto EditProbe::WaitInForce(double aLimitSeconds) -> double
+{
+  const auto start = Clock::now();
+  while (!Poll() && SecondsSince(start) < aLimitSeconds) {
+    std::this_thread::sleep_for(kPollEvery);
+  }
+  return SecondsSince(start);
+}
+
+auto EditProbe::EditAndWait(BalancerProcess& aThrough, const std::string& aPlan)
+  -> double
+{
+  const auto start = Clock::now();
+  const auto edit = NextEdit(aPlan);
+  const auto answer = Submit(aThrough, edit);
+  if (answer.value("status", "") != "accepted") {
+    ++m_refused;
+    return 0;
+  }
+  Accepted(edit);
+  WaitInForce(kWaitLimitSeconds);
+  m_spread.push_back(SecondsSince(start));
+  return m_spread.back();
+}
+
+auto EditProbe::Skip(const std::string& aBalancer, bool aSkip) -> void
+{
+  if (aSkip) {
+    m_skipped.insert(aBalancer);
+  } else {
+    m_skipped.erase(aBalancer);
+  }
+}
+
+auto EditProbe::Lost() -> std::uint64_t
+{
+  std::uint64_t lost = 0;
+  Poll();
+  for (const auto& [plan, value] : m_accepted) {
+    const bool shown = std::all_of(
+      m_cluster.Balancers().begin(), m_cluster.Balancers().end(),
+      [&](BalancerProcess& aBalancer) {
+        return m_skipped.contains(aBalancer.name) ||
+               !aBalancer.process->Running() ||
+               m_seen[aBalancer.name][plan] >= value;
+      });
+    lost += shown ? 0 : 1;
+  }
+  return lost;
+}
+
+auto EditProbe::Reverted() const -> std::uint64_t
+{
+  return m_reverted;
+}
+
+auto EditProbe::Refused() const -> std::uint64_t
+{
+  return m_refused;
+}
+
+auto EditProbe::AddTo(Report& aReport) -> void
+{
+  const auto lost = Lost();
+  aReport.Add("reverted", m_reverted);
+  aReport.Add("lost_edits", lost);
+  aReport.Add("refused_edits", m_refused);
+  aReport.Require("reverted=0", m_reverted == 0);
+  aReport.Require("lost_edits=0", lost == 0);
+  aReport.Require("refused_edits=0", m_refused == 0);
+  if (m_spread.empty()) {
+    return;
+  }
+  std::sort(m_spread.begin(), m_spread.end());
+  aReport.Add("edits", std::uint64_t{ m_spread.size() });
+  aReport.Add("in_force_p50_s", m_spread[m_spread.size() / 2]);
+  aReport.Add("in_force_max_s", m_spread.back());
+  aReport.Require("in_force_max_s<=4", m_spread.back() <= kSpreadLimitSeconds);
+}
+
+auto StoreCalls(Cluster& aCluster) -> std::uint64_t
+{
+  return aCluster.Control(aCluster.StoreAddress(), "/control/calls", {})
+    .value("calls", std::uint64_t{ 0 });
+}
+
+auto StoreWrites(Cluster& aCluster) -> std::uint64_t
+{
+  return aCluster.Control(aCluster.StoreAddress(), "/control/calls", {})
+    .value("writes", std::uint64_t{ 0 });
+}
+
+auto WatchersOf(Cluster& aCluster, const std::string& aFailureDomain)
+  -> std::vector<BalancerProcess*>
+{
+  std::vector<BalancerProcess*> watchers;
+  for (auto& balancer : aCluster.Balancers()) {
+    if (balancer.failureDomain == aFailureDomain &&
+        aCluster.Admin(balancer, "GET", "/status").value("watching", false)) {
+      watchers.push_back(&balancer);
+    }
+  }
+  return watchers;
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/Edits.cpp
@@ -0,0 +1,212 @@
+// Scenarios "edit-spread", "twin-edit" and "lost-answer".
+
+#include "measure/EditProbe.h"
+
+#include <thread>
+
+namespace bramleylock::measure {
+
+using nlohmann::json;
+
+/// Balancers of each failure domain, so that most are no watchers.
+static constexpr int kPerDomain = 4;
+static constexpr int kEdits = 20;
+static constexpr double kRestSeconds = 5;
+
+/// Time until a new cluster's members know each other.
+static constexpr double kSettleSeconds = 3;
+
+/// Calls a second at rest of one watcher: a poll of the VM list a second, the
+/// keys and the lists' watch.
+static constexpr double kCallsPerWatcher = 1.5;
+
+static auto Fleet(const ScenarioOptions& aOptions) -> ClusterOptions
+{
+  ClusterOptions options;
+  options.seed = aOptions.seed;
+  const auto domains = aOptions.deployment->failureDomains.size();
+  options.balancers = aOptions.nodes > 0
+                        ? aOptions.nodes
+                        : static_cast<int>(domains) * kPerDomain;
+  options.hosts = 1;
+  return options;
+}
+
+namespace {
+
+class EditSpread : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "edits through any balancer; platform calls at rest and per edit";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    cluster.Start();
+    Pause(kSettleSeconds);
+    EditProbe probe(cluster, *aOptions.deployment);
+    Random random(aOptions.seed);
+    // Long polls of balancers that no longer watch end by themselves.
+    Pause(10);
+    const auto before = StoreCalls(cluster);
+    Pause(kRestSeconds);
+    const auto rest = StoreCalls(cluster) - before;
+    const auto started = Clock::now();
+    const auto writes = StoreWrites(cluster);
+    const auto calls = StoreCalls(cluster);
+    for (int i = 0; i < kEdits; ++i) {
+      auto& balancers = cluster.Balancers();
+      probe.EditAndWait(balancers[random() % balancers.size()],
+                        probe.Plans()[random() % probe.Plans().size()]);
+    }
+    const std::chrono::duration<double> took = Clock::now() - started;
+    const auto atRest = static_cast<double>(rest) / kRestSeconds;
+    const auto domains =
+      static_cast<double>(aOptions.deployment->failureDomains.size());
+    const auto perEdit = (static_cast<double>(StoreCalls(cluster) - calls) -
+                          atRest * took.count()) /
+                         kEdits;
+    aReport.Add("balancers", std::uint64_t{ cluster.Balancers().size() });
+    aReport.Add("calls_per_s_at_rest", atRest);
+    aReport.Add("calls_per_s_and_domain", atRest / domains);
+    aReport.Add("calls_per_edit", perEdit);
+    aReport.Add("writes_per_edit",
+                static_cast<double>(StoreWrites(cluster) - writes) / kEdits);
+    aReport.Require("calls_per_s_and_domain<=3",
+                    atRest / domains <= kCallsPerWatcher * 2);
+    for (const auto* name :
+         { "lists_fetched", "lists_lower_revision", "lists_send_deferred",
+           "lists_written_back", "watch_takeover" }) {
+      aReport.Add(name, cluster.CounterSum(name));
+    }
+    probe.AddTo(aReport);
+  }
+};
+
+class TwinEdit : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "two operators at once, on other entries and on the same one";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    cluster.Start();
+    EditProbe probe(cluster, *aOptions.deployment);
+    Random random(aOptions.seed);
+    std::uint64_t bothRefused = 0;
+    std::uint64_t bothAccepted = 0;
+    std::uint64_t mergeRefused = 0;
+    std::uint64_t conflictsShown = 0;
+    for (int i = 0; i < kEdits; ++i) {
+      const bool same = i % 2 == 1;
+      const auto plans = probe.Plans();
+      const std::array<json, 2> edits{ probe.NextEdit(plans[0]),
+                                       probe.NextEdit(plans[same ? 0 : 1]) };
+      std::array<json, 2> answers;
+      auto& balancers = cluster.Balancers();
+      const auto first = random() % balancers.size();
+      const auto second = random() % balancers.size();
+      std::thread other(
+        [&] { answers[1] = probe.Submit(balancers[second], edits[1]); });
+      answers[0] = probe.Submit(balancers[first], edits[0]);
+      other.join();
+      int accepted = 0;
+      for (std::size_t k = 0; k < 2; ++k) {
+        if (answers[k].value("status", "") == "accepted") {
+          ++accepted;
+          probe.Accepted(edits[k]);
+          continue;
+        }
+        const auto shown = answers[k].value("conflicts", json::array());
+        conflictsShown += !shown.empty() && shown[0].value("other_edit", "") ==
+                                              edits[1 - k].value("edit", "")
+                            ? 1
+                            : 0;
+      }
+      bothRefused += accepted == 0 ? 1 : 0;
+      bothAccepted += same && accepted == 2 ? 1 : 0;
+      mergeRefused += !same && accepted < 2 ? 1 : 0;
+      probe.WaitInForce(kSpreadLimitSeconds);
+    }
+    aReport.Add("both_refused", bothRefused);
+    aReport.Add("both_accepted_same_entry", bothAccepted);
+    aReport.Add("other_entries_refused", mergeRefused);
+    aReport.Add("conflicts_shown", conflictsShown);
+    aReport.Require("both_refused=0", bothRefused == 0);
+    aReport.Require("both_accepted_same_entry=0", bothAccepted == 0);
+    aReport.Require("other_entries_refused=0", mergeRefused == 0);
+    aReport.Require("conflicts_shown=10", conflictsShown == kEdits / 2);
+    probe.AddTo(aReport);
+  }
+};
+
+class LostAnswer : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "answers to writes are lost after the writes took effect";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    cluster.Start();
+    EditProbe probe(cluster, *aOptions.deployment);
+    Random random(aOptions.seed);
+    std::uint64_t repeatedElsewhere = 0;
+    std::set<std::string> ids;
+    const auto writes = StoreWrites(cluster);
+    for (int i = 0; i < kEdits; ++i) {
+      auto& balancers = cluster.Balancers();
+      auto& through = balancers[random() % balancers.size()];
+      const auto edit = probe.NextEdit(probe.Plans()[0]);
+      ids.insert(edit.value("edit", ""));
+      cluster.Control(cluster.StoreAddress(), "/control/fault",
+                      { { "lose_answers", 1 } });
+      const auto answer = probe.Submit(through, edit);
+      // The operator's own connection may also break: the same edit goes
+      // through another balancer and must be found, not written.
+      const auto again =
+        probe.Submit(balancers[random() % balancers.size()], edit);
+      repeatedElsewhere += answer.value("revision", 0) !=
+                               again.value("revision", 1)
+                             ? 1
+                             : 0;
+      if (answer.value("status", "") == "accepted") {
+        probe.Accepted(edit);
+      }
+      probe.WaitInForce(kSpreadLimitSeconds);
+    }
+    std::uint64_t inHistory = 0;
+    const auto history =
+      cluster.Admin(cluster.Balancers()[0], "GET", "/lists/history");
+    for (const auto& row : history.value("edits", json::array())) {
+      inHistory += ids.contains(row.value("id", "")) ? 1 : 0;
+    }
+    const auto written = StoreWrites(cluster) - writes;
+    aReport.Add("edits", std::uint64_t{ ids.size() });
+    aReport.Add("edits_in_history", inHistory);
+    aReport.Add("store_writes", written);
+    aReport.Add("other_outcome_when_repeated", repeatedElsewhere);
+    aReport.Require("edits_in_history=20", inHistory == kEdits);
+    aReport.Require("store_writes=20", written == kEdits);
+    aReport.Require("other_outcome_when_repeated=0", repeatedElsewhere == 0);
+    probe.AddTo(aReport);
+  }
+};
+
+const Registration<ScenarioRegistry, EditSpread> kEditSpread("edit-spread");
+const Registration<ScenarioRegistry, TwinEdit> kTwinEdit("twin-edit");
+const Registration<ScenarioRegistry, LostAnswer> kLostAnswer("lost-answer");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -33,7 +33,9 @@
   std::vector<std::string> servers;
   std::string token;
   bool json = false;
+  bool dryRun = false;
   int waitMs = 0;
+  std::string baseFile;
   std::vector<std::string> words;
 };
 
@@ -101,45 +103,45 @@
   return Success;
 }
 
-static auto RevisionAt(const Session& aSession, const std::string& aServer)
-  -> std::uint64_t
+static auto InForceAt(const Session& aSession, const std::string& aServer,
+                      const std::string& aEdit) -> bool
 {
   json answer;
-  if (Call(aSession, aServer, "GET", "/status", "", answer) != 200) {
-    return 0;
-  }
-  return answer.value("lists_revision", std::uint64_t{ 0 });
+  return Call(aSession, aServer, "GET", "/lists/edit?id=" + aEdit, "",
+              answer) == 200 &&
+         answer.value("in_force", false);
 }
 
-/// Waits until every server has aRevision and reports who has not.
-static auto WaitInForce(const Session& aSession, std::uint64_t aRevision) -> int
+/// Waits until aEdit is in force on every server and reports where it is not.
+static auto WaitInForce(const Session& aSession, const std::string& aEdit,
+                        std::uint64_t aRevision) -> int
 {
   const auto started = Clock::now();
   const auto limit = started + Milliseconds(aSession.waitMs);
-  std::vector<std::string> missing;
-  do {
-    missing.clear();
-    for (const auto& server : aSession.servers) {
-      if (RevisionAt(aSession, server) < aRevision) {
-        missing.push_back(server);
-      }
-    }
-    if (missing.empty()) {
+  auto missing = aSession.servers;
+  for (;;) {
+    std::erase_if(missing, [&](const std::string& aServer) {
+      return InForceAt(aSession, aServer, aEdit);
+    });
+    if (missing.empty() || Clock::now() >= limit) {
       break;
     }
     std::this_thread::sleep_for(kPollEvery);
-  } while (Clock::now() < limit);
+  }
   const auto waited =
     std::chrono::duration<double, std::milli>(Clock::now() - started).count();
-  const json report{ { "revision", aRevision },
-                     { "in_force", aSession.servers.size() - missing.size() },
-                     { "not_yet", missing },
-                     { "waited_ms", waited } };
+  const auto inForce = aSession.servers.size() - missing.size();
   if (aSession.json) {
-    std::cout << report.dump() << "\n";
+    std::cout << json{ { "edit", aEdit },
+                       { "revision", aRevision },
+                       { "in_force", inForce },
+                       { "not_yet", missing },
+                       { "waited_ms", waited } }
+                   .dump()
+              << "\n";
   } else {
-    fmt::print("revision={} in_force={} not_yet={} waited_ms={:.0f}\n",
-               aRevision, aSession.servers.size() - missing.size(),
+    fmt::print("revision={} edit={} in_force={} not_yet={} waited_ms={:.0f}\n",
+               aRevision, aEdit, inForce,
                missing.empty() ? "none"
                                : fmt::format("{}", fmt::join(missing, ",")),
                waited);
@@ -147,18 +149,91 @@
   return missing.empty() ? Success : NotEverywhere;
 }
 
-static auto Submit(const Session& aSession, std::uint64_t aExpected,
-                   const std::string& aDocument) -> int
+/// Entries by path, such as "plans/clubs".
+static auto EntriesOf(const json& aLists) -> std::map<std::string, json>
+{
+  std::map<std::string, json> entries;
+  for (const auto* list : { "plans", "services" }) {
+    const auto rows = aLists.value(list, json::object());
+    for (const auto& [name, entry] : rows.items()) {
+      entries[fmt::format("{}/{}", list, name)] = entry;
+    }
+  }
+  return entries;
+}
+
+/// The changes that lead from aBase to aWanted, as the API takes them.
+static auto ChangesBetween(const json& aBase, const json& aWanted) -> json
+{
+  const auto base = EntriesOf(aBase);
+  auto all = EntriesOf(aWanted);
+  all.insert(base.begin(), base.end());
+  const auto wanted = EntriesOf(aWanted);
+  json changes = json::array();
+  for (const auto& [path, any] : all) {
+    const auto before = base.find(path);
+    const auto after = wanted.find(path);
+    const auto from = before == base.end() ? json() : before->second;
+    const auto to = after == wanted.end() ? json() : after->second;
+    if (from != to) {
+      changes.push_back({ { "path", path }, { "base", from },
+                          { "wanted", to } });
+    }
+  }
+  return changes;
+}
+
+static auto PrintConflicts(const json& aAnswer) -> void
 {
+  for (const auto& row : aAnswer.value("conflicts", json::array())) {
+    fmt::print(stderr,
+               "{}: changed by edit {}\n  read:   {}\n  wanted: {}\n"
+               "  now:    {}\n",
+               row.value("path", ""), row.value("other_edit", ""),
+               row["base"].dump(), row["wanted"].dump(),
+               row["current"].dump());
+  }
+}
+
+/// Sends aBody to the servers in turn until one says what became of the edit.
+/// Each try carries the same edit id, so that it is written at most once.
+static auto SendEdit(const Session& aSession, const std::string& aTarget,
+                     const json& aBody, json& aAnswer) -> unsigned
+{
+  unsigned status = 0;
+  for (std::size_t i = 0; i < aSession.servers.size() + 1; ++i) {
+    const auto& server = aSession.servers[i % aSession.servers.size()];
+    status =
+      Call(aSession, server, "PATCH", aTarget, aBody.dump(), aAnswer);
+    const bool undecided = status == 0 || status >= 500;
+    if (!undecided) {
+      break;
+    }
+  }
+  return status;
+}
+
+static auto Submit(const Session& aSession, const json& aBase,
+                   const json& aWanted) -> int
+{
+  const auto edit = SecretIdentifier();
+  const json body{ { "edit", edit },
+                   { "changes", ChangesBetween(aBase, aWanted) } };
   json answer;
-  const auto status =
-    Call(aSession, aSession.servers.front(), "PUT",
-         "/lists?expected=" + std::to_string(aExpected), aDocument, answer);
+  const auto status = SendEdit(
+    aSession, aSession.dryRun ? "/lists?dry_run=1" : "/lists", body, answer);
   if (status != 200) {
     PrintError(answer);
+    PrintConflicts(answer);
     return status == 409 ? Conflict : Failed;
   }
-  return WaitInForce(aSession, answer.value("revision", std::uint64_t{ 0 }));
+  const auto outcome = answer.value("status", "");
+  if (outcome != "accepted") {
+    std::cout << (aSession.json ? answer.dump() : answer.dump(2)) << "\n";
+    return Success;
+  }
+  return WaitInForce(aSession, edit,
+                     answer.value("revision", std::uint64_t{ 0 }));
 }
 
 static auto ReadFile(const std::string& aFile, std::string& aText) -> bool
@@ -170,40 +245,60 @@
   return static_cast<bool>(file);
 }
 
-static auto ApplyFile(const Session& aSession) -> int
+/// Reads the lists in force and those in the file that the command names.
+static auto ReadBoth(const Session& aSession, json& aCurrent, json& aWanted)
+  -> int
 {
   std::string document;
   if (!ReadFile(aSession.words[2], document)) {
     fmt::print(stderr, "bramleylockctl: cannot read {}\n", aSession.words[2]);
     return Usage;
   }
-  json current;
-  const auto expected = ReadLists(aSession, current)
-                          ? current.value("revision", std::uint64_t{ 0 })
-                          : 0;
-  return Submit(aSession, expected, document);
+  aWanted = json::parse(document, nullptr, false);
+  if (!aWanted.is_object()) {
+    fmt::print(stderr, "bramleylockctl: {} is not a JSON object\n",
+               aSession.words[2]);
+    return Usage;
+  }
+  if (!ReadLists(aSession, aCurrent)) {
+    // Before the first edit there are no lists to read.
+    aCurrent = { { "lists", json::object() } };
+  }
+  return Success;
 }
 
-static auto DiffFile(const Session& aSession) -> int
+/// With --base, changes that others made after that file was read are kept.
+static auto ApplyFile(const Session& aSession) -> int
 {
-  std::string document;
   json current;
-  if (!ReadFile(aSession.words[2], document)) {
-    fmt::print(stderr, "bramleylockctl: cannot read {}\n", aSession.words[2]);
-    return Usage;
+  json wanted;
+  const auto code = ReadBoth(aSession, current, wanted);
+  if (code != Success) {
+    return code;
   }
-  if (!ReadLists(aSession, current)) {
-    return PrintError(current);
+  if (aSession.baseFile.empty()) {
+    return Submit(aSession, current["lists"], wanted);
   }
-  auto wanted = json::parse(document, nullptr, false);
-  if (wanted.is_discarded()) {
-    fmt::print(stderr, "bramleylockctl: {} is not valid JSON\n",
-               aSession.words[2]);
+  std::string text;
+  const bool read = ReadFile(aSession.baseFile, text);
+  const auto base = json::parse(text, nullptr, false);
+  if (!read || !base.is_object()) {
+    fmt::print(stderr, "bramleylockctl: cannot read {}\n", aSession.baseFile);
     return Usage;
   }
-  wanted.erase("edits");
-  current["lists"].erase("edits");
-  std::cout << json::diff(current["lists"], wanted).dump(2) << "\n";
+  // 'lists show' prints the lists with their revision around them.
+  return Submit(aSession, base.value("lists", base), wanted);
+}
+
+static auto DiffFile(const Session& aSession) -> int
+{
+  json current;
+  json wanted;
+  const auto code = ReadBoth(aSession, current, wanted);
+  if (code != Success) {
+    return code;
+  }
+  std::cout << ChangesBetween(current["lists"], wanted).dump(2) << "\n";
   return Success;
 }
 
@@ -218,15 +313,15 @@
   if (value.is_discarded()) {
     value = aSession.words[3];
   }
+  auto wanted = current["lists"];
   try {
-    current["lists"][json::json_pointer("/" + aSession.words[2])] = value;
+    wanted[json::json_pointer("/" + aSession.words[2])] = value;
   } catch (const json::exception& failure) {
     fmt::print(stderr, "bramleylockctl: {}: {}\n", aSession.words[2],
                failure.what());
     return Usage;
   }
-  return Submit(aSession, current.value("revision", std::uint64_t{ 0 }),
-                current["lists"].dump());
+  return Submit(aSession, current["lists"], wanted);
 }
 
 static auto RemoveEntry(const Session& aSession) -> int
@@ -235,17 +330,17 @@
   if (!ReadLists(aSession, current)) {
     return PrintError(current);
   }
+  auto wanted = current["lists"];
   try {
     const json patch = json::array(
       { { { "op", "remove" }, { "path", "/" + aSession.words[2] } } });
-    current["lists"] = current["lists"].patch(patch);
+    wanted = wanted.patch(patch);
   } catch (const json::exception& failure) {
     fmt::print(stderr, "bramleylockctl: {}: {}\n", aSession.words[2],
                failure.what());
     return Usage;
   }
-  return Submit(aSession, current.value("revision", std::uint64_t{ 0 }),
-                current["lists"].dump());
+  return Submit(aSession, current["lists"], wanted);
 }
 
 /// Prints what every server answers on one path.
@@ -269,6 +364,11 @@
   return code;
 }
 
+static auto ShowHistory(const Session& aSession) -> int
+{
+  return PrintEach(aSession, "GET", "/lists/history");
+}
+
 static auto ShowStatus(const Session& aSession) -> int
 {
   return PrintEach(aSession, "GET", "/status");
@@ -297,12 +397,13 @@
   return Success;
 }
 
-static const std::array<Verb, 10> kVerbs{ {
+static const std::array<Verb, 11> kVerbs{ {
   { "lists show", 2, ShowLists, "lists show" },
   { "lists apply", 3, ApplyFile, "lists apply FILE" },
   { "lists diff", 3, DiffFile, "lists diff FILE" },
   { "lists set", 4, SetField, "lists set PATH VALUE" },
   { "lists remove", 3, RemoveEntry, "lists remove PATH" },
+  { "lists history", 2, ShowHistory, "lists history" },
   { "status", 1, ShowStatus, "status" },
   { "targets", 1, ShowTargets, "targets" },
   { "counters", 1, ShowCounters, "counters" },
@@ -317,10 +418,11 @@
   bramleylockctl ... lists apply lists.json
   bramleylockctl ... --json status
 
-With several --server, edits go through the first, and the command waits until
-the edit is in force on all of them. 'credential' needs no server.
-Exit codes: 0 done, 1 failed, 2 wrong command line, 3 the lists changed
-meanwhile, 4 accepted but not yet in force everywhere.
+With several --server, edits go through the first that answers, and the command
+waits until the edit is in force on all of them. An edit whose answer was lost is
+repeated with the same id, which writes it at most once. 'credential' needs no server.
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 the same entries
+changed meanwhile, 4 accepted but not yet in force everywhere.
 )";
 
 static auto RunVerb(Session& aSession) -> int
@@ -356,7 +458,10 @@
     "token-file", "file with the bearer token",
     cxxopts::value<std::string>()->default_value(""))(
     "wait-ms", "how long to wait until an edit is in force",
-    cxxopts::value<int>()->default_value("4000"))("json", "print JSON")(
+    cxxopts::value<int>()->default_value("4000"))(
+    "base", "lists that the file of 'lists apply' was made from",
+    cxxopts::value<std::string>()->default_value(""))(
+    "dry-run", "show what an edit would change, and write nothing")("json", "print JSON")(
     "version", "print the version")("help", "print this help")(
     "words", "command", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
@@ -376,6 +481,8 @@
       session.words = parsed["words"].as<std::vector<std::string>>();
     }
     session.json = parsed.count("json") != 0;
+    session.dryRun = parsed.count("dry-run") != 0;
+    session.baseFile = parsed["base"].as<std::string>();
     session.waitMs = parsed["wait-ms"].as<int>();
     const bool local =
       !session.words.empty() && session.words[0] == "credential";
--- /dev/null
+++ b/unittests/Lists/MockStore.h
@@ -0,0 +1,126 @@
+// A platform store whose calls wait until the test lets them go on.
+#pragma once
+
+#include "bramleylock/Lists/PlatformStore.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+
+namespace bramleylock::lists {
+
+/// What becomes of a call that the test lets go on.
+enum class CallFate
+{
+  Answered,
+  /// A write takes effect, and its caller does not hear of it.
+  AnswerLost,
+  /// The call never arrives.
+  NotArrived
+};
+
+class MockStore : public PlatformStore
+{
+public:
+  struct Call
+  {
+    explicit Call(asio::io_context& aContext)
+      : timer(aContext, Clock::time_point::max())
+    {
+    }
+    asio::steady_timer timer;
+    bool write = false;
+    CallFate fate = CallFate::Answered;
+  };
+
+  explicit MockStore(asio::io_context& aContext)
+    : m_context(aContext)
+  {
+  }
+
+  auto Get(std::string, std::error_code& aError)
+    -> awaitable<StoredValue> override
+  {
+    const auto fate = co_await Arrive(false);
+    if (fate == CallFate::NotArrived) {
+      aError = StoreError::Unavailable;
+      co_return StoredValue{};
+    }
+    if (stored.revision == 0) {
+      aError = StoreError::NotFound;
+      co_return StoredValue{};
+    }
+    aError.clear();
+    co_return stored;
+  }
+
+  auto CompareAndSwap(std::string, std::uint64_t aExpected, std::string aValue,
+                      std::error_code& aError)
+    -> awaitable<std::uint64_t> override
+  {
+    const auto fate = co_await Arrive(true);
+    if (fate == CallFate::NotArrived) {
+      aError = StoreError::OutcomeUnknown;
+      co_return 0;
+    }
+    if (stored.revision != aExpected) {
+      aError = fate == CallFate::AnswerLost ? StoreError::OutcomeUnknown
+                                            : StoreError::Conflict;
+      co_return 0;
+    }
+    stored = { std::move(aValue), stored.revision + 1 };
+    written.push_back(stored.value);
+    if (fate == CallFate::AnswerLost) {
+      aError = StoreError::OutcomeUnknown;
+      co_return 0;
+    }
+    aError.clear();
+    co_return stored.revision;
+  }
+
+  auto Watch(std::string aKey, std::uint64_t, Milliseconds,
+             std::error_code& aError) -> awaitable<StoredValue> override
+  {
+    co_return co_await Get(std::move(aKey), aError);
+  }
+
+  auto ListVms(std::error_code&) -> awaitable<std::vector<PlatformVm>> override
+  {
+    co_return std::vector<PlatformVm>{};
+  }
+
+  /// Lets one waiting call go on.
+  auto Release(std::size_t aIndex, CallFate aFate) -> void
+  {
+    auto position = waiting.begin();
+    std::advance(position, aIndex);
+    const auto call = *position;
+    waiting.erase(position);
+    call->fate = aFate;
+    call->timer.cancel();
+  }
+
+  StoredValue stored;
+  std::vector<std::string> written;
+  std::list<Call*> waiting;
+  /// Calls go on by themselves.
+  bool open = false;
+
+private:
+  auto Arrive(bool aWrite) -> awaitable<CallFate>
+  {
+    if (open) {
+      co_return CallFate::Answered;
+    }
+    Call call(m_context);
+    call.write = aWrite;
+    waiting.push_back(&call);
+    boost::system::error_code cancelled;
+    co_await call.timer.async_wait(Into(cancelled));
+    co_return call.fate;
+  }
+
+  asio::io_context& m_context;
+};
+
+} // namespace bramleylock::lists
