Merge records of an edit that was written twice; fix the tree's own address

Cause: after a restore the same edit can be written again; its two records differed by the clock, and the merge kept whichever came first, so balancers differed for ever. FanOut read its own address from a vector that the same call had moved: no balancer became ready.

--- a/lib/Lists/FanOut.cpp
+++ b/lib/Lists/FanOut.cpp
@@ -38,12 +38,13 @@
 auto FanOut::PassOn(const std::string& aOrigin, wire::MessageType aType,
                     const std::string& aBody) -> void
 {
-  std::vector<std::string> nodes{ m_members.Self().address };
+  const auto& self = m_members.Self().address;
+  std::vector<std::string> nodes{ self };
   for (const auto& member : m_members.AliveInDomain()) {
     nodes.push_back(member.address);
   }
   for (const auto& child :
-       ChildrenInTree(aOrigin, nodes.front(), std::move(nodes))) {
+       ChildrenInTree(aOrigin, self, std::move(nodes))) {
     m_hub.Send(child, aType, aBody);
   }
 }
--- a/lib/Lists/ListMerge.cpp
+++ b/lib/Lists/ListMerge.cpp
@@ -75,7 +75,12 @@
   std::map<std::pair<std::uint64_t, std::string>, EditRecord> byOrder;
   for (const auto* side : { &aLeft, &aRight }) {
     for (const auto& edit : side->edits) {
-      byOrder.emplace(std::pair{ edit.revision, edit.id }, edit);
+      const std::pair order{ edit.revision, edit.id };
+      auto& kept = byOrder.emplace(order, edit).first->second;
+      // One edit is written again when a restore took its first write away;
+      // its records then differ by the clock.
+      kept.acceptedAtMs = std::min(kept.acceptedAtMs, edit.acceptedAtMs);
+      kept.entries = std::max(kept.entries, edit.entries);
     }
   }
   while (byOrder.size() > kEditsKept) {
@@ -144,7 +149,10 @@
       }
       continue;
     }
-    const bool takeLeft = left->second >= right->second;
+    const bool takeLeft =
+      left->second == right->second
+        ? FormatEntry(aLeft, path) >= FormatEntry(aRight, path)
+        : left->second > right->second;
     const auto& winner = takeLeft ? aLeft : aRight;
     const auto& lost = takeLeft ? right->second : left->second;
     merged.stamps[path] = takeLeft ? left->second : right->second;
