Tell edits made apart by their records, and wait for a push before asking

Edits that a side has never seen are now compared by their records. Ruled out: a stamp of the replaced edit in each entry, which doubles the stamps.

--- a/include/bramleylock/Lists/ListMerge.h
+++ b/include/bramleylock/Lists/ListMerge.h
@@ -12,7 +12,7 @@
 /// What a merge did beside taking the higher stamps.
 struct MergeNotes
 {
-  /// Paths whose losing change was not known to the winner.
+  /// Paths of changes that a later one replaced without knowing them.
   std::vector<std::string> superseded;
 };
 
--- a/include/bramleylock/Lists/ListSpread.h
+++ b/include/bramleylock/Lists/ListSpread.h
@@ -7,6 +7,7 @@
 
 #include "bramleylock/Lists/FanOut.h"
 #include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Support/Random.h"
 
 namespace bramleylock::lists {
 
@@ -15,7 +16,7 @@
 class ListSpread
 {
 public:
-  ListSpread(ListKeeper& aLists, peer::PeerHub& aHub,
+  ListSpread(asio::io_context& aContext, ListKeeper& aLists, peer::PeerHub& aHub,
              peer::Membership& aMembers, Metrics& aMetrics);
 
   /// Starts handling messages and following installations.
@@ -32,7 +33,11 @@
   auto Answer(const std::string& aAddress, const wire::ListsRequest& aRequest)
     -> void;
   auto Ask(const std::string& aAddress) -> void;
+  auto Lacks(std::uint64_t aRevision, std::uint64_t aDigest) const -> bool;
+  auto AskLater(std::string aAddress, std::uint64_t aRevision,
+                std::uint64_t aDigest) -> awaitable<void>;
 
+  asio::io_context& m_context;
   ListKeeper& m_lists;
   peer::PeerHub& m_hub;
   peer::Membership& m_members;
@@ -46,8 +51,9 @@
   std::set<std::string> m_passed;
   /// Set while an installation came in a message that is passed on as it is.
   bool m_relaying = false;
-  Clock::time_point m_asked{};
-  std::uint64_t m_askedFor = 0;
+  Random m_random;
+  /// Set while a repair waits for the push to come by itself.
+  bool m_repairing = false;
 };
 
 } // namespace bramleylock::lists
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -30,7 +30,7 @@
 
 PlatformWatcher::PlatformWatcher(PlatformView aView)
   : m_view(aView)
-  , m_spread(aView.lists, aView.hub, aView.members, aView.metrics)
+  , m_spread(aView.context, aView.lists, aView.hub, aView.members, aView.metrics)
   , m_vms(aView.hub, aView.members, aView.targets, aView.metrics)
   , m_fanOut(aView.hub, aView.members)
   , m_election(aView.members.Self().address)
--- a/lib/Lists/ListMerge.cpp
+++ b/lib/Lists/ListMerge.cpp
@@ -58,15 +58,27 @@
                      [&aId](const EditRecord& aEdit) { return aEdit.id == aId; });
 }
 
-/// Whether aWinner was made without knowledge of the change that aLoser names.
-/// Edits older than the history are taken as known.
-static auto MadeApart(const PlanLists& aWinner, const Stamp& aLoser) -> bool
+/// Notes the entries of edits that only aHere has seen and that an edit of
+/// aThere replaced without knowing them. Edits older than the history of aThere
+/// are taken as known to it.
+static auto NoteSuperseded(const PlanLists& aHere, const PlanLists& aThere,
+                           const PlanLists& aMerged, MergeNotes& aNotes) -> void
 {
-  if (aLoser.edit.empty() || HasEdit(aWinner, aLoser.edit)) {
-    return false;
+  for (const auto& edit : aHere.edits) {
+    if (aThere.edits.empty() ||
+        edit.revision < aThere.edits.front().revision ||
+        HasEdit(aThere, edit.id)) {
+      continue;
+    }
+    for (const auto& path : edit.entries) {
+      const auto winner = aMerged.stamps.find(path);
+      if (winner != aMerged.stamps.end() && winner->second.edit != edit.id &&
+          winner->second.revision >= edit.revision &&
+          HasEdit(aThere, winner->second.edit)) {
+        aNotes.superseded.push_back(path);
+      }
+    }
   }
-  return aWinner.edits.size() < kEditsKept ||
-         aWinner.edits.front().revision <= aLoser.revision;
 }
 
 static auto MergeEdits(const PlanLists& aLeft, const PlanLists& aRight)
@@ -154,15 +166,14 @@
         ? FormatEntry(aLeft, path) >= FormatEntry(aRight, path)
         : left->second > right->second;
     const auto& winner = takeLeft ? aLeft : aRight;
-    const auto& lost = takeLeft ? right->second : left->second;
     merged.stamps[path] = takeLeft ? left->second : right->second;
     CopyEntry(winner, path, merged);
-    if (aNotes != nullptr && left->second != right->second &&
-        MadeApart(winner, lost)) {
-      aNotes->superseded.push_back(path);
-    }
   }
   ForgetRemoved(merged);
+  if (aNotes != nullptr) {
+    NoteSuperseded(aLeft, aRight, merged, *aNotes);
+    NoteSuperseded(aRight, aLeft, merged, *aNotes);
+  }
   return merged;
 }
 
--- a/lib/Lists/ListSpread.cpp
+++ b/lib/Lists/ListSpread.cpp
@@ -13,20 +13,23 @@
 static constexpr double kBytesPerSecond = 8000;
 static constexpr double kBurstBytes = 262144;
 
-/// How long an asked peer may take before another one is asked.
-static constexpr Milliseconds kAskAgain{ 400 };
+/// How long a push may still be on its way before a peer is asked; up to as
+/// long again is added, so that not all ask at once.
+static constexpr Milliseconds kAskAfter{ 100 };
 
 /// Messages whose repetition is remembered.
 static constexpr std::size_t kPassedKept = 256;
 
-ListSpread::ListSpread(ListKeeper& aLists, peer::PeerHub& aHub,
+ListSpread::ListSpread(asio::io_context& aContext, ListKeeper& aLists, peer::PeerHub& aHub,
                        peer::Membership& aMembers, Metrics& aMetrics)
-  : m_lists(aLists)
+  : m_context(aContext)
+  , m_lists(aLists)
   , m_hub(aHub)
   , m_members(aMembers)
   , m_metrics(aMetrics)
   , m_fanOut(aHub, aMembers)
   , m_budget(kBytesPerSecond, kBurstBytes)
+  , m_random(SecretNumber())
 {
 }
 
@@ -91,7 +94,6 @@
                aSender.failureDomain == m_members.Self().failureDomain;
   m_lists.Install(message->document);
   m_relaying = false;
-  m_askedFor = 0;
   if (message->revision == m_lists.Revision() &&
       message->digest != m_lists.Digest()) {
     // One of the two holds entries that the other has never seen.
@@ -127,20 +129,33 @@
     wire::ListsRequest{ m_lists.Revision(), m_lists.Digest() });
 }
 
+auto ListSpread::Lacks(std::uint64_t aRevision, std::uint64_t aDigest) const
+  -> bool
+{
+  const auto mine = m_lists.Revision();
+  return aRevision > mine ||
+         (aRevision == mine && aRevision > 0 && aDigest != m_lists.Digest());
+}
+
 auto ListSpread::Compare(const std::string& aAddress, std::uint64_t aRevision,
                          std::uint64_t aDigest) -> void
 {
-  const bool missing = aRevision > m_lists.Revision() ||
-                       (aRevision == m_lists.Revision() && aRevision > 0 &&
-                        aDigest != m_lists.Digest());
-  const auto now = Clock::now();
-  const bool pending = m_askedFor == aDigest && now - m_asked < kAskAgain;
-  if (!missing || pending) {
+  if (m_repairing || !Lacks(aRevision, aDigest)) {
     return;
   }
-  m_asked = now;
-  m_askedFor = aDigest;
-  Ask(aAddress);
+  m_repairing = true;
+  Spawn(m_context, "lists-repair", AskLater(aAddress, aRevision, aDigest));
+}
+
+auto ListSpread::AskLater(std::string aAddress, std::uint64_t aRevision,
+                          std::uint64_t aDigest) -> awaitable<void>
+{
+  std::uniform_int_distribution<Milliseconds::rep> jitter(0, kAskAfter.count());
+  co_await Sleep(kAskAfter + Milliseconds(jitter(m_random)));
+  m_repairing = false;
+  if (Lacks(aRevision, aDigest)) {
+    Ask(aAddress);
+  }
 }
 
 } // namespace bramleylock::lists
--- a/unittests/Lists/ListMergeTest.cpp
+++ b/unittests/Lists/ListMergeTest.cpp
@@ -79,6 +79,15 @@
   cr_assert(notes.superseded.empty());
 }
 
+Test(ListMerge, PartOfNewerListsSupersedesNothing)
+{
+  const auto first = Change(Start(), "a", "plans/clubs", PlanWith(2));
+  const auto second = Change(first, "b", "plans/clubs", PlanWith(3));
+  MergeNotes notes;
+  Merge(first, ChangesSince(second, first.revision), &notes);
+  cr_assert(notes.superseded.empty());
+}
+
 Test(ListMerge, RemovedEntryDoesNotComeBack)
 {
   const auto old = Start();
