--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -10,8 +10,8 @@
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Http/Http.h"
-#include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/ListEditor.h"
+#include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
 
 namespace bramleylock::kernel {
--- a/include/bramleylock/Lists/ListMerge.h
+++ b/include/bramleylock/Lists/ListMerge.h
@@ -69,9 +69,9 @@
 /// not touch stay as they are. Sets aError when the result is not valid; fills
 /// aConflicts, and applies nothing, when an entry is neither as the editor
 /// read it nor as it is wanted.
-auto ApplyEdit(const PlanLists& aLists, const Edit& aEdit,
-               std::uint64_t aNowMs, std::vector<EntryConflict>& aConflicts,
-               std::error_code& aError, std::string& aDetail) -> PlanLists;
+auto ApplyEdit(const PlanLists& aLists, const Edit& aEdit, std::uint64_t aNowMs,
+               std::vector<EntryConflict>& aConflicts, std::error_code& aError,
+               std::string& aDetail) -> PlanLists;
 
 /// The changes that lead from aBase to aWanted.
 auto ChangesBetween(const PlanLists& aBase, const PlanLists& aWanted)
--- a/include/bramleylock/Lists/ListSpread.h
+++ b/include/bramleylock/Lists/ListSpread.h
@@ -16,8 +16,9 @@
 class ListSpread
 {
 public:
-  ListSpread(asio::io_context& aContext, ListKeeper& aLists, peer::PeerHub& aHub,
-             peer::Membership& aMembers, Metrics& aMetrics);
+  ListSpread(asio::io_context& aContext, ListKeeper& aLists,
+             peer::PeerHub& aHub, peer::Membership& aMembers,
+             Metrics& aMetrics);
 
   /// Starts handling messages and following installations.
   auto Start() -> void;
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -19,7 +19,7 @@
 }
 
 auto ReplyError(unsigned aStatus, const std::string& aError,
-                       const std::string& aDetail) -> http::Reply
+                const std::string& aDetail) -> http::Reply
 {
   return ReplyJson(aStatus, { { "error", aError }, { "detail", aDetail } });
 }
@@ -106,9 +106,9 @@
   if (lists && keys) {
     return {};
   }
-  const std::string missing =
-    !lists && !keys ? "no lists and no token keys" : lists ? "no token keys"
-                                                           : "no lists";
+  const std::string missing = !lists && !keys ? "no lists and no token keys"
+                              : lists         ? "no token keys"
+                                              : "no lists";
   const std::string store = m_view.watcher.StoreAnswers()
                               ? "the platform's store answers"
                               : "the platform's store does not answer";
--- a/lib/Kernel/AdminLists.cpp
+++ b/lib/Kernel/AdminLists.cpp
@@ -84,8 +84,7 @@
 static auto FormatResult(const lists::EditResult& aResult,
                          const std::string& aEdit) -> http::Reply
 {
-  const std::string status(
-    NameOf(lists::kEditStatusNames, aResult.status));
+  const std::string status(NameOf(lists::kEditStatusNames, aResult.status));
   json body{ { "status", status },
              { "edit", aEdit },
              { "revision", aResult.revision },
@@ -131,8 +130,8 @@
                         { "entries", edit.entries } });
     }
   }
-  co_return ReplyJson(200, { { "revision", m_view.lists.Revision() },
-                             { "edits", edits } });
+  co_return ReplyJson(
+    200, { { "revision", m_view.lists.Revision() }, { "edits", edits } });
 }
 
 auto AdminApi::GetEdit(const http::Request& aRequest) -> awaitable<http::Reply>
@@ -170,8 +169,8 @@
   }
   const auto current = m_view.lists.Current();
   const auto base = current ? *current : lists::PlanLists{};
-  const auto expected = http::QueryOf(aRequest.target, "expected",
-                                      std::to_string(base.revision));
+  const auto expected =
+    http::QueryOf(aRequest.target, "expected", std::to_string(base.revision));
   if (expected != std::to_string(base.revision)) {
     m_view.metrics.Add(Counter::ListsEditConflict);
     co_return ReplyError(409, "conflict",
@@ -179,8 +178,7 @@
                            std::to_string(base.revision) +
                            "; read them and edit again");
   }
-  const auto id =
-    http::QueryOf(aRequest.target, "edit", SecretIdentifier());
+  const auto id = http::QueryOf(aRequest.target, "edit", SecretIdentifier());
   co_return co_await SubmitEdit({ id, lists::ChangesBetween(base, wanted) },
                                 aRequest);
 }
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -122,9 +122,8 @@
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
   editor = std::make_unique<lists::ListEditor>(*store, lists, metrics);
-  watcher = std::make_unique<PlatformWatcher>(
-    PlatformView{ context, metrics, *store, lists, *editor, keys, *hub,
-                  *members, *targets });
+  watcher = std::make_unique<PlatformWatcher>(PlatformView{
+    context, metrics, *store, lists, *editor, keys, *hub, *members, *targets });
   hub->Start(self);
 }
 
@@ -210,9 +209,9 @@
     aDetail = "listen.callers = " + parts.settings.callerAddress;
     return;
   }
-  AdminView view{ parts.metrics,    parts.lists,       *parts.members,
-                  *parts.targets,   *parts.dispatcher, *parts.editor,
-                  *parts.watcher,   *parts.admission,  *parts.hub,
+  AdminView view{ parts.metrics,      parts.lists,       *parts.members,
+                  *parts.targets,     *parts.dispatcher, *parts.editor,
+                  *parts.watcher,     *parts.admission,  *parts.hub,
                   [this] { Drain(); } };
   try {
     parts.admin = std::make_unique<AdminApi>(
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -30,7 +30,8 @@
 
 PlatformWatcher::PlatformWatcher(PlatformView aView)
   : m_view(aView)
-  , m_spread(aView.context, aView.lists, aView.hub, aView.members, aView.metrics)
+  , m_spread(aView.context, aView.lists, aView.hub, aView.members,
+             aView.metrics)
   , m_vms(aView.hub, aView.members, aView.targets, aView.metrics)
   , m_fanOut(aView.hub, aView.members)
   , m_election(aView.members.Self().address)
@@ -161,10 +162,8 @@
   }
   for (auto& [domain, addresses] : domains) {
     const auto turn = m_sequence / kAbroadEvery;
-    const auto order =
-      lists::RendezvousOrder("relay", std::move(addresses));
-    const auto& relay =
-      order[turn % std::min(order.size(), lists::kWatchers)];
+    const auto order = lists::RendezvousOrder("relay", std::move(addresses));
+    const auto& relay = order[turn % std::min(order.size(), lists::kWatchers)];
     m_view.hub.Send(relay, wire::MessageType::WatcherWord, aBody);
   }
 }
@@ -173,8 +172,7 @@
                                   const std::string& aBody) -> void
 {
   const auto word = wire::UnpackBody<wire::WatcherWord>(aBody);
-  if (!word ||
-      !m_seen.IsNew(word->origin, word->incarnation, word->sequence)) {
+  if (!word || !m_seen.IsNew(word->origin, word->incarnation, word->sequence)) {
     return;
   }
   m_spread.Compare(aSender.address, word->listsRevision, word->listsDigest);
@@ -196,8 +194,8 @@
   for (;;) {
     co_await UntilWatching();
     std::error_code error;
-    auto stored = co_await m_view.store.Watch(
-      lists::kListsKey, m_storeRevision, kWatchWait, error);
+    auto stored = co_await m_view.store.Watch(lists::kListsKey, m_storeRevision,
+                                              kWatchWait, error);
     if (error && error != StoreError::NotFound) {
       co_await PauseAfter(true, kRetryStore);
       continue;
@@ -312,8 +310,7 @@
   for (;;) {
     co_await UntilWatching();
     std::error_code error;
-    const auto stored =
-      co_await m_view.store.Get(lists::kTokenKeysKey, error);
+    const auto stored = co_await m_view.store.Get(lists::kTokenKeysKey, error);
     if (error == StoreError::NotFound) {
       co_await CreateKeys();
       continue;
--- a/lib/Kernel/VmSpread.cpp
+++ b/lib/Kernel/VmSpread.cpp
@@ -52,12 +52,9 @@
 {
   Rows polled;
   for (const auto& vm : aVms) {
-    polled[vm.address] = { vm.name,
-                           static_cast<std::uint8_t>(vm.role),
-                           vm.service,
-                           vm.failureDomain,
-                           vm.address,
-                           vm.leaving };
+    polled[vm.address] = { vm.name,    static_cast<std::uint8_t>(vm.role),
+                           vm.service, vm.failureDomain,
+                           vm.address, vm.leaving };
   }
   wire::VmsMessage message;
   message.origin = m_members.Self().address;
--- a/lib/Lists/FanOut.cpp
+++ b/lib/Lists/FanOut.cpp
@@ -43,8 +43,7 @@
   for (const auto& member : m_members.AliveInDomain()) {
     nodes.push_back(member.address);
   }
-  for (const auto& child :
-       ChildrenInTree(aOrigin, self, std::move(nodes))) {
+  for (const auto& child : ChildrenInTree(aOrigin, self, std::move(nodes))) {
     m_hub.Send(child, aType, aBody);
   }
 }
--- a/lib/Lists/HttpStore.cpp
+++ b/lib/Lists/HttpStore.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// How long a call may take beyond the wait that it asks for.
-static constexpr Milliseconds kCallTimeout{ 2000 };
+static constexpr Milliseconds kCallTimeout{ 4000 };
 
 namespace {
 
--- a/lib/Lists/ListMerge.cpp
+++ b/lib/Lists/ListMerge.cpp
@@ -54,8 +54,9 @@
 
 auto HasEdit(const PlanLists& aLists, const std::string& aId) -> bool
 {
-  return std::any_of(aLists.edits.begin(), aLists.edits.end(),
-                     [&aId](const EditRecord& aEdit) { return aEdit.id == aId; });
+  return std::any_of(
+    aLists.edits.begin(), aLists.edits.end(),
+    [&aId](const EditRecord& aEdit) { return aEdit.id == aId; });
 }
 
 /// Notes the entries of edits that only aHere has seen and that an edit of
@@ -65,8 +66,7 @@
                            const PlanLists& aMerged, MergeNotes& aNotes) -> void
 {
   for (const auto& edit : aHere.edits) {
-    if (aThere.edits.empty() ||
-        edit.revision < aThere.edits.front().revision ||
+    if (aThere.edits.empty() || edit.revision < aThere.edits.front().revision ||
         HasEdit(aThere, edit.id)) {
       continue;
     }
--- a/lib/Lists/ListSpread.cpp
+++ b/lib/Lists/ListSpread.cpp
@@ -20,8 +20,9 @@
 /// Messages whose repetition is remembered.
 static constexpr std::size_t kPassedKept = 256;
 
-ListSpread::ListSpread(asio::io_context& aContext, ListKeeper& aLists, peer::PeerHub& aHub,
-                       peer::Membership& aMembers, Metrics& aMetrics)
+ListSpread::ListSpread(asio::io_context& aContext, ListKeeper& aLists,
+                       peer::PeerHub& aHub, peer::Membership& aMembers,
+                       Metrics& aMetrics)
   : m_context(aContext)
   , m_lists(aLists)
   , m_hub(aHub)
@@ -110,7 +111,10 @@
   const bool newer =
     aRequest.haveRevision > 0 && aRequest.haveRevision < m_lists.Revision();
   const wire::ListsMessage message{
-    newer ? aRequest.haveRevision : 0, m_lists.Revision(), m_lists.Digest(), {},
+    newer ? aRequest.haveRevision : 0,
+    m_lists.Revision(),
+    m_lists.Digest(),
+    {},
     newer ? FormatLists(ChangesSince(*m_lists.Merged(), aRequest.haveRevision))
           : m_lists.Document()
   };
@@ -124,9 +128,8 @@
 auto ListSpread::Ask(const std::string& aAddress) -> void
 {
   m_metrics.Add(Counter::ListsFetched);
-  m_hub.SendMessage(
-    aAddress, wire::MessageType::ListsRequest,
-    wire::ListsRequest{ m_lists.Revision(), m_lists.Digest() });
+  m_hub.SendMessage(aAddress, wire::MessageType::ListsRequest,
+                    wire::ListsRequest{ m_lists.Revision(), m_lists.Digest() });
 }
 
 auto ListSpread::Lacks(std::uint64_t aRevision, std::uint64_t aDigest) const
--- a/measure/EditProbe.h
+++ b/measure/EditProbe.h
@@ -11,7 +11,7 @@
 
 namespace bramleylock::measure {
 
-/// An edit must be in force everywhere within this time.
+/// An accepted edit must be in force everywhere within this time.
 inline constexpr double kSpreadLimitSeconds = 4;
 
 /// Makes edits that count a plan's rate upwards, so that a value which falls on
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -49,7 +49,8 @@
 
 } // namespace
 
-static constexpr Milliseconds kCallTimeout{ 5000 };
+/// Longer than a balancer tries an edit at a slow store.
+static constexpr Milliseconds kCallTimeout{ 15000 };
 static constexpr Milliseconds kPollEvery{ 50 };
 
 static auto Call(const Session& aSession, const std::string& aServer,
@@ -132,13 +133,13 @@
     std::chrono::duration<double, std::milli>(Clock::now() - started).count();
   const auto inForce = aSession.servers.size() - missing.size();
   if (aSession.json) {
-    std::cout << json{ { "edit", aEdit },
-                       { "revision", aRevision },
-                       { "in_force", inForce },
-                       { "not_yet", missing },
-                       { "waited_ms", waited } }
-                   .dump()
-              << "\n";
+    std::cout << json{
+      { "edit", aEdit },
+      { "revision", aRevision },
+      { "in_force", inForce },
+      { "not_yet", missing },
+      { "waited_ms", waited }
+    }.dump() << "\n";
   } else {
     fmt::print("revision={} edit={} in_force={} not_yet={} waited_ms={:.0f}\n",
                aRevision, aEdit, inForce,
@@ -176,8 +177,8 @@
     const auto from = before == base.end() ? json() : before->second;
     const auto to = after == wanted.end() ? json() : after->second;
     if (from != to) {
-      changes.push_back({ { "path", path }, { "base", from },
-                          { "wanted", to } });
+      changes.push_back(
+        { { "path", path }, { "base", from }, { "wanted", to } });
     }
   }
   return changes;
@@ -190,8 +191,7 @@
                "{}: changed by edit {}\n  read:   {}\n  wanted: {}\n"
                "  now:    {}\n",
                row.value("path", ""), row.value("other_edit", ""),
-               row["base"].dump(), row["wanted"].dump(),
-               row["current"].dump());
+               row["base"].dump(), row["wanted"].dump(), row["current"].dump());
   }
 }
 
@@ -203,8 +203,7 @@
   unsigned status = 0;
   for (std::size_t i = 0; i < aSession.servers.size() + 1; ++i) {
     const auto& server = aSession.servers[i % aSession.servers.size()];
-    status =
-      Call(aSession, server, "PATCH", aTarget, aBody.dump(), aAnswer);
+    status = Call(aSession, server, "PATCH", aTarget, aBody.dump(), aAnswer);
     const bool undecided = status == 0 || status >= 500;
     if (!undecided) {
       break;
@@ -461,9 +460,10 @@
     cxxopts::value<int>()->default_value("4000"))(
     "base", "lists that the file of 'lists apply' was made from",
     cxxopts::value<std::string>()->default_value(""))(
-    "dry-run", "show what an edit would change, and write nothing")("json", "print JSON")(
-    "version", "print the version")("help", "print this help")(
-    "words", "command", cxxopts::value<std::vector<std::string>>());
+    "dry-run", "show what an edit would change, and write nothing")(
+    "json", "print JSON")("version", "print the version")(
+    "help", "print this help")("words", "command",
+                               cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   options.positional_help("COMMAND ...");
   try {
--- /dev/null
+++ b/unittests/Lists/FanOutTest.cpp
@@ -0,0 +1,51 @@
+// The tree reaches every balancer with a bounded number of sends.
+
+#include "bramleylock/Lists/FanOut.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace bramleylock;
+using namespace bramleylock::lists;
+
+Test(FanOut, TreeReachesEachOfADomainOnce)
+{
+  std::vector<std::string> nodes;
+  for (int i = 0; i < 857; ++i) {
+    nodes.push_back("10.0.0." + std::to_string(i));
+  }
+  std::map<std::string, int> depths{ { nodes[5], 0 } };
+  std::deque<std::string> sending{ nodes[5] };
+  while (!sending.empty()) {
+    const auto node = sending.front();
+    sending.pop_front();
+    const auto children = ChildrenInTree(nodes[5], node, nodes);
+    cr_assert_leq(children.size(), kFanOut);
+    for (const auto& child : children) {
+      cr_assert(depths.emplace(child, depths[node] + 1).second);
+      cr_assert_leq(depths[child], 7);
+      sending.push_back(child);
+    }
+  }
+  cr_assert_eq(depths.size(), nodes.size());
+}
+
+Test(FanOut, RepeatedAndOlderMessagesAreNotNew)
+{
+  SeenMessages seen;
+  cr_assert(seen.IsNew("a", 1, 2));
+  cr_assert(!seen.IsNew("a", 1, 2));
+  cr_assert(!seen.IsNew("a", 1, 1));
+  cr_assert(seen.IsNew("a", 2, 1));
+  cr_assert(seen.IsNew("b", 1, 1));
+}
+
+Test(FanOut, OverdrawnBudgetWaitsForItsDebt)
+{
+  ByteBudget budget(100, 1000);
+  const auto start = Clock::now();
+  cr_assert(budget.Take(1100, start));
+  cr_assert(!budget.Take(1, start + Milliseconds(900)));
+  cr_assert(budget.Take(1, start + Milliseconds(1100)));
+}
--- a/unittests/Lists/ListEditorTest.cpp
+++ b/unittests/Lists/ListEditorTest.cpp
@@ -49,8 +49,8 @@
     fell = fell || keeper.Revision() < before.revision;
     for (const auto& [path, stamp] : before.stamps) {
       const auto now = keeper.Merged()->stamps.find(path);
-      fell = fell || now == keeper.Merged()->stamps.end() ||
-             now->second < stamp;
+      fell =
+        fell || now == keeper.Merged()->stamps.end() || now->second < stamp;
     }
     before = *keeper.Merged();
   }
@@ -114,9 +114,10 @@
     Spawn(aContext, "edit", node->Run());
   }
   for (;;) {
-    const auto unfinished = std::count_if(
-      aNodes.begin(), aNodes.end(),
-      [](const Node* aNode) { return !aNode->result.has_value(); });
+    const auto unfinished =
+      std::count_if(aNodes.begin(), aNodes.end(), [](const Node* aNode) {
+        return !aNode->result.has_value();
+      });
     if (unfinished == 0) {
       return;
     }
--- a/unittests/Lists/ListMergeTest.cpp
+++ b/unittests/Lists/ListMergeTest.cpp
@@ -1,7 +1,7 @@
 // Merge rules: order must not matter, and no stamp may fall.
 
-#include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Lists/ListMerge.h"
+#include "bramleylock/Lists/ListKeeper.h"
 
 #include <criterion/criterion.h>
 
@@ -34,9 +34,9 @@
   std::vector<EntryConflict> conflicts;
   std::error_code error;
   std::string detail;
-  auto next =
-    ApplyEdit(aLists, { aId, { { aPath, FormatEntry(aLists, aPath), aWanted } } },
-              7, conflicts, error, detail);
+  auto next = ApplyEdit(
+    aLists, { aId, { { aPath, FormatEntry(aLists, aPath), aWanted } } }, 7,
+    conflicts, error, detail);
   cr_assert(!error && conflicts.empty(), "%s", detail.c_str());
   return next;
 }
@@ -99,12 +99,11 @@
 {
   auto left = Change(Start(), "a", "services/orders", R"({"plans": []})");
   left = Change(left, "b", "plans/clubs", "null");
-  const auto right =
-    Change(Start(), "c", "services/orders",
-           R"({"plans": ["clubs", "members"], "slots": 9})");
+  const auto right = Change(Start(), "c", "services/orders",
+                            R"({"plans": ["clubs", "members"], "slots": 9})");
   // The service's later stamp wins on neither side alone.
-  const auto merged = Merge(left, Change(right, "d", "services/orders",
-                                         R"({"plans": ["clubs"]})"));
+  const auto merged = Merge(
+    left, Change(right, "d", "services/orders", R"({"plans": ["clubs"]})"));
   cr_assert(!merged.plans.contains("clubs"));
   cr_assert(WithoutDangling(merged).services.at("orders").plans.empty());
 }
@@ -139,9 +138,9 @@
   std::vector<EntryConflict> conflicts;
   std::error_code error;
   std::string detail;
-  const Edit edit{ "mine",
-                   { { "plans/clubs", FormatEntry(read, "plans/clubs"),
-                       PlanWith(3) } } };
+  const Edit edit{
+    "mine", { { "plans/clubs", FormatEntry(read, "plans/clubs"), PlanWith(3) } }
+  };
   cr_assert(ApplyEdit(now, edit, 7, conflicts, error, detail) == now);
   cr_assert_eq(conflicts.size(), 1);
   cr_assert_str_eq(conflicts[0].otherEdit.c_str(), "other");
@@ -153,9 +152,9 @@
   std::vector<EntryConflict> conflicts;
   std::error_code error;
   std::string detail;
-  const Edit edit{ "e",
-                   { { "plans/clubs", FormatEntry(lists, "plans/clubs"),
-                       "null" } } };
+  const Edit edit{
+    "e", { { "plans/clubs", FormatEntry(lists, "plans/clubs"), "null" } }
+  };
   ApplyEdit(lists, edit, 7, conflicts, error, detail);
   cr_assert(error == ListsError::Reference);
 }
