--- a/include/bramleylock/Lists/PlanLists.h
+++ b/include/bramleylock/Lists/PlanLists.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <system_error>
+#include <tuple>
 #include <vector>
 
 #include "bramleylock/Support/Errors.h"
@@ -101,7 +102,15 @@
   std::uint64_t revision = 0;
   std::string edit;
 
-  auto operator<=>(const Stamp&) const = default;
+  auto operator==(const Stamp& aOther) const -> bool
+  {
+    return revision == aOther.revision && edit == aOther.edit;
+  }
+
+  auto operator<(const Stamp& aOther) const -> bool
+  {
+    return std::tie(revision, edit) < std::tie(aOther.revision, aOther.edit);
+  }
 };
 
 /// One accepted edit.
--- a/lib/Lists/ListMerge.cpp
+++ b/lib/Lists/ListMerge.cpp
@@ -99,6 +99,7 @@
     byOrder.erase(byOrder.begin());
   }
   std::vector<EditRecord> edits;
+  edits.reserve(byOrder.size());
   for (auto& [order, edit] : byOrder) {
     edits.push_back(std::move(edit));
   }
@@ -164,7 +165,7 @@
     const bool takeLeft =
       left->second == right->second
         ? FormatEntry(aLeft, path) >= FormatEntry(aRight, path)
-        : left->second > right->second;
+        : right->second < left->second;
     const auto& winner = takeLeft ? aLeft : aRight;
     merged.stamps[path] = takeLeft ? left->second : right->second;
     CopyEntry(winner, path, merged);
--- a/measure/EditProbe.cpp
+++ b/measure/EditProbe.cpp
@@ -125,14 +125,14 @@
 {
   std::uint64_t lost = 0;
   Poll();
-  for (const auto& [plan, value] : m_accepted) {
-    const bool shown =
-      std::all_of(m_cluster.Balancers().begin(), m_cluster.Balancers().end(),
-                  [&](BalancerProcess& aBalancer) {
-                    return m_skipped.contains(aBalancer.name) ||
-                           !aBalancer.process->Running() ||
-                           m_seen[aBalancer.name][plan] >= value;
-                  });
+  for (const auto& accepted : m_accepted) {
+    const bool shown = std::all_of(
+      m_cluster.Balancers().begin(), m_cluster.Balancers().end(),
+      [&](BalancerProcess& aBalancer) {
+        return m_skipped.contains(aBalancer.name) ||
+               !aBalancer.process->Running() ||
+               m_seen[aBalancer.name][accepted.first] >= accepted.second;
+      });
     lost += shown ? 0 : 1;
   }
   return lost;
--- a/unittests/Lists/FanOutTest.cpp
+++ b/unittests/Lists/FanOutTest.cpp
@@ -12,6 +12,7 @@
 Test(FanOut, TreeReachesEachOfADomainOnce)
 {
   std::vector<std::string> nodes;
+  nodes.reserve(857);
   for (int i = 0; i < 857; ++i) {
     nodes.push_back("10.0.0." + std::to_string(i));
   }
