--- a/include/bramleylock/Kernel/KeyKeeper.h
+++ b/include/bramleylock/Kernel/KeyKeeper.h
@@ -1,6 +1,8 @@
 // Keeps the token keys current.
 #pragma once
 
+#include <functional>
+
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
 #include "bramleylock/Peer/PeerHub.h"
@@ -35,6 +37,10 @@
 
   auto Start() -> void;
 
+  /// Reads the store only while aGate tells so, so that the platform's calls
+  /// do not grow with the number of balancers.
+  auto SetGate(std::function<bool()> aGate) -> void;
+
   /// Compares the keys that a peer said it has with those here.
   auto OnHeartbeat(const peer::Member& aMember) -> void;
 
@@ -70,6 +76,7 @@
   Clock::time_point m_switchedAt{};
   /// Keys below this have expired here.
   std::uint32_t m_expiredBelow = 0;
+  std::function<bool()> m_gate;
 };
 
 } // namespace bramleylock::kernel
