--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -55,7 +55,7 @@
                    std::size_t aFirst, std::size_t aCount) -> void;
   auto ContinueOutcome(const Arrival& aArrival, const Flow& aFlow) -> bool;
   auto OwnedHere(const Arrival& aArrival, const wire::Owner& aOwner) -> bool;
-  auto Reachable(const wire::Owner& aOwner) -> bool;
+  auto Reachable(const wire::Owner& aOwner) const -> bool;
   auto PassToSuccessor(const Arrival& aArrival) -> void;
   auto Begin(const std::shared_ptr<Flow>& aFlow,
              const std::shared_ptr<Exchange>& aExchange) -> void;
@@ -79,7 +79,6 @@
   Continuations m_continuations;
   HandOver m_handOver;
   /// When packets first came for owners that no heartbeat has named yet.
-  std::map<wire::Owner, Clock::time_point> m_unheard;
   bool m_draining = false;
   std::size_t m_nextPeer = 0;
 };
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -3,21 +3,34 @@
 
 #include <functional>
 
-#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Kernel/VmSpread.h"
+#include "bramleylock/Lists/ListEditor.h"
+#include "bramleylock/Lists/ListSpread.h"
 #include "bramleylock/Lists/PlatformStore.h"
-#include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Target/TargetTable.h"
+#include "bramleylock/Lists/WatcherElection.h"
+#include "bramleylock/Support/Random.h"
 
 namespace bramleylock::kernel {
 
-/// Follows the platform's store, and hears from peers what it cannot get
-/// there.
+/// What the watcher works with; the balancer outlives it.
+struct PlatformView
+{
+  asio::io_context& context;
+  Metrics& metrics;
+  lists::PlatformStore& store;
+  lists::ListKeeper& lists;
+  lists::ListEditor& editor;
+  peer::PeerHub& hub;
+  peer::Membership& members;
+  target::TargetTable& targets;
+};
+
+/// Follows the platform when it is this balancer's turn, and hears from peers
+/// what others of the failure domain read there.
 class PlatformWatcher
 {
 public:
-  PlatformWatcher(asio::io_context& aContext, lists::PlatformStore& aStore,
-                  lists::ListKeeper& aLists, peer::PeerHub& aHub,
-                  peer::Membership& aMembers, target::TargetTable& aTargets);
+  explicit PlatformWatcher(PlatformView aView);
 
   auto Start() -> void;
 
@@ -27,19 +40,40 @@
   /// Calls aListener after the targets were read from the VM list.
   auto OnTargets(std::function<void()> aListener) -> void;
 
+  /// Whether this balancer holds the platform's watches now.
+  auto Watching() const -> bool;
+
+  /// Whether the store answered this balancer, or a watcher that it heard,
+  /// lately.
+  auto StoreAnswers() const -> bool;
+
 private:
+  auto ElectLoop() -> awaitable<void>;
+  auto WordLoop() -> awaitable<void>;
+  auto SendWord() -> void;
+  auto SendWordAbroad(const std::string& aBody) -> void;
+  auto ReceiveWord(const wire::Hello& aSender, const std::string& aBody)
+    -> void;
   auto WatchLists() -> awaitable<void>;
+  auto TakeStored(std::string aDocument) -> awaitable<bool>;
   auto WatchVms() -> awaitable<void>;
-  auto SendLists(const std::string& aAddress) -> void;
-  auto ListenToPeers() -> void;
-
-  asio::io_context& m_context;
-  lists::PlatformStore& m_store;
-  lists::ListKeeper& m_lists;
-  peer::PeerHub& m_hub;
-  peer::Membership& m_members;
-  target::TargetTable& m_targets;
-  std::function<void()> m_onTargets;
+  auto UntilWatching() -> awaitable<void>;
+  auto PauseAfter(bool aFailed, Milliseconds aUsual) -> awaitable<void>;
+  auto Answered() -> void;
+
+  PlatformView m_view;
+  lists::ListSpread m_spread;
+  VmSpread m_vms;
+  lists::FanOut m_fanOut;
+  lists::SeenMessages m_seen;
+  lists::WatcherElection m_election;
+  Signal m_elected;
+  Random m_random;
+  bool m_watching = true;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_storeRevision = 0;
+  Clock::time_point m_answered{};
+  Clock::time_point m_heardAnswered{};
 };
 
 } // namespace bramleylock::kernel
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -22,11 +22,6 @@
 static constexpr std::uint32_t kNotReadyRetryAfterMs = 500;
 static constexpr std::uint32_t kDrainingRetryAfterMs = 100;
 
-/// An owner that is named by packets, but by no heartbeat for this long, is
-/// not there any more.
-static constexpr Milliseconds kUnheardLimit{ 3000 };
-static constexpr std::size_t kUnheardOwners = 1024;
-
 Dispatcher::Dispatcher(Environment& aEnvironment,
                        std::chrono::seconds aIdleFlow)
   : m_environment(aEnvironment)
@@ -247,25 +242,11 @@
   return flow || m_handOver.Moving(aArrival.packet.flow);
 }
 
-/// A balancer that has just started knows no members yet, so an owner that it
-/// has not heard of is taken for alive for a while.
-auto Dispatcher::Reachable(const wire::Owner& aOwner) -> bool
+auto Dispatcher::Reachable(const wire::Owner& aOwner) const -> bool
 {
   const auto& members = m_environment.members;
-  if (aOwner.address == members.Self().address ||
-      !members.IsAlive(aOwner.address, aOwner.incarnation)) {
-    return false;
-  }
-  if (members.Heard(aOwner.address)) {
-    m_unheard.erase(aOwner);
-    return true;
-  }
-  if (m_unheard.size() >= kUnheardOwners) {
-    m_unheard.clear();
-  }
-  const auto now = Clock::now();
-  const auto [position, added] = m_unheard.try_emplace(aOwner, now);
-  return now - position->second < kUnheardLimit;
+  return aOwner.address != members.Self().address &&
+         members.IsAlive(aOwner.address, aOwner.incarnation);
 }
 
 auto Dispatcher::HandleOwnerLost(Arrival& aArrival) -> void
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -9,9 +9,12 @@
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
+#include "bramleylock/Target/HealthProber.h"
 
 #include <fmt/format.h>
 
+#include <sstream>
+
 namespace bramleylock::kernel {
 
 /// How long a stopping balancer stays after its last request, so that peers
@@ -20,6 +23,9 @@
 
 static constexpr Milliseconds kCapacityEvery{ 500 };
 
+/// Requests a second below which a rate is not told to peers.
+static constexpr double kLeastToldRate = 0.5;
+
 /// How many idle times of a flow an old token key outlives its successor.
 static constexpr int kKeyOverlapIdles = 2;
 
@@ -36,6 +42,8 @@
   auto Build(std::error_code& aError, std::string& aDetail) -> void;
   auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
   auto TakePeersInFlight() -> void;
+  auto TakeDemand() -> void;
+  auto TakeBalancers() -> void;
   auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
@@ -51,10 +59,12 @@
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   std::unique_ptr<target::TargetTable> targets;
+  std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
+  std::unique_ptr<lists::ListEditor> editor;
   std::unique_ptr<PlatformWatcher> watcher;
   std::unique_ptr<KeyKeeper> keyKeeper;
   std::unique_ptr<AdminApi> admin;
@@ -111,9 +121,12 @@
     aDetail = "listen.peers = " + settings.peerAddress;
     return;
   }
+  hub->SetAdvertised(settings.peerAdvertised);
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
-  members = std::make_unique<peer::Membership>(context, *hub, self);
+  members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
+  prober =
+    std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
                            const std::string& aData) {
     entry->Send(aCaller, aData);
@@ -123,17 +136,20 @@
                        *admission, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
-  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, *hub,
-                                              *members, *targets);
   keyKeeper = std::make_unique<KeyKeeper>(
     context, *store, keys, *hub, *members, metrics,
     kKeyOverlapIdles * std::chrono::seconds(settings.idleFlowSeconds));
+  editor = std::make_unique<lists::ListEditor>(*store, lists, metrics);
+  watcher = std::make_unique<PlatformWatcher>(PlatformView{
+    context, metrics, *store, lists, *editor, *hub, *members, *targets });
+  keyKeeper->SetGate([this] { return watcher->Watching(); });
   hub->Start(self);
 }
 
 auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
+  aHeartbeat.listsDigest = lists.Digest();
   aHeartbeat.newestKey = keyKeeper->NewestKey();
   aHeartbeat.draining = draining;
   for (const auto& [address, target] : targets->All()) {
@@ -141,6 +157,12 @@
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
     }
   }
+  aHeartbeat.drainingTargets = targets->Draining();
+  for (const auto& [service, rate] : targets->Rates()) {
+    if (rate >= kLeastToldRate) {
+      aHeartbeat.rates.emplace_back(service, static_cast<float>(rate));
+    }
+  }
 }
 
 auto Balancer::Parts::TakePeersInFlight() -> void
@@ -154,6 +176,48 @@
   targets->SetPeersInFlight(counts);
 }
 
+/// Tells the target layer who shares the targets' connections and probes.
+auto Balancer::Parts::TakeBalancers() -> void
+{
+  const auto& self = members->Self();
+  const auto alive = members->Alive();
+  target::BalancersByDomain balancers;
+  balancers[self.failureDomain].push_back(self.address);
+  for (const auto& member : alive) {
+    balancers[member.failureDomain].push_back(member.address);
+  }
+  targets->SetBalancers(alive.size() + 1, self.address);
+  prober->SetBalancers(std::move(balancers));
+}
+
+/// Sums the work that arrives in each failure domain. Every balancer counts
+/// for a little, so that without traffic the numbers of balancers decide.
+auto Balancer::Parts::TakeDemand() -> void
+{
+  const auto current = lists.Current();
+  if (!current) {
+    return;
+  }
+  std::map<std::string, target::DomainShares> demand;
+  const auto alive = members->Alive();
+  for (const auto& [service, row] : current->services) {
+    auto& shares = demand[service];
+    shares[settings.failureDomain] += kLeastToldRate;
+    for (const auto& member : alive) {
+      shares[member.failureDomain] += kLeastToldRate;
+    }
+  }
+  for (const auto& [service, rate] : targets->Rates()) {
+    demand[service][settings.failureDomain] += rate;
+  }
+  for (const auto& member : alive) {
+    for (const auto& [service, rate] : member.latest.rates) {
+      demand[service][member.failureDomain] += rate;
+    }
+  }
+  targets->SetDemand(std::move(demand));
+}
+
 /// Splits every service's slots evenly over the balancers that are alive.
 auto Balancer::Parts::UpdateCapacity() -> void
 {
@@ -161,7 +225,7 @@
   if (!current) {
     return;
   }
-  const auto balancers = static_cast<double>(members->Alive().size() + 1);
+  const auto balancers = static_cast<double>(members->AliveCount());
   for (const auto& [name, service] : current->services) {
     targets->SetSlots(name, service.slots);
     admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
@@ -172,10 +236,25 @@
 {
   for (;;) {
     UpdateCapacity();
+    TakeDemand();
+    TakeBalancers();
     co_await Sleep(kCapacityEvery);
   }
 }
 
+/// Addresses of peers to try before the VM list is known.
+static auto SeedHints(const std::string& aSeeds)
+  -> std::vector<peer::MemberHint>
+{
+  std::vector<peer::MemberHint> hints;
+  std::istringstream words(aSeeds);
+  std::string address;
+  while (words >> address) {
+    hints.push_back({ address, {}, address });
+  }
+  return hints;
+}
+
 auto Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
 {
   auto& parts = *m_parts;
@@ -199,10 +278,10 @@
     aDetail = "listen.callers = " + parts.settings.callerAddress;
     return;
   }
-  AdminView view{ parts.metrics,    parts.lists,       *parts.members,
-                  *parts.targets,   *parts.dispatcher, *parts.store,
-                  *parts.admission, *parts.hub,        [this] { Drain(); },
-                  *parts.keyKeeper };
+  AdminView view{ parts.metrics,      parts.lists,       *parts.members,
+                  *parts.targets,     *parts.dispatcher, *parts.editor,
+                  *parts.watcher,     *parts.admission,  *parts.hub,
+                  [this] { Drain(); }, *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
       parts.context, parts.settings.adminAddress, parts.adminToken, view);
@@ -213,12 +292,14 @@
   }
   parts.dispatcher->Start();
   parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
+  parts.members->SetHints(SeedHints(parts.settings.peerSeeds));
   parts.watcher->Start();
   parts.keyKeeper->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
     parts.keyKeeper->OnHeartbeat(aMember);
     parts.TakePeersInFlight();
+    parts.targets->TakePeersDraining(aMember.latest.drainingTargets);
   });
   parts.members->Start(
     [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
@@ -227,6 +308,7 @@
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
+  parts.prober->Start();
 }
 
 auto Balancer::Drain() -> void
@@ -248,6 +330,7 @@
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
+  members->Leave();
   co_await Sleep(kFarewell);
   LogInfo("drain-finished",
           { { "cut_requests", std::to_string(dispatcher->Flows().Active()) } });
