Lead packets and records across failure domains that know only a few of each other's members

A balancer now knows only some members of other failure domains, so the record of a stopped owner is passed on within each domain, and a packet for a lost owner goes to a member of the domain that its token names. Key rotation waits for the own domain's heartbeats and for the others' poll.

--- a/include/bramleylock/Flow/Continuations.h
+++ b/include/bramleylock/Flow/Continuations.h
@@ -31,7 +31,8 @@
   auto Resolve(const wire::Owner& aOwner) const -> wire::Owner;
 
   /// Records that this balancer's flows continue at aSuccessor, and tells every
-  /// live peer until all of them have answered or aLimit has come.
+  /// live peer that it knows until all of them have answered or aLimit has
+  /// come.
   auto Announce(wire::Owner aSuccessor, Clock::time_point aLimit)
     -> awaitable<void>;
 
@@ -44,7 +45,9 @@
     Clock::time_point keepUntil{};
   };
 
-  auto Add(const wire::Continuation& aContinuation) -> void;
+  auto Add(const wire::Continuation& aContinuation) -> bool;
+  auto SpreadFrom(const std::string& aFailureDomain,
+                  const wire::Continues& aAdded) -> void;
   auto Listen() -> void;
   auto SendAll(const std::string& aAddress) -> void;
   auto AskLoop() -> awaitable<void>;
--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -64,6 +64,7 @@
   auto MakeForwarded(const Arrival& aArrival) const -> wire::Forwarded;
   auto Forward(const Arrival& aArrival, const std::string& aOwner) -> void;
   auto PassToPeer(const Arrival& aArrival) -> bool;
+  auto PassToDomain(const Arrival& aArrival) -> bool;
   auto SendWithToken(const Arrival& aArrival, wire::PacketType aType,
                      const std::string& aToken) -> void;
   auto Refuse(const Arrival& aArrival, wire::Reason aReason,
--- a/lib/Flow/Continuations.cpp
+++ b/lib/Flow/Continuations.cpp
@@ -83,7 +83,23 @@
          });
 }
 
-auto Continuations::Add(const wire::Continuation& aContinuation) -> void
+/// An owner knows only a few members of other failure domains; those tell the
+/// rest of theirs.
+auto Continuations::SpreadFrom(const std::string& aFailureDomain,
+                               const wire::Continues& aAdded) -> void
+{
+  auto& members = m_environment.members;
+  if (aAdded.records.empty() ||
+      aFailureDomain == members.Self().failureDomain) {
+    return;
+  }
+  for (const auto& member : members.AliveInDomain()) {
+    m_environment.hub.SendMessage(member.address, wire::MessageType::Continues,
+                                  aAdded);
+  }
+}
+
+auto Continuations::Add(const wire::Continuation& aContinuation) -> bool
 {
   const auto keep =
     std::min(m_keep, std::chrono::seconds(aContinuation.keepSeconds));
@@ -91,7 +107,7 @@
   const auto [position, added] = m_records.try_emplace(
     aContinuation.from, Record{ aContinuation.to, Clock::now() + keep });
   if (!added) {
-    return;
+    return false;
   }
   LogInfo("owner-continues", { { "from", aContinuation.from.address },
                                { "to", aContinuation.to.address } });
@@ -104,6 +120,7 @@
     m_records.erase(oldest);
     m_environment.metrics.Add(Counter::ContinuationsDropped);
   }
+  return true;
 }
 
 auto Continuations::Resolve(const wire::Owner& aOwner) const -> wire::Owner
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -219,11 +219,34 @@
   if (owner != OwnerOf(aArrival.token)) {
     m_environment.metrics.Add(Counter::OwnerContinued);
   }
-  if (!Reachable(owner)) {
-    HandleOwnerLost(aArrival);
+  if (Reachable(owner)) {
+    Forward(aArrival, owner.address);
     return;
   }
-  Forward(aArrival, owner.address);
+  if (!PassToDomain(aArrival)) {
+    HandleOwnerLost(aArrival);
+  }
+}
+
+/// Passes a packet for a lost owner of another failure domain to a member
+/// there, which knows best whether the flow continues and where.
+auto Dispatcher::PassToDomain(const Arrival& aArrival) -> bool
+{
+  const auto& domain = aArrival.token.failureDomain;
+  if (aArrival.hops > 0 ||
+      domain == m_environment.members.Self().failureDomain) {
+    return false;
+  }
+  auto members = m_environment.members.Alive();
+  std::erase_if(members, [&](const peer::Member& aMember) {
+    return aMember.failureDomain != domain || aMember.latest.draining ||
+           aMember.address == aArrival.token.owner;
+  });
+  if (members.empty()) {
+    return false;
+  }
+  Forward(aArrival, members[m_nextPeer++ % members.size()].address);
+  return true;
 }
 
 /// Whether this balancer decides about the packet: its token names this
--- a/lib/Flow/HandOver.cpp
+++ b/lib/Flow/HandOver.cpp
@@ -219,7 +219,12 @@
 {
   auto peers = m_environment.members.AliveInDomain();
   const auto unfit = [this](const peer::Member& aMember) {
-    return aMember.latest.draining || aMember.latest.newestKey == 0 ||
+    // Of other failure domains no heartbeat tells whether a member has keys;
+    // one without them refuses.
+    const bool keyless =
+      aMember.latest.newestKey == 0 &&
+      aMember.failureDomain == m_environment.members.Self().failureDomain;
+    return aMember.latest.draining || keyless ||
            m_refusedBy.contains(aMember.address);
   };
   std::erase_if(peers, unfit);
--- a/lib/Kernel/KeyKeeper.cpp
+++ b/lib/Kernel/KeyKeeper.cpp
@@ -17,9 +17,9 @@
 static constexpr Milliseconds kPollKeys{ 5000 };
 static constexpr Milliseconds kWatchPeers{ 500 };
 
-/// How long a new key waits at least, so that every peer's last heartbeat is
-/// younger than the key.
-static constexpr Milliseconds kSettle{ 3000 };
+/// How long a new key waits at least: longer than the poll by which other
+/// failure domains read it, as only members of the own one tell their keys.
+static constexpr Milliseconds kSettle{ 6000 };
 
 /// Keys that the store's document holds.
 static constexpr std::size_t kKeysKept = 2;
@@ -168,7 +168,7 @@
   if (newest == SigningKey() || Clock::now() - m_newestSince < kSettle) {
     return;
   }
-  const auto alive = m_members.Alive();
+  const auto alive = m_members.AliveInDomain();
   const bool everywhere =
     std::all_of(alive.begin(), alive.end(), [newest](const auto& aMember) {
       return aMember.latest.newestKey >= newest;
