--- a/include/bramleylock/Lists/FanOut.h
+++ b/include/bramleylock/Lists/FanOut.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 
 namespace bramleylock::lists {
 
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -103,7 +103,7 @@
 auto AdminApi::WhyNotReady() const -> std::string
 {
   const bool lists = m_view.lists.Revision() > 0;
-  const bool keys = m_view.watcher.NewestKey() > 0;
+  const bool keys = m_view.keys.NewestKey() > 0;
   if (lists && keys) {
     return {};
   }
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -409,7 +409,7 @@
   return Success;
 }
 
-static const std::array<Verb, 11> kVerbs{ {
+static const std::array<Verb, 12> kVerbs{ {
   { "lists show", 2, ShowLists, "lists show" },
   { "lists apply", 3, ApplyFile, "lists apply FILE" },
   { "lists diff", 3, DiffFile, "lists diff FILE" },
