--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -52,7 +52,7 @@
     -> bool;
   auto HandleActive(const Arrival& aArrival, Flow& aFlow) -> void;
   auto OwnedHere(const Arrival& aArrival, const wire::Owner& aOwner) -> bool;
-  auto Reachable(const wire::Owner& aOwner) -> bool;
+  auto Reachable(const wire::Owner& aOwner) const -> bool;
   auto PassToSuccessor(const Arrival& aArrival) -> void;
   auto Begin(const std::shared_ptr<Flow>& aFlow,
              const std::shared_ptr<Exchange>& aExchange) -> void;
@@ -76,7 +76,6 @@
   Continuations m_continuations;
   HandOver m_handOver;
   /// When packets first came for owners that no heartbeat has named yet.
-  std::map<wire::Owner, Clock::time_point> m_unheard;
   bool m_draining = false;
   std::size_t m_nextPeer = 0;
 };
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -27,10 +27,17 @@
   HandOverReply,
   Continues,
   ContinuesReply,
-  ContinuesRequest
+  ContinuesRequest,
+  Probe,
+  ProbeAnswer,
+  ProbeRequest,
+  MemberSync,
+  WatcherWord,
+  Vms,
+  VmsRequest
 };
 
-inline constexpr std::array<NameRow<MessageType>, 12> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 19> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -43,6 +50,13 @@
   { MessageType::Continues, "continues" },
   { MessageType::ContinuesReply, "continues-reply" },
   { MessageType::ContinuesRequest, "continues-request" },
+  { MessageType::Probe, "probe" },
+  { MessageType::ProbeAnswer, "probe-answer" },
+  { MessageType::ProbeRequest, "probe-request" },
+  { MessageType::MemberSync, "member-sync" },
+  { MessageType::WatcherWord, "watcher-word" },
+  { MessageType::Vms, "vms" },
+  { MessageType::VmsRequest, "vms-request" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
@@ -86,16 +100,151 @@
   std::vector<std::pair<std::string, float>> rates;
   /// Targets that the sender itself found to be leaving.
   std::vector<std::string> drainingTargets;
+  /// Tells lists of one revision apart.
+  std::uint64_t listsDigest = 0;
   MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates,
-                       drainingTargets)
+                       drainingTargets, listsDigest)
 };
 
-/// The lists at a revision.
+/// What one balancer says of another, or of itself.
+struct MemberRecord
+{
+  std::string vm;
+  std::string failureDomain;
+  std::string address;
+  std::uint64_t incarnation = 0;
+  /// Raised by the balancer itself when its record has to be replaced.
+  std::uint64_t refutation = 0;
+  /// A peer::MemberState.
+  std::uint8_t state = 0;
+  bool draining = false;
+  MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation, refutation,
+                       state, draining)
+};
+
+/// A failure domain as the others need to know it.
+struct DomainSummary
+{
+  std::string failureDomain;
+  std::uint64_t version = 0;
+  /// Names the rest: a hash of it.
+  std::uint64_t contents = 0;
+  /// Balancers alive there.
+  std::uint32_t alive = 0;
+  /// Some of them, its relays first; none for "as before".
+  std::vector<MemberRecord> members;
+  MSGPACK_DEFINE_ARRAY(failureDomain, version, contents, alive, members)
+};
+
+/// The body of a heartbeat, and of probes and their answers.
+struct Gossip
+{
+  Heartbeat heartbeat;
+  std::uint64_t refutation = 0;
+  /// Hash of the members that the sender holds alive in its failure domain.
+  std::uint64_t digest = 0;
+  std::vector<MemberRecord> updates;
+  std::vector<DomainSummary> domains;
+  MSGPACK_DEFINE_ARRAY(heartbeat, refutation, digest, updates, domains)
+};
+
+/// Asks the receiver to answer.
+struct Probe
+{
+  std::uint64_t sequence = 0;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, gossip)
+};
+
+/// Answers a probe, or tells that the balancer at about has answered.
+struct ProbeAnswer
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, about, gossip)
+};
+
+/// Asks the receiver to probe the balancer at about.
+struct ProbeRequest
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  MSGPACK_DEFINE_ARRAY(sequence, about)
+};
+
+/// Member records in full, for joining and repair.
+struct MemberSync
+{
+  bool wantAnswer = false;
+  std::vector<MemberRecord> records;
+  MSGPACK_DEFINE_ARRAY(wantAnswer, records)
+};
+
+/// The lists, or the entries that changed after a base revision.
 struct ListsMessage
 {
+  /// Only a receiver that has this revision can take the message; 0 is all.
+  std::uint64_t baseRevision = 0;
   std::uint64_t revision = 0;
+  /// Digest of the sender's whole lists.
+  std::uint64_t digest = 0;
+  /// Address of the balancer that started passing it on; empty for an answer.
+  std::string origin;
   std::string document;
-  MSGPACK_DEFINE_ARRAY(revision, document)
+  MSGPACK_DEFINE_ARRAY(baseRevision, revision, digest, origin, document)
+};
+
+/// A watcher's word that it lives, and what it holds; passed on within its
+/// failure domain.
+struct WatcherWord
+{
+  /// Address of the watcher, and the number of its word.
+  std::string origin;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  /// Whether the store answered it lately.
+  bool storeAnswers = false;
+  std::uint64_t listsRevision = 0;
+  std::uint64_t listsDigest = 0;
+  std::uint64_t vmsDigest = 0;
+  MSGPACK_DEFINE_ARRAY(origin, incarnation, sequence, storeAnswers,
+                       listsRevision, listsDigest, vmsDigest)
+};
+
+/// One row of the VM list.
+struct VmRow
+{
+  std::string name;
+  std::uint8_t role = 0;
+  std::string service;
+  std::string failureDomain;
+  std::string address;
+  bool leaving = false;
+  MSGPACK_DEFINE_ARRAY(name, role, service, failureDomain, address, leaving)
+  auto operator==(const VmRow&) const -> bool = default;
+};
+
+/// Changes of the VM list, or the whole list.
+struct VmsMessage
+{
+  bool whole = false;
+  /// Address of the balancer that started passing it on, and its number there;
+  /// an answer to VmsRequest has no origin.
+  std::string origin;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::vector<VmRow> rows;
+  /// Addresses that are no longer listed.
+  std::vector<std::string> removed;
+  MSGPACK_DEFINE_ARRAY(whole, origin, incarnation, sequence, rows, removed)
+};
+
+/// Asks for the whole VM list.
+struct VmsRequest
+{
+  std::uint64_t haveDigest = 0;
+  MSGPACK_DEFINE_ARRAY(haveDigest)
 };
 
 /// Token keys by id, in hexadecimal digits.
@@ -109,7 +258,8 @@
 struct ListsRequest
 {
   std::uint64_t haveRevision = 0;
-  MSGPACK_DEFINE_ARRAY(haveRevision)
+  std::uint64_t haveDigest = 0;
+  MSGPACK_DEFINE_ARRAY(haveRevision, haveDigest)
 };
 
 /// One run of a balancer, as flow tokens name it.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include <sstream>
+
 namespace bramleylock::kernel {
 
 /// How long a stopping balancer stays after its last request, so that peers
@@ -62,6 +64,7 @@
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
+  std::unique_ptr<lists::ListEditor> editor;
   std::unique_ptr<PlatformWatcher> watcher;
   std::unique_ptr<KeyKeeper> keyKeeper;
   std::unique_ptr<AdminApi> admin;
@@ -118,9 +121,10 @@
     aDetail = "listen.peers = " + settings.peerAddress;
     return;
   }
+  hub->SetAdvertised(settings.peerAdvertised);
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
-  members = std::make_unique<peer::Membership>(context, *hub, self);
+  members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   prober =
     std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
@@ -132,17 +136,20 @@
                        *admission, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
-  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, *hub,
-                                              *members, *targets);
   keyKeeper = std::make_unique<KeyKeeper>(
     context, *store, keys, *hub, *members, metrics,
     kKeyOverlapIdles * std::chrono::seconds(settings.idleFlowSeconds));
+  editor = std::make_unique<lists::ListEditor>(*store, lists, metrics);
+  watcher = std::make_unique<PlatformWatcher>(PlatformView{
+    context, metrics, *store, lists, *editor, *hub, *members, *targets });
+  keyKeeper->SetGate([this] { return watcher->Watching(); });
   hub->Start(self);
 }
 
 auto Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
 {
   aHeartbeat.listsRevision = lists.Revision();
+  aHeartbeat.listsDigest = lists.Digest();
   aHeartbeat.newestKey = keyKeeper->NewestKey();
   aHeartbeat.draining = draining;
   for (const auto& [address, target] : targets->All()) {
@@ -218,7 +225,7 @@
   if (!current) {
     return;
   }
-  const auto balancers = static_cast<double>(members->Alive().size() + 1);
+  const auto balancers = static_cast<double>(members->AliveCount());
   for (const auto& [name, service] : current->services) {
     targets->SetSlots(name, service.slots);
     admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
@@ -235,6 +242,19 @@
   }
 }
 
+/// Addresses of peers to try before the VM list is known.
+static auto SeedHints(const std::string& aSeeds)
+  -> std::vector<peer::MemberHint>
+{
+  std::vector<peer::MemberHint> hints;
+  std::istringstream words(aSeeds);
+  std::string address;
+  while (words >> address) {
+    hints.push_back({ address, {}, address });
+  }
+  return hints;
+}
+
 auto Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
 {
   auto& parts = *m_parts;
@@ -258,10 +278,10 @@
     aDetail = "listen.callers = " + parts.settings.callerAddress;
     return;
   }
-  AdminView view{ parts.metrics,    parts.lists,       *parts.members,
-                  *parts.targets,   *parts.dispatcher, *parts.store,
-                  *parts.admission, *parts.hub,        [this] { Drain(); },
-                  *parts.keyKeeper };
+  AdminView view{ parts.metrics,      parts.lists,       *parts.members,
+                  *parts.targets,     *parts.dispatcher, *parts.editor,
+                  *parts.watcher,     *parts.admission,  *parts.hub,
+                  [this] { Drain(); }, *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
       parts.context, parts.settings.adminAddress, parts.adminToken, view);
@@ -272,6 +292,7 @@
   }
   parts.dispatcher->Start();
   parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
+  parts.members->SetHints(SeedHints(parts.settings.peerSeeds));
   parts.watcher->Start();
   parts.keyKeeper->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
@@ -309,6 +330,7 @@
   while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
     co_await Sleep(Milliseconds(20));
   }
+  members->Leave();
   co_await Sleep(kFarewell);
   LogInfo("drain-finished",
           { { "cut_requests", std::to_string(dispatcher->Flows().Active()) } });
