--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -58,6 +58,9 @@
   /// Balancers alive in the fleet, with this one, by the domains' summaries.
   auto AliveCount() const -> std::size_t;
 
+  /// The same by failure domain, without the domains that are lost.
+  auto AliveByDomain() const -> std::map<std::string, std::size_t>;
+
   auto All() const -> std::vector<Member>;
 
   auto Self() const -> const wire::Hello&;
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include <sstream>
 
 namespace bramleylock::kernel {
@@ -186,33 +188,39 @@
   for (const auto& member : alive) {
     balancers[member.failureDomain].push_back(member.address);
   }
-  targets->SetBalancers(alive.size() + 1, self.address);
+  targets->SetBalancers(members->AliveCount(), self.address);
   prober->SetBalancers(std::move(balancers));
 }
 
-/// Sums the work that arrives in each failure domain. Every balancer counts
-/// for a little, so that without traffic the numbers of balancers decide.
+/// Sums the work that arrives in each failure domain. Those heard stand for
+/// the others of their domain, and every balancer counts for a little, so that
+/// without traffic the numbers of balancers decide.
 auto Balancer::Parts::TakeDemand() -> void
 {
   const auto current = lists.Current();
   if (!current) {
     return;
   }
-  std::map<std::string, target::DomainShares> demand;
-  const auto alive = members->Alive();
-  for (const auto& [service, row] : current->services) {
-    auto& shares = demand[service];
-    shares[settings.failureDomain] += kLeastToldRate;
-    for (const auto& member : alive) {
-      shares[member.failureDomain] += kLeastToldRate;
-    }
-  }
+  std::map<std::string, target::DomainShares> heardRates;
+  std::map<std::string, double> heard;
+  heard[settings.failureDomain] += 1;
   for (const auto& [service, rate] : targets->Rates()) {
-    demand[service][settings.failureDomain] += rate;
+    heardRates[service][settings.failureDomain] += rate;
   }
-  for (const auto& member : alive) {
+  for (const auto& member : members->Alive()) {
+    heard[member.failureDomain] += 1;
     for (const auto& [service, rate] : member.latest.rates) {
-      demand[service][member.failureDomain] += rate;
+      heardRates[service][member.failureDomain] += rate;
+    }
+  }
+  const auto alive = members->AliveByDomain();
+  std::map<std::string, target::DomainShares> demand;
+  for (const auto& [service, row] : current->services) {
+    for (const auto& [domain, count] : alive) {
+      const double mean =
+        heardRates[service][domain] / std::max(1.0, heard[domain]);
+      demand[service][domain] =
+        static_cast<double>(count) * (mean + kLeastToldRate);
     }
   }
   targets->SetDemand(std::move(demand));
@@ -278,9 +286,9 @@
     aDetail = "listen.callers = " + parts.settings.callerAddress;
     return;
   }
-  AdminView view{ parts.metrics,      parts.lists,       *parts.members,
-                  *parts.targets,     *parts.dispatcher, *parts.editor,
-                  *parts.watcher,     *parts.admission,  *parts.hub,
+  AdminView view{ parts.metrics,       parts.lists,       *parts.members,
+                  *parts.targets,      *parts.dispatcher, *parts.editor,
+                  *parts.watcher,      *parts.admission,  *parts.hub,
                   [this] { Drain(); }, *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -49,14 +49,24 @@
   }
 }
 
-auto Membership::AliveCount() const -> std::size_t
+auto Membership::AliveByDomain() const -> std::map<std::string, std::size_t>
 {
-  std::size_t count = 1 + InDomain().size();
+  std::map<std::string, std::size_t> alive;
+  alive[Self().failureDomain] = 1 + InDomain().size();
   for (const auto& [domain, view] : m_domains.All()) {
     if (domain != Self().failureDomain && !view.lost) {
-      count += view.summary.alive;
+      alive[domain] = view.summary.alive;
     }
   }
+  return alive;
+}
+
+auto Membership::AliveCount() const -> std::size_t
+{
+  std::size_t count = 0;
+  for (const auto& [domain, alive] : AliveByDomain()) {
+    count += alive;
+  }
   return count;
 }
 
