--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -10,9 +10,11 @@
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Kernel/KeyKeeper.h"
 #include "bramleylock/Lists/ListEditor.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerHub.h"
 
 namespace bramleylock::kernel {
 
@@ -31,6 +33,7 @@
   admission::AdmissionPolicy& admission;
   peer::PeerHub& hub;
   std::function<void()> drain;
+  KeyKeeper& keys;
 };
 
 /// Serves the API.
@@ -62,6 +65,7 @@
     -> awaitable<http::Reply>;
   auto WhyNotReady() const -> std::string;
   auto PostDrain(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto PostRotateKeys(const http::Request& aRequest) -> awaitable<http::Reply>;
 
   std::string m_token;
   AdminView m_view;
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -1,4 +1,4 @@
-// Keeps the lists, the token keys and the VM list current.
+// Keeps the lists and the VM list current.
 #pragma once
 
 #include <functional>
@@ -9,7 +9,6 @@
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Lists/WatcherElection.h"
 #include "bramleylock/Support/Random.h"
-#include "bramleylock/Wire/Token.h"
 
 namespace bramleylock::kernel {
 
@@ -21,7 +20,6 @@
   lists::PlatformStore& store;
   lists::ListKeeper& lists;
   lists::ListEditor& editor;
-  wire::KeyRing& keys;
   peer::PeerHub& hub;
   peer::Membership& members;
   target::TargetTable& targets;
@@ -42,8 +40,6 @@
   /// Calls aListener after the targets were read from the VM list.
   auto OnTargets(std::function<void()> aListener) -> void;
 
-  auto NewestKey() const -> std::uint32_t;
-
   /// Whether this balancer holds the platform's watches now.
   auto Watching() const -> bool;
 
@@ -60,15 +56,10 @@
     -> void;
   auto WatchLists() -> awaitable<void>;
   auto TakeStored(std::string aDocument) -> awaitable<bool>;
-  auto KeepKeys() -> awaitable<void>;
-  auto CreateKeys() -> awaitable<void>;
   auto WatchVms() -> awaitable<void>;
   auto UntilWatching() -> awaitable<void>;
   auto PauseAfter(bool aFailed, Milliseconds aUsual) -> awaitable<void>;
   auto Answered() -> void;
-  auto InstallKeys(const std::string& aDocument) -> void;
-  auto SendKeys(const std::string& aAddress) -> void;
-  auto ListenForKeys() -> void;
 
   PlatformView m_view;
   lists::ListSpread m_spread;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -22,12 +23,21 @@
   Lists,
   Keys,
   ListsRequest,
+  HandOver,
+  HandOverReply,
+  Continues,
+  ContinuesReply,
+  ContinuesRequest,
+  Probe,
+  ProbeAnswer,
+  ProbeRequest,
+  MemberSync,
   WatcherWord,
   Vms,
   VmsRequest
 };
 
-inline constexpr std::array<NameRow<MessageType>, 10> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 19> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -35,6 +45,15 @@
   { MessageType::Lists, "lists" },
   { MessageType::Keys, "keys" },
   { MessageType::ListsRequest, "lists-request" },
+  { MessageType::HandOver, "hand-over" },
+  { MessageType::HandOverReply, "hand-over-reply" },
+  { MessageType::Continues, "continues" },
+  { MessageType::ContinuesReply, "continues-reply" },
+  { MessageType::ContinuesRequest, "continues-request" },
+  { MessageType::Probe, "probe" },
+  { MessageType::ProbeAnswer, "probe-answer" },
+  { MessageType::ProbeRequest, "probe-request" },
+  { MessageType::MemberSync, "member-sync" },
   { MessageType::WatcherWord, "watcher-word" },
   { MessageType::Vms, "vms" },
   { MessageType::VmsRequest, "vms-request" },
@@ -64,7 +83,9 @@
   /// "ip:port" of the caller.
   std::string caller;
   std::string datagram;
-  MSGPACK_DEFINE_ARRAY(caller, datagram)
+  /// How often it was passed on before.
+  std::uint32_t hops = 0;
+  MSGPACK_DEFINE_ARRAY(caller, datagram, hops)
 };
 
 /// Tells that the sender is alive, and what it knows.
@@ -75,10 +96,89 @@
   bool draining = false;
   /// Requests in flight by target address.
   std::vector<std::pair<std::string, std::uint32_t>> inFlight;
+  /// Requests a second that the sender sends to targets, by service.
+  std::vector<std::pair<std::string, float>> rates;
+  /// Targets that the sender itself found to be leaving.
+  std::vector<std::string> drainingTargets;
   /// Tells lists of one revision apart.
   std::uint64_t listsDigest = 0;
-  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight,
-                       listsDigest)
+  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates,
+                       drainingTargets, listsDigest)
+};
+
+/// What one balancer says of another, or of itself.
+struct MemberRecord
+{
+  std::string vm;
+  std::string failureDomain;
+  std::string address;
+  std::uint64_t incarnation = 0;
+  /// Raised by the balancer itself when its record has to be replaced.
+  std::uint64_t refutation = 0;
+  /// A peer::MemberState.
+  std::uint8_t state = 0;
+  bool draining = false;
+  MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation, refutation,
+                       state, draining)
+};
+
+/// A failure domain as the others need to know it.
+struct DomainSummary
+{
+  std::string failureDomain;
+  std::uint64_t version = 0;
+  /// Names the rest: a hash of it.
+  std::uint64_t contents = 0;
+  /// Balancers alive there.
+  std::uint32_t alive = 0;
+  /// Some of them, its relays first; none for "as before".
+  std::vector<MemberRecord> members;
+  MSGPACK_DEFINE_ARRAY(failureDomain, version, contents, alive, members)
+};
+
+/// The body of a heartbeat, and of probes and their answers.
+struct Gossip
+{
+  Heartbeat heartbeat;
+  std::uint64_t refutation = 0;
+  /// Hash of the members that the sender holds alive in its failure domain.
+  std::uint64_t digest = 0;
+  std::vector<MemberRecord> updates;
+  std::vector<DomainSummary> domains;
+  MSGPACK_DEFINE_ARRAY(heartbeat, refutation, digest, updates, domains)
+};
+
+/// Asks the receiver to answer.
+struct Probe
+{
+  std::uint64_t sequence = 0;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, gossip)
+};
+
+/// Answers a probe, or tells that the balancer at about has answered.
+struct ProbeAnswer
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  Gossip gossip;
+  MSGPACK_DEFINE_ARRAY(sequence, about, gossip)
+};
+
+/// Asks the receiver to probe the balancer at about.
+struct ProbeRequest
+{
+  std::uint64_t sequence = 0;
+  std::string about;
+  MSGPACK_DEFINE_ARRAY(sequence, about)
+};
+
+/// Member records in full, for joining and repair.
+struct MemberSync
+{
+  bool wantAnswer = false;
+  std::vector<MemberRecord> records;
+  MSGPACK_DEFINE_ARRAY(wantAnswer, records)
 };
 
 /// The lists, or the entries that changed after a base revision.
@@ -162,6 +262,114 @@
   MSGPACK_DEFINE_ARRAY(haveRevision, haveDigest)
 };
 
+/// One run of a balancer, as flow tokens name it.
+struct Owner
+{
+  /// "ip:port" of its peer listener.
+  std::string address;
+  std::uint64_t incarnation = 0;
+  auto operator==(const Owner& aOther) const -> bool
+  {
+    return address == aOther.address && incarnation == aOther.incarnation;
+  }
+  auto operator<(const Owner& aOther) const -> bool
+  {
+    return std::tie(address, incarnation) <
+           std::tie(aOther.address, aOther.incarnation);
+  }
+  MSGPACK_DEFINE_ARRAY(address, incarnation)
+};
+
+/// The final word on an at-most-once request of a flow that changes hands.
+struct HandedOutcome
+{
+  std::uint32_t sequence = 0;
+  std::vector<std::string> datagrams;
+  std::uint32_t keepMs = 0;
+  MSGPACK_DEFINE_ARRAY(sequence, datagrams, keepMs)
+};
+
+/// A repeatable request that the receiver continues.
+struct HandedRequest
+{
+  /// The request packet; its part is the first that the caller lacks.
+  std::string datagram;
+  std::string plan;
+  /// "ip:port" of the caller.
+  std::string caller;
+  /// The token that the caller knows for this request.
+  std::string token;
+  std::uint32_t leftMs = 0;
+  std::uint32_t urgency = 0;
+  std::uint32_t size = 0;
+  MSGPACK_DEFINE_ARRAY(datagram, plan, caller, token, leftMs, urgency, size)
+};
+
+/// A whole flow.
+struct HandedFlow
+{
+  std::uint64_t id = 0;
+  std::string plan;
+  std::string service;
+  std::uint32_t floor = 0;
+  /// The owners before the receiver; tokens that name them stay good.
+  std::vector<Owner> origins;
+  std::vector<HandedOutcome> outcomes;
+  std::vector<HandedRequest> requests;
+  MSGPACK_DEFINE_ARRAY(id, plan, service, floor, origins, outcomes, requests)
+};
+
+/// Flows that the sender gives up for good. A batch is sent again until it is
+/// answered; the receiver takes it once.
+struct HandOver
+{
+  /// Another incarnation at the receiver's address must not take it.
+  std::uint64_t receiverIncarnation = 0;
+  /// Numbered from 1 for each receiver.
+  std::uint32_t batch = 0;
+  std::vector<HandedFlow> flows;
+  MSGPACK_DEFINE_ARRAY(receiverIncarnation, batch, flows)
+};
+
+/// Whether the receiver holds the batch now. A refusal is final.
+struct HandOverReply
+{
+  std::uint64_t receiverIncarnation = 0;
+  std::uint32_t batch = 0;
+  bool accepted = false;
+  MSGPACK_DEFINE_ARRAY(receiverIncarnation, batch, accepted)
+};
+
+/// The flows of `from` continue at `to`.
+struct Continuation
+{
+  Owner from;
+  Owner to;
+  /// For how much longer the record is kept.
+  std::uint32_t keepSeconds = 0;
+  MSGPACK_DEFINE_ARRAY(from, to, keepSeconds)
+};
+
+struct Continues
+{
+  std::vector<Continuation> records;
+  MSGPACK_DEFINE_ARRAY(records)
+};
+
+/// Says that the records of `owners` are kept now.
+struct ContinuesReply
+{
+  std::vector<Owner> owners;
+  MSGPACK_DEFINE_ARRAY(owners)
+};
+
+/// Asks for records, unless the receiver's have the same digest.
+struct ContinuesRequest
+{
+  std::uint64_t digest = 0;
+  MSGPACK_DEFINE_ARRAY(digest)
+};
+
 /// Packs the body of a message.
 template<typename Message>
 auto PackBody(const Message& aMessage) -> std::string
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -2,6 +2,8 @@
 
 #include "bramleylock/Flow/RequestRunner.h"
 
+#include "bramleylock/Flow/HedgedReader.h"
+
 #include <fmt/format.h>
 
 namespace bramleylock::flow {
@@ -17,9 +19,10 @@
 static constexpr int kAttemptLimit = 3;
 
 /// How recently an idle connection must have worked to carry a request that
-/// may not be repeated, and one that may.
-static constexpr Milliseconds kProvenForOnce{ 1000 };
-static constexpr Milliseconds kProvenForRepeatable{ 30000 };
+/// may not be repeated, and one that may. The first is always proven anew,
+/// because nothing can be done for it on a connection that has gone silent.
+static constexpr Milliseconds kProvenForOnce{ 0 };
+static constexpr Milliseconds kProvenForRepeatable{ 100 };
 
 /// How long past its deadline an outcome is kept for late duplicates.
 static constexpr std::chrono::seconds kOutcomeMargin{ 30 };
@@ -44,6 +47,7 @@
     : m_environment(aEnvironment)
     , m_flow(std::move(aFlow))
     , m_exchange(std::move(aExchange))
+    , m_reader(aEnvironment, *m_exchange, m_flow->service, m_tried)
   {
   }
 
@@ -95,9 +99,7 @@
         break;
       }
       m_tried.insert(chosen->address);
-      ++chosen->inFlight;
       const auto result = co_await Attempt(chosen);
-      --chosen->inFlight;
       if (result == AttemptResult::Finished) {
         co_return;
       }
@@ -114,6 +116,7 @@
   auto Attempt(std::shared_ptr<target::Target> aTarget)
     -> awaitable<AttemptResult>
   {
+    target::InFlight inFlight(aTarget);
     const auto proven = Repeatable() ? kProvenForRepeatable : kProvenForOnce;
     std::error_code error;
     auto connection =
@@ -128,6 +131,11 @@
       EndUndecided(Reason::Cancelled);
       co_return AttemptResult::Finished;
     }
+    if (Clock::now() >= m_exchange->deadline) {
+      EndUndecided(Reason::Deadline);
+      co_return AttemptResult::Finished;
+    }
+    Leg leg{ aTarget, connection, std::move(inFlight) };
     m_exchange->connection = std::move(connection);
     m_exchange->stage = Stage::Dispatched;
     // From here on the target may have run the request.
@@ -139,16 +147,26 @@
     if (error) {
       co_return Lost(aTarget, error);
     }
-    const auto head = co_await m_exchange->connection->ReadHead(error);
+    const HedgedReader::MakeCall again = [this] { return MakeCall(); };
+    const auto head = co_await m_reader.ReadHead(leg, again, error);
     if (error) {
-      co_return Lost(aTarget, error);
+      co_return Lost(leg.target, error);
     }
+    m_exchange->connection = leg.connection;
+    NoteDraining(leg, head);
     m_outcome.latency = Clock::now() - started;
     if (head.notRun) {
-      co_return Shed(aTarget, head);
+      co_return Shed(leg.target, head);
     }
     m_outcome.answered = true;
-    co_return co_await Stream(aTarget, head);
+    co_return co_await Stream(leg, head);
+  }
+
+  auto NoteDraining(const Leg& aLeg, const target::TargetHead& aHead) -> void
+  {
+    if (aHead.draining) {
+      m_environment.targets.NoteDraining(aLeg.target);
+    }
   }
 
   auto MakeCall() -> target::TargetCall
@@ -210,7 +228,7 @@
     packet.type = aType;
     packet.flow = m_flow->id;
     packet.sequence = m_exchange->request.sequence;
-    packet.token = m_flow->token;
+    packet.token = m_exchange->token;
     return packet;
   }
 
@@ -222,60 +240,93 @@
                               : request.answerTag == aHead.tag;
   }
 
-  auto Stream(std::shared_ptr<target::Target> aTarget, target::TargetHead aHead)
-    -> awaitable<AttemptResult>
+  /// Starts an answer to the caller; false when it has to start over because
+  /// the content has changed.
+  auto BeginAnswer(const Leg& aLeg, const target::TargetHead& aHead) -> bool
   {
-    m_exchange->stage = Stage::Answering;
-    std::uint64_t skip = 0;
-    if (!m_exchange->answer || !Continues(aHead)) {
-      const auto first = static_cast<std::uint32_t>(
-        Continues(aHead) ? aHead.offset / wire::kPartBytes : 0);
-      if (first == 0 && aHead.offset != 0) {
-        // The content has changed; the caller has to start over.
-        m_exchange->connection->Close();
-        m_exchange->connection.reset();
-        m_exchange->request.part = 0;
-        m_exchange->answer.reset();
-        m_tried.erase(aTarget->address);
-        co_return AttemptResult::TryElsewhere;
-      }
-      m_exchange->answer = std::make_unique<AnswerSender>(
-        m_environment, MakeTemplate(PacketType::Answer), m_exchange->caller);
-      m_exchange->answer->SkipTo(first);
-      m_body.clear();
-      m_tag = aHead.tag;
-      m_pushed = std::uint64_t{ first } * wire::kPartBytes;
+    const auto first = static_cast<std::uint32_t>(
+      Continues(aHead) ? aHead.offset / wire::kPartBytes : 0);
+    if (first == 0 && aHead.offset != 0) {
+      m_exchange->connection->Close();
+      m_exchange->connection.reset();
+      m_exchange->request.part = 0;
+      m_exchange->answer.reset();
+      m_tried.erase(aLeg.target->address);
+      return false;
     }
-    auto& answer = *m_exchange->answer;
-    answer.SetCode(aHead.status, aHead.tag);
-    if (aHead.length) {
-      answer.SetLength(*aHead.length);
-    }
-    skip = m_pushed - std::min(m_pushed, aHead.offset);
+    m_exchange->answer = std::make_unique<AnswerSender>(
+      m_environment, MakeTemplate(PacketType::Answer), m_exchange->caller);
+    m_exchange->answer->SkipTo(first);
+    m_body.clear();
+    m_tag = aHead.tag;
+    m_pushed = std::uint64_t{ first } * wire::kPartBytes;
+    return true;
+  }
+
+  /// Passes the body on, without its first aSkip bytes; Finished is the result
+  /// at its end too.
+  auto PassBody(Leg& aLeg, std::uint64_t aSkip) -> awaitable<AttemptResult>
+  {
     std::array<char, kReadBytes> buffer;
+    const HedgedReader::MakeCall onwards = [this] {
+      auto call = MakeCall();
+      call.offset = m_pushed;
+      return call;
+    };
+    const HedgedReader::Accept continues =
+      [this](const target::TargetHead& aOther) {
+        return aOther.tag == m_tag && aOther.offset <= m_pushed;
+      };
     for (;;) {
       std::error_code error;
-      const auto size = co_await m_exchange->connection->ReadSome(
-        buffer.data(), buffer.size(), error);
+      const auto read = co_await m_reader.ReadSome(
+        aLeg, buffer.data(), buffer.size(), onwards, continues, error);
       if (error) {
-        co_return Lost(aTarget, error);
+        co_return Lost(aLeg.target, error);
       }
-      if (size == 0) {
-        break;
+      if (read.takenOver) {
+        m_exchange->connection = aLeg.connection;
+        aSkip = m_pushed - read.takenOver->offset;
+        continue;
+      }
+      if (read.size == 0) {
+        m_bodyEnded = true;
+        co_return AttemptResult::Finished;
       }
-      const auto skipped = std::min<std::uint64_t>(skip, size);
-      skip -= skipped;
-      m_pushed += size - skipped;
-      Remember(buffer.data() + skipped, size - skipped);
-      const bool alive =
-        co_await answer.Push(buffer.data() + skipped, size - skipped);
+      const auto skipped = std::min<std::uint64_t>(aSkip, read.size);
+      aSkip -= skipped;
+      const auto* data = buffer.data() + skipped;
+      const auto size = read.size - skipped;
+      m_pushed += size;
+      Remember(data, size);
+      const bool alive = co_await m_exchange->answer->Push(data, size);
       if (!alive) {
         EndAborted();
         co_return AttemptResult::Finished;
       }
     }
-    m_environment.targets.Return(aTarget, std::move(m_exchange->connection));
-    m_environment.targets.Report(aTarget, TargetOutcome::Answered);
+  }
+
+  auto Stream(Leg& aLeg, target::TargetHead aHead) -> awaitable<AttemptResult>
+  {
+    m_exchange->stage = Stage::Answering;
+    const bool goesOn = m_exchange->answer && Continues(aHead);
+    if (!goesOn && !BeginAnswer(aLeg, aHead)) {
+      co_return AttemptResult::TryElsewhere;
+    }
+    m_exchange->answer->SetCode(aHead.status, aHead.tag);
+    if (aHead.length) {
+      m_exchange->answer->SetLength(*aHead.length);
+    }
+    const auto skip = m_pushed - std::min(m_pushed, aHead.offset);
+    const auto passed = co_await PassBody(aLeg, skip);
+    if (!m_bodyEnded) {
+      co_return passed;
+    }
+    m_environment.targets.Return(aLeg.target,
+                                 std::move(m_exchange->connection));
+    m_environment.targets.Report(aLeg.target, TargetOutcome::Answered);
+    aLeg = Leg();
     m_permit.Finish(m_outcome);
     co_await FinishAnswer(aHead);
     co_return AttemptResult::Finished;
@@ -309,7 +360,7 @@
 
   auto RememberParts(const target::TargetHead& aHead) -> void
   {
-    if (Repeatable()) {
+    if (Repeatable() || m_exchange->frozen) {
       return;
     }
     auto packet = MakeTemplate(PacketType::Answer);
@@ -337,6 +388,9 @@
   /// Sends aPacket as the final word and keeps it for at-most-once requests.
   auto EndWith(const wire::Packet& aPacket) -> void
   {
+    if (m_exchange->frozen) {
+      return;
+    }
     SendPacket(m_environment, m_exchange->caller, aPacket);
     if (!Repeatable()) {
       NewOutcome().datagrams.push_back(wire::Encode(aPacket));
@@ -388,10 +442,12 @@
   admission::Permit m_permit;
   AdmissionOutcome m_outcome;
   std::set<std::string> m_tried;
+  HedgedReader m_reader;
   Reason m_failure = Reason::NoTarget;
   std::uint32_t m_retryAfterMs = 0;
   bool m_mayHaveRun = false;
   bool m_everLost = false;
+  bool m_bodyEnded = false;
   std::uint64_t m_tag = 0;
   std::uint64_t m_pushed = 0;
   std::string m_body;
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -4,17 +4,13 @@
 
 #include "bramleylock/Support/Log.h"
 
-#include <nlohmann/json.hpp>
-
 namespace bramleylock::kernel {
 
 using lists::StoreError;
-using nlohmann::json;
 
 static constexpr Milliseconds kWatchWait{ 10000 };
 static constexpr Milliseconds kRetryStore{ 500 };
 static constexpr Milliseconds kPollVms{ 1000 };
-static constexpr Milliseconds kPollKeys{ 5000 };
 static constexpr Milliseconds kElectEvery{ 200 };
 static constexpr Milliseconds kWordEvery{ 500 };
 
@@ -44,7 +40,6 @@
 {
   m_spread.Start();
   m_vms.Start();
-  ListenForKeys();
   m_view.hub.On(wire::MessageType::WatcherWord,
                 [this](const wire::Hello& aSender, const std::string& aBody) {
                   ReceiveWord(aSender, aBody);
@@ -52,7 +47,6 @@
   Spawn(m_view.context, "elect-watchers", ElectLoop());
   Spawn(m_view.context, "watcher-words", WordLoop());
   Spawn(m_view.context, "watch-lists", WatchLists());
-  Spawn(m_view.context, "keep-keys", KeepKeys());
   Spawn(m_view.context, "watch-vms", WatchVms());
 }
 
@@ -82,9 +76,6 @@
   m_spread.Compare(aMember.address, aMember.latest.listsRevision,
                    aMember.latest.listsDigest);
   m_vms.AskIfEmpty(aMember.address);
-  if (aMember.latest.newestKey < NewestKey()) {
-    SendKeys(aMember.address);
-  }
 }
 
 auto PlatformWatcher::ElectLoop() -> awaitable<void>
@@ -248,79 +239,4 @@
   }
 }
 
-auto PlatformWatcher::ListenForKeys() -> void
-{
-  m_view.hub.On(wire::MessageType::Keys,
-                [this](const wire::Hello&, const std::string& aBody) {
-                  auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
-                  if (!message) {
-                    return;
-                  }
-                  for (const auto& [id, text] : message->keys) {
-                    wire::SigningKey key{};
-                    if (wire::KeyFromHex(text, key)) {
-                      m_view.keys.Add(id, key);
-                    }
-                  }
-                });
-}
-
-auto PlatformWatcher::SendKeys(const std::string& aAddress) -> void
-{
-  wire::KeysMessage message;
-  for (const auto& [id, key] : m_view.keys.Keys()) {
-    message.keys.emplace_back(id, wire::KeyToHex(key));
-  }
-  if (!message.keys.empty()) {
-    m_view.hub.SendMessage(aAddress, wire::MessageType::Keys, message);
-  }
-}
-
-auto PlatformWatcher::NewestKey() const -> std::uint32_t
-{
-  return m_view.keys.Empty() ? 0 : m_view.keys.Keys().rbegin()->first;
-}
-
-auto PlatformWatcher::InstallKeys(const std::string& aDocument) -> void
-{
-  const auto document = json::parse(aDocument, nullptr, false);
-  if (!document.is_object()) {
-    LogError("token-keys-invalid", {});
-    return;
-  }
-  for (const auto& [id, text] : document.items()) {
-    wire::SigningKey key{};
-    if (text.is_string() && wire::KeyFromHex(text.get<std::string>(), key)) {
-      m_view.keys.Add(static_cast<std::uint32_t>(std::stoul(id)), key);
-    }
-  }
-}
-
-auto PlatformWatcher::CreateKeys() -> awaitable<void>
-{
-  // The first writer wins; whoever loses reads the winner's key next time.
-  const json document{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
-  std::error_code error;
-  co_await m_view.store.CompareAndSwap(lists::kTokenKeysKey, 0, document.dump(),
-                                       error);
-}
-
-auto PlatformWatcher::KeepKeys() -> awaitable<void>
-{
-  for (;;) {
-    co_await UntilWatching();
-    std::error_code error;
-    const auto stored = co_await m_view.store.Get(lists::kTokenKeysKey, error);
-    if (error == StoreError::NotFound) {
-      co_await CreateKeys();
-      continue;
-    }
-    if (!error) {
-      Answered();
-      InstallKeys(stored.value);
-    }
-    co_await PauseAfter(static_cast<bool>(error), kPollKeys);
-  }
-}
-
 } // namespace bramleylock::kernel
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -25,6 +25,7 @@
 {
   Name,
   TcpAddress,
+  OptionalTcpAddress,
   TcpAddresses,
   File,
   Choice
@@ -68,7 +69,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 16> kTextRows{ {
+const std::array<TextRow, 17> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -77,6 +78,10 @@
     nullptr, "ip:port for callers' datagrams" },
   { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
     nullptr, "ip:port for the other balancers" },
+  { "listen.peers_advertised", &Settings::peerAdvertised,
+    TextKind::OptionalTcpAddress, "", nullptr,
+    "ip:port at which the other balancers reach listen.peers; empty for the "
+    "bound address" },
   { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
     "peers to ask for lists and keys while the platform does not answer" },
   { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
@@ -95,7 +100,7 @@
   { "plugins.platform_store", &Settings::platformStore, TextKind::Choice,
     "http", NamesOf<lists::StoreRegistry>, "protocol of the platform" },
   { "plugins.target_choice", &Settings::targetChoice, TextKind::Choice,
-    "two-choices", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
+    "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
   { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fifo",
     NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
   { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
@@ -199,6 +204,8 @@
     switch (aRow.kind) {
       case TextKind::TcpAddress:
         return "allowed: \"ip:port\"";
+      case TextKind::OptionalTcpAddress:
+        return "allowed: \"ip:port\" or empty";
       case TextKind::TcpAddresses:
         return "allowed: \"ip:port ip:port ...\"";
       case TextKind::File:
@@ -218,6 +225,9 @@
       case TextKind::TcpAddress:
         ParseTcpEndpoint(aText, error);
         return !error;
+      case TextKind::OptionalTcpAddress:
+        ParseTcpEndpoint(aText, error);
+        return aText.empty() || !error;
       case TextKind::TcpAddresses:
         return AllAddresses(aText);
       case TextKind::File:
