--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -278,9 +278,9 @@
     aDetail = "listen.callers = " + parts.settings.callerAddress;
     return;
   }
-  AdminView view{ parts.metrics,      parts.lists,       *parts.members,
-                  *parts.targets,     *parts.dispatcher, *parts.editor,
-                  *parts.watcher,     *parts.admission,  *parts.hub,
+  AdminView view{ parts.metrics,       parts.lists,       *parts.members,
+                  *parts.targets,      *parts.dispatcher, *parts.editor,
+                  *parts.watcher,      *parts.admission,  *parts.hub,
                   [this] { Drain(); }, *parts.keyKeeper };
   try {
     parts.admin = std::make_unique<AdminApi>(
