--- a/lib/Peer/DomainTable.cpp
+++ b/lib/Peer/DomainTable.cpp
@@ -99,9 +99,10 @@
                      std::vector<std::string> aAddresses)
   -> std::vector<std::string>
 {
+  const auto prefix = aFailureDomain + '/';
   std::vector<std::pair<std::string, std::string>> weighted;
   for (auto& address : aAddresses) {
-    auto weight = HashHex(aFailureDomain + '/' + address);
+    auto weight = HashHex(prefix + address);
     weighted.emplace_back(std::move(weight), std::move(address));
   }
   std::sort(weighted.begin(), weighted.end());
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -393,7 +393,7 @@
     std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
   }
   while (!m_probeOrder.empty()) {
-    const auto address = m_probeOrder.back();
+    auto address = m_probeOrder.back();
     m_probeOrder.pop_back();
     const auto* member = m_table.Find(address);
     if (member != nullptr && Reachable(member->state)) {
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -114,10 +114,14 @@
   auto WaitReady(BalancerProcess& aBalancer) -> void;
 
   /// Cuts the links from balancers of aFrom to those of aTo, or heals them;
-  /// needs the option proxied, as the next two.
+  /// needs the option proxied, as the next three.
   auto CutLinks(const std::string& aFrom, const std::string& aTo, bool aCut)
     -> void;
 
+  /// Cuts the links from one balancer to another, or heals them.
+  auto CutLink(const std::string& aFrom, const std::string& aTo, bool aCut)
+    -> void;
+
   /// Cuts aDomain from the platform, or heals it.
   auto CutStore(const std::string& aDomain, bool aCut) -> void;
 
@@ -162,6 +166,9 @@
   auto ListenLines(const std::string& aName, const std::string& aDomain)
     -> std::string;
   auto DomainPrefix(const std::string& aDomain) const -> std::string;
+  auto AddressOf(const std::string& aBalancer) const -> std::string;
+  auto SetCut(const std::string& aPrefix, const std::string& aTo, bool aCut)
+    -> void;
   auto SetFaults(const std::string& aBalancer) -> void;
 
   const Deployment& m_deployment;
@@ -175,7 +182,8 @@
   std::map<std::string, nlohmann::json> m_savedJournals;
   std::map<std::string, std::unique_ptr<Process>> m_storeProxies;
   std::map<std::string, std::unique_ptr<Process>> m_peerProxies;
-  /// Domains that are cut, by the domain that they cannot send to.
+  /// Prefixes of addresses that are cut, by the balancer that they cannot send
+  /// to.
   std::map<std::string, std::set<std::string>> m_cutInto;
   double m_loss = 0;
   int m_nextName = 1;
--- a/measure/ClusterFaults.cpp
+++ b/measure/ClusterFaults.cpp
@@ -71,38 +71,45 @@
                      proxy->Value("proxy"));
 }
 
+auto Cluster::AddressOf(const std::string& aBalancer) const -> std::string
+{
+  const auto advertised = m_peerProxies.at(aBalancer)->Value("proxy");
+  return advertised.substr(0, advertised.find(':'));
+}
+
 auto Cluster::SetFaults(const std::string& aBalancer) -> void
 {
-  const auto proxy = m_peerProxies.find(aBalancer);
-  const auto balancer = std::find_if(
-    m_balancers.begin(), m_balancers.end(),
-    [&](const BalancerProcess& aEach) { return aEach.name == aBalancer; });
-  if (proxy == m_peerProxies.end() || balancer == m_balancers.end()) {
-    return;
-  }
-  json cut = json::array();
-  for (const auto& domain : m_cutInto[balancer->failureDomain]) {
-    cut.push_back(DomainPrefix(domain));
-  }
-  Control(proxy->second->Value("control"), "/control/fault",
-          { { "cut", cut }, { "loss", m_loss } });
+  Control(m_peerProxies.at(aBalancer)->Value("control"), "/control/fault",
+          { { "cut", m_cutInto[aBalancer] }, { "loss", m_loss } });
 }
 
-auto Cluster::CutLinks(const std::string& aFrom, const std::string& aTo,
-                       bool aCut) -> void
+auto Cluster::SetCut(const std::string& aPrefix, const std::string& aTo,
+                     bool aCut) -> void
 {
   if (aCut) {
-    m_cutInto[aTo].insert(aFrom);
+    m_cutInto[aTo].insert(aPrefix);
   } else {
-    m_cutInto[aTo].erase(aFrom);
+    m_cutInto[aTo].erase(aPrefix);
   }
+  SetFaults(aTo);
+}
+
+auto Cluster::CutLinks(const std::string& aFrom, const std::string& aTo,
+                       bool aCut) -> void
+{
   for (const auto& balancer : m_balancers) {
     if (balancer.failureDomain == aTo) {
-      SetFaults(balancer.name);
+      SetCut(DomainPrefix(aFrom), balancer.name, aCut);
     }
   }
 }
 
+auto Cluster::CutLink(const std::string& aFrom, const std::string& aTo,
+                      bool aCut) -> void
+{
+  SetCut(AddressOf(aFrom), aTo, aCut);
+}
+
 auto Cluster::CutStore(const std::string& aDomain, bool aCut) -> void
 {
   const auto cut = aCut ? json::array({ "127." }) : json::array();
--- a/measure/ControlSlope.cpp
+++ b/measure/ControlSlope.cpp
@@ -1,15 +1,11 @@
 // Scenario "control-slope": what control costs a node, for 8 to 128 daemons
 // without load, and how fast an edit reaches them.
 
+#include "measure/ProcessUse.h"
 #include "measure/Scenario.h"
 #include "measure/Views.h"
 
-#include <fmt/format.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace bramleylock::measure {
@@ -36,37 +32,15 @@
   double storeCalls = 0;
 };
 
-auto CpuSeconds(int aProcess) -> double
-{
-  std::ifstream file(fmt::format("/proc/{}/stat", aProcess));
-  std::string text((std::istreambuf_iterator<char>(file)), {});
-  // The name in brackets may hold blanks; fields 14 and 15 count from it.
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::string field;
-  double ticks = 0;
-  for (int i = 3; i <= 15 && fields >> field; ++i) {
-    ticks += i >= 14 ? std::stod(field) : 0;
-  }
-  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
-auto MemoryMb(int aProcess) -> double
-{
-  std::ifstream file(fmt::format("/proc/{}/statm", aProcess));
-  double total = 0;
-  double resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 auto UsageOf(Cluster& aCluster, BalancerProcess& aBalancer) -> Usage
 {
   const auto status = aCluster.Admin(aBalancer, "GET", "/status");
   const auto counters = aCluster.Admin(aBalancer, "GET", "/counters");
-  const int id = aBalancer.process->Id();
+  const auto use = UseOf(aBalancer.process->Id());
   return { status.value("peer_bytes_sent", 0.0) +
              status.value("peer_bytes_received", 0.0),
-           CpuSeconds(id), MemoryMb(id), counters.value("store_calls", 0.0) };
+           use.cpuSeconds, use.residentBytes / 1e6,
+           counters.value("store_calls", 0.0) };
 }
 
 auto MedianOf(std::vector<double> aValues) -> double
--- a/unittests/Peer/MemberTableTest.cpp
+++ b/unittests/Peer/MemberTableTest.cpp
@@ -14,11 +14,13 @@
 auto Record(const std::string& aAddress, std::uint64_t aIncarnation,
             std::uint64_t aRefutation, MemberState aState)
 {
-  return wire::MemberRecord{
-    "vm-" + aAddress, "north",     aAddress,
-    aIncarnation,     aRefutation, static_cast<std::uint8_t>(aState),
-    false
-  };
+  return wire::MemberRecord{ "vm-" + aAddress,
+                             "north",
+                             aAddress,
+                             aIncarnation,
+                             aRefutation,
+                             static_cast<std::uint8_t>(aState),
+                             false };
 }
 
 struct Fixture
--- a/unittests/Peer/SecureLinkTest.cpp
+++ b/unittests/Peer/SecureLinkTest.cpp
@@ -23,8 +23,8 @@
 
 auto Connected(asio::io_context& aContext)
 {
-  Tcp::acceptor acceptor(
-    aContext, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  Tcp::acceptor acceptor(aContext,
+                         Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   Tcp::socket near(aContext);
   near.connect(acceptor.local_endpoint());
   return std::pair(std::move(near), acceptor.accept());
