Bound the targets that a heartbeat tells

Cause: a heartbeat named every target with requests in flight; with 81,000 hosts over 14 failure domains that is thousands of entries a message. It now names the 16 with the most requests, in heartbeats only; probes and answers leave what is known of them as it is.

--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -97,8 +97,8 @@
   auto TakeDomains(const std::vector<wire::DomainSummary>& aDomains) -> void;
   auto TakeMembersOf(const wire::DomainSummary& aSummary, bool aChanged)
     -> void;
-  auto MakeGossip(const std::string& aReceiver, std::size_t aDomains)
-    -> wire::Gossip;
+  auto MakeGossip(const std::string& aReceiver, std::size_t aDomains,
+                  bool aWhole) -> wire::Gossip;
   auto SendHeartbeat(const std::string& aAddress, std::size_t aDomains) -> void;
   auto SendSync(const std::string& aAddress, bool aWantAnswer) -> void;
   auto SyncIfApart(const wire::Hello& aSender, std::uint64_t aDigest) -> void;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -114,12 +114,14 @@
 struct Gossip
 {
   Heartbeat heartbeat;
+  /// Whether the heartbeat tells the requests in flight.
+  bool whole = false;
   std::uint64_t refutation = 0;
   /// Hash of the members that the sender holds alive in its failure domain.
   std::uint64_t digest = 0;
   std::vector<MemberRecord> updates;
   std::vector<DomainSummary> domains;
-  MSGPACK_DEFINE_ARRAY(heartbeat, refutation, digest, updates, domains)
+  MSGPACK_DEFINE_ARRAY(heartbeat, whole, refutation, digest, updates, domains)
 };
 
 /// Asks the receiver to answer.
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -209,7 +209,7 @@
   }
   const auto& domain = domains[m_nextDomain++ % domains.size()];
   for (const auto& address : Choose(ContactsOf(domain), 1)) {
-    auto gossip = MakeGossip(address, kDomainsToOthers);
+    auto gossip = MakeGossip(address, kDomainsToOthers, true);
     const auto* own = m_domains.Find(Self().failureDomain);
     if (own != nullptr) {
       gossip.domains.push_back(own->summary);
--- a/lib/Peer/MemberTable.cpp
+++ b/lib/Peer/MemberTable.cpp
@@ -170,7 +170,11 @@
     return false;
   }
   member.lastHeard = aNow;
+  auto inFlight = std::move(member.latest.inFlight);
   member.latest = aGossip.heartbeat;
+  if (!aGossip.whole) {
+    member.latest.inFlight = std::move(inFlight);
+  }
   return true;
 }
 
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -26,6 +26,9 @@
 /// A fleet of this size hears every heartbeat of everybody.
 static constexpr std::size_t kSmallFleet = 8;
 
+/// Targets whose requests in flight a heartbeat tells.
+static constexpr std::size_t kTargetsInHeartbeat = 16;
+
 /// Members that an announcement goes to.
 static constexpr std::size_t kAnnounceTo = 16;
 
@@ -91,7 +94,7 @@
     m_links.SendMessage(
       aSender.address, MessageType::ProbeAnswer,
       wire::ProbeAnswer{ probe->sequence, Self().address,
-                         MakeGossip(aSender.address, kDomainsInProbe) });
+                         MakeGossip(aSender.address, kDomainsInProbe, false) });
   });
   m_links.On(MessageType::ProbeAnswer,
              [this](const wire::Hello& aSender, const std::string& aBody) {
@@ -239,11 +242,32 @@
   }
 }
 
-auto Membership::MakeGossip(const std::string& aReceiver, std::size_t aDomains)
-  -> wire::Gossip
+/// Keeps the targets with the most requests, as many as a heartbeat may list.
+static auto BoundInFlight(wire::Heartbeat& aHeartbeat) -> void
+{
+  auto& counts = aHeartbeat.inFlight;
+  if (counts.size() <= kTargetsInHeartbeat) {
+    return;
+  }
+  const auto end =
+    counts.begin() + static_cast<std::ptrdiff_t>(kTargetsInHeartbeat);
+  std::partial_sort(counts.begin(), end, counts.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.second > aRight.second;
+                    });
+  counts.resize(kTargetsInHeartbeat);
+}
+
+auto Membership::MakeGossip(const std::string& aReceiver, std::size_t aDomains,
+                            bool aWhole) -> wire::Gossip
 {
   wire::Gossip gossip;
   m_fill(gossip.heartbeat);
+  BoundInFlight(gossip.heartbeat);
+  gossip.whole = aWhole;
+  if (!aWhole) {
+    gossip.heartbeat.inFlight.clear();
+  }
   gossip.refutation = m_table.SelfRecord().refutation;
   gossip.digest = m_table.Digest();
   const auto* receiver = m_table.Find(aReceiver);
@@ -264,7 +288,7 @@
                                std::size_t aDomains) -> void
 {
   m_links.SendMessage(aAddress, wire::MessageType::Heartbeat,
-                      MakeGossip(aAddress, aDomains));
+                      MakeGossip(aAddress, aDomains, true));
 }
 
 auto Membership::TakeGossip(const wire::Hello& aSender,
@@ -443,7 +467,7 @@
   m_metrics.Add(Counter::MemberProbes);
   m_links.SendMessage(
     aAddress, wire::MessageType::Probe,
-    wire::Probe{ sequence, MakeGossip(aAddress, kDomainsInProbe) });
+    wire::Probe{ sequence, MakeGossip(aAddress, kDomainsInProbe, false) });
   return waiting;
 }
 
@@ -495,7 +519,7 @@
   if (answered) {
     m_links.SendMessage(
       aAsker, wire::MessageType::ProbeAnswer,
-      wire::ProbeAnswer{ aSequence, aAddress, MakeGossip(aAsker, 0) });
+      wire::ProbeAnswer{ aSequence, aAddress, MakeGossip(aAsker, 0, false) });
   }
 }
 
--- a/unittests/Peer/MembershipTest.cpp
+++ b/unittests/Peer/MembershipTest.cpp
@@ -48,8 +48,11 @@
 class TestNetwork
 {
 public:
-  auto Add(const std::string& aName, const std::string& aDomain,
-           std::uint64_t aIncarnation = 1) -> Membership&
+  auto Add(
+    const std::string& aName, const std::string& aDomain,
+    std::uint64_t aIncarnation = 1,
+    std::function<void(wire::Heartbeat&)> aFill = [](wire::Heartbeat&) {})
+    -> Membership&
   {
     const wire::Hello self{ aName, aDomain, aName + ":1", aIncarnation };
     links[self.address] = std::make_unique<TestLinks>(*this, self);
@@ -63,7 +66,7 @@
     for (const auto& [address, each] : members) {
       each->SetHints(hints);
     }
-    member->Start([](wire::Heartbeat&) {});
+    member->Start(std::move(aFill));
     return *member;
   }
 
@@ -181,3 +184,35 @@
   cr_assert(!first.IsAlive("b:1", 7));
   cr_assert(first.IsAlive("b:1", 8));
 }
+
+Test(Membership, HeartbeatListsABoundedNumberOfTargets)
+{
+  TestNetwork network;
+  auto& first = network.Add("a", "north");
+  network.Add("b", "north", 1, [](wire::Heartbeat& aHeartbeat) {
+    for (std::uint32_t i = 1; i <= 1000; ++i) {
+      aHeartbeat.inFlight.emplace_back("t:" + std::to_string(i), i);
+    }
+  });
+  network.RunFor(Milliseconds(1500));
+  const auto members = first.AliveInDomain();
+  cr_assert(members.size() == 1);
+  const auto& counts = members[0].latest.inFlight;
+  cr_assert(counts.size() == 16, "%zu targets", counts.size());
+  cr_assert(counts[0].second == 1000);
+}
+
+Test(Membership, PausedMemberLearnsThatItWasHeldDeadAndRefutes)
+{
+  TestNetwork network;
+  auto& first = network.Add("a", "north");
+  auto& second = network.Add("b", "north");
+  network.RunFor(Milliseconds(1000));
+  network.CutBoth("a", "b");
+  network.RunFor(Milliseconds(4500));
+  cr_assert(!first.IsAlive("b:1", 1));
+  network.cuts.clear();
+  network.RunFor(Milliseconds(1500));
+  cr_assert(first.IsAlive("b:1", 1));
+  cr_assert(second.IsAlive("a:1", 1));
+}
