--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -63,6 +63,8 @@
   std::unique_ptr<Process> process;
   bool listed = true;
   bool leaving = false;
+  /// The proxy that balancers reach it through; null without one.
+  std::unique_ptr<Process> proxy;
 };
 
 /// How often a request ran, by the targets' journals.
@@ -84,6 +86,8 @@
   /// Gives each balancer an address by failure domain, with a proxy before its
   /// peer listener and one before the store for each domain.
   bool proxied = false;
+  /// Puts a proxy in front of every target.
+  bool proxyTargets = false;
 };
 
 /// Starts and stops a deployment, and injects faults into it. Every method
@@ -146,6 +150,9 @@
   /// Runs by target name.
   auto RunsByTarget(const std::string& aService) -> std::map<std::string, int>;
 
+  /// What a target tells of its runs and refusals.
+  auto Journal(TargetProcess& aTarget) -> nlohmann::json;
+
   /// Keeps the journal of a target that is about to stop.
   auto SaveJournal(TargetProcess& aTarget) -> void;
 
@@ -159,7 +166,6 @@
     -> std::string;
   auto StartBalancer(const std::string& aName, const std::string& aDomain)
     -> std::unique_ptr<Process>;
-  auto Journal(TargetProcess& aTarget) -> nlohmann::json;
   auto StartProxy(const std::string& aName, const std::string& aListen,
                   const std::string& aTo) -> std::unique_ptr<Process>;
   auto StoreFor(const std::string& aDomain) -> std::string;
