--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -1,5 +1,5 @@
 // Random probes within the failure domain, and what members tell each other.
-// Membership over other domains is in DomainExchange.cpp.
+// DomainExchange.cpp and MemberSync.cpp hold the rest of the class.
 
 #include "bramleylock/Peer/Membership.h"
 
@@ -32,11 +32,6 @@
 /// Members that an announcement goes to.
 static constexpr std::size_t kAnnounceTo = 16;
 
-/// Views that differ for this long are compared in full.
-static constexpr Milliseconds kApartLimit{ 1500 };
-static constexpr Milliseconds kSyncEvery{ 3000 };
-static constexpr Milliseconds kSyncEveryPerMember{ 50 };
-
 /// Counts in flight older than this say nothing any more.
 static constexpr Milliseconds kLatestValid{ 3000 };
 
@@ -338,58 +333,6 @@
   return refuted;
 }
 
-auto Membership::SyncIfApart(const wire::Hello& aSender, std::uint64_t aDigest)
-  -> void
-{
-  if (aSender.failureDomain != Self().failureDomain) {
-    return;
-  }
-  const auto now = Clock::now();
-  if (aDigest == m_table.Digest()) {
-    m_apartSince = {};
-    return;
-  }
-  if (m_apartSince == Clock::time_point{}) {
-    m_apartSince = now;
-  }
-  const auto size = static_cast<int>(m_table.Members().size());
-  const auto every =
-    std::max<Milliseconds>(kSyncEvery, kSyncEveryPerMember * size);
-  const bool joining = m_lastSync == Clock::time_point{};
-  if (joining ||
-      (now - m_apartSince > kApartLimit && now - m_lastSync > every)) {
-    m_lastSync = now;
-    m_metrics.Add(Counter::MemberSyncs);
-    SendSync(aSender.address, true);
-  }
-}
-
-auto Membership::SendSync(const std::string& aAddress, bool aWantAnswer) -> void
-{
-  wire::MemberSync sync{ aWantAnswer, { m_table.SelfRecord() } };
-  const auto* receiver = m_table.Find(aAddress);
-  const bool ownDomain =
-    receiver == nullptr || receiver->failureDomain == Self().failureDomain;
-  for (const auto& [address, member] : m_table.Members()) {
-    if (ownDomain && member.state != MemberState::Candidate &&
-        member.failureDomain == Self().failureDomain) {
-      sync.records.push_back(MemberTable::RecordOf(member));
-    }
-  }
-  m_links.SendMessage(aAddress, wire::MessageType::MemberSync, sync);
-}
-
-auto Membership::TakeSync(const wire::Hello& aSender,
-                          const wire::MemberSync& aSync) -> void
-{
-  if (TakeRecords(aSync.records)) {
-    SendHeartbeat(aSender.address, 0);
-  }
-  if (aSync.wantAnswer) {
-    SendSync(aSender.address, false);
-  }
-}
-
 auto Membership::PeriodLoop() -> awaitable<void>
 {
   std::uniform_int_distribution<int> jitter(-50, 50);
