--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -19,6 +19,8 @@
   std::string callerAddress;
   std::string peerAddress;
   std::string peerAdvertised;
+  /// "ip:port" of peers, separated by spaces.
+  std::string peerSeeds;
   std::string adminAddress;
   std::string storeAddress;
   std::string clusterKeyFile;
--- a/lib/Kernel/KeyKeeper.cpp
+++ b/lib/Kernel/KeyKeeper.cpp
@@ -126,9 +126,20 @@
                                   error);
 }
 
+auto KeyKeeper::SetGate(std::function<bool()> aGate) -> void
+{
+  m_gate = std::move(aGate);
+}
+
 auto KeyKeeper::KeepKeys() -> awaitable<void>
 {
   for (;;) {
+    if (m_gate && !m_gate()) {
+      // Another balancer of the failure domain reads the store; its keys come
+      // over the peer links.
+      co_await Sleep(kRetryStore);
+      continue;
+    }
     std::error_code error;
     const auto stored = co_await m_store.Get(lists::kTokenKeysKey, error);
     if (error == StoreError::NotFound) {
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -26,6 +26,7 @@
   Name,
   TcpAddress,
   OptionalTcpAddress,
+  TcpAddresses,
   File,
   Choice
 };
@@ -68,7 +69,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 16> kTextRows{ {
+const std::array<TextRow, 17> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -81,6 +82,8 @@
     TextKind::OptionalTcpAddress, "", nullptr,
     "ip:port at which the other balancers reach listen.peers; empty for the "
     "bound address" },
+  { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
+    "peers to ask for lists and keys while the platform does not answer" },
   { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
     nullptr, nullptr, "ip:port of the administration API" },
   { "platform.address", &Settings::storeAddress, TextKind::TcpAddress, nullptr,
@@ -117,6 +120,17 @@
     "seed of choices between targets; 0 takes one from the system" },
 } };
 
+auto AllAddresses(const std::string& aText) -> bool
+{
+  std::istringstream words(aText);
+  std::string address;
+  std::error_code error;
+  while (!error && words >> address) {
+    ParseTcpEndpoint(address, error);
+  }
+  return !error;
+}
+
 /// Collects faults while the rows are read.
 class Reader
 {
@@ -192,6 +206,8 @@
         return "allowed: \"ip:port\"";
       case TextKind::OptionalTcpAddress:
         return "allowed: \"ip:port\" or empty";
+      case TextKind::TcpAddresses:
+        return "allowed: \"ip:port ip:port ...\"";
       case TextKind::File:
         return "allowed: a file path";
       case TextKind::Name:
@@ -212,6 +228,8 @@
       case TextKind::OptionalTcpAddress:
         ParseTcpEndpoint(aText, error);
         return aText.empty() || !error;
+      case TextKind::TcpAddresses:
+        return AllAddresses(aText);
       case TextKind::File:
         return !aText.empty();
       case TextKind::Name:
