--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -1,5 +1,5 @@
 // Random probes within the failure domain, and what members tell each other.
-// Membership over other domains is in DomainExchange.cpp.
+// DomainExchange.cpp and MemberSync.cpp hold the rest of the class.
 
 #include "bramleylock/Peer/Membership.h"
 
@@ -26,14 +26,12 @@
 /// A fleet of this size hears every heartbeat of everybody.
 static constexpr std::size_t kSmallFleet = 8;
 
+/// Targets whose requests in flight a heartbeat tells.
+static constexpr std::size_t kTargetsInHeartbeat = 16;
+
 /// Members that an announcement goes to.
 static constexpr std::size_t kAnnounceTo = 16;
 
-/// Views that differ for this long are compared in full.
-static constexpr Milliseconds kApartLimit{ 1500 };
-static constexpr Milliseconds kSyncEvery{ 3000 };
-static constexpr Milliseconds kSyncEveryPerMember{ 50 };
-
 /// Counts in flight older than this say nothing any more.
 static constexpr Milliseconds kLatestValid{ 3000 };
 
@@ -91,7 +89,7 @@
     m_links.SendMessage(
       aSender.address, MessageType::ProbeAnswer,
       wire::ProbeAnswer{ probe->sequence, Self().address,
-                         MakeGossip(aSender.address, kDomainsInProbe) });
+                         MakeGossip(aSender.address, kDomainsInProbe, false) });
   });
   m_links.On(MessageType::ProbeAnswer,
              [this](const wire::Hello& aSender, const std::string& aBody) {
@@ -239,11 +237,32 @@
   }
 }
 
-auto Membership::MakeGossip(const std::string& aReceiver, std::size_t aDomains)
-  -> wire::Gossip
+/// Keeps the targets with the most requests, as many as a heartbeat may list.
+static auto BoundInFlight(wire::Heartbeat& aHeartbeat) -> void
+{
+  auto& counts = aHeartbeat.inFlight;
+  if (counts.size() <= kTargetsInHeartbeat) {
+    return;
+  }
+  const auto end =
+    counts.begin() + static_cast<std::ptrdiff_t>(kTargetsInHeartbeat);
+  std::partial_sort(counts.begin(), end, counts.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.second > aRight.second;
+                    });
+  counts.resize(kTargetsInHeartbeat);
+}
+
+auto Membership::MakeGossip(const std::string& aReceiver, std::size_t aDomains,
+                            bool aWhole) -> wire::Gossip
 {
   wire::Gossip gossip;
   m_fill(gossip.heartbeat);
+  BoundInFlight(gossip.heartbeat);
+  gossip.whole = aWhole;
+  if (!aWhole) {
+    gossip.heartbeat.inFlight.clear();
+  }
   gossip.refutation = m_table.SelfRecord().refutation;
   gossip.digest = m_table.Digest();
   const auto* receiver = m_table.Find(aReceiver);
@@ -264,7 +283,7 @@
                                std::size_t aDomains) -> void
 {
   m_links.SendMessage(aAddress, wire::MessageType::Heartbeat,
-                      MakeGossip(aAddress, aDomains));
+                      MakeGossip(aAddress, aDomains, true));
 }
 
 auto Membership::TakeGossip(const wire::Hello& aSender,
@@ -314,58 +333,6 @@
   return refuted;
 }
 
-auto Membership::SyncIfApart(const wire::Hello& aSender, std::uint64_t aDigest)
-  -> void
-{
-  if (aSender.failureDomain != Self().failureDomain) {
-    return;
-  }
-  const auto now = Clock::now();
-  if (aDigest == m_table.Digest()) {
-    m_apartSince = {};
-    return;
-  }
-  if (m_apartSince == Clock::time_point{}) {
-    m_apartSince = now;
-  }
-  const auto size = static_cast<int>(m_table.Members().size());
-  const auto every =
-    std::max<Milliseconds>(kSyncEvery, kSyncEveryPerMember * size);
-  const bool joining = m_lastSync == Clock::time_point{};
-  if (joining ||
-      (now - m_apartSince > kApartLimit && now - m_lastSync > every)) {
-    m_lastSync = now;
-    m_metrics.Add(Counter::MemberSyncs);
-    SendSync(aSender.address, true);
-  }
-}
-
-auto Membership::SendSync(const std::string& aAddress, bool aWantAnswer) -> void
-{
-  wire::MemberSync sync{ aWantAnswer, { m_table.SelfRecord() } };
-  const auto* receiver = m_table.Find(aAddress);
-  const bool ownDomain =
-    receiver == nullptr || receiver->failureDomain == Self().failureDomain;
-  for (const auto& [address, member] : m_table.Members()) {
-    if (ownDomain && member.state != MemberState::Candidate &&
-        member.failureDomain == Self().failureDomain) {
-      sync.records.push_back(MemberTable::RecordOf(member));
-    }
-  }
-  m_links.SendMessage(aAddress, wire::MessageType::MemberSync, sync);
-}
-
-auto Membership::TakeSync(const wire::Hello& aSender,
-                          const wire::MemberSync& aSync) -> void
-{
-  if (TakeRecords(aSync.records)) {
-    SendHeartbeat(aSender.address, 0);
-  }
-  if (aSync.wantAnswer) {
-    SendSync(aSender.address, false);
-  }
-}
-
 auto Membership::PeriodLoop() -> awaitable<void>
 {
   std::uniform_int_distribution<int> jitter(-50, 50);
@@ -393,7 +360,7 @@
     std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
   }
   while (!m_probeOrder.empty()) {
-    const auto address = m_probeOrder.back();
+    auto address = m_probeOrder.back();
     m_probeOrder.pop_back();
     const auto* member = m_table.Find(address);
     if (member != nullptr && Reachable(member->state)) {
@@ -443,7 +410,7 @@
   m_metrics.Add(Counter::MemberProbes);
   m_links.SendMessage(
     aAddress, wire::MessageType::Probe,
-    wire::Probe{ sequence, MakeGossip(aAddress, kDomainsInProbe) });
+    wire::Probe{ sequence, MakeGossip(aAddress, kDomainsInProbe, false) });
   return waiting;
 }
 
@@ -495,7 +462,7 @@
   if (answered) {
     m_links.SendMessage(
       aAsker, wire::MessageType::ProbeAnswer,
-      wire::ProbeAnswer{ aSequence, aAddress, MakeGossip(aAsker, 0) });
+      wire::ProbeAnswer{ aSequence, aAddress, MakeGossip(aAsker, 0, false) });
   }
 }
 
