Do not take a summary's silence about a member for its death

Cause: a balancer that has just replaced a crashed one can be the first of its failure domain's order before it knows its neighbours, and then writes a summary that names only itself. Other domains took the rest for gone, and at-most-once packets for their live owners were answered 'unknown'. Ruled out: records of continuations, which play no part in a crash. Now a member that a summary leaves out is forgotten, and only a failed connect speaks against it.

--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -119,14 +119,11 @@
     }
   }
   // What is held of other domains stays bounded: those that a summary leaves
-  // out are forgotten. When it names all that live, they are gone.
-  const bool complete = aSummary.alive <= DomainTable::kSummaryMembers;
+  // out are forgotten. That is no verdict on them, because a balancer that has
+  // just joined its domain writes summaries of the few that it knows; a failed
+  // connect is the evidence that one is gone.
   for (const auto& address : dropped) {
-    if (complete) {
-      m_table.Find(address)->state = MemberState::Candidate;
-    } else {
-      m_table.Forget(address);
-    }
+    m_table.Forget(address);
   }
 }
 
