--- a/lib/Kernel/AdminLists.cpp
+++ b/lib/Kernel/AdminLists.cpp
@@ -179,8 +179,9 @@
                            "; read them and edit again");
   }
   const auto id = http::QueryOf(aRequest.target, "edit", SecretIdentifier());
-  co_return co_await SubmitEdit({ id, lists::ChangesBetween(base, wanted) },
-                                aRequest);
+  // GCC 12 destroys a braced temporary among awaited arguments twice.
+  lists::Edit edit{ id, lists::ChangesBetween(base, wanted) };
+  co_return co_await SubmitEdit(std::move(edit), aRequest);
 }
 
 /// Reads {"edit": ID, "changes": [{"path", "base", "wanted"}]}; empty when it
