--- a/include/bramleylock/Admission/AdmissionPolicy.h
+++ b/include/bramleylock/Admission/AdmissionPolicy.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -73,6 +74,14 @@
   Release m_release;
 };
 
+/// Why a request is not admitted, and when to come back.
+struct Refusal
+{
+  /// None when the request is not refused.
+  wire::Reason reason = wire::Reason::None;
+  std::uint32_t retryAfterMs = 0;
+};
+
 /// A permit, or why there is none.
 struct AdmissionResult
 {
@@ -88,6 +97,10 @@
 public:
   virtual ~AdmissionPolicy() = default;
 
+  /// Whether aRequest would be refused now. It is asked before anything is
+  /// kept for the request, so that a refusal costs little.
+  virtual auto AtDoor(const AdmissionRequest&) -> Refusal { return {}; }
+
   /// Waits for a permit.
   virtual auto Admit(AdmissionRequest aRequest)
     -> awaitable<AdmissionResult> = 0;
@@ -96,6 +109,12 @@
   virtual auto SetCapacity(const std::string& aService, double aSlots)
     -> void = 0;
 
+  /// Requests that run or wait, by service.
+  virtual auto Demand() const -> std::map<std::string, std::uint32_t>
+  {
+    return {};
+  }
+
   /// Requests that wait for a permit.
   virtual auto Waiting() const -> std::size_t = 0;
 };
--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -41,6 +41,8 @@
   auto HandleOwned(Arrival& aArrival) -> void;
   auto HandleOwnerLost(Arrival& aArrival) -> void;
   auto OpenFlow(Arrival& aArrival) -> void;
+  auto RefusedAtDoor(const Arrival& aArrival,
+                     const std::shared_ptr<Flow>& aOwned) -> bool;
   auto NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>;
   auto StartRequest(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
     -> void;
--- a/include/bramleylock/Flow/RequestRunner.h
+++ b/include/bramleylock/Flow/RequestRunner.h
@@ -7,6 +7,19 @@
 
 namespace bramleylock::flow {
 
+/// What the admission policy is told of a request.
+auto MakeAdmissionRequest(const Environment& aEnvironment,
+                          const std::string& aPlan, const std::string& aService,
+                          const wire::Packet& aPacket, const lists::Work& aWork)
+  -> admission::AdmissionRequest;
+
+/// When a request that arrives now with aPacket has to be answered.
+auto DeadlineOf(const wire::Packet& aPacket, const lists::Work& aWork)
+  -> Clock::time_point;
+
+/// How long past its deadline an outcome is kept for late duplicates.
+inline constexpr std::chrono::seconds kOutcomeMargin{ 30 };
+
 /// Admits the request, sends it to a target, streams the answer and records
 /// the outcome. A repeatable request is retried elsewhere; an at-most-once
 /// request is sent to one target once.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -69,7 +69,9 @@
   bool draining = false;
   /// Requests in flight by target address.
   std::vector<std::pair<std::string, std::uint32_t>> inFlight;
-  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight)
+  /// Requests that run or wait by service; services without any are left out.
+  std::vector<std::pair<std::string, std::uint32_t>> demand;
+  MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, demand)
 };
 
 /// The lists at a revision.
--- /dev/null
+++ b/lib/Admission/FairQueue.cpp
@@ -0,0 +1,359 @@
+// Lanes, their credit, and the choice of the next request.
+
+#include "bramleylock/Admission/FairQueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace bramleylock::admission {
+
+using lists::SizeClass;
+using lists::Urgency;
+using wire::Reason;
+
+/// Requests that may wait for each slot, and the bytes that they may keep.
+static constexpr double kQueuePerSlot = 16;
+static constexpr std::size_t kQueueBytes = 8 << 20;
+
+/// The longest wait that is worth queueing for, and the part of the time left
+/// that it may take; a queue that is longer only holds dead work.
+static constexpr double kLongestWaitSeconds = 1.0;
+static constexpr double kWaitPart = 0.25;
+
+/// Slot time that a lane may save up, in seconds of its share, and the
+/// requests that it covers at least.
+static constexpr double kSavedSeconds = 1.0;
+static constexpr double kSavedRequests = 4;
+
+/// How long a lane without requests keeps its part of the weights, and how
+/// long it is remembered.
+static constexpr Milliseconds kActiveFor{ 1000 };
+static constexpr std::chrono::seconds kRememberedFor{ 60 };
+static constexpr Milliseconds kSharesEvery{ 100 };
+
+static constexpr double kUnknownHoldSeconds = 0.05;
+static constexpr double kSmoothing = 0.1;
+static constexpr double kLeastLatencyDrift = 1.002;
+
+static constexpr std::uint32_t kLeastRetryMs = 50;
+static constexpr std::uint32_t kMostRetryMs = 5000;
+
+/// The part of the slots that the least urgent class leaves to others, and
+/// that long work leaves to short work.
+static constexpr double kReservedPart = 0.1;
+static constexpr double kKeptForShort = 0.25;
+
+static auto Index(Urgency aUrgency) -> std::size_t
+{
+  return static_cast<std::size_t>(aUrgency);
+}
+
+static auto Seconds(Clock::duration aDuration) -> double
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+static auto Smooth(double& aValue, double aSample) -> void
+{
+  aValue = aValue == 0 ? aSample : aValue + kSmoothing * (aSample - aValue);
+}
+
+auto FairQueue::SetShare(double aSlots, Clock::time_point aNow) -> void
+{
+  m_limit.SetShare(aSlots);
+  Run(aNow);
+}
+
+auto FairQueue::FindLane(const AdmissionRequest& aRequest,
+                         Clock::time_point aNow) -> LanePointer
+{
+  auto& lane = m_lanes[{ aRequest.plan, aRequest.work }];
+  if (!lane) {
+    lane = std::make_shared<Lane>();
+    lane->plan = aRequest.plan;
+    lane->urgency = aRequest.urgency;
+    lane->size = aRequest.size;
+    lane->creditAt = aNow;
+    lane->credit = kUnknownHoldSeconds * kSavedRequests;
+    m_shortSeen |= aRequest.size == SizeClass::Short;
+    m_urgentSeen |= aRequest.urgency != Urgency::Bulk;
+    m_sharesAt = {};
+  }
+  lane->planWeight = std::max(aRequest.weight, 1e-6);
+  lane->lastUsed = aNow;
+  if (aNow - m_sharesAt >= kSharesEvery) {
+    RefreshShares(aNow);
+  }
+  Earn(*lane, aNow);
+  return lane;
+}
+
+/// Splits the slots over the plans that are in use, and a plan's part evenly
+/// over its kinds of work, so that a plan's flood leaves its other work alone.
+auto FairQueue::RefreshShares(Clock::time_point aNow) -> void
+{
+  m_sharesAt = aNow;
+  std::map<std::string, std::size_t> kinds;
+  double weights = 0;
+  const auto active = [aNow](const Lane& aLane) {
+    return aLane.running > 0 || !aLane.waiting.empty() ||
+           aNow - aLane.lastUsed < kActiveFor;
+  };
+  for (auto entry = m_lanes.begin(); entry != m_lanes.end();) {
+    auto& lane = *entry->second;
+    Earn(lane, aNow);
+    if (active(lane)) {
+      weights += kinds[lane.plan]++ == 0 ? lane.planWeight : 0;
+    } else if (aNow - lane.lastUsed > kRememberedFor) {
+      entry = m_lanes.erase(entry);
+      continue;
+    }
+    ++entry;
+  }
+  for (auto& [key, lane] : m_lanes) {
+    const auto found = kinds.find(lane->plan);
+    const auto sharers =
+      found == kinds.end() ? 1 : std::max<std::size_t>(1, found->second);
+    lane->share = weights == 0
+                    ? 1
+                    : lane->planWeight / weights / static_cast<double>(sharers);
+  }
+}
+
+auto FairQueue::Hold(const Lane& aLane) const -> double
+{
+  if (aLane.holdSeconds > 0) {
+    return aLane.holdSeconds;
+  }
+  return m_holdSeconds > 0 ? m_holdSeconds : kUnknownHoldSeconds;
+}
+
+auto FairQueue::Earn(Lane& aLane, Clock::time_point aNow) -> void
+{
+  const auto earned = Seconds(aNow - aLane.creditAt) * Slots() * aLane.share;
+  const auto most = std::max(kSavedSeconds * Slots() * aLane.share,
+                             kSavedRequests * Hold(aLane));
+  aLane.credit = std::min(most, aLane.credit + earned);
+  aLane.creditAt = aNow;
+}
+
+/// Requests a second that the lane gets through: by its share, or by what it
+/// holds now when others leave it more.
+auto FairQueue::DrainPerSecond(const Lane& aLane) const -> double
+{
+  const auto slots =
+    std::max(Slots() * aLane.share, static_cast<double>(aLane.running));
+  return std::max(slots, 0.1) / Hold(aLane);
+}
+
+auto FairQueue::NextReturn(Lane& aLane, Clock::time_point aNow) -> std::uint32_t
+{
+  // Each caller that is sent away gets the next place after the one before,
+  // so that they do not come back together.
+  const auto perSecond = DrainPerSecond(aLane);
+  const auto first =
+    aNow +
+    std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(
+      static_cast<double>(aLane.waiting.size()) / perSecond));
+  const auto step = std::chrono::duration_cast<Clock::duration>(
+    std::chrono::duration<double>(1 / perSecond));
+  aLane.nextReturn = std::max(first, aLane.nextReturn + step);
+  const auto last = aNow + Milliseconds(kMostRetryMs);
+  aLane.nextReturn = std::min(aLane.nextReturn, last);
+  const auto wait =
+    static_cast<std::uint32_t>(Seconds(aLane.nextReturn - aNow) * 1000);
+  return std::clamp(wait, kLeastRetryMs, kMostRetryMs);
+}
+
+auto FairQueue::RetryAfter(const std::shared_ptr<Ticket>& aTicket,
+                           Clock::time_point aNow) -> std::uint32_t
+{
+  return NextReturn(*aTicket->lane, aNow);
+}
+
+auto FairQueue::QueueLimit() const -> std::size_t
+{
+  return static_cast<std::size_t>(kQueuePerSlot * (Slots() + 1));
+}
+
+auto FairQueue::AtDoor(const AdmissionRequest& aRequest, Clock::time_point aNow)
+  -> Refusal
+{
+  const auto lane = FindLane(aRequest, aNow);
+  const auto left = Seconds(aRequest.deadline - aNow) - Hold(*lane);
+  const auto full = static_cast<std::size_t>(Slots()) <= m_running;
+  if (left <= 0) {
+    return { Reason::Deadline, NextReturn(*lane, aNow) };
+  }
+  if (lane->waiting.empty() && (!full || lane->credit > 0)) {
+    return {};
+  }
+  const auto ahead = static_cast<double>(lane->waiting.size() + 1);
+  const auto wait = ahead / DrainPerSecond(*lane);
+  if (wait > std::min(kLongestWaitSeconds, left * kWaitPart)) {
+    return { Reason::Deadline, NextReturn(*lane, aNow) };
+  }
+  const bool overfull =
+    m_waiting >= QueueLimit() || m_waitingBytes + aRequest.bytes > kQueueBytes;
+  if (overfull && LongestLane() == lane) {
+    return { Reason::QueueFull, NextReturn(*lane, aNow) };
+  }
+  return {};
+}
+
+auto FairQueue::LongestLane() const -> LanePointer
+{
+  const auto longer = [](const LanePointer& aLeft, const LanePointer& aRight) {
+    return static_cast<double>(aLeft->waiting.size()) / aLeft->share <
+           static_cast<double>(aRight->waiting.size()) / aRight->share;
+  };
+  const auto found =
+    std::max_element(m_backlogged.begin(), m_backlogged.end(), longer);
+  return found == m_backlogged.end() ? nullptr : *found;
+}
+
+auto FairQueue::PushOut(Lane& aLane) -> void
+{
+  const auto ticket = aLane.waiting.back();
+  Leave(ticket);
+  ticket->state = TicketState::PushedOut;
+  ticket->changed();
+}
+
+auto FairQueue::Enter(const AdmissionRequest& aRequest, Clock::time_point aNow,
+                      std::function<void()> aChanged) -> std::shared_ptr<Ticket>
+{
+  auto ticket = std::make_shared<Ticket>();
+  ticket->lane = FindLane(aRequest, aNow);
+  ticket->bytes = aRequest.bytes;
+  ticket->changed = std::move(aChanged);
+  auto& lane = *ticket->lane;
+  if (lane.waiting.empty()) {
+    m_backlogged.push_back(ticket->lane);
+    // A lane that was idle gets no arrears.
+    lane.virtualTime =
+      std::max(lane.virtualTime, m_virtualTime[Index(lane.urgency)]);
+  }
+  lane.waiting.push_back(ticket);
+  ++m_waiting;
+  m_waitingBytes += ticket->bytes;
+  Run(aNow);
+  while (m_waiting > QueueLimit() || m_waitingBytes > kQueueBytes) {
+    PushOut(*LongestLane());
+  }
+  return ticket;
+}
+
+auto FairQueue::Leave(const std::shared_ptr<Ticket>& aTicket) -> void
+{
+  assert(aTicket->state == TicketState::Waiting);
+  auto& lane = *aTicket->lane;
+  std::erase(lane.waiting, aTicket);
+  --m_waiting;
+  m_waitingBytes -= aTicket->bytes;
+  aTicket->state = TicketState::Done;
+  if (lane.waiting.empty()) {
+    std::erase(m_backlogged, aTicket->lane);
+  }
+}
+
+/// Whether the slots that are left may go to aLane's class and size.
+auto FairQueue::MayRun(const Lane& aLane) const -> bool
+{
+  const auto slots = Slots();
+  if (m_running == 0) {
+    return true;
+  }
+  const auto fits = [slots](std::size_t aCount, double aKept) {
+    return static_cast<double>(aCount + 1) <= slots - aKept;
+  };
+  if (aLane.urgency == Urgency::Bulk && m_urgentSeen &&
+      !fits(m_runningByClass[Index(Urgency::Bulk)], slots * kReservedPart)) {
+    return false;
+  }
+  return aLane.size == SizeClass::Short || !m_shortSeen ||
+         fits(m_runningLong, slots * kKeptForShort);
+}
+
+auto FairQueue::PickNext(Clock::time_point aNow) -> LanePointer
+{
+  LanePointer best;
+  const auto rank = [](const Lane& aLane) {
+    return std::tuple(aLane.credit <= 0, Index(aLane.urgency),
+                      aLane.virtualTime);
+  };
+  for (const auto& lane : m_backlogged) {
+    Earn(*lane, aNow);
+    if (MayRun(*lane) && (!best || rank(*lane) < rank(*best))) {
+      best = lane;
+    }
+  }
+  return best;
+}
+
+auto FairQueue::Run(Clock::time_point aNow) -> void
+{
+  while (m_waiting > 0 &&
+         (m_running == 0 || static_cast<double>(m_running + 1) <= Slots())) {
+    const auto lane = PickNext(aNow);
+    if (!lane) {
+      return;
+    }
+    StartFirst(lane, aNow);
+  }
+}
+
+auto FairQueue::StartFirst(const LanePointer& aLane, Clock::time_point aNow)
+  -> void
+{
+  const auto ticket = aLane->waiting.front();
+  Leave(ticket);
+  ticket->state = TicketState::Running;
+  ticket->startedAt = aNow;
+  ticket->charged = Hold(*aLane);
+  aLane->credit -= ticket->charged;
+  auto& base = m_virtualTime[Index(aLane->urgency)];
+  base = std::max(base, aLane->virtualTime);
+  aLane->virtualTime += ticket->charged / aLane->share;
+  ++aLane->running;
+  ++m_running;
+  ++m_runningByClass[Index(aLane->urgency)];
+  m_runningLong += aLane->size == SizeClass::Long ? 1 : 0;
+  ticket->changed();
+}
+
+auto FairQueue::Finish(const std::shared_ptr<Ticket>& aTicket,
+                       const AdmissionOutcome& aOutcome, Clock::time_point aNow)
+  -> void
+{
+  assert(aTicket->state == TicketState::Running);
+  auto& lane = *aTicket->lane;
+  const bool full = static_cast<double>(m_running + 1) > Slots();
+  aTicket->state = TicketState::Done;
+  --lane.running;
+  --m_running;
+  --m_runningByClass[Index(lane.urgency)];
+  m_runningLong -= lane.size == SizeClass::Long ? 1 : 0;
+  const auto held = Seconds(aNow - aTicket->startedAt);
+  Earn(lane, aNow);
+  lane.credit -= held - aTicket->charged;
+  lane.lastUsed = aNow;
+  if (aOutcome.answered) {
+    Smooth(lane.holdSeconds, held);
+    Smooth(m_holdSeconds, held);
+    const auto latency =
+      std::max(1e-6, std::chrono::duration<double>(aOutcome.latency).count());
+    lane.leastLatency =
+      lane.leastLatency == 0
+        ? latency
+        : std::min(latency, lane.leastLatency * kLeastLatencyDrift);
+    m_limit.OnAnswer(latency / lane.leastLatency, full, aNow);
+  }
+  if (aOutcome.shed) {
+    m_limit.OnShed(aNow);
+  }
+  Run(aNow);
+}
+
+} // namespace bramleylock::admission
--- /dev/null
+++ b/lib/Admission/SlotShare.cpp
@@ -0,0 +1,71 @@
+// Max-min fair shares with whole slots.
+
+#include "bramleylock/Admission/SlotShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleylock::admission {
+
+/// The level at which demands cut off there add up to aSlots; infinite when
+/// all demand fits. aDemands are in rising order.
+static auto CommonLevel(double aSlots,
+                        const std::vector<BalancerDemand>& aDemands) -> double
+{
+  double left = aSlots;
+  auto sharers = static_cast<double>(aDemands.size());
+  for (const auto& balancer : aDemands) {
+    const auto level = left / sharers;
+    if (balancer.demand > level) {
+      return level;
+    }
+    left -= balancer.demand;
+    --sharers;
+  }
+  return HUGE_VAL;
+}
+
+/// aLevel in whole slots; the first sharers by address get those that are left
+/// over by rounding down.
+static auto WholeSlots(double aLevel, const std::string& aSelf,
+                       const std::vector<BalancerDemand>& aDemands) -> double
+{
+  double sharers = 0;
+  double before = 0;
+  for (const auto& balancer : aDemands) {
+    if (balancer.demand > aLevel) {
+      ++sharers;
+      before += balancer.address < aSelf ? 1 : 0;
+    }
+  }
+  const auto whole = std::floor(aLevel);
+  const auto leftOver = std::round((aLevel - whole) * sharers);
+  return whole + (before < leftOver ? 1 : 0);
+}
+
+auto SlotShare(double aSlots, const std::string& aSelf,
+               std::vector<BalancerDemand> aDemands) -> double
+{
+  std::sort(aDemands.begin(), aDemands.end(),
+            [](const BalancerDemand& aLeft, const BalancerDemand& aRight) {
+              return aLeft.demand < aRight.demand;
+            });
+  const auto even = aSlots / static_cast<double>(aDemands.size());
+  double own = 0;
+  double total = 0;
+  for (const auto& balancer : aDemands) {
+    own = balancer.address == aSelf ? balancer.demand : own;
+    total += balancer.demand;
+  }
+  const auto level = CommonLevel(aSlots, aDemands);
+  if (level == HUGE_VAL) {
+    const auto unasked =
+      (aSlots - total) / static_cast<double>(aDemands.size());
+    return std::max({ 1.0, even, own + unasked });
+  }
+  const auto share =
+    own > level ? WholeSlots(level, aSelf, aDemands) : std::max(own, even);
+  return std::max(1.0, share);
+}
+
+} // namespace bramleylock::admission
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -217,10 +217,14 @@
 auto Dispatcher::OpenFlow(Arrival& aArrival) -> void
 {
   auto flow = m_flows.Find(aArrival.packet.flow);
+  if (flow && RepeatKnown(aArrival, flow)) {
+    return;
+  }
+  if (RefusedAtDoor(aArrival, nullptr)) {
+    return;
+  }
   if (!flow) {
     flow = NewFlow(aArrival);
-  } else if (RepeatKnown(aArrival, flow)) {
-    return;
   }
   if (aArrival.work.execution == Execution::AtMostOnce) {
     m_environment.metrics.Add(Counter::RefusedOpenFirst);
@@ -230,6 +234,37 @@
   StartRequest(aArrival, flow);
 }
 
+/// Answers a request that the admission policy would refuse now, before
+/// anything is kept for it; true when it did.
+auto Dispatcher::RefusedAtDoor(const Arrival& aArrival,
+                               const std::shared_ptr<Flow>& aOwned) -> bool
+{
+  const auto request =
+    MakeAdmissionRequest(m_environment, aArrival.plan, aArrival.packet.service,
+                         aArrival.packet, aArrival.work);
+  const auto refusal = m_environment.admission.AtDoor(request);
+  if (refusal.reason == Reason::None) {
+    return false;
+  }
+  CountReason(m_environment.metrics, refusal.reason);
+  const bool once = aArrival.work.execution == Execution::AtMostOnce;
+  wire::Packet packet;
+  packet.type = once ? PacketType::NotRun : PacketType::Refused;
+  packet.flow = aArrival.packet.flow;
+  packet.sequence = aArrival.packet.sequence;
+  packet.token = aArrival.packet.token;
+  packet.code = static_cast<std::uint32_t>(refusal.reason);
+  packet.retryAfterMs = refusal.retryAfterMs;
+  SendPacket(m_environment, aArrival.caller, packet);
+  if (aOwned && once) {
+    // A late copy must not be run after this.
+    auto& outcome = aOwned->outcomes[packet.sequence];
+    outcome.datagrams = { wire::Encode(packet) };
+    outcome.keepUntil = request.deadline + kOutcomeMargin;
+  }
+  return true;
+}
+
 auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
 {
   const auto& self = m_environment.members.Self();
@@ -319,7 +354,9 @@
       Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
       return;
     }
-    StartRequest(aArrival, flow ? flow : NewFlow(aArrival));
+    if (!RefusedAtDoor(aArrival, flow)) {
+      StartRequest(aArrival, flow ? flow : NewFlow(aArrival));
+    }
     return;
   }
   if (!flow) {
@@ -404,10 +441,7 @@
   exchange->plan = aArrival.plan;
   exchange->work = aArrival.work;
   exchange->caller = aArrival.caller;
-  const auto deadlineMs = exchange->request.deadlineMs != 0
-                            ? exchange->request.deadlineMs
-                            : aArrival.work.deadlineMs;
-  exchange->deadline = Clock::now() + Milliseconds(deadlineMs);
+  exchange->deadline = DeadlineOf(exchange->request, aArrival.work);
   aFlow->active.emplace(exchange->request.sequence, exchange);
   Spawn(m_environment.context, "request",
         RunRequest(m_environment, aFlow, exchange));
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -21,9 +21,6 @@
 static constexpr Milliseconds kProvenForOnce{ 1000 };
 static constexpr Milliseconds kProvenForRepeatable{ 30000 };
 
-/// How long past its deadline an outcome is kept for late duplicates.
-static constexpr std::chrono::seconds kOutcomeMargin{ 30 };
-
 static constexpr std::size_t kReadBytes = 16384;
 static constexpr std::uint32_t kShedRetryAfterMs = 250;
 
@@ -49,7 +46,10 @@
 
   auto Run() -> awaitable<void>
   {
-    auto request = MakeAdmissionRequest();
+    auto request =
+      MakeAdmissionRequest(m_environment, m_exchange->plan, m_flow->service,
+                           m_exchange->request, m_exchange->work);
+    request.deadline = m_exchange->deadline;
     auto admitted = co_await m_environment.admission.Admit(std::move(request));
     m_permit = std::move(admitted.permit);
     if (admitted.refusal != Reason::None) {
@@ -66,22 +66,6 @@
   }
 
 private:
-  auto MakeAdmissionRequest() -> admission::AdmissionRequest
-  {
-    admission::AdmissionRequest request;
-    request.plan = m_exchange->plan;
-    request.service = m_flow->service;
-    request.work = m_exchange->request.work;
-    request.urgency = m_exchange->work.urgency;
-    request.size = m_exchange->work.size;
-    request.bytes = m_exchange->request.payload.size();
-    request.deadline = m_exchange->deadline;
-    const auto lists = m_environment.lists.Current();
-    const auto plan = lists->plans.find(m_exchange->plan);
-    request.weight = plan == lists->plans.end() ? 1 : plan->second.weight;
-    return request;
-  }
-
   auto RunAttempts() -> awaitable<void>
   {
     for (int attempt = 0; attempt < kAttemptLimit; ++attempt) {
@@ -399,6 +383,33 @@
 
 } // namespace
 
+auto DeadlineOf(const wire::Packet& aPacket, const lists::Work& aWork)
+  -> Clock::time_point
+{
+  const auto limit =
+    aPacket.deadlineMs != 0 ? aPacket.deadlineMs : aWork.deadlineMs;
+  return Clock::now() + Milliseconds(limit);
+}
+
+auto MakeAdmissionRequest(const Environment& aEnvironment,
+                          const std::string& aPlan, const std::string& aService,
+                          const wire::Packet& aPacket, const lists::Work& aWork)
+  -> admission::AdmissionRequest
+{
+  admission::AdmissionRequest request;
+  request.plan = aPlan;
+  request.service = aService;
+  request.work = aPacket.work;
+  request.urgency = aWork.urgency;
+  request.size = aWork.size;
+  request.bytes = aPacket.payload.size();
+  request.deadline = DeadlineOf(aPacket, aWork);
+  const auto lists = aEnvironment.lists.Current();
+  const auto plan = lists->plans.find(aPlan);
+  request.weight = plan == lists->plans.end() ? 1 : plan->second.weight;
+  return request;
+}
+
 auto RunRequest(Environment& aEnvironment, std::shared_ptr<Flow> aFlow,
                 std::shared_ptr<Exchange> aExchange) -> awaitable<void>
 {
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -5,6 +5,7 @@
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Kernel/AdminApi.h"
 #include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/CapacityKeeper.h"
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
@@ -32,7 +33,6 @@
   auto Build(std::error_code& aError, std::string& aDetail) -> void;
   auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
   auto TakePeersInFlight() -> void;
-  auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
 
@@ -49,6 +49,7 @@
   std::unique_ptr<target::TargetTable> targets;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
+  std::unique_ptr<CapacityKeeper> capacity;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<PlatformWatcher> watcher;
@@ -109,6 +110,8 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self);
+  capacity =
+    std::make_unique<CapacityKeeper>(lists, *members, *targets, *admission);
   const auto send = [this](const Udp::endpoint& aCaller,
                            const std::string& aData) {
     entry->Send(aCaller, aData);
@@ -128,6 +131,7 @@
   aHeartbeat.listsRevision = lists.Revision();
   aHeartbeat.newestKey = watcher->NewestKey();
   aHeartbeat.draining = draining;
+  capacity->FillHeartbeat(aHeartbeat);
   for (const auto& [address, target] : targets->All()) {
     if (target->inFlight > 0) {
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
@@ -146,24 +150,10 @@
   targets->SetPeersInFlight(counts);
 }
 
-/// Splits every service's slots evenly over the balancers that are alive.
-auto Balancer::Parts::UpdateCapacity() -> void
-{
-  const auto current = lists.Current();
-  if (!current) {
-    return;
-  }
-  const auto balancers = static_cast<double>(members->Alive().size() + 1);
-  for (const auto& [name, service] : current->services) {
-    targets->SetSlots(name, service.slots);
-    admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
-  }
-}
-
 auto Balancer::Parts::CapacityLoop() -> awaitable<void>
 {
   for (;;) {
-    UpdateCapacity();
+    capacity->Update();
     co_await Sleep(kCapacityEvery);
   }
 }
@@ -203,7 +193,7 @@
     return;
   }
   parts.dispatcher->Start();
-  parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
+  parts.watcher->OnTargets([&parts] { parts.capacity->Update(); });
   parts.watcher->Start();
   parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
     parts.watcher->OnHeartbeat(aMember);
@@ -212,7 +202,7 @@
   parts.members->Start(
     [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
   parts.lists.OnInstall([&parts] {
-    parts.UpdateCapacity();
+    parts.capacity->Update();
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
--- a/measure/Load.cpp
+++ b/measure/Load.cpp
@@ -3,6 +3,7 @@
 
 #include "measure/Load.h"
 
+#include "bramleylock/Caller/Backoff.h"
 #include "standins/Content.h"
 
 #include <fmt/format.h>
@@ -32,7 +33,8 @@
 
   auto Generate(LoadSpec aSpec) -> awaitable<void>;
   auto One(LoadShape aShape, std::string aLabel, std::string aId,
-           std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>;
+           std::shared_ptr<caller::Flow> aFlow, bool aComesBack)
+    -> awaitable<void>;
   auto Finished() -> void;
 
   asio::io_context context;
@@ -41,6 +43,7 @@
   std::uint64_t seed;
   std::vector<LoadSpec> specs;
   std::map<std::string, std::vector<Record>> records;
+  std::vector<double> lateness;
   Clock::time_point started{};
   std::size_t open = 0;
   std::uint64_t nextId = 0;
@@ -84,6 +87,17 @@
   return std::chrono::duration<double>(Clock::now() - m_state->started).count();
 }
 
+auto Load::LatenessAt(double aPart) const -> double
+{
+  auto late = m_state->lateness;
+  if (late.empty()) {
+    return 0;
+  }
+  std::sort(late.begin(), late.end());
+  return late[static_cast<std::size_t>(aPart *
+                                       static_cast<double>(late.size() - 1))];
+}
+
 auto Load::Records() const -> const std::map<std::string, std::vector<Record>>&
 {
   return m_state->records;
@@ -119,8 +133,11 @@
     }
     ++inFlow;
     ++open;
+    const auto late = Clock::now() - at(next);
+    lateness.push_back(std::chrono::duration<double, std::milli>(late).count());
     const auto id = fmt::format("{}-{}", seed, nextId++);
-    Spawn(context, "call", One(aSpec.shape, aSpec.label, id, flow));
+    Spawn(context, "call",
+          One(aSpec.shape, aSpec.label, id, flow, aSpec.comesBack));
     next += gap(random);
   }
   flow.reset();
@@ -128,7 +145,8 @@
 }
 
 auto Load::State::One(LoadShape aShape, std::string aLabel, std::string aId,
-                      std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>
+                      std::shared_ptr<caller::Flow> aFlow, bool aComesBack)
+  -> awaitable<void>
 {
   Record record;
   record.id = aId;
@@ -140,7 +158,20 @@
   options.payload =
     fmt::format("id={} ms={} bytes={}", aId, aShape.workMs, aShape.answerBytes);
   options.deadline = Milliseconds(aShape.deadlineMs);
-  const auto result = co_await aFlow->Call(std::move(options));
+  const auto deadline = Clock::now() + options.deadline;
+  auto result = co_await aFlow->Call(options);
+  caller::Backoff backoff(caller::BackoffOptions{}, random());
+  while (aComesBack) {
+    const auto pause = backoff.Next(result);
+    if (!pause || Clock::now() + *pause >= deadline) {
+      break;
+    }
+    co_await Sleep(*pause);
+    options.deadline =
+      std::chrono::duration_cast<Milliseconds>(deadline - Clock::now());
+    result = co_await aFlow->Call(options);
+    ++record.attempts;
+  }
   record.outcome = result.outcome;
   record.reason = result.reason;
   record.retryAfterMs = result.retryAfterMs;
--- a/measure/Load.h
+++ b/measure/Load.h
@@ -26,6 +26,8 @@
   double startedAt = 0;
   std::uint32_t retryAfterMs = 0;
   std::uint32_t sends = 0;
+  /// Calls made for the request, the first included.
+  int attempts = 1;
 };
 
 /// Requests of one kind at a steady rate.
@@ -39,6 +41,8 @@
   double from = 0;
   double until = 0;
   std::string label;
+  /// Whether a refused caller comes back as the callers' library advises.
+  bool comesBack = false;
 };
 
 /// Runs load specifications from one thread with its own io_context.
@@ -59,6 +63,10 @@
   /// Seconds since Start.
   auto Elapsed() const -> double;
 
+  /// Milliseconds by which the generator was late, at aPart of its requests;
+  /// after Join.
+  auto LatenessAt(double aPart) const -> double;
+
   /// Records by label, after Join.
   auto Records() const -> const std::map<std::string, std::vector<Record>>&;
 
--- /dev/null
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -0,0 +1,195 @@
+// What the fair queue keeps from a flood.
+
+#include "bramleylock/Admission/FairQueue.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::admission;
+using lists::Urgency;
+
+namespace {
+
+/// A queue with a clock of its own; targets take 100 ms.
+struct Bench
+{
+  explicit Bench(double aSlots) { queue.SetShare(aSlots, now); }
+
+  auto Request(const std::string& aPlan, const std::string& aWork,
+               Urgency aUrgency, double aWeight = 1) const -> AdmissionRequest
+  {
+    AdmissionRequest request;
+    request.plan = aPlan;
+    request.work = aWork;
+    request.urgency = aUrgency;
+    request.weight = aWeight;
+    request.deadline = now + Milliseconds(5000);
+    return request;
+  }
+
+  /// Offers a request; null when it was refused at the door.
+  auto Offer(const AdmissionRequest& aRequest) -> std::shared_ptr<Ticket>
+  {
+    last = queue.AtDoor(aRequest, now);
+    if (last.reason != wire::Reason::None) {
+      return nullptr;
+    }
+    tickets.push_back(queue.Enter(aRequest, now, [] {}));
+    return tickets.back();
+  }
+
+  /// Passes 100 ms, and ends what ran through them.
+  auto Step() -> void
+  {
+    std::vector<std::shared_ptr<Ticket>> running;
+    for (const auto& ticket : tickets) {
+      if (ticket->state == TicketState::Running) {
+        running.push_back(ticket);
+      }
+    }
+    now += Milliseconds(100);
+    for (const auto& ticket : running) {
+      ++served[ticket->lane->plan];
+      queue.Finish(ticket, { false, true, Milliseconds(100) }, now);
+    }
+    std::erase_if(tickets, [](const auto& aTicket) {
+      return aTicket->state != TicketState::Running &&
+             aTicket->state != TicketState::Waiting;
+    });
+  }
+
+  /// Offers aCount requests of each in every step.
+  auto Flood(const std::vector<AdmissionRequest>& aRequests, int aCount,
+             int aSteps) -> void
+  {
+    for (int step = 0; step < aSteps; ++step) {
+      for (auto request : aRequests) {
+        request.deadline = now + Milliseconds(5000);
+        for (int i = 0; i < aCount; ++i) {
+          Offer(request);
+        }
+      }
+      Step();
+    }
+  }
+
+  FairQueue queue;
+  Clock::time_point now{ std::chrono::hours(1) };
+  std::vector<std::shared_ptr<Ticket>> tickets;
+  std::map<std::string, int> served;
+  Refusal last;
+};
+
+} // namespace
+
+Test(FairQueue, UrgentFloodLeavesOtherPlansWhatTheirWeightEarns)
+{
+  Bench bench(4);
+  for (int step = 0; step < 50; ++step) {
+    for (int i = 0; i < 40; ++i) {
+      bench.Offer(bench.Request("flood", "book", Urgency::Urgent));
+    }
+    bench.Offer(bench.Request("other", "export", Urgency::Bulk));
+    bench.Step();
+  }
+  cr_assert_geq(bench.served["other"], 48);
+  cr_assert_geq(bench.served["flood"], 140);
+}
+
+Test(FairQueue, MoreUrgentClassGoesFirst)
+{
+  Bench bench(1);
+  bench.Flood({ bench.Request("a", "export", Urgency::Bulk) }, 3, 20);
+  const auto urgent = bench.Offer(bench.Request("b", "book", Urgency::Urgent));
+  bench.Step();
+  cr_assert(urgent && urgent->state == TicketState::Running);
+}
+
+Test(FairQueue, LeastUrgentClassLeavesTheLastSlot)
+{
+  Bench bench(4);
+  bench.Offer(bench.Request("b", "book", Urgency::Urgent));
+  bench.Flood({ bench.Request("a", "export", Urgency::Bulk) }, 40, 30);
+  cr_assert_eq(bench.queue.Running(), 3);
+}
+
+Test(FairQueue, BacklogIsServedByWeight)
+{
+  Bench bench(6);
+  bench.Flood({ bench.Request("heavy", "book", Urgency::Normal, 2),
+                bench.Request("light", "book", Urgency::Normal, 1) },
+              40, 60);
+  const auto ratio = double(bench.served["heavy"]) / bench.served["light"];
+  cr_assert(ratio > 1.8 && ratio < 2.2, "ratio %f", ratio);
+}
+
+Test(FairQueue, FloodOfOneKindLeavesThePlansOtherKind)
+{
+  Bench bench(4);
+  for (int step = 0; step < 30; ++step) {
+    for (int i = 0; i < 40; ++i) {
+      bench.Offer(bench.Request("a", "book", Urgency::Urgent));
+    }
+    const auto read = bench.Offer(bench.Request("a", "read", Urgency::Normal));
+    cr_assert(read, "step %d", step);
+    bench.Step();
+    cr_assert(read->state != TicketState::Waiting, "step %d", step);
+  }
+}
+
+Test(FairQueue, FullQueuePushesOutTheLongestLanesNewest)
+{
+  Bench bench(1);
+  const auto flood = bench.Request("flood", "book", Urgency::Urgent);
+  std::vector<std::shared_ptr<Ticket>> flooding;
+  // Past the door, as when the drain slows down after the decision.
+  for (int i = 0; i < 33; ++i) {
+    flooding.push_back(bench.queue.Enter(flood, bench.now, [] {}));
+  }
+  const auto other = bench.queue.Enter(
+    bench.Request("other", "book", Urgency::Urgent), bench.now, [] {});
+  cr_assert(other->state == TicketState::Waiting);
+  cr_assert(flooding.back()->state == TicketState::PushedOut);
+  cr_assert(flooding[1]->state == TicketState::Waiting);
+}
+
+Test(FairQueue, RefusesAtOnceWhatCannotMeetItsDeadline)
+{
+  Bench bench(1);
+  bench.Flood({ bench.Request("a", "book", Urgency::Normal) }, 2, 10);
+  auto request = bench.Request("a", "book", Urgency::Normal);
+  request.deadline = bench.now + Milliseconds(120);
+  cr_assert_null(bench.Offer(request).get());
+  cr_assert(bench.last.reason == wire::Reason::Deadline);
+}
+
+Test(FairQueue, RetryAfterSpreadsCallersAtTheDrainRate)
+{
+  Bench bench(1);
+  bench.Flood({ bench.Request("a", "book", Urgency::Normal) }, 40, 20);
+  for (int i = 0; i < 60; ++i) {
+    bench.Step();
+  }
+  bench.Flood({ bench.Request("a", "book", Urgency::Normal) }, 8, 1);
+  std::vector<std::uint32_t> waits;
+  while (waits.size() < 3) {
+    if (!bench.Offer(bench.Request("a", "book", Urgency::Normal))) {
+      waits.push_back(bench.last.retryAfterMs);
+    }
+  }
+  // One slot drains 10 a second, or 12 when the targets' answers allow more.
+  for (int i = 1; i < 3; ++i) {
+    const auto step = waits[i] - waits[i - 1];
+    cr_assert(step >= 80 && step <= 101, "waits %u %u", waits[i - 1], waits[i]);
+  }
+}
+
+Test(FairQueue, LongWorkLeavesSlotsToShortWork)
+{
+  Bench bench(4);
+  bench.Offer(bench.Request("a", "read", Urgency::Normal));
+  auto request = bench.Request("b", "film", Urgency::Normal);
+  request.size = lists::SizeClass::Long;
+  bench.Flood({ request }, 10, 10);
+  cr_assert_eq(bench.queue.Running(), 3);
+}
--- /dev/null
+++ b/unittests/Admission/SlotShareTest.cpp
@@ -0,0 +1,48 @@
+// Splits of a service's slots between balancers.
+
+#include "bramleylock/Admission/SlotShare.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock::admission;
+
+static auto Total(double aSlots, const std::vector<BalancerDemand>& aDemands)
+  -> double
+{
+  double total = 0;
+  for (const auto& balancer : aDemands) {
+    total += SlotShare(aSlots, balancer.address, aDemands);
+  }
+  return total;
+}
+
+Test(SlotShare, FullDemandEverywhereUsesEverySlotOnce)
+{
+  std::vector<BalancerDemand> demands;
+  for (const auto* address : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+    demands.push_back({ address, 100 });
+  }
+  cr_assert_float_eq(Total(42, demands), 42, 1e-9);
+}
+
+Test(SlotShare, UnevenSprayBorrowsWhatOthersDoNotAskFor)
+{
+  const std::vector<BalancerDemand> demands{ { "a", 100 },
+                                             { "b", 1 },
+                                             { "c", 1 } };
+  cr_assert_float_eq(SlotShare(12, "a", demands), 10, 1e-9);
+}
+
+Test(SlotShare, IdleBalancerKeepsAnEvenShare)
+{
+  const std::vector<BalancerDemand> demands{ { "a", 100 }, { "b", 0 } };
+  cr_assert_float_eq(SlotShare(12, "b", demands), 6, 1e-9);
+}
+
+Test(SlotShare, MoreBalancersThanSlotsGetOneEach)
+{
+  const std::vector<BalancerDemand> demands{ { "a", 9 },
+                                             { "b", 9 },
+                                             { "c", 9 } };
+  cr_assert_float_eq(Total(2, demands), 3, 1e-9);
+}
