Let a lane within its weight hold its part of the slots whatever its class

Cause: inside the work within its weight the order of classes was strict, and a flood of the most urgent class spends what its lane has saved before less urgent lanes with credit got any slot: export requests waited up to 1.72 s with a full credit. Change: such a lane holds max(1, share of the slots) before the order of classes counts; work above its weight may use 1.35 times the share (1.25 rounds down to the bare share with 3 slots).

--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <tuple>
 
 namespace bramleylock::admission {
@@ -293,8 +294,14 @@
 auto FairQueue::PickNext(Clock::time_point aNow) -> LanePointer
 {
   LanePointer best;
-  const auto rank = [](const Lane& aLane) {
-    return std::tuple(aLane.credit <= 0, Index(aLane.urgency),
+  const auto slots = Slots();
+  const auto rank = [slots](const Lane& aLane) {
+    // Within its weight, a lane's own part of the slots does not wait for more
+    // urgent classes; the order of classes holds for the rest.
+    const bool above = aLane.credit <= 0;
+    const auto part = std::max(1.0, std::floor(aLane.share * slots));
+    const bool holdsPart = static_cast<double>(aLane.running) >= part;
+    return std::tuple(above, above || holdsPart, Index(aLane.urgency),
                       aLane.virtualTime);
   };
   for (const auto& lane : m_backlogged) {
--- a/lib/Admission/LearntLimit.cpp
+++ b/lib/Admission/LearntLimit.cpp
@@ -22,7 +22,7 @@
 /// Choices between targets are uneven, so that a little more than the share
 /// has to be in flight for every slot to be busy.
 static constexpr double kHighest = 1.5;
-static constexpr double kHighestForExcess = 1.25;
+static constexpr double kHighestForExcess = 1.35;
 static constexpr double kLowest = 0.3;
 
 auto LearntLimit::Decrease(double aBy, Clock::time_point aNow) -> void
