--- a/include/bramleylock/Flow/Environment.h
+++ b/include/bramleylock/Flow/Environment.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Admission/RetryBudget.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
 #include "bramleylock/Support/Counters.h"
@@ -23,6 +24,7 @@
   peer::Membership& members;
   target::TargetTable& targets;
   admission::AdmissionPolicy& admission;
+  admission::RetryBudget& retries;
   /// Sends one datagram to a caller.
   std::function<void(const Udp::endpoint&, const std::string&)> send;
 };
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -85,6 +85,10 @@
       if (result == AttemptResult::Finished) {
         co_return;
       }
+      if (!m_environment.retries.Take(m_exchange->plan, m_flow->service)) {
+        m_environment.metrics.Add(Counter::RetryBudgetEmpty);
+        break;
+      }
     }
     EndUndecided(m_failure);
   }
@@ -132,6 +136,7 @@
       co_return Shed(aTarget, head);
     }
     m_outcome.answered = true;
+    m_environment.retries.Earn(m_exchange->plan, m_flow->service);
     co_return co_await Stream(aTarget, head);
   }
 
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -46,6 +46,7 @@
   std::unique_ptr<CallerEntry> entry;
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
+  admission::RetryBudget retries;
   std::unique_ptr<target::TargetTable> targets;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
@@ -118,7 +119,7 @@
   };
   environment = std::make_unique<flow::Environment>(
     flow::Environment{ context, metrics, keys, lists, *hub, *members, *targets,
-                       *admission, send });
+                       *admission, retries, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
   watcher = std::make_unique<PlatformWatcher>(context, *store, lists, keys,
--- a/lib/Target/OwnSlots.cpp
+++ b/lib/Target/OwnSlots.cpp
@@ -25,8 +25,7 @@
         best = index;
       }
     }
-    return best < aCandidates.size() ? best
-                                     : LightestOf(aCandidates, start);
+    return best < aCandidates.size() ? best : LightestOf(aCandidates, start);
   }
 
 private:
