--- a/include/bramleylock/Kernel/CapacityKeeper.h
+++ b/include/bramleylock/Kernel/CapacityKeeper.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Admission/SlotShare.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
 #include "bramleylock/Target/TargetTable.h"
 
 namespace bramleylock::kernel {
 
+/// Computes the part from the lists, the targets and what peers say that they
+/// ask for; the platform is not asked.
 class CapacityKeeper
 {
 public:
@@ -29,6 +32,7 @@
   };
 
   auto Proven(const std::string& aService, double aSlots) -> double;
+  auto SupplyOf(const std::string& aService) const -> admission::ByDomain;
   auto ShareOf(const std::string& aService) const -> double;
   auto UpdateOwnSlots() -> void;
 
--- a/lib/Kernel/CapacityKeeper.cpp
+++ b/lib/Kernel/CapacityKeeper.cpp
@@ -15,6 +15,11 @@
 /// the others' slots, before they hear of each other's demand.
 static constexpr Milliseconds kUnaskedFor{ 1500 };
 
+/// What a balancer said earlier than this is not known to hold; it then counts
+/// as asking for all that it may have.
+static constexpr Milliseconds kHeardWithin{ 3000 };
+static constexpr double kUnknownDemand = 1e6;
+
 CapacityKeeper::CapacityKeeper(lists::ListKeeper& aLists,
                                peer::Membership& aMembers,
                                target::TargetTable& aTargets,
@@ -90,34 +95,49 @@
   return least->slots;
 }
 
+auto CapacityKeeper::SupplyOf(const std::string& aService) const
+  -> admission::ByDomain
+{
+  admission::ByDomain supply;
+  for (const auto& [address, target] : m_targets.All()) {
+    if (target->service == aService && !target->leaving) {
+      supply[target->failureDomain] += target->slots;
+    }
+  }
+  return supply;
+}
+
 auto CapacityKeeper::ShareOf(const std::string& aService) const -> double
 {
   const auto& self = m_members.Self();
+  const auto supply = SupplyOf(aService);
   const auto all = m_admission.Demand();
   const auto own = all.find(aService);
+  const auto peers = m_members.Alive();
+  const auto oldest = Clock::now() - kHeardWithin;
   std::vector<BalancerDemand> demands{
     { self.address, own == all.end() ? 0.0 : own->second }
   };
   admission::ByDomain demand{ { self.failureDomain, demands[0].demand } };
-  for (const auto& peer : m_members.Alive()) {
+  // Other domains lend only what is known not to be asked for there.
+  bool complete = peers.size() + 1 >= m_members.AliveCount();
+  for (const auto& peer : peers) {
     if (peer.latest.draining) {
       continue;
     }
-    const auto asked = DemandOf(peer.latest, aService);
+    const bool heard = peer.lastHeard >= oldest;
+    complete = complete && heard;
+    const auto asked = heard ? DemandOf(peer.latest, aService) : kUnknownDemand;
     demand[peer.failureDomain] += asked;
     if (peer.failureDomain == self.failureDomain) {
       demands.push_back({ peer.address, asked });
     }
   }
-  admission::ByDomain supply;
-  for (const auto& [address, target] : m_targets.All()) {
-    if (target->service == aService && !target->leaving) {
-      supply[target->failureDomain] += target->slots;
-    }
-  }
-  return admission::SlotShare(
-    admission::DomainSlots(self.failureDomain, demand, supply), self.address,
-    demands);
+  const auto inDomain = supply.find(self.failureDomain);
+  const auto slots =
+    complete ? admission::DomainSlots(self.failureDomain, demand, supply)
+             : (inDomain == supply.end() ? 0.0 : inDomain->second);
+  return admission::SlotShare(slots, self.address, demands);
 }
 
 auto CapacityKeeper::Update() -> void
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -25,6 +25,8 @@
 {
   Name,
   TcpAddress,
+  OptionalTcpAddress,
+  TcpAddresses,
   File,
   Choice
 };
@@ -67,7 +69,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 15> kTextRows{ {
+const std::array<TextRow, 17> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -76,6 +78,12 @@
     nullptr, "ip:port for callers' datagrams" },
   { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
     nullptr, "ip:port for the other balancers" },
+  { "listen.peers_advertised", &Settings::peerAdvertised,
+    TextKind::OptionalTcpAddress, "", nullptr,
+    "ip:port at which the other balancers reach listen.peers; empty for the "
+    "bound address" },
+  { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
+    "peers to ask for lists and keys while the platform does not answer" },
   { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
     nullptr, nullptr, "ip:port of the administration API" },
   { "platform.address", &Settings::storeAddress, TextKind::TcpAddress, nullptr,
@@ -92,7 +100,7 @@
   { "plugins.platform_store", &Settings::platformStore, TextKind::Choice,
     "http", NamesOf<lists::StoreRegistry>, "protocol of the platform" },
   { "plugins.target_choice", &Settings::targetChoice, TextKind::Choice,
-    "own-slots", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
+    "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
   { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fair",
     NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
   { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
@@ -112,6 +120,17 @@
     "seed of choices between targets; 0 takes one from the system" },
 } };
 
+auto AllAddresses(const std::string& aText) -> bool
+{
+  std::istringstream words(aText);
+  std::string address;
+  std::error_code error;
+  while (!error && words >> address) {
+    ParseTcpEndpoint(address, error);
+  }
+  return !error;
+}
+
 /// Collects faults while the rows are read.
 class Reader
 {
@@ -185,6 +204,10 @@
     switch (aRow.kind) {
       case TextKind::TcpAddress:
         return "allowed: \"ip:port\"";
+      case TextKind::OptionalTcpAddress:
+        return "allowed: \"ip:port\" or empty";
+      case TextKind::TcpAddresses:
+        return "allowed: \"ip:port ip:port ...\"";
       case TextKind::File:
         return "allowed: a file path";
       case TextKind::Name:
@@ -202,6 +225,11 @@
       case TextKind::TcpAddress:
         ParseTcpEndpoint(aText, error);
         return !error;
+      case TextKind::OptionalTcpAddress:
+        ParseTcpEndpoint(aText, error);
+        return aText.empty() || !error;
+      case TextKind::TcpAddresses:
+        return AllAddresses(aText);
       case TextKind::File:
         return !aText.empty();
       case TextKind::Name:
--- a/lib/Target/OwnSlots.cpp
+++ b/lib/Target/OwnSlots.cpp
@@ -36,7 +36,7 @@
 
   static auto Load(const Candidate& aCandidate) -> double
   {
-    return (aCandidate.inFlight + 1) / (aCandidate.slots * aCandidate.warmth);
+    return (aCandidate.inFlight + 1) / (aCandidate.slots * aCandidate.fitness);
   }
 
   /// Beyond the own slots, the target where this balancer has least; equal
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -108,6 +108,8 @@
 {
   m_balancers.clear();
   m_targets.clear();
+  m_peerProxies.clear();
+  m_storeProxies.clear();
   m_fabric.reset();
   m_store.reset();
   std::error_code ignored;
@@ -133,9 +135,10 @@
     fmt::format("name = \"{}\"\nfailure_domain = \"{}\"\n"
                 "seed = {}\n",
                 aName, aDomain, m_options.seed * 1000 + m_nextName);
-  sections["listen"] += "callers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-                        "administration = \"127.0.0.1:0\"\n";
-  sections["platform"] += fmt::format("address = \"{}\"\n", StoreAddress());
+  sections["listen"] += "callers = \"127.0.0.1:0\"\n"
+                        "administration = \"127.0.0.1:0\"\n" +
+                        ListenLines(aName, aDomain);
+  sections["platform"] += fmt::format("address = \"{}\"\n", StoreFor(aDomain));
   sections["secrets"] +=
     fmt::format("cluster_key_file = \"{0}/cluster.key\"\n"
                 "administration_token_file = \"{0}/admin.token\"\n",
@@ -159,6 +162,12 @@
   return m_balancers.back();
 }
 
+auto Cluster::SetSettings(const std::string& aSection,
+                          const std::string& aLines) -> void
+{
+  m_options.settings[aSection] = aLines;
+}
+
 auto Cluster::AddTarget(const std::string& aService,
                         const std::string& aFailureDomain) -> TargetProcess&
 {
@@ -179,7 +188,16 @@
   m_targets.push_back(
     { name, aService, aFailureDomain,
       std::make_unique<Process>(m_programs + "/bramleylock-standin", arguments,
-                                m_directory + "/" + name + ".log") });
+                                m_directory + "/" + name + ".log"),
+      true, false, nullptr });
+  if (m_options.proxyTargets) {
+    auto& target = m_targets.back();
+    target.proxy = std::make_unique<Process>(
+      m_programs + "/bramleylock-standin",
+      std::vector<std::string>{ "proxy", "--to",
+                                target.process->Value("target") },
+      m_directory + "/" + name + "-proxy.log");
+  }
   return m_targets.back();
 }
 
@@ -254,12 +272,14 @@
   }
   for (const auto& target : m_targets) {
     if (target.listed) {
-      vms.push_back({ { "name", target.name },
-                      { "role", "target" },
-                      { "service", target.service },
-                      { "failure_domain", target.failureDomain },
-                      { "address", target.process->Value("target") },
-                      { "leaving", target.leaving } });
+      vms.push_back(
+        { { "name", target.name },
+          { "role", "target" },
+          { "service", target.service },
+          { "failure_domain", target.failureDomain },
+          { "address", target.proxy ? target.proxy->Value("proxy")
+                                    : target.process->Value("target") },
+          { "leaving", target.leaving } });
     }
   }
   Control(StoreAddress(), "/control/vms", vms);
--- a/measure/Load.h
+++ b/measure/Load.h
@@ -28,6 +28,8 @@
   std::uint32_t sends = 0;
   /// Calls made for the request, the first included.
   int attempts = 1;
+  /// "ip:port" of the owner in the request's token; empty without one.
+  std::string owner;
 };
 
 /// Requests of one kind at a steady rate.
@@ -67,6 +69,9 @@
   /// after Join.
   auto LatenessAt(double aPart) const -> double;
 
+  /// Answers that matched no call, after Join.
+  auto Stray() const -> std::uint64_t;
+
   /// Records by label, after Join.
   auto Records() const -> const std::map<std::string, std::vector<Record>>&;
 
