--- a/include/bramleylock/Target/Target.h
+++ b/include/bramleylock/Target/Target.h
@@ -16,6 +16,8 @@
   std::string failureDomain;
   bool leaving = false;
   std::uint32_t slots = 1;
+  /// Slots there that no other balancer counts as its own.
+  std::uint32_t ownSlots = 0;
   std::uint32_t inFlight = 0;
   std::uint32_t peersInFlight = 0;
   std::uint32_t failuresInRow = 0;
--- a/include/bramleylock/Target/TargetChoice.h
+++ b/include/bramleylock/Target/TargetChoice.h
@@ -28,6 +28,8 @@
   double share = 0;
   /// Requests that it is behind its share; negative when it is ahead.
   double credit = 0;
+  /// Slots there that no other balancer counts as its own.
+  std::uint32_t ownSlots = 0;
 };
 
 /// Chooses one of some candidates.
--- a/include/bramleylock/Target/TargetTable.h
+++ b/include/bramleylock/Target/TargetTable.h
@@ -80,6 +80,9 @@
   /// service.
   auto Rates() const -> std::map<std::string, double>;
 
+  /// The slots that this balancer may count as its own, by target address.
+  auto SetOwnSlots(const std::map<std::string, std::uint32_t>& aCounts) -> void;
+
   /// A target for new work, or null. Ejected targets come last; aTried lists
   /// addresses that this request has failed at.
   auto Choose(const std::string& aService, const std::set<std::string>& aTried)
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -102,8 +102,10 @@
   std::vector<std::string> drainingTargets;
   /// Tells lists of one revision apart.
   std::uint64_t listsDigest = 0;
+  /// Requests that run or wait by service; services without any are left out.
+  std::vector<std::pair<std::string, std::uint32_t>> demand;
   MSGPACK_DEFINE_ARRAY(listsRevision, newestKey, draining, inFlight, rates,
-                       drainingTargets, listsDigest)
+                       drainingTargets, listsDigest, demand)
 };
 
 /// What one balancer says of another, or of itself.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -5,6 +5,7 @@
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Kernel/AdminApi.h"
 #include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/CapacityKeeper.h"
 #include "bramleylock/Kernel/KeyKeeper.h"
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
@@ -46,7 +47,6 @@
   auto TakePeersInFlight() -> void;
   auto TakeDemand() -> void;
   auto TakeBalancers() -> void;
-  auto UpdateCapacity() -> void;
   auto CapacityLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
 
@@ -60,10 +60,12 @@
   std::unique_ptr<CallerEntry> entry;
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
+  admission::RetryBudget retries;
   std::unique_ptr<target::TargetTable> targets;
   std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
+  std::unique_ptr<CapacityKeeper> capacity;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<lists::ListEditor> editor;
@@ -127,6 +129,8 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
+  capacity =
+    std::make_unique<CapacityKeeper>(lists, *members, *targets, *admission);
   prober =
     std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
@@ -135,7 +139,7 @@
   };
   environment = std::make_unique<flow::Environment>(
     flow::Environment{ context, metrics, keys, lists, *hub, *members, *targets,
-                       *admission, send });
+                       *admission, retries, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
   keyKeeper = std::make_unique<KeyKeeper>(
@@ -154,6 +158,7 @@
   aHeartbeat.listsDigest = lists.Digest();
   aHeartbeat.newestKey = keyKeeper->NewestKey();
   aHeartbeat.draining = draining;
+  capacity->FillHeartbeat(aHeartbeat);
   for (const auto& [address, target] : targets->All()) {
     if (target->inFlight > 0) {
       aHeartbeat.inFlight.emplace_back(address, target->inFlight);
@@ -226,24 +231,10 @@
   targets->SetDemand(std::move(demand));
 }
 
-/// Splits every service's slots evenly over the balancers that are alive.
-auto Balancer::Parts::UpdateCapacity() -> void
-{
-  const auto current = lists.Current();
-  if (!current) {
-    return;
-  }
-  const auto balancers = static_cast<double>(members->AliveCount());
-  for (const auto& [name, service] : current->services) {
-    targets->SetSlots(name, service.slots);
-    admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
-  }
-}
-
 auto Balancer::Parts::CapacityLoop() -> awaitable<void>
 {
   for (;;) {
-    UpdateCapacity();
+    capacity->Update();
     TakeDemand();
     TakeBalancers();
     co_await Sleep(kCapacityEvery);
@@ -299,7 +290,7 @@
     return;
   }
   parts.dispatcher->Start();
-  parts.watcher->OnTargets([&parts] { parts.UpdateCapacity(); });
+  parts.watcher->OnTargets([&parts] { parts.capacity->Update(); });
   parts.members->SetHints(SeedHints(parts.settings.peerSeeds));
   parts.watcher->Start();
   parts.keyKeeper->Start();
@@ -312,7 +303,7 @@
   parts.members->Start(
     [&parts](wire::Heartbeat& aHeartbeat) { parts.FillHeartbeat(aHeartbeat); });
   parts.lists.OnInstall([&parts] {
-    parts.UpdateCapacity();
+    parts.capacity->Update();
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
--- a/lib/Target/TargetTable.cpp
+++ b/lib/Target/TargetTable.cpp
@@ -121,6 +121,15 @@
   }
 }
 
+auto TargetTable::SetOwnSlots(
+  const std::map<std::string, std::uint32_t>& aCounts) -> void
+{
+  for (auto& [address, target] : m_targets) {
+    const auto found = aCounts.find(address);
+    target->ownSlots = found == aCounts.end() ? 0 : found->second;
+  }
+}
+
 auto TargetTable::Usable(const Target& aTarget, const std::string& aService,
                          const std::set<std::string>& aTried) const -> bool
 {
@@ -246,7 +255,7 @@
       std::clamp(target->credit + share, -kCreditLimit, kCreditLimit);
     candidates.push_back({ target->inFlight, target->peersInFlight,
                            target->slots, fitness, domain == m_failureDomain,
-                           share, target->credit });
+                           share, target->credit, target->ownSlots });
   }
   return candidates;
 }
--- a/measure/Load.h
+++ b/measure/Load.h
@@ -26,6 +26,8 @@
   double startedAt = 0;
   std::uint32_t retryAfterMs = 0;
   std::uint32_t sends = 0;
+  /// Calls made for the request, the first included.
+  int attempts = 1;
   /// "ip:port" of the owner in the request's token; empty without one.
   std::string owner;
 };
@@ -41,6 +43,8 @@
   double from = 0;
   double until = 0;
   std::string label;
+  /// Whether a refused caller comes back as the callers' library advises.
+  bool comesBack = false;
 };
 
 /// Runs load specifications from one thread with its own io_context.
@@ -61,6 +65,10 @@
   /// Seconds since Start.
   auto Elapsed() const -> double;
 
+  /// Milliseconds by which the generator was late, at aPart of its requests;
+  /// after Join.
+  auto LatenessAt(double aPart) const -> double;
+
   /// Answers that matched no call, after Join.
   auto Stray() const -> std::uint64_t;
 
