Look only at a service's own targets when one is chosen

Cause: every choice went over all hosts of the table, 0.019 us each, which is 110 us a request with the 5,786 hosts of a failure domain.

--- a/include/bramleylock/Target/TargetTable.h
+++ b/include/bramleylock/Target/TargetTable.h
@@ -108,8 +108,10 @@
   auto SlotsOf(const std::string& aService) const -> std::uint32_t;
 
 private:
-  auto Usable(const Target& aTarget, const std::string& aService,
-              const std::set<std::string>& aTried) const -> bool;
+  auto Usable(const Target& aTarget, const std::set<std::string>& aTried) const
+    -> bool;
+  auto OfService(const std::string& aService) const
+    -> const std::vector<std::shared_ptr<Target>>&;
   auto Pick(const std::string& aService,
             const std::vector<std::shared_ptr<Target>>& aTargets)
     -> std::shared_ptr<Target>;
@@ -132,6 +134,8 @@
   Metrics& m_metrics;
   Random m_random;
   std::map<std::string, std::shared_ptr<Target>> m_targets;
+  /// The same targets by service, so that a choice looks only at its own.
+  std::map<std::string, std::vector<std::shared_ptr<Target>>> m_byService;
   std::map<std::string, std::uint32_t> m_slots;
   std::map<std::string, DomainShares> m_demand;
   std::map<std::string, Rate> m_rates;
--- a/lib/Target/TargetTable.cpp
+++ b/lib/Target/TargetTable.cpp
@@ -99,16 +99,26 @@
   std::erase_if(m_targets, [&listed](const auto& aEntry) {
     return !listed.contains(aEntry.first);
   });
+  m_byService.clear();
+  for (const auto& [address, target] : m_targets) {
+    m_byService[target->service].push_back(target);
+  }
+}
+
+auto TargetTable::OfService(const std::string& aService) const
+  -> const std::vector<std::shared_ptr<Target>>&
+{
+  static const std::vector<std::shared_ptr<Target>> none;
+  const auto found = m_byService.find(aService);
+  return found == m_byService.end() ? none : found->second;
 }
 
 auto TargetTable::SetSlots(const std::string& aService, std::uint32_t aSlots)
   -> void
 {
   m_slots[aService] = aSlots;
-  for (auto& [address, target] : m_targets) {
-    if (target->service == aService) {
-      target->slots = aSlots;
-    }
+  for (const auto& target : OfService(aService)) {
+    target->slots = aSlots;
   }
 }
 
@@ -130,12 +140,11 @@
   }
 }
 
-auto TargetTable::Usable(const Target& aTarget, const std::string& aService,
+auto TargetTable::Usable(const Target& aTarget,
                          const std::set<std::string>& aTried) const -> bool
 {
   const auto now = Clock::now();
-  return aTarget.service == aService && !aTarget.leaving &&
-         aTarget.drainingUntil <= now &&
+  return !aTarget.leaving && aTarget.drainingUntil <= now &&
          aTarget.inFlight < ConnectionLimitOf(aTarget, now) &&
          !aTried.contains(aTarget.address);
 }
@@ -280,8 +289,8 @@
   const auto now = Clock::now();
   std::vector<std::shared_ptr<Target>> usable;
   std::vector<std::shared_ptr<Target>> doubtful;
-  for (const auto& [address, target] : m_targets) {
-    if (!Usable(*target, aService, aTried)) {
+  for (const auto& target : OfService(aService)) {
+    if (!Usable(*target, aTried)) {
       continue;
     }
     const bool doubted = target->ejectedUntil > now ||
@@ -342,10 +351,7 @@
   std::size_t nearEjected = 0;
   std::size_t total = 0;
   std::size_t ejected = 0;
-  for (const auto& [address, target] : m_targets) {
-    if (target->service != aTarget.service) {
-      continue;
-    }
+  for (const auto& target : OfService(aTarget.service)) {
     const bool isNear = target->failureDomain == m_failureDomain;
     const std::size_t out = target->ejectedUntil > aNow ? 1 : 0;
     ++total;
@@ -400,10 +406,8 @@
 auto TargetTable::SlotsOf(const std::string& aService) const -> std::uint32_t
 {
   std::uint32_t slots = 0;
-  for (const auto& [address, target] : m_targets) {
-    if (target->service == aService && !target->leaving) {
-      slots += target->slots;
-    }
+  for (const auto& target : OfService(aService)) {
+    slots += target->leaving ? 0 : target->slots;
   }
   return slots;
 }
