Name things in the field's terms; read a scenario's whole output in tests

Names: the early check of admission, watchers' notices, the soak's fault schedule.

test/older-lists.sh failed once with 'missing: superseded=0' although the line was there: grep -q ends at its match, the writer of the pipe is killed, and pipefail takes that for a failure. The line is now searched in the whole text; the check is the same.

--- a/include/bramleylock/Admission/AdmissionPolicy.h
+++ b/include/bramleylock/Admission/AdmissionPolicy.h
@@ -99,7 +99,7 @@
 
   /// Whether aRequest would be refused now. It is asked before anything is
   /// kept for the request, so that a refusal costs little.
-  virtual auto AtDoor(const AdmissionRequest&) -> Refusal { return {}; }
+  virtual auto CheckEarly(const AdmissionRequest&) -> Refusal { return {}; }
 
   /// Waits for a permit.
   virtual auto Admit(AdmissionRequest aRequest)
--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -78,10 +78,10 @@
   auto SetShare(double aSlots, Clock::time_point aNow) -> void;
 
   /// Whether aRequest would be refused now.
-  auto AtDoor(const AdmissionRequest& aRequest, Clock::time_point aNow)
+  auto CheckEarly(const AdmissionRequest& aRequest, Clock::time_point aNow)
     -> Refusal;
 
-  /// Adds a request that was not refused at the door; it may run at once.
+  /// Adds a request that the early check let pass; it may run at once.
   auto Enter(const AdmissionRequest& aRequest, Clock::time_point aNow,
              std::function<void()> aChanged) -> std::shared_ptr<Ticket>;
 
--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -45,7 +45,7 @@
   auto HandleOwned(Arrival& aArrival) -> void;
   auto HandleOwnerLost(Arrival& aArrival) -> void;
   auto OpenFlow(Arrival& aArrival) -> void;
-  auto RefusedAtDoor(const Arrival& aArrival,
+  auto RejectedEarly(const Arrival& aArrival,
                      const std::shared_ptr<Flow>& aOwned) -> bool;
   auto NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>;
   auto StartRequest(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -49,10 +49,10 @@
 
 private:
   auto ElectLoop() -> awaitable<void>;
-  auto WordLoop() -> awaitable<void>;
-  auto SendWord() -> void;
-  auto SendWordAbroad(const std::string& aBody) -> void;
-  auto ReceiveWord(const wire::Hello& aSender, const std::string& aBody)
+  auto NoticeLoop() -> awaitable<void>;
+  auto SendNotice() -> void;
+  auto SendNoticeAbroad(const std::string& aBody) -> void;
+  auto ReceiveNotice(const wire::Hello& aSender, const std::string& aBody)
     -> void;
   auto WatchLists() -> awaitable<void>;
   auto TakeStored(std::string aDocument) -> awaitable<bool>;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -32,7 +32,7 @@
   ProbeAnswer,
   ProbeRequest,
   MemberSync,
-  WatcherWord,
+  WatcherNotice,
   Vms,
   VmsRequest
 };
@@ -54,7 +54,7 @@
   { MessageType::ProbeAnswer, "probe-answer" },
   { MessageType::ProbeRequest, "probe-request" },
   { MessageType::MemberSync, "member-sync" },
-  { MessageType::WatcherWord, "watcher-word" },
+  { MessageType::WatcherNotice, "watcher-notice" },
   { MessageType::Vms, "vms" },
   { MessageType::VmsRequest, "vms-request" },
 } };
@@ -199,11 +199,11 @@
   MSGPACK_DEFINE_ARRAY(baseRevision, revision, digest, origin, document)
 };
 
-/// A watcher's word that it lives, and what it holds; passed on within its
+/// A watcher's heartbeat and what it holds; passed on within its
 /// failure domain.
-struct WatcherWord
+struct WatcherNotice
 {
-  /// Address of the watcher, and the number of its word.
+  /// Address of the watcher, and the number of its notice.
   std::string origin;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
--- a/lib/Admission/FairAdmission.cpp
+++ b/lib/Admission/FairAdmission.cpp
@@ -14,17 +14,18 @@
   {
   }
 
-  auto AtDoor(const AdmissionRequest& aRequest) -> Refusal override
+  auto CheckEarly(const AdmissionRequest& aRequest) -> Refusal override
   {
-    return QueueOf(aRequest.service)->AtDoor(aRequest, Clock::now());
+    return QueueOf(aRequest.service)->CheckEarly(aRequest, Clock::now());
   }
 
   auto Admit(AdmissionRequest aRequest) -> awaitable<AdmissionResult> override
   {
     const auto queue = QueueOf(aRequest.service);
     AdmissionResult result;
-    // Many requests can pass the door before the first of them gets here.
-    const auto refusal = queue->AtDoor(aRequest, Clock::now());
+    // Many requests can pass the early check before the first of them gets
+    // here.
+    const auto refusal = queue->CheckEarly(aRequest, Clock::now());
     if (refusal.reason != wire::Reason::None) {
       result.refusal = refusal.reason;
       result.retryAfterMs = refusal.retryAfterMs;
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -188,8 +188,8 @@
   return static_cast<std::size_t>(kQueuePerSlot * (Slots() + 1));
 }
 
-auto FairQueue::AtDoor(const AdmissionRequest& aRequest, Clock::time_point aNow)
-  -> Refusal
+auto FairQueue::CheckEarly(const AdmissionRequest& aRequest,
+                           Clock::time_point aNow) -> Refusal
 {
   const auto lane = FindLane(aRequest, aNow);
   const auto left = Seconds(aRequest.deadline - aNow) - Hold(*lane);
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -23,7 +23,7 @@
   if (flow && RepeatKnown(aArrival, flow)) {
     return;
   }
-  if (RefusedAtDoor(aArrival, nullptr)) {
+  if (RejectedEarly(aArrival, nullptr)) {
     return;
   }
   if (!flow) {
@@ -39,13 +39,13 @@
 
 /// Answers a request that the admission policy would refuse now, before
 /// anything is kept for it; true when it did.
-auto Dispatcher::RefusedAtDoor(const Arrival& aArrival,
+auto Dispatcher::RejectedEarly(const Arrival& aArrival,
                                const std::shared_ptr<Flow>& aOwned) -> bool
 {
   const auto request =
     MakeAdmissionRequest(m_environment, aArrival.plan, aArrival.packet.service,
                          aArrival.packet, aArrival.work);
-  const auto refusal = m_environment.admission.AtDoor(request);
+  const auto refusal = m_environment.admission.CheckEarly(request);
   if (refusal.reason == Reason::None) {
     return false;
   }
@@ -261,7 +261,7 @@
     Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
     return;
   }
-  if (RefusedAtDoor(aArrival, aFlow)) {
+  if (RejectedEarly(aArrival, aFlow)) {
     return;
   }
   auto exchange = std::make_shared<Exchange>();
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -1,4 +1,4 @@
-// Watches of the platform while elected, and words to the others about them.
+// Watches of the platform while elected, and notices to the others about them.
 
 #include "bramleylock/Kernel/PlatformWatcher.h"
 
@@ -12,9 +12,9 @@
 static constexpr Milliseconds kRetryStore{ 500 };
 static constexpr Milliseconds kPollVms{ 1000 };
 static constexpr Milliseconds kElectEvery{ 200 };
-static constexpr Milliseconds kWordEvery{ 500 };
+static constexpr Milliseconds kNoticeEvery{ 500 };
 
-/// Every how many words the watchers of other failure domains get one.
+/// Every how many notices the watchers of other failure domains get one.
 static constexpr std::uint64_t kAbroadEvery = 2;
 
 /// The store counts as answering this long after its last answer.
@@ -40,12 +40,12 @@
 {
   m_spread.Start();
   m_vms.Start();
-  m_view.hub.On(wire::MessageType::WatcherWord,
+  m_view.hub.On(wire::MessageType::WatcherNotice,
                 [this](const wire::Hello& aSender, const std::string& aBody) {
-                  ReceiveWord(aSender, aBody);
+                  ReceiveNotice(aSender, aBody);
                 });
   Spawn(m_view.context, "elect-watchers", ElectLoop());
-  Spawn(m_view.context, "watcher-words", WordLoop());
+  Spawn(m_view.context, "watcher-notices", NoticeLoop());
   Spawn(m_view.context, "watch-lists", WatchLists());
   Spawn(m_view.context, "watch-vms", WatchVms());
 }
@@ -116,34 +116,34 @@
   co_await Sleep(aFailed ? pause + Milliseconds(jitter(m_random)) : pause);
 }
 
-auto PlatformWatcher::WordLoop() -> awaitable<void>
+auto PlatformWatcher::NoticeLoop() -> awaitable<void>
 {
   for (;;) {
-    co_await Sleep(kWordEvery);
+    co_await Sleep(kNoticeEvery);
     if (m_watching) {
-      SendWord();
+      SendNotice();
     }
   }
 }
 
-auto PlatformWatcher::SendWord() -> void
+auto PlatformWatcher::SendNotice() -> void
 {
   const auto& self = m_view.members.Self();
-  const wire::WatcherWord word{ self.address,
-                                self.incarnation,
-                                ++m_sequence,
-                                Clock::now() - m_answered <= kAnswerFresh,
-                                m_view.lists.Revision(),
-                                m_view.lists.Digest(),
-                                m_vms.Digest() };
-  const auto body = wire::PackBody(word);
-  m_fanOut.PassOn(self.address, wire::MessageType::WatcherWord, body);
+  const wire::WatcherNotice notice{ self.address,
+                                    self.incarnation,
+                                    ++m_sequence,
+                                    Clock::now() - m_answered <= kAnswerFresh,
+                                    m_view.lists.Revision(),
+                                    m_view.lists.Digest(),
+                                    m_vms.Digest() };
+  const auto body = wire::PackBody(notice);
+  m_fanOut.PassOn(self.address, wire::MessageType::WatcherNotice, body);
   if (m_election.IsRegular() && m_sequence % kAbroadEvery == 0) {
-    SendWordAbroad(body);
+    SendNoticeAbroad(body);
   }
 }
 
-auto PlatformWatcher::SendWordAbroad(const std::string& aBody) -> void
+auto PlatformWatcher::SendNoticeAbroad(const std::string& aBody) -> void
 {
   std::map<std::string, std::vector<std::string>> domains;
   for (const auto& member : m_view.members.Alive()) {
@@ -155,29 +155,30 @@
     const auto turn = m_sequence / kAbroadEvery;
     const auto order = lists::RendezvousOrder("relay", std::move(addresses));
     const auto& relay = order[turn % std::min(order.size(), lists::kWatchers)];
-    m_view.hub.Send(relay, wire::MessageType::WatcherWord, aBody);
+    m_view.hub.Send(relay, wire::MessageType::WatcherNotice, aBody);
   }
 }
 
-auto PlatformWatcher::ReceiveWord(const wire::Hello& aSender,
-                                  const std::string& aBody) -> void
+auto PlatformWatcher::ReceiveNotice(const wire::Hello& aSender,
+                                    const std::string& aBody) -> void
 {
-  const auto word = wire::UnpackBody<wire::WatcherWord>(aBody);
-  if (!word || !m_seen.IsNew(word->origin, word->incarnation, word->sequence)) {
+  const auto notice = wire::UnpackBody<wire::WatcherNotice>(aBody);
+  if (!notice ||
+      !m_seen.IsNew(notice->origin, notice->incarnation, notice->sequence)) {
     return;
   }
-  m_spread.Compare(aSender.address, word->listsRevision, word->listsDigest);
-  if (word->storeAnswers) {
+  m_spread.Compare(aSender.address, notice->listsRevision, notice->listsDigest);
+  if (notice->storeAnswers) {
     m_heardAnswered = Clock::now();
   }
   if (aSender.failureDomain != m_view.members.Self().failureDomain) {
     return;
   }
-  if (word->storeAnswers) {
-    m_election.Heard(word->origin, Clock::now());
+  if (notice->storeAnswers) {
+    m_election.Heard(notice->origin, Clock::now());
   }
-  m_vms.Compare(aSender.address, word->vmsDigest);
-  m_fanOut.PassOn(word->origin, wire::MessageType::WatcherWord, aBody);
+  m_vms.Compare(aSender.address, notice->vmsDigest);
+  m_fanOut.PassOn(notice->origin, wire::MessageType::WatcherNotice, aBody);
 }
 
 auto PlatformWatcher::WatchLists() -> awaitable<void>
--- a/measure/DomainCut.cpp
+++ b/measure/DomainCut.cpp
@@ -42,15 +42,15 @@
     load.Add({ deployment.reading, 120, 5, 0, kSeconds, "reading" });
     load.Start();
     WaitUntil(load, kCutAt, cluster, revisions);
-    const auto& lonely = deployment.failureDomains.back();
-    Cut(cluster, deployment, lonely, true);
+    const auto& cutOff = deployment.failureDomains.back();
+    Cut(cluster, deployment, cutOff, true);
     WaitUntil(load, kEditAt, cluster, revisions);
     const auto revision = EditWeight(cluster, cluster.Balancers().front(), 3);
     aReport.Require("edit accepted at the majority", revision > 0);
     const auto before = Answered(cluster);
     WaitUntil(load, kHealAt, cluster, revisions);
-    RequireServing(before, Answered(cluster), cluster, lonely, aReport);
-    Cut(cluster, deployment, lonely, false);
+    RequireServing(before, Answered(cluster), cluster, cutOff, aReport);
+    Cut(cluster, deployment, cutOff, false);
     const auto agreed = SecondsUntilAgreed(cluster, revisions, kAgreeGiveUp);
     load.Join();
     revisions.Look(cluster);
@@ -79,15 +79,15 @@
   }
 
   static auto Cut(Cluster& aCluster, const Deployment& aDeployment,
-                  const std::string& aLonely, bool aCut) -> void
+                  const std::string& aCutOff, bool aCut) -> void
   {
     for (const auto& domain : aDeployment.failureDomains) {
-      if (domain != aLonely) {
-        aCluster.CutLinks(domain, aLonely, aCut);
-        aCluster.CutLinks(aLonely, domain, aCut);
+      if (domain != aCutOff) {
+        aCluster.CutLinks(domain, aCutOff, aCut);
+        aCluster.CutLinks(aCutOff, domain, aCut);
       }
     }
-    aCluster.CutStore(aLonely, aCut);
+    aCluster.CutStore(aCutOff, aCut);
   }
 
   static auto Answered(Cluster& aCluster)
@@ -105,18 +105,18 @@
   /// Both sides have to answer requests during the cut.
   static auto RequireServing(std::map<std::string, std::uint64_t> aBefore,
                              std::map<std::string, std::uint64_t> aAfter,
-                             Cluster& aCluster, const std::string& aLonely,
+                             Cluster& aCluster, const std::string& aCutOff,
                              Report& aReport) -> void
   {
-    std::uint64_t lonely = 0;
+    std::uint64_t cutOff = 0;
     std::uint64_t others = 0;
     for (const auto& balancer : aCluster.Balancers()) {
       const auto grown = aAfter[balancer.name] - aBefore[balancer.name];
-      (balancer.failureDomain == aLonely ? lonely : others) += grown;
+      (balancer.failureDomain == aCutOff ? cutOff : others) += grown;
     }
-    aReport.Add("answered_in_cut_domain", lonely);
+    aReport.Add("answered_in_cut_domain", cutOff);
     aReport.Add("answered_elsewhere", others);
-    aReport.Require("both sides serve", lonely > 0 && others > 0);
+    aReport.Require("both sides serve", cutOff > 0 && others > 0);
   }
 };
 
--- a/measure/Soak.cpp
+++ b/measure/Soak.cpp
@@ -23,10 +23,11 @@
 namespace {
 
 /// The faults and changes that one soak makes.
-class Turmoil
+class FaultSchedule
 {
 public:
-  Turmoil(Cluster& aCluster, const Deployment& aDeployment, std::uint64_t aSeed)
+  FaultSchedule(Cluster& aCluster, const Deployment& aDeployment,
+                std::uint64_t aSeed)
     : m_cluster(aCluster)
     , m_deployment(aDeployment)
     , m_random(aSeed)
@@ -36,20 +37,20 @@
   struct Event
   {
     const char* name;
-    void (Turmoil::*run)();
+    void (FaultSchedule::*run)();
   };
 
   /// Makes two events, one right after the other.
   auto Round() -> void
   {
     static const std::array<Event, 7> kEvents{ {
-      { "edit", &Turmoil::EditLists },
-      { "drain", &Turmoil::DrainBalancer },
-      { "crash", &Turmoil::CrashBalancer },
-      { "pause", &Turmoil::PauseBalancer },
-      { "target-drain", &Turmoil::DrainTarget },
-      { "target-crash", &Turmoil::CrashTarget },
-      { "store-outage", &Turmoil::StoreOutage },
+      { "edit", &FaultSchedule::EditLists },
+      { "drain", &FaultSchedule::DrainBalancer },
+      { "crash", &FaultSchedule::CrashBalancer },
+      { "pause", &FaultSchedule::PauseBalancer },
+      { "target-drain", &FaultSchedule::DrainTarget },
+      { "target-crash", &FaultSchedule::CrashTarget },
+      { "store-outage", &FaultSchedule::StoreOutage },
     } };
     for (int i = 0; i < 2; ++i) {
       const auto& event = kEvents[m_random() % kEvents.size()];
@@ -309,34 +310,34 @@
     cluster.Start();
     Load load(cluster.CallerAddress(), aOptions.seed);
     AddLoad(load, deployment, seconds);
-    Turmoil turmoil(cluster, deployment, aOptions.seed);
+    FaultSchedule faults(cluster, deployment, aOptions.seed);
     load.Start();
     double next = 1;
     while (load.Elapsed() < seconds - kCalmSeconds) {
       std::this_thread::sleep_for(kPollEvery);
       if (load.Elapsed() >= next) {
-        turmoil.Round();
+        faults.Round();
         next = std::max(next + kRoundSeconds, load.Elapsed() + 1);
       }
     }
-    turmoil.Calm();
+    faults.Calm();
     load.Join();
-    const double spread = turmoil.SpreadSeconds();
-    for (const auto& [name, count] : turmoil.Counts()) {
+    const double spread = faults.SpreadSeconds();
+    for (const auto& [name, count] : faults.Counts()) {
       aReport.Add("events_" + name, count);
     }
     aReport.AddChecks(CheckRecords(load.Records(), cluster));
     const auto broken = CountUnknown(load.Records(), false);
     aReport.Add("repeatable_unknown", broken);
     aReport.Add("at_most_once_unknown", CountUnknown(load.Records(), true));
-    aReport.Add("edits_accepted", turmoil.Accepted());
-    aReport.Add("reverted", turmoil.Reverted());
+    aReport.Add("edits_accepted", faults.Accepted());
+    aReport.Add("reverted", faults.Reverted());
     aReport.Add("spread_s", spread);
     aReport.Require("repeatable_unknown=0", broken == 0);
-    aReport.Require("reverted=0", turmoil.Reverted() == 0);
+    aReport.Require("reverted=0", faults.Reverted() == 0);
     aReport.Require("spread_s<=4", spread >= 0);
     aReport.Require("drain_too_long=0",
-                    !turmoil.Counts().contains("drain_too_long"));
+                    !faults.Counts().contains("drain_too_long"));
     aReport.AddReasons(load.Records());
     aReport.AddLatencies(load.Records());
   }
--- a/test/require.bash
+++ b/test/require.bash
@@ -6,7 +6,7 @@
   output=$("$bin/bramleylock-measure" "$@") || true
   printf '%s\n' "$output"
   for line in $lines; do
-    printf '%s\n' "$output" | grep -qx -- "$line" || {
+    grep -qx -- "$line" <<<"$output" || {
       echo "missing: $line" >&2
       return 1
     }
--- a/unittests/Admission/FairQueueTest.cpp
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -27,10 +27,10 @@
     return request;
   }
 
-  /// Offers a request; null when it was refused at the door.
+  /// Offers a request; null when the early check refused it.
   auto Offer(const AdmissionRequest& aRequest) -> std::shared_ptr<Ticket>
   {
-    last = queue.AtDoor(aRequest, now);
+    last = queue.CheckEarly(aRequest, now);
     if (last.reason != wire::Reason::None) {
       return nullptr;
     }
@@ -143,7 +143,7 @@
   const auto flood = bench.Request("flood", "book", Urgency::Urgent);
   std::vector<std::shared_ptr<Ticket>> flooding;
   flooding.reserve(33);
-  // Past the door, as when the drain slows down after the decision.
+  // Past the early check, as when the drain slows down after the decision.
   for (int i = 0; i < 33; ++i) {
     flooding.push_back(bench.queue.Enter(flood, bench.now, [] {}));
   }
