--- /dev/null
+++ b/include/bramleylock/Flow/FlowRecord.h
@@ -0,0 +1,31 @@
+// What a flow is made of on its way from one owner to another.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include "bramleylock/Flow/FlowTable.h"
+
+namespace bramleylock::flow {
+
+/// Whether a request of aFlow has to end at its owner first: at-most-once work
+/// in flight, and short work unless aFreeze.
+auto Busy(const Flow& aFlow, bool aFreeze) -> bool;
+
+/// Bytes that the record of aFlow takes, about.
+auto RecordBytes(const Flow& aFlow) -> std::size_t;
+
+/// Everything that the receiver needs of aFlow; its requests stop here.
+auto Freeze(Flow& aFlow, const wire::Owner& aSelf) -> wire::HandedFlow;
+
+/// A flow of this balancer for one that was handed over, without its record.
+auto MakeFlow(const Environment& aEnvironment, const wire::HandedFlow& aHanded)
+  -> std::shared_ptr<Flow>;
+
+/// Adds the record that came along to what is known of aFlow.
+auto Merge(Flow& aFlow, const wire::HandedFlow& aHanded) -> void;
+
+/// A request that goes on here; null when it cannot be read.
+auto Thaw(const wire::HandedRequest& aRequest) -> std::shared_ptr<Exchange>;
+
+} // namespace bramleylock::flow
--- a/include/bramleylock/Flow/HandOver.h
+++ b/include/bramleylock/Flow/HandOver.h
@@ -63,8 +63,6 @@
 
   auto Receive(const wire::Hello& aSender, const std::string& aBody) -> void;
   auto Install(const wire::HandedFlow& aHanded) -> void;
-  auto InstallRequest(const std::shared_ptr<Flow>& aFlow,
-                      const wire::HandedRequest& aRequest) -> void;
   auto ChooseSuccessor() -> bool;
   auto HandOverReady(bool aFreeze) -> awaitable<bool>;
   auto TakeReady(bool aFreeze) -> Batch;
@@ -92,7 +90,4 @@
   std::map<wire::Owner, Incoming> m_incoming;
 };
 
-/// Everything that the receiver needs of aFlow; its requests stop here.
-auto Freeze(Flow& aFlow, const wire::Owner& aSelf) -> wire::HandedFlow;
-
 } // namespace bramleylock::flow
--- a/lib/Flow/HandOver.cpp
+++ b/lib/Flow/HandOver.cpp
@@ -6,14 +6,12 @@
 
 #include "bramleylock/Flow/HandOver.h"
 
-#include "bramleylock/Support/Log.h"
+#include "bramleylock/Flow/FlowRecord.h"
 
 #include <algorithm>
 
 namespace bramleylock::flow {
 
-using lists::Execution;
-
 /// How long short work may still finish here before new requests wait.
 static constexpr Milliseconds kFinishShort{ 500 };
 static constexpr Milliseconds kPollFlows{ 20 };
@@ -30,10 +28,7 @@
 static constexpr std::size_t kBatchFlows = 512;
 static constexpr std::size_t kBatchBytes = 256U << 10;
 
-/// Answers of at-most-once requests that one flow may bring along.
-static constexpr std::size_t kFlowBytes = 512U << 10;
 static constexpr std::size_t kHeldLimit = 8192;
-static constexpr std::size_t kOriginLimit = 8;
 
 HandOver::HandOver(Environment& aEnvironment, FlowTable& aFlows,
                    Continuations& aContinuations, Resume aResume)
@@ -88,133 +83,6 @@
   return m_incoming.contains(aOwner);
 }
 
-/// Whether a request must end here: it may have run, and nobody else could
-/// tell what became of it.
-static auto MustFinish(const Flow& aFlow, const Exchange& aExchange) -> bool
-{
-  return aExchange.work.execution == Execution::AtMostOnce &&
-         !aFlow.outcomes.contains(aExchange.request.sequence);
-}
-
-static auto Busy(const Flow& aFlow, bool aFreeze) -> bool
-{
-  return std::any_of(
-    aFlow.active.begin(), aFlow.active.end(), [&](const auto& aEntry) {
-      const auto& exchange = *aEntry.second;
-      return MustFinish(aFlow, exchange) ||
-             (!aFreeze && exchange.work.size == lists::SizeClass::Short);
-    });
-}
-
-static auto LeftMs(Clock::time_point aUntil) -> std::uint32_t
-{
-  const auto left =
-    std::chrono::duration_cast<Milliseconds>(aUntil - Clock::now());
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
-}
-
-static auto DescribeRequest(const Exchange& aExchange) -> wire::HandedRequest
-{
-  auto packet = aExchange.request;
-  packet.credential.clear();
-  packet.token.clear();
-  if (aExchange.answer) {
-    packet.part = aExchange.answer->Base();
-    packet.answerTag = aExchange.answer->Tag();
-  }
-  wire::HandedRequest request;
-  request.datagram = wire::Encode(packet);
-  request.plan = aExchange.plan;
-  request.caller =
-    FormatEndpoint(aExchange.caller.address(), aExchange.caller.port());
-  request.token = aExchange.token;
-  request.leftMs = LeftMs(aExchange.deadline);
-  request.urgency = static_cast<std::uint32_t>(aExchange.work.urgency);
-  request.size = static_cast<std::uint32_t>(aExchange.work.size);
-  return request;
-}
-
-static auto BytesOf(const Outcome& aOutcome) -> std::size_t
-{
-  std::size_t bytes = 0;
-  for (const auto& datagram : aOutcome.datagrams) {
-    bytes += datagram.size();
-  }
-  return bytes;
-}
-
-static auto BytesOf(const Flow& aFlow) -> std::size_t
-{
-  std::size_t bytes = aFlow.plan.size() + aFlow.service.size();
-  for (const auto& [sequence, outcome] : aFlow.outcomes) {
-    bytes += BytesOf(outcome);
-  }
-  return std::min(bytes, kFlowBytes);
-}
-
-/// The record of a request whose answer is too large to go along.
-static auto UnknownOutcome(const Flow& aFlow, std::uint32_t aSequence)
-  -> std::vector<std::string>
-{
-  wire::Packet packet;
-  packet.type = wire::PacketType::Unknown;
-  packet.flow = aFlow.id;
-  packet.sequence = aSequence;
-  packet.code = static_cast<std::uint32_t>(wire::Reason::FlowForgotten);
-  return { wire::Encode(packet) };
-}
-
-static auto DescribeOutcomes(const Flow& aFlow)
-  -> std::vector<wire::HandedOutcome>
-{
-  std::vector<wire::HandedOutcome> outcomes;
-  std::size_t bytes = 0;
-  for (const auto& [sequence, outcome] : aFlow.outcomes) {
-    bytes += BytesOf(outcome);
-    const bool fits = bytes <= kFlowBytes || outcome.datagrams.size() == 1;
-    outcomes.push_back(
-      { sequence, fits ? outcome.datagrams : UnknownOutcome(aFlow, sequence),
-        LeftMs(outcome.keepUntil) });
-  }
-  return outcomes;
-}
-
-static auto StopHere(Exchange& aExchange) -> void
-{
-  aExchange.frozen = true;
-  aExchange.cancelled = true;
-  if (aExchange.connection) {
-    aExchange.connection->Close();
-  }
-  if (aExchange.answer) {
-    aExchange.answer->Abort();
-  }
-}
-
-auto Freeze(Flow& aFlow, const wire::Owner& aSelf) -> wire::HandedFlow
-{
-  aFlow.frozen = true;
-  wire::HandedFlow handed;
-  handed.id = aFlow.id;
-  handed.plan = aFlow.plan;
-  handed.service = aFlow.service;
-  handed.floor = aFlow.floor;
-  handed.origins = aFlow.origins;
-  handed.origins.push_back(aSelf);
-  if (handed.origins.size() > kOriginLimit) {
-    handed.origins.erase(handed.origins.begin());
-  }
-  handed.outcomes = DescribeOutcomes(aFlow);
-  for (const auto& [sequence, exchange] : aFlow.active) {
-    if (exchange->work.execution == Execution::Repeatable &&
-        !exchange->cancelled) {
-      handed.requests.push_back(DescribeRequest(*exchange));
-    }
-    StopHere(*exchange);
-  }
-  return handed;
-}
-
 auto HandOver::ChooseSuccessor() -> bool
 {
   auto peers = m_environment.members.AliveInDomain();
@@ -257,7 +125,7 @@
       flow->frozen |= aFreeze;
       continue;
     }
-    bytes += BytesOf(*flow);
+    bytes += RecordBytes(*flow);
     batch.push_back(flow);
   }
   return batch;
@@ -435,50 +303,17 @@
 {
   auto flow = m_flows.Find(aHanded.id);
   if (!flow) {
-    flow = std::make_shared<Flow>();
-    flow->id = aHanded.id;
-    flow->plan = aHanded.plan;
-    flow->service = aHanded.service;
-    flow->token = SignFlow(m_environment, flow->service, flow->id);
-    flow->keyId = m_environment.keys.Signing();
+    flow = MakeFlow(m_environment, aHanded);
     m_flows.Add(flow);
   }
-  // A copy of the first packet may have opened the flow here as well.
-  flow->floor = std::max(flow->floor, aHanded.floor);
-  flow->lastUsed = Clock::now();
-  flow->origins.insert(flow->origins.end(), aHanded.origins.begin(),
-                       aHanded.origins.end());
-  for (const auto& outcome : aHanded.outcomes) {
-    flow->outcomes[outcome.sequence] = {
-      outcome.datagrams, Clock::now() + Milliseconds(outcome.keepMs)
-    };
-  }
+  Merge(*flow, aHanded);
   for (const auto& request : aHanded.requests) {
-    InstallRequest(flow, request);
+    const auto exchange = Thaw(request);
+    if (exchange && !flow->active.contains(exchange->request.sequence)) {
+      m_resume(flow, exchange);
+    }
   }
   m_environment.metrics.Add(Counter::FlowsInherited);
 }
 
-auto HandOver::InstallRequest(const std::shared_ptr<Flow>& aFlow,
-                              const wire::HandedRequest& aRequest) -> void
-{
-  std::error_code error;
-  auto exchange = std::make_shared<Exchange>();
-  exchange->request =
-    wire::Decode(aRequest.datagram.data(), aRequest.datagram.size(), error);
-  if (!error) {
-    exchange->caller = ParseUdpEndpoint(aRequest.caller, error);
-  }
-  if (error || aFlow->active.contains(exchange->request.sequence)) {
-    return;
-  }
-  exchange->plan = aRequest.plan;
-  exchange->token = aRequest.token;
-  exchange->work.execution = Execution::Repeatable;
-  exchange->work.urgency = static_cast<lists::Urgency>(aRequest.urgency);
-  exchange->work.size = static_cast<lists::SizeClass>(aRequest.size);
-  exchange->deadline = Clock::now() + Milliseconds(aRequest.leftMs);
-  m_resume(aFlow, exchange);
-}
-
 } // namespace bramleylock::flow
--- a/unittests/Flow/FlowTableTest.cpp
+++ b/unittests/Flow/FlowTableTest.cpp
@@ -1,7 +1,7 @@
 // Flows: when they are forgotten, and what goes along when they are handed
 // over.
 
-#include "bramleylock/Flow/HandOver.h"
+#include "bramleylock/Flow/FlowRecord.h"
 
 #include <criterion/criterion.h>
 
