Send an edit's write again without reading first

Cause: while half the store's calls fail, each try of an edit needed two calls in a row, a read and a compare-and-swap, and a write whose outcome was not known was followed by a read before it was sent again. A try succeeds once in four; when calls are slow, too few tries fit into the 4 s.

Ruled out: the read-back of the edit id. It finds an edit whose write took effect; what ended undecided was never written.

The same compare-and-swap is idempotent, so it is now sent again until its outcome is known, and the lists are read again only after a conflict. The two calls then need one success each.

Tests: AWriteThatDidNotArriveIsSentAgainWithoutAReadBefore failed before (the write was read back first) and holds now.

--- a/include/bramleylock/Lists/ListEditor.h
+++ b/include/bramleylock/Lists/ListEditor.h
@@ -58,8 +58,9 @@
 {
   /// How long an edit is tried before its outcome is reported as it stands.
   Milliseconds budget{ 4000 };
-  /// Pause before the second try; later ones double it.
+  /// Pause before the second try; later ones double it, up to the longest.
   Milliseconds firstPause{ 20 };
+  Milliseconds longestPause{ 100 };
 };
 
 /// Writes edits to the store by compare-and-swap.
@@ -82,11 +83,26 @@
   auto Holds(const std::string& aDocument) const -> bool;
 
 private:
+  /// What one edit may still spend on calls that failed.
+  struct Retries
+  {
+    Clock::time_point limit;
+    Milliseconds pause;
+  };
+
+  /// Pauses before a retry; false, at once, when there is no time for one.
+  auto Pause(Retries& aRetries) -> awaitable<bool>;
+
+  /// Writes aDocument, again and again while the outcome is not known.
+  auto Write(std::uint64_t aExpected, const std::string& aDocument,
+             Retries& aRetries, EditResult& aResult, std::error_code& aError)
+    -> awaitable<void>;
+
   /// Reads the store's lists into the keeper, and returns their revision in
   /// the store.
   auto Refresh(std::error_code& aError) -> awaitable<std::uint64_t>;
-  auto TryOnce(const Edit& aEdit, EditMode aMode, EditResult& aResult)
-    -> awaitable<bool>;
+  auto TryOnce(const Edit& aEdit, EditMode aMode, Retries& aRetries,
+               EditResult& aResult) -> awaitable<bool>;
   auto InForce() const -> PlanLists;
 
   PlatformStore& m_store;
--- a/lib/Lists/ListEditor.cpp
+++ b/lib/Lists/ListEditor.cpp
@@ -7,8 +7,6 @@
 
 namespace bramleylock::lists {
 
-static constexpr Milliseconds kLongestPause{ 100 };
-
 ListEditor::ListEditor(PlatformStore& aStore, ListKeeper& aLists,
                        Metrics& aMetrics, EditorOptions aOptions)
   : m_store(aStore)
@@ -51,9 +49,43 @@
   return false;
 }
 
+auto ListEditor::Pause(Retries& aRetries) -> awaitable<bool>
+{
+  if (Clock::now() + aRetries.pause > aRetries.limit) {
+    co_return false;
+  }
+  m_metrics.Add(Counter::ListsEditRetried);
+  // Two editors that met once must not go on in step.
+  const Milliseconds jitter(SecretNumber() % aRetries.pause.count());
+  co_await Sleep(aRetries.pause + jitter);
+  aRetries.pause = std::min(aRetries.pause * 2, m_options.longestPause);
+  co_return true;
+}
+
+auto ListEditor::Write(std::uint64_t aExpected, const std::string& aDocument,
+                       Retries& aRetries, EditResult& aResult,
+                       std::error_code& aError) -> awaitable<void>
+{
+  for (;;) {
+    co_await m_store.CompareAndSwap(kListsKey, aExpected, aDocument, aError);
+    if (aError != StoreError::OutcomeUnknown) {
+      co_return;
+    }
+    m_metrics.Add(Counter::ListsEditUnknown);
+    aResult.status = EditStatus::Unknown;
+    // The same compare-and-swap is idempotent: when an earlier one took
+    // effect, this one meets another revision. Reading first would make each
+    // try depend on two calls in a row.
+    const bool again = co_await Pause(aRetries);
+    if (!again) {
+      co_return;
+    }
+  }
+}
+
 /// One try; true when aResult is final.
-auto ListEditor::TryOnce(const Edit& aEdit, EditMode aMode, EditResult& aResult)
-  -> awaitable<bool>
+auto ListEditor::TryOnce(const Edit& aEdit, EditMode aMode, Retries& aRetries,
+                         EditResult& aResult) -> awaitable<bool>
 {
   std::error_code error;
   const auto storeRevision = co_await Refresh(error);
@@ -88,17 +120,13 @@
     co_return true;
   }
   const auto document = FormatLists(next);
-  co_await m_store.CompareAndSwap(kListsKey, storeRevision, document, error);
+  co_await Write(storeRevision, document, aRetries, aResult, error);
   if (!error) {
     m_lists.Install(document);
     aResult.status = EditStatus::Accepted;
     m_metrics.Add(Counter::ListsEditAccepted);
     co_return true;
   }
-  if (error == StoreError::OutcomeUnknown) {
-    m_metrics.Add(Counter::ListsEditUnknown);
-    aResult.status = EditStatus::Unknown;
-  }
   aResult.detail = error.message();
   co_return false;
 }
@@ -106,17 +134,16 @@
 auto ListEditor::Submit(Edit aEdit, EditMode aMode) -> awaitable<EditResult>
 {
   EditResult result;
-  const auto limit = Clock::now() + m_options.budget;
-  auto pause = m_options.firstPause;
+  Retries retries{ Clock::now() + m_options.budget, m_options.firstPause };
   for (;;) {
-    const bool final = co_await TryOnce(aEdit, aMode, result);
-    if (final || Clock::now() + pause > limit) {
+    const bool final = co_await TryOnce(aEdit, aMode, retries, result);
+    if (final) {
+      co_return result;
+    }
+    const bool again = co_await Pause(retries);
+    if (!again) {
       co_return result;
     }
-    m_metrics.Add(Counter::ListsEditRetried);
-    // Two editors that met once must not go on in step.
-    co_await Sleep(pause + Milliseconds(SecretNumber() % pause.count()));
-    pause = std::min(pause * 2, kLongestPause);
   }
 }
 
--- a/unittests/Lists/ListEditorTest.cpp
+++ b/unittests/Lists/ListEditorTest.cpp
@@ -40,7 +40,7 @@
 {
   Node(MockStore& aStore, Edit aEdit, Milliseconds aBudget = kBudget)
     : keeper(metrics)
-    , editor(aStore, keeper, metrics, { aBudget, kPause })
+    , editor(aStore, keeper, metrics, { aBudget, kPause, kPause })
     , edit(std::move(aEdit))
   {
     keeper.Install(FirstDocument());
@@ -276,6 +276,51 @@
   cr_assert_eq(WeightOf(node, "clubs"), 1);
 }
 
+/// Lets the calls of one edit go on with aFates in turn, later ones answered.
+static auto RunScript(asio::io_context& aContext, MockStore& aStore,
+                      Node& aNode, std::vector<CallFate> aFates) -> void
+{
+  std::size_t next = 0;
+  Spawn(aContext, "edit", aNode.Run());
+  while (!aNode.result) {
+    aContext.run_one();
+    while (!aStore.waiting.empty()) {
+      const auto fate =
+        next < aFates.size() ? aFates[next] : CallFate::Answered;
+      ++next;
+      aStore.Release(0, fate);
+    }
+  }
+}
+
+Test(ListEditor, AWriteThatDidNotArriveIsSentAgainWithoutAReadBefore)
+{
+  asio::io_context context(1);
+  MockStore store(context);
+  store.stored = { FirstDocument(), 1 };
+  Node node(store, { "l", { { "plans/clubs", PlanText(1), PlanText(2) } } });
+  RunScript(context, store, node,
+            { CallFate::Answered, CallFate::NotArrived, CallFate::NotArrived });
+  cr_assert(node.result->status == EditStatus::Accepted);
+  cr_assert_eq(store.written.size(), 1);
+  cr_assert_eq(store.reads, 1);
+}
+
+Test(ListEditor, AWriteSentAgainAfterItTookEffectIsReadBack)
+{
+  asio::io_context context(1);
+  MockStore store(context);
+  store.stored = { FirstDocument(), 1 };
+  Node node(store, { "l", { { "plans/clubs", PlanText(1), PlanText(2) } } });
+  RunScript(context, store, node,
+            { CallFate::Answered, CallFate::AnswerLost, CallFate::NotArrived,
+              CallFate::Answered, CallFate::NotArrived });
+  cr_assert(node.result->status == EditStatus::Accepted);
+  cr_assert_eq(store.written.size(), 1);
+  cr_assert_eq(store.reads, 3);
+  cr_assert_eq(WeightOf(node, "clubs"), 2);
+}
+
 Test(WatcherElection, SuccessorsTakeOverInPairsWhileNoWordIsFresh)
 {
   const std::vector<std::string> nodes{ "a", "b", "c", "d", "e", "f", "g" };
--- a/unittests/Lists/MockStore.h
+++ b/unittests/Lists/MockStore.h
@@ -41,6 +41,7 @@
   auto Get(std::string, std::error_code& aError)
     -> awaitable<StoredValue> override
   {
+    ++reads;
     const auto fate = co_await Arrive(false);
     if (fate == CallFate::NotArrived) {
       aError = StoreError::Unavailable;
@@ -102,6 +103,8 @@
 
   StoredValue stored;
   std::vector<std::string> written;
+  /// Calls of Get and Watch.
+  std::size_t reads = 0;
   std::list<Call*> waiting;
   /// Calls go on by themselves.
   bool open = false;
