Observe latencies of requests, of their wait and of targets

Cause: nothing called Metrics::Observe, so /metrics had no latencies, though ADMIN-API.md promised them. It also took any name, so the number of series was not bounded.

Latencies are now a table of 11 series like the counters: requests by outcome (answered ones by urgency), queue wait and target by urgency. Each has a sum, which the exposition lacked. RequestTimes observes them from the request's life.

--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "bramleylock/Support/Names.h"
 
@@ -203,11 +205,53 @@
   { Counter::DomainsLost, "domains_lost" },
 } };
 
+/// Every latency that a balancer observes. Each is one series of /metrics, so
+/// the number of series does not grow with plans, services or targets.
+enum class Latency
+{
+  AnsweredUrgent,
+  AnsweredNormal,
+  AnsweredBulk,
+  NotRun,
+  Unfinished,
+  QueueWaitUrgent,
+  QueueWaitNormal,
+  QueueWaitBulk,
+  TargetUrgent,
+  TargetNormal,
+  TargetBulk
+};
+
+/// The metric that a latency belongs to, and the labels of its series.
+struct LatencyRow
+{
+  Latency latency;
+  std::string_view metric;
+  std::string_view labels;
+};
+
+inline constexpr std::array<LatencyRow, 11> kLatencyRows{ {
+  { Latency::AnsweredUrgent, "request_seconds",
+    R"(outcome="answered",urgency="urgent")" },
+  { Latency::AnsweredNormal, "request_seconds",
+    R"(outcome="answered",urgency="normal")" },
+  { Latency::AnsweredBulk, "request_seconds",
+    R"(outcome="answered",urgency="bulk")" },
+  { Latency::NotRun, "request_seconds", R"(outcome="not_run")" },
+  { Latency::Unfinished, "request_seconds", R"(outcome="unfinished")" },
+  { Latency::QueueWaitUrgent, "queue_wait_seconds", R"(urgency="urgent")" },
+  { Latency::QueueWaitNormal, "queue_wait_seconds", R"(urgency="normal")" },
+  { Latency::QueueWaitBulk, "queue_wait_seconds", R"(urgency="bulk")" },
+  { Latency::TargetUrgent, "target_seconds", R"(urgency="urgent")" },
+  { Latency::TargetNormal, "target_seconds", R"(urgency="normal")" },
+  { Latency::TargetBulk, "target_seconds", R"(urgency="bulk")" },
+} };
+
 /// A summary of observed latencies in seconds.
 struct LatencySummary
 {
   std::uint64_t count = 0;
-  double mean = 0;
+  double sum = 0;
   double median = 0;
   double p99 = 0;
 };
@@ -227,9 +271,10 @@
   /// Sets a gauge; aName must be a valid metric name.
   auto SetGauge(const std::string& aName, double aValue) -> void;
 
-  /// Records one latency in seconds under aName.
-  auto Observe(const std::string& aName, double aSeconds) -> void;
-  auto Summary(const std::string& aName) const -> LatencySummary;
+  auto Observe(Latency aLatency, std::chrono::nanoseconds aTime) -> void;
+
+  /// Over all that was observed since the start of the process.
+  auto Summary(Latency aLatency) const -> LatencySummary;
 
   /// The text exposition format, one metric a line.
   auto Exposition() const -> std::string;
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -3,6 +3,7 @@
 #include "bramleylock/Flow/RequestRunner.h"
 
 #include "bramleylock/Flow/HedgedReader.h"
+#include "bramleylock/Flow/RequestTimes.h"
 
 #include <fmt/format.h>
 
@@ -50,11 +51,13 @@
 
   auto Run() -> awaitable<void>
   {
+    RequestTimes times(m_environment.metrics, m_exchange->work.urgency);
     auto request =
       MakeAdmissionRequest(m_environment, m_exchange->plan, m_flow->service,
                            m_exchange->request, m_exchange->work);
     request.deadline = m_exchange->deadline;
     auto admitted = co_await m_environment.admission.Admit(std::move(request));
+    times.EndWait();
     m_permit = std::move(admitted.permit);
     if (admitted.refusal != Reason::None) {
       EndNotRun(admitted.refusal, admitted.retryAfterMs);
@@ -64,6 +67,7 @@
       co_await RunAttempts();
     }
     m_permit.Finish(m_outcome);
+    times.End(m_bodyEnded, m_mayHaveRun, m_outcome.latency);
     m_exchange->stage = Stage::Done;
     m_flow->active.erase(m_exchange->request.sequence);
     m_flow->lastUsed = Clock::now();
--- /dev/null
+++ b/lib/Flow/RequestTimes.cpp
@@ -0,0 +1,51 @@
+// The latencies of one request, by urgency.
+
+#include "bramleylock/Flow/RequestTimes.h"
+
+#include <array>
+
+namespace bramleylock::flow {
+
+using LatencyByUrgency = std::array<Latency, lists::kUrgencyNames.size()>;
+
+static constexpr LatencyByUrgency kAnswered{ Latency::AnsweredUrgent,
+                                             Latency::AnsweredNormal,
+                                             Latency::AnsweredBulk };
+static constexpr LatencyByUrgency kQueueWait{ Latency::QueueWaitUrgent,
+                                              Latency::QueueWaitNormal,
+                                              Latency::QueueWaitBulk };
+static constexpr LatencyByUrgency kTarget{ Latency::TargetUrgent,
+                                           Latency::TargetNormal,
+                                           Latency::TargetBulk };
+
+static auto Pick(const LatencyByUrgency& aRow, lists::Urgency aUrgency)
+  -> Latency
+{
+  return aRow[static_cast<std::size_t>(aUrgency)];
+}
+
+RequestTimes::RequestTimes(Metrics& aMetrics, lists::Urgency aUrgency)
+  : m_metrics(aMetrics)
+  , m_urgency(aUrgency)
+{
+}
+
+auto RequestTimes::EndWait() -> void
+{
+  m_metrics.Observe(Pick(kQueueWait, m_urgency), Clock::now() - m_started);
+}
+
+auto RequestTimes::End(bool aAnswered, bool aMayHaveRun,
+                       std::chrono::nanoseconds aTarget) -> void
+{
+  if (aTarget.count() > 0) {
+    m_metrics.Observe(Pick(kTarget, m_urgency), aTarget);
+  }
+  // Quantiles of requests that were not answered would only blur those of the
+  // answered ones, so they have series of their own.
+  const auto failed = aMayHaveRun ? Latency::Unfinished : Latency::NotRun;
+  m_metrics.Observe(aAnswered ? Pick(kAnswered, m_urgency) : failed,
+                    Clock::now() - m_started);
+}
+
+} // namespace bramleylock::flow
--- a/lib/Support/Counters.cpp
+++ b/lib/Support/Counters.cpp
@@ -4,9 +4,9 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum_kahan.hpp>
 #include <fmt/format.h>
 
 namespace bramleylock {
@@ -15,14 +15,15 @@
 
 namespace {
 
-using MeanAccumulator =
-  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean>>;
+using SumAccumulator =
+  acc::accumulator_set<double,
+                       acc::stats<acc::tag::count, acc::tag::sum_kahan>>;
 using QuantileAccumulator =
   acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
 
-struct Latency
+struct Accumulators
 {
-  MeanAccumulator mean;
+  SumAccumulator sum;
   QuantileAccumulator median{ acc::quantile_probability = 0.5 };
   QuantileAccumulator p99{ acc::quantile_probability = 0.99 };
 };
@@ -31,7 +32,7 @@
 
 struct Metrics::Latencies
 {
-  std::map<std::string, Latency> byName;
+  std::array<Accumulators, kLatencyRows.size()> byLatency;
 };
 
 Metrics::Metrics()
@@ -56,24 +57,49 @@
   m_gauges[aName] = aValue;
 }
 
-auto Metrics::Observe(const std::string& aName, double aSeconds) -> void
+auto Metrics::Observe(Latency aLatency, std::chrono::nanoseconds aTime) -> void
 {
-  auto& latency = m_latencies->byName[aName];
-  latency.mean(aSeconds);
-  latency.median(aSeconds);
-  latency.p99(aSeconds);
+  const auto seconds = std::chrono::duration<double>(aTime).count();
+  auto& observed = m_latencies->byLatency[static_cast<std::size_t>(aLatency)];
+  observed.sum(seconds);
+  observed.median(seconds);
+  observed.p99(seconds);
 }
 
-auto Metrics::Summary(const std::string& aName) const -> LatencySummary
+auto Metrics::Summary(Latency aLatency) const -> LatencySummary
 {
-  const auto found = m_latencies->byName.find(aName);
-  if (found == m_latencies->byName.end()) {
+  const auto& observed =
+    m_latencies->byLatency[static_cast<std::size_t>(aLatency)];
+  const auto count = acc::count(observed.sum);
+  if (count == 0) {
     return {};
   }
-  const auto& latency = found->second;
-  return { acc::count(latency.mean), acc::mean(latency.mean),
-           acc::p_square_quantile(latency.median),
-           acc::p_square_quantile(latency.p99) };
+  return { count, acc::sum_kahan(observed.sum),
+           acc::p_square_quantile(observed.median),
+           acc::p_square_quantile(observed.p99) };
+}
+
+/// The series of one metric stand together, after the line with its type.
+static auto ExposeLatencies(const Metrics& aMetrics) -> std::string
+{
+  std::string text;
+  std::string_view previous;
+  for (const auto& row : kLatencyRows) {
+    if (row.metric != previous) {
+      text += fmt::format("# TYPE bramleylock_{} summary\n", row.metric);
+      previous = row.metric;
+    }
+    const auto summary = aMetrics.Summary(row.latency);
+    if (summary.count > 0) {
+      text += fmt::format("bramleylock_{0}{{{1},quantile=\"0.5\"}} {2}\n"
+                          "bramleylock_{0}{{{1},quantile=\"0.99\"}} {3}\n",
+                          row.metric, row.labels, summary.median, summary.p99);
+    }
+    text += fmt::format("bramleylock_{0}_sum{{{1}}} {2}\n"
+                        "bramleylock_{0}_count{{{1}}} {3}\n",
+                        row.metric, row.labels, summary.sum, summary.count);
+  }
+  return text;
 }
 
 auto Metrics::Exposition() const -> std::string
@@ -88,14 +114,7 @@
     text += fmt::format("# TYPE bramleylock_{0} gauge\nbramleylock_{0} {1}\n",
                         name, value);
   }
-  for (const auto& [name, latency] : m_latencies->byName) {
-    const auto summary = Summary(name);
-    text += fmt::format("# TYPE bramleylock_{0}_seconds summary\n"
-                        "bramleylock_{0}_seconds{{quantile=\"0.5\"}} {1}\n"
-                        "bramleylock_{0}_seconds{{quantile=\"0.99\"}} {2}\n"
-                        "bramleylock_{0}_seconds_count {3}\n",
-                        name, summary.median, summary.p99, summary.count);
-  }
+  text += ExposeLatencies(*this);
   return text;
 }
 
