--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -3,6 +3,7 @@
 #include "bramleylock/Flow/RequestRunner.h"
 
 #include "bramleylock/Flow/HedgedReader.h"
+#include "bramleylock/Flow/RequestTimes.h"
 
 #include <fmt/format.h>
 
@@ -53,11 +54,13 @@
 
   auto Run() -> awaitable<void>
   {
+    RequestTimes times(m_environment.metrics, m_exchange->work.urgency);
     auto request =
       MakeAdmissionRequest(m_environment, m_exchange->plan, m_flow->service,
                            m_exchange->request, m_exchange->work);
     request.deadline = m_exchange->deadline;
     auto admitted = co_await m_environment.admission.Admit(std::move(request));
+    times.EndWait();
     m_permit = std::move(admitted.permit);
     m_reader.WatchOverdue(admitted.overdueAfter, [this] { VacatePlace(); });
     if (admitted.refusal != Reason::None) {
@@ -68,6 +71,7 @@
       co_await RunAttempts();
     }
     m_permit.Finish(m_outcome);
+    times.End(m_bodyEnded, m_mayHaveRun, m_outcome.latency);
     m_exchange->stage = Stage::Done;
     m_flow->active.erase(m_exchange->request.sequence);
     m_flow->lastUsed = Clock::now();
