--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -47,6 +47,7 @@
   auto OpenFlow(Arrival& aArrival) -> void;
   auto RejectedEarly(const Arrival& aArrival,
                      const std::shared_ptr<Flow>& aOwned) -> bool;
+  auto PlanRefusal(const std::string& aPlan, bool aTake) -> admission::Refusal;
   auto NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>;
   auto StartRequest(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
     -> void;
--- a/include/bramleylock/Flow/Environment.h
+++ b/include/bramleylock/Flow/Environment.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Admission/PlanLimits.h"
 #include "bramleylock/Admission/RetryBudget.h"
 #include "bramleylock/Lists/ListKeeper.h"
 #include "bramleylock/Peer/Membership.h"
@@ -26,6 +27,7 @@
   target::TargetTable& targets;
   admission::AdmissionPolicy& admission;
   admission::RetryBudget& retries;
+  admission::PlanLimits& planLimits;
   /// Sends one datagram to a caller.
   std::function<void(const Udp::endpoint&, const std::string&)> send;
 };
--- /dev/null
+++ b/include/bramleylock/Kernel/PlanLimitsKeeper.h
@@ -0,0 +1,30 @@
+// Tells the plans' limits who shares them.
+#pragma once
+
+#include "bramleylock/Admission/PlanLimits.h"
+#include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Target/TargetTable.h"
+
+namespace bramleylock::kernel {
+
+/// Keeps the view of the fleet by which plans' limits are dealt.
+class PlanLimitsKeeper
+{
+public:
+  PlanLimitsKeeper(peer::Membership& aMembers, target::TargetTable& aTargets,
+                   admission::PlanLimits& aLimits);
+
+  /// Takes the members and failure domains that are known now.
+  auto Update() -> void;
+
+private:
+  auto Members() const -> std::vector<std::string>;
+  auto FailureDomains() const -> std::vector<std::string>;
+
+  peer::Membership& m_members;
+  target::TargetTable& m_targets;
+  admission::PlanLimits& m_limits;
+  Clock::time_point m_startedAt = Clock::now();
+};
+
+} // namespace bramleylock::kernel
--- a/include/bramleylock/Wire/Packet.h
+++ b/include/bramleylock/Wire/Packet.h
@@ -72,7 +72,7 @@
   Deadline,
   NoTarget,
   TargetShed,
-  PlanLimit,
+  PlanRate,
   TooLarge,
   Forged,
   ForeignService,
@@ -81,10 +81,11 @@
   TargetLost,
   FlowForgotten,
   Cancelled,
-  Version
+  Version,
+  PlanConcurrency
 };
 
-inline constexpr std::array<NameRow<Reason>, 21> kReasonNames{ {
+inline constexpr std::array<NameRow<Reason>, 22> kReasonNames{ {
   { Reason::None, "none" },
   { Reason::NotReady, "not-ready" },
   { Reason::Credential, "credential" },
@@ -96,7 +97,7 @@
   { Reason::Deadline, "deadline" },
   { Reason::NoTarget, "no-target" },
   { Reason::TargetShed, "target-shed" },
-  { Reason::PlanLimit, "plan-limit" },
+  { Reason::PlanRate, "plan-rate" },
   { Reason::TooLarge, "too-large" },
   { Reason::Forged, "forged" },
   { Reason::ForeignService, "foreign-service" },
@@ -106,6 +107,7 @@
   { Reason::FlowForgotten, "flow-forgotten" },
   { Reason::Cancelled, "cancelled" },
   { Reason::Version, "version" },
+  { Reason::PlanConcurrency, "plan-concurrency" },
 } };
 
 /// One datagram. Fields that a type does not use stay at their defaults.
--- a/lib/Caller/Backoff.cpp
+++ b/lib/Caller/Backoff.cpp
@@ -14,9 +14,10 @@
 static constexpr double kJitterPart = 0.25;
 
 /// Reasons that pass by themselves.
-static constexpr std::array<Reason, 7> kPassing{
-  Reason::NotReady, Reason::Draining,   Reason::QueueFull, Reason::Deadline,
-  Reason::NoTarget, Reason::TargetShed, Reason::PlanLimit
+static constexpr std::array<Reason, 8> kPassing{
+  Reason::NotReady, Reason::Draining,       Reason::QueueFull,
+  Reason::Deadline, Reason::NoTarget,       Reason::TargetShed,
+  Reason::PlanRate, Reason::PlanConcurrency
 };
 
 Backoff::Backoff(BackoffOptions aOptions, std::uint64_t aSeed)
--- a/lib/Flow/Environment.cpp
+++ b/lib/Flow/Environment.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-static constexpr std::array<ReasonCounter, 18> kReasonCounters{ {
+static constexpr std::array<ReasonCounter, 19> kReasonCounters{ {
   { Reason::NotReady, Counter::RefusedNotReady },
   { Reason::Credential, Counter::RefusedCredential },
   { Reason::Service, Counter::RefusedService },
@@ -27,7 +27,8 @@
   { Reason::Deadline, Counter::RefusedDeadline },
   { Reason::NoTarget, Counter::RefusedNoTarget },
   { Reason::TargetShed, Counter::RefusedTargetShed },
-  { Reason::PlanLimit, Counter::RefusedPlanLimit },
+  { Reason::PlanRate, Counter::RefusedPlanRate },
+  { Reason::PlanConcurrency, Counter::RefusedPlanConcurrency },
   { Reason::TooLarge, Counter::RefusedTooLarge },
   { Reason::Forged, Counter::TokenForged },
   { Reason::ForeignService, Counter::TokenForeignService },
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -3,6 +3,7 @@
 #include "Arrival.h"
 
 #include "bramleylock/Flow/RequestRunner.h"
+#include "bramleylock/Support/Random.h"
 
 #include <algorithm>
 
@@ -37,15 +38,34 @@
   StartRequest(aArrival, flow);
 }
 
-/// Answers a request that the admission policy would refuse now, before
-/// anything is kept for it; true when it did.
+/// Whether aPlan's limits refuse one more request. A request that only opens
+/// its flow takes nothing of them yet.
+auto Dispatcher::PlanRefusal(const std::string& aPlan, bool aTake)
+  -> admission::Refusal
+{
+  const auto lists = m_environment.lists.Current();
+  const auto plan = lists->plans.find(aPlan);
+  if (plan == lists->plans.end()) {
+    return {};
+  }
+  auto& limits = m_environment.planLimits;
+  const auto now = WallMilliseconds();
+  return aTake ? limits.Take(aPlan, plan->second, now)
+               : limits.Check(aPlan, plan->second, now);
+}
+
+/// Answers a request that the admission policy or its plan's limits refuse now,
+/// before anything is kept for it; true when it did.
 auto Dispatcher::RejectedEarly(const Arrival& aArrival,
                                const std::shared_ptr<Flow>& aOwned) -> bool
 {
   const auto request =
     MakeAdmissionRequest(m_environment, aArrival.plan, aArrival.packet.service,
                          aArrival.packet, aArrival.work);
-  const auto refusal = m_environment.admission.CheckEarly(request);
+  auto refusal = m_environment.admission.CheckEarly(request);
+  if (refusal.reason == Reason::None) {
+    refusal = PlanRefusal(aArrival.plan, aOwned != nullptr);
+  }
   if (refusal.reason == Reason::None) {
     return false;
   }
@@ -289,6 +309,7 @@
 {
   aFlow->active.emplace(aExchange->request.sequence, aExchange);
   m_flows.CountBegun();
+  m_environment.planLimits.Begin(aExchange->plan);
   Spawn(m_environment.context, "request", RunCounted(aFlow, aExchange));
 }
 
@@ -296,7 +317,9 @@
                             std::shared_ptr<Exchange> aExchange)
   -> awaitable<void>
 {
+  const auto plan = aExchange->plan;
   co_await RunRequest(m_environment, std::move(aFlow), std::move(aExchange));
+  m_environment.planLimits.End(plan);
   m_flows.CountEnded();
 }
 
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -7,6 +7,7 @@
 #include "bramleylock/Kernel/CallerEntry.h"
 #include "bramleylock/Kernel/CapacityKeeper.h"
 #include "bramleylock/Kernel/KeyKeeper.h"
+#include "bramleylock/Kernel/PlanLimitsKeeper.h"
 #include "bramleylock/Kernel/PlatformWatcher.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Support/Random.h"
@@ -61,11 +62,13 @@
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   admission::RetryBudget retries;
+  admission::PlanLimits planLimits;
   std::unique_ptr<target::TargetTable> targets;
   std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<CapacityKeeper> capacity;
+  std::unique_ptr<PlanLimitsKeeper> planKeeper;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<lists::ListEditor> editor;
@@ -131,6 +134,8 @@
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   capacity =
     std::make_unique<CapacityKeeper>(lists, *members, *targets, *admission);
+  planKeeper =
+    std::make_unique<PlanLimitsKeeper>(*members, *targets, planLimits);
   prober =
     std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
@@ -139,7 +144,7 @@
   };
   environment = std::make_unique<flow::Environment>(
     flow::Environment{ context, metrics, keys, lists, *hub, *members, *targets,
-                       *admission, retries, send });
+                       *admission, retries, planLimits, send });
   dispatcher = std::make_unique<flow::Dispatcher>(
     *environment, std::chrono::seconds(settings.idleFlowSeconds));
   keyKeeper = std::make_unique<KeyKeeper>(
@@ -235,6 +240,7 @@
 {
   for (;;) {
     capacity->Update();
+    planKeeper->Update();
     TakeDemand();
     TakeBalancers();
     co_await Sleep(kCapacityEvery);
@@ -290,7 +296,10 @@
     return;
   }
   parts.dispatcher->Start();
-  parts.watcher->OnTargets([&parts] { parts.capacity->Update(); });
+  parts.watcher->OnTargets([&parts] {
+    parts.capacity->Update();
+    parts.planKeeper->Update();
+  });
   parts.members->SetHints(SeedHints(parts.settings.peerSeeds));
   parts.watcher->Start();
   parts.keyKeeper->Start();
--- /dev/null
+++ b/measure/PlanLimitsCut.cpp
@@ -0,0 +1,169 @@
+// Scenario "plan-limits-cut": two plans offer more than their limits while a
+// failure domain is cut off, a balancer joins and another dies.
+
+#include "measure/PlanLimitsUse.h"
+#include "measure/Scenario.h"
+
+#include "bramleylock/Admission/AllowanceDeal.h"
+
+#include <csignal>
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr double kLimitPerSecond = 60;
+static constexpr double kOfferedPerSecond = 180;
+static constexpr std::uint32_t kConcurrency = 6;
+static constexpr double kLongPerSecond = 120;
+static constexpr int kLongWorkMs = 200;
+static constexpr int kLongBytes = 900;
+static constexpr double kCutAt = 3;
+static constexpr double kJoinAt = 5;
+static constexpr double kDeathAt = 7;
+static constexpr double kHealAt = 10;
+static constexpr double kUntil = 14;
+static constexpr double kWindowSeconds = 3;
+static constexpr double kPeriodSeconds =
+  static_cast<double>(admission::kAllowancePeriodMs) / 1000;
+
+namespace {
+
+class PlanLimitsCut : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "plans beyond their limits while a failure domain is cut off";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    auto deployment = *aOptions.deployment;
+    auto& plans = deployment.lists.plans;
+    plans[deployment.reading.plan].ratePerSecond = kLimitPerSecond;
+    plans[deployment.bulk.plan].concurrency = kConcurrency;
+    ClusterOptions options;
+    options.seed = aOptions.seed;
+    options.proxied = true;
+    Cluster cluster(deployment, options);
+    cluster.Start();
+    Load load(cluster.CallerAddress(), aOptions.seed);
+    auto bulk = deployment.bulk;
+    bulk.workMs = kLongWorkMs;
+    bulk.answerBytes = kLongBytes;
+    load.Add(
+      { deployment.reading, kOfferedPerSecond, 1, 0, kUntil, "limited_rate" });
+    load.Add({ bulk, kLongPerSecond, 1, 0, kUntil, "limited_concurrency" });
+    load.Start();
+    Disturb(deployment, load, cluster);
+    load.Join();
+    aReport.AddChecks(CheckRecords(load.Records(), cluster));
+    AddRate(load, cluster, aReport);
+    AddConcurrency(load, cluster, deployment, aReport);
+    aReport.AddReasons(load.Records());
+  }
+
+private:
+  static auto WaitUntil(const Load& aLoad, double aSecond) -> void
+  {
+    while (aLoad.Elapsed() < aSecond) {
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+  }
+
+  static auto Cut(const Deployment& aDeployment, Cluster& aCluster, bool aCut)
+    -> void
+  {
+    const auto& cutOff = aDeployment.failureDomains.back();
+    for (const auto& domain : aDeployment.failureDomains) {
+      if (domain != cutOff) {
+        aCluster.CutLinks(domain, cutOff, aCut);
+        aCluster.CutLinks(cutOff, domain, aCut);
+      }
+    }
+    aCluster.CutStore(cutOff, aCut);
+  }
+
+  static auto Disturb(const Deployment& aDeployment, const Load& aLoad,
+                      Cluster& aCluster) -> void
+  {
+    WaitUntil(aLoad, kCutAt);
+    Cut(aDeployment, aCluster, true);
+    WaitUntil(aLoad, kJoinAt);
+    auto& joined = aCluster.AddBalancer(aDeployment.failureDomains[0]);
+    aCluster.Publish();
+    aCluster.WaitReady(joined);
+    WaitUntil(aLoad, kDeathAt);
+    auto& dead = aCluster.Balancers()[1];
+    dead.process->Signal(SIGKILL);
+    dead.sprayed = false;
+    aCluster.Publish();
+    WaitUntil(aLoad, kHealAt);
+    Cut(aDeployment, aCluster, false);
+  }
+
+  static auto AddRate(const Load& aLoad, Cluster& aCluster, Report& aReport)
+    -> void
+  {
+    const auto& records = aLoad.Records().at("limited_rate");
+    const PlanLimitsUse use(records, aCluster);
+    const auto most = static_cast<double>(use.MostRan(kWindowSeconds));
+    const auto rate = kLimitPerSecond;
+    aReport.Add("rate_offered", std::uint64_t{ records.size() });
+    aReport.Add("rate_allowed", std::uint64_t{ use.Ran(0, kUntil) });
+    AddUnusable("rate_unusable_before_cut", use, 0, kCutAt, aReport);
+    AddUnusable("rate_unusable_in_cut", use, kCutAt, kHealAt, aReport);
+    AddUnusable("rate_unusable_after", use, kHealAt, kUntil, aReport);
+    aReport.Add("rate_overshoot", most / (rate * kWindowSeconds) - 1);
+    // One period more than the window, and the share that the dead balancer had
+    // used before it was dealt to the others; a domain's share covers it.
+    const auto domains = DomainsOf(aCluster);
+    const auto bound = rate * (kWindowSeconds + kPeriodSeconds) +
+                       rate * kPeriodSeconds / domains;
+    aReport.Require("rate within rate * (window + period) and one share",
+                    most <= bound);
+    aReport.Require("rate allowed in the cut", use.Ran(kCutAt, kHealAt) > 0);
+  }
+
+  static auto AddUnusable(const std::string& aKey, const PlanLimitsUse& aUse,
+                          double aFrom, double aUntil, Report& aReport) -> void
+  {
+    const auto allowance = kLimitPerSecond * (aUntil - aFrom);
+    const auto ran = static_cast<double>(aUse.Ran(aFrom, aUntil));
+    aReport.Add(aKey, 1 - ran / allowance);
+  }
+
+  static auto DomainsOf(Cluster& aCluster) -> double
+  {
+    std::set<std::string> domains;
+    for (const auto& balancer : aCluster.Balancers()) {
+      domains.insert(balancer.failureDomain);
+    }
+    return static_cast<double>(domains.size());
+  }
+
+  static auto AddConcurrency(const Load& aLoad, Cluster& aCluster,
+                             const Deployment& aDeployment, Report& aReport)
+    -> void
+  {
+    const auto& records = aLoad.Records().at("limited_concurrency");
+    const PlanLimitsUse use(records, aCluster);
+    const auto most = use.MostAtOnce(kLongWorkMs);
+    aReport.Add("concurrency_limit", std::uint64_t{ kConcurrency });
+    aReport.Add("concurrency_most_at_once", std::uint64_t{ most });
+    // Requests in flight when a balancer joins keep their slots until they
+    // end, at most all of that failure domain.
+    const auto domains = aDeployment.failureDomains.size();
+    const auto ofDomain = (kConcurrency + domains - 1) / domains;
+    aReport.Require("concurrency within the limit and one domain's share",
+                    most <= kConcurrency + ofDomain);
+    aReport.Require("concurrency is used", most > 0);
+  }
+};
+
+const Registration<ScenarioRegistry, PlanLimitsCut> kRegistration(
+  "plan-limits-cut");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/PlanLimitsUse.cpp
@@ -0,0 +1,87 @@
+// Counts of runs in windows of time.
+
+#include "measure/PlanLimitsUse.h"
+
+#include <algorithm>
+
+namespace bramleylock::measure {
+
+/// An answer reaches the caller a little after the target has finished, so a
+/// part of the work's time at both ends proves nothing.
+static constexpr double kUnprovenPart = 0.2;
+
+static constexpr double kMillisecondsPerSecond = 1000;
+
+PlanLimitsUse::PlanLimitsUse(const std::vector<Record>& aRecords,
+                             Cluster& aCluster)
+{
+  const auto runs = aCluster.Runs();
+  for (const auto& record : aRecords) {
+    if (runs.contains(record.id)) {
+      const auto seconds = record.latencyMs / kMillisecondsPerSecond;
+      m_runs.push_back({ record.startedAt, record.startedAt + seconds,
+                         record.outcome == caller::CallOutcome::Answered });
+    }
+  }
+  std::sort(m_runs.begin(), m_runs.end(),
+            [](const Run& aLeft, const Run& aRight) {
+              return aLeft.startedAt < aRight.startedAt;
+            });
+}
+
+auto PlanLimitsUse::Ran(double aFrom, double aUntil) const -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_runs.begin(), m_runs.end(), [&](const Run& aRun) {
+      return aRun.startedAt >= aFrom && aRun.startedAt < aUntil;
+    }));
+}
+
+auto PlanLimitsUse::MostRan(double aSeconds) const -> std::size_t
+{
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < m_runs.size(); ++last) {
+    while (m_runs[last].startedAt - m_runs[first].startedAt >= aSeconds) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+auto PlanLimitsUse::MostAtOnce(double aWorkMs) const -> std::size_t
+{
+  const auto work = aWorkMs / kMillisecondsPerSecond;
+  std::vector<std::pair<double, int>> changes;
+  for (const auto& run : m_runs) {
+    if (run.answered) {
+      changes.emplace_back(run.endedAt - work * (1 - kUnprovenPart), 1);
+      changes.emplace_back(run.endedAt - work * kUnprovenPart, -1);
+    }
+  }
+  std::sort(changes.begin(), changes.end());
+  int now = 0;
+  int most = 0;
+  for (const auto& [at, change] : changes) {
+    now += change;
+    most = std::max(most, now);
+  }
+  return static_cast<std::size_t>(most);
+}
+
+auto AnsweredPart(const std::vector<Record>& aRecords, double aFrom,
+                  double aUntil) -> double
+{
+  double offered = 0;
+  double answered = 0;
+  for (const auto& record : aRecords) {
+    if (record.startedAt >= aFrom && record.startedAt < aUntil) {
+      ++offered;
+      answered += record.outcome == caller::CallOutcome::Answered ? 1 : 0;
+    }
+  }
+  return offered > 0 ? answered / offered : 0;
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/UnevenSpray.cpp
@@ -0,0 +1,143 @@
+// Scenario "uneven-spray": a plan offers more than its rate limit, and the
+// fabric gives most packets to one balancer of each failure domain.
+
+#include "measure/PlanLimitsUse.h"
+#include "measure/Scenario.h"
+
+#include "bramleylock/Admission/AllowanceDeal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace bramleylock::measure {
+
+static constexpr double kLimitPerSecond = 60;
+static constexpr double kOfferedPerSecond = 180;
+static constexpr double kOtherPerSecond = 40;
+static constexpr double kFloodFrom = 4;
+static constexpr double kUntil = 12;
+static constexpr double kWindowSeconds = 3;
+static constexpr double kPeriodSeconds =
+  static_cast<double>(admission::kAllowancePeriodMs) / 1000;
+static constexpr double kBusyWeight = 9;
+static constexpr double kKeptAim = 0.98;
+
+namespace {
+
+/// One way of spraying and sharing.
+struct SprayCase
+{
+  const char* label;
+  double busyWeight;
+};
+
+constexpr std::array<SprayCase, 2> kCases{ {
+  { "even", 1 },
+  { "uneven", kBusyWeight },
+} };
+
+class UnevenSpray : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "a plan beyond its rate limit under uneven spray";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    auto deployment = *aOptions.deployment;
+    deployment.lists.plans[deployment.reading.plan].ratePerSecond =
+      kLimitPerSecond;
+    for (const auto& spray : kCases) {
+      RunCase(spray, deployment, aOptions.seed, aReport);
+    }
+  }
+
+private:
+  static auto RunCase(const SprayCase& aCase, const Deployment& aDeployment,
+                      std::uint64_t aSeed, Report& aReport) -> void
+  {
+    ClusterOptions options;
+    options.seed = aSeed;
+    Cluster cluster(aDeployment, options);
+    cluster.Start();
+    auto& balancers = cluster.Balancers();
+    for (std::size_t i = 0; i < aDeployment.failureDomains.size(); ++i) {
+      balancers[i].weight = aCase.busyWeight;
+    }
+    cluster.Publish();
+    Load load(cluster.CallerAddress(), aSeed);
+    load.Add({ aDeployment.booking, kOtherPerSecond, 1, 0, kUntil, "other" });
+    load.Add({ aDeployment.reading, kOfferedPerSecond, 1, kFloodFrom, kUntil,
+               "limited" });
+    load.Start();
+    load.Join();
+    aReport.Add("case", aCase.label);
+    aReport.AddChecks(CheckRecords(load.Records(), cluster));
+    AddUse(aCase, load, cluster, aReport);
+    AddKept(aCase, load, aReport);
+    aReport.AddReasons(load.Records());
+  }
+
+  static auto AddUse(const SprayCase& aCase, const Load& aLoad,
+                     Cluster& aCluster, Report& aReport) -> void
+  {
+    const std::string prefix = aCase.label;
+    const auto& records = aLoad.Records().at("limited");
+    const PlanLimitsUse use(records, aCluster);
+    const auto ran = static_cast<double>(use.Ran(kFloodFrom, kUntil));
+    const auto allowance = kLimitPerSecond * (kUntil - kFloodFrom);
+    const auto most = static_cast<double>(use.MostRan(kWindowSeconds));
+    aReport.Add(prefix + "_offered", std::uint64_t{ records.size() });
+    aReport.Add(prefix + "_allowed", ran);
+    aReport.Add(prefix + "_unusable", std::max(0.0, 1 - ran / allowance));
+    aReport.Add(prefix + "_unusable_static_formula",
+                StaticUnusable(aCluster.Balancers()));
+    aReport.Add(prefix + "_overshoot",
+                most / (kLimitPerSecond * kWindowSeconds) - 1);
+    // A window reaches into one period more than its length.
+    const auto bound = kLimitPerSecond * (kWindowSeconds + kPeriodSeconds);
+    aReport.Require(prefix + " within rate * (window + period)", most <= bound);
+    aReport.Require(prefix + " some requests allowed", ran > 0);
+  }
+
+  /// The part of the limit that static shares leave unused for what each
+  /// balancer is offered.
+  static auto StaticUnusable(const std::vector<BalancerProcess>& aBalancers)
+    -> double
+  {
+    std::map<std::string, int> members;
+    double weights = 0;
+    for (const auto& balancer : aBalancers) {
+      ++members[balancer.failureDomain];
+      weights += balancer.weight;
+    }
+    double used = 0;
+    for (const auto& balancer : aBalancers) {
+      const auto domains = static_cast<double>(members.size());
+      const auto share =
+        kLimitPerSecond / domains / members[balancer.failureDomain];
+      used += std::min(share, kOfferedPerSecond * balancer.weight / weights);
+    }
+    return 1 - used / kLimitPerSecond;
+  }
+
+  static auto AddKept(const SprayCase& aCase, const Load& aLoad,
+                      Report& aReport) -> void
+  {
+    const auto& other = aLoad.Records().at("other");
+    const auto kept = AnsweredPart(other, kFloodFrom, kUntil) /
+                      AnsweredPart(other, 0, kFloodFrom);
+    const std::string key = std::string(aCase.label) + "_other_kept";
+    aReport.Add(key, kept);
+    aReport.Require(key + ">=0.98", kept >= kKeptAim);
+  }
+};
+
+const Registration<ScenarioRegistry, UnevenSpray> kRegistration("uneven-spray");
+
+} // namespace
+
+} // namespace bramleylock::measure
