Sign with a new token key only when every reachable failure domain has it

Cause: a balancer knows at most 8 members of another failure domain, so the heartbeats that it hears do not tell whether all balancers there have the key; it waited 6 s and took the store's poll for granted. A domain that reads no store then drops the tokens' packets until a relay brings the key.

A domain's summary now carries the lowest of the newest keys that its members have, and a key signs when the own members and all summaries name it. Domains that are lost are not waited for: their balancers reach no owner here anyhow, and get the key with the first heartbeats. The wait of 6 s stays.

Ruled out: the number alive (AliveCount) says nothing about keys; asking the 8 known members leaves the others.

Probers (TakeBalancers) need no change: a target's probers are chosen among the balancers of its own failure domain, of which each of them knows all.

--- a/include/bramleylock/Kernel/KeyKeeper.h
+++ b/include/bramleylock/Kernel/KeyKeeper.h
@@ -5,7 +5,7 @@
 
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Peer/PeerHub.h"
+#include "bramleylock/Peer/PeerLinks.h"
 #include "bramleylock/Wire/Token.h"
 
 namespace bramleylock::kernel {
@@ -24,16 +24,20 @@
 } };
 
 /// Reads the token keys from the platform's store, and from peers while the
-/// store is down. Two keys overlap: a new one signs only when every live peer
-/// can verify it, and the old one goes when no flow can need it.
+/// store is down. Two keys overlap: a new one signs only when every failure
+/// domain that can be heard says that all its balancers have it, and the old
+/// one goes when no flow can need it.
 class KeyKeeper
 {
 public:
+  /// How long a new key waits before it signs, at least.
+  static constexpr Milliseconds kSettle{ 6000 };
+
   /// aOverlap is how long the old key stays after the new one signs.
   KeyKeeper(asio::io_context& aContext, lists::PlatformStore& aStore,
-            wire::KeyRing& aKeys, peer::PeerHub& aHub,
+            wire::KeyRing& aKeys, peer::PeerLinks& aLinks,
             peer::Membership& aMembers, Metrics& aMetrics,
-            std::chrono::seconds aOverlap);
+            std::chrono::seconds aOverlap, Milliseconds aSettle = kSettle);
 
   auto Start() -> void;
 
@@ -68,10 +72,11 @@
   asio::io_context& m_context;
   lists::PlatformStore& m_store;
   wire::KeyRing& m_keys;
-  peer::PeerHub& m_hub;
+  peer::PeerLinks& m_links;
   peer::Membership& m_members;
   Metrics& m_metrics;
   std::chrono::seconds m_overlap;
+  Milliseconds m_settle;
   Clock::time_point m_newestSince{};
   Clock::time_point m_switchedAt{};
   /// Keys below this have expired here.
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -61,6 +61,11 @@
   /// The same by failure domain, without the domains that are lost.
   auto AliveByDomain() const -> std::map<std::string, std::size_t>;
 
+  /// The lowest of the newest token keys that the balancers of each failure
+  /// domain have, without the domains that are lost. Of the own domain it goes
+  /// by what was heard of each member, of the others by their summaries.
+  auto LowestKeys() const -> std::map<std::string, std::uint32_t>;
+
   auto All() const -> std::vector<Member>;
 
   auto Self() const -> const wire::Hello&;
@@ -108,7 +113,10 @@
 
   auto Spread() -> void;
   auto SpeakToOtherDomains() -> void;
+  auto ExpireDomains() -> void;
   auto RaiseSummary() -> void;
+  auto MakeSummary() -> wire::DomainSummary;
+  auto LowestKeyHere() const -> std::uint32_t;
   auto ForgetStale() -> void;
   auto NextProbed() -> std::string;
   auto Knock() -> void;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -135,7 +135,10 @@
   std::uint32_t alive = 0;
   /// Some of them, its relays first; none for "as before".
   std::vector<MemberRecord> members;
-  MSGPACK_DEFINE_ARRAY(failureDomain, version, contents, alive, members)
+  /// The lowest of the newest token keys that they have.
+  std::uint32_t lowestKey = 0;
+  MSGPACK_DEFINE_ARRAY(failureDomain, version, contents, alive, members,
+                       lowestKey)
 };
 
 /// The body of a heartbeat, and of probes and their answers.
--- a/lib/Kernel/KeyKeeper.cpp
+++ b/lib/Kernel/KeyKeeper.cpp
@@ -17,24 +17,21 @@
 static constexpr Milliseconds kPollKeys{ 5000 };
 static constexpr Milliseconds kWatchPeers{ 500 };
 
-/// How long a new key waits at least: longer than the poll by which other
-/// failure domains read it, as only members of the own one tell their keys.
-static constexpr Milliseconds kSettle{ 6000 };
-
 /// Keys that the store's document holds.
 static constexpr std::size_t kKeysKept = 2;
 
 KeyKeeper::KeyKeeper(asio::io_context& aContext, lists::PlatformStore& aStore,
-                     wire::KeyRing& aKeys, peer::PeerHub& aHub,
+                     wire::KeyRing& aKeys, peer::PeerLinks& aLinks,
                      peer::Membership& aMembers, Metrics& aMetrics,
-                     std::chrono::seconds aOverlap)
+                     std::chrono::seconds aOverlap, Milliseconds aSettle)
   : m_context(aContext)
   , m_store(aStore)
   , m_keys(aKeys)
-  , m_hub(aHub)
+  , m_links(aLinks)
   , m_members(aMembers)
   , m_metrics(aMetrics)
   , m_overlap(aOverlap)
+  , m_settle(aSettle)
 {
 }
 
@@ -47,16 +44,16 @@
 
 auto KeyKeeper::ListenToPeers() -> void
 {
-  m_hub.On(wire::MessageType::Keys,
-           [this](const wire::Hello&, const std::string& aBody) {
-             auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
-             if (!message) {
-               return;
-             }
-             for (const auto& [id, text] : message->keys) {
-               Install(id, text);
-             }
-           });
+  m_links.On(wire::MessageType::Keys,
+             [this](const wire::Hello&, const std::string& aBody) {
+               auto message = wire::UnpackBody<wire::KeysMessage>(aBody);
+               if (!message) {
+                 return;
+               }
+               for (const auto& [id, text] : message->keys) {
+                 Install(id, text);
+               }
+             });
 }
 
 auto KeyKeeper::SendKeys(const std::string& aAddress) -> void
@@ -65,7 +62,7 @@
   for (const auto& [id, key] : m_keys.Keys()) {
     message.keys.emplace_back(id, wire::KeyToHex(key));
   }
-  m_hub.SendMessage(aAddress, wire::MessageType::Keys, message);
+  m_links.SendMessage(aAddress, wire::MessageType::Keys, message);
 }
 
 auto KeyKeeper::OnHeartbeat(const peer::Member& aMember) -> void
@@ -165,13 +162,16 @@
 auto KeyKeeper::SwitchSigning() -> void
 {
   const auto newest = NewestKey();
-  if (newest == SigningKey() || Clock::now() - m_newestSince < kSettle) {
+  if (newest == SigningKey() || Clock::now() - m_newestSince < m_settle) {
     return;
   }
-  const auto alive = m_members.AliveInDomain();
+  // A lost domain is not waited for: nothing tells when it is back, and its
+  // balancers get the key with the first heartbeat after that. Until then they
+  // drop a token with a key that is yet to come, and its caller resends.
+  const auto lowest = m_members.LowestKeys();
   const bool everywhere =
-    std::all_of(alive.begin(), alive.end(), [newest](const auto& aMember) {
-      return aMember.latest.newestKey >= newest;
+    std::all_of(lowest.begin(), lowest.end(), [newest](const auto& aDomain) {
+      return aDomain.second >= newest;
     });
   if (!everywhere) {
     return;
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -5,6 +5,8 @@
 
 #include "bramleylock/Support/Log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace bramleylock::peer {
@@ -70,6 +72,32 @@
   return count;
 }
 
+auto Membership::LowestKeyHere() const -> std::uint32_t
+{
+  wire::Heartbeat own;
+  m_fill(own);
+  auto lowest = own.newestKey;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (Reachable(member.state) &&
+        member.failureDomain == Self().failureDomain) {
+      lowest = std::min(lowest, member.latest.newestKey);
+    }
+  }
+  return lowest;
+}
+
+auto Membership::LowestKeys() const -> std::map<std::string, std::uint32_t>
+{
+  std::map<std::string, std::uint32_t> lowest;
+  lowest[Self().failureDomain] = LowestKeyHere();
+  for (const auto& [domain, view] : m_domains.All()) {
+    if (domain != Self().failureDomain && !view.lost) {
+      lowest[domain] = view.summary.lowestKey;
+    }
+  }
+  return lowest;
+}
+
 auto Membership::LostDomains() const -> std::vector<std::string>
 {
   std::vector<std::string> lost;
@@ -127,13 +155,8 @@
   }
 }
 
-/// The first of the domain's members writes its summary.
-auto Membership::RaiseSummary() -> void
+auto Membership::ExpireDomains() -> void
 {
-  m_order = InDomain();
-  m_order.push_back(Self().address);
-  const auto alive = m_order.size();
-  m_order = RendezvousOrder(Self().failureDomain, std::move(m_order));
   for (const auto& domain : m_domains.Expire(Clock::now())) {
     if (domain == Self().failureDomain) {
       continue;
@@ -148,14 +171,16 @@
       }
     }
   }
-  if (m_order.front() != Self().address) {
-    return;
-  }
+}
+
+auto Membership::MakeSummary() -> wire::DomainSummary
+{
   wire::DomainSummary summary;
   summary.failureDomain = Self().failureDomain;
   const auto* last = m_domains.Find(Self().failureDomain);
   summary.version = last == nullptr ? 1 : last->summary.version + 1;
-  summary.alive = static_cast<std::uint32_t>(alive);
+  summary.alive = static_cast<std::uint32_t>(m_order.size());
+  summary.lowestKey = LowestKeyHere();
   for (const auto& address : m_order) {
     if (summary.members.size() == DomainTable::kSummaryMembers) {
       break;
@@ -169,9 +194,21 @@
     }
     summary.members.push_back(std::move(record));
   }
-  summary.contents = std::hash<std::string>{}(wire::PackBody(summary.members) +
-                                              std::to_string(alive));
-  m_domains.Apply(summary, Clock::now());
+  summary.contents = std::hash<std::string>{}(
+    fmt::format("{}/{}/{}", wire::PackBody(summary.members), summary.alive,
+                summary.lowestKey));
+  return summary;
+}
+
+/// The first of the domain's members writes its summary.
+auto Membership::RaiseSummary() -> void
+{
+  m_order = InDomain();
+  m_order.push_back(Self().address);
+  m_order = RendezvousOrder(Self().failureDomain, std::move(m_order));
+  if (m_order.front() == Self().address) {
+    m_domains.Apply(MakeSummary(), Clock::now());
+  }
 }
 
 auto Membership::OtherDomains() const -> std::vector<std::string>
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -340,6 +340,7 @@
     const auto now = Clock::now();
     m_table.Expire(now);
     ForgetStale();
+    ExpireDomains();
     RaiseSummary();
     const auto probed = NextProbed();
     if (!probed.empty()) {
--- a/unittests/Peer/MembershipTest.cpp
+++ b/unittests/Peer/MembershipTest.cpp
@@ -1,107 +1,12 @@
 // Probing over links that a test controls.
 
-#include "bramleylock/Peer/Membership.h"
+#include "unittests/Peer/TestNetwork.h"
 
 #include <criterion/criterion.h>
 
 using namespace bramleylock;
 using namespace bramleylock::peer;
 
-namespace {
-
-/// Delivers messages between the memberships of one test, except those that
-/// are cut.
-class TestNetwork;
-
-class TestLinks : public PeerLinks
-{
-public:
-  TestLinks(TestNetwork& aNetwork, wire::Hello aSelf)
-    : m_network(aNetwork)
-    , self(std::move(aSelf))
-  {
-  }
-
-  auto On(wire::MessageType aType, MessageHandler aHandler) -> void override
-  {
-    handlers[aType] = std::move(aHandler);
-  }
-
-  auto Send(const std::string& aAddress, wire::MessageType aType,
-            std::string aBody) -> bool override;
-
-  auto OnUnreachable(std::function<void(const std::string&)> aListener)
-    -> void override
-  {
-    unreachable = std::move(aListener);
-  }
-
-private:
-  TestNetwork& m_network;
-
-public:
-  wire::Hello self;
-  std::map<wire::MessageType, MessageHandler> handlers;
-  std::function<void(const std::string&)> unreachable;
-};
-
-class TestNetwork
-{
-public:
-  auto Add(
-    const std::string& aName, const std::string& aDomain,
-    std::uint64_t aIncarnation = 1,
-    std::function<void(wire::Heartbeat&)> aFill = [](wire::Heartbeat&) {})
-    -> Membership&
-  {
-    const wire::Hello self{ aName, aDomain, aName + ":1", aIncarnation };
-    links[self.address] = std::make_unique<TestLinks>(*this, self);
-    auto& member = members[self.address];
-    member = std::make_unique<Membership>(context, *links[self.address], self,
-                                          metrics);
-    std::vector<MemberHint> hints;
-    for (const auto& [address, link] : links) {
-      hints.push_back({ link->self.vm, link->self.failureDomain, address });
-    }
-    for (const auto& [address, each] : members) {
-      each->SetHints(hints);
-    }
-    member->Start(std::move(aFill));
-    return *member;
-  }
-
-  auto RunFor(Milliseconds aTime) -> void { context.run_for(aTime); }
-
-  auto CutBoth(const std::string& aLeft, const std::string& aRight) -> void
-  {
-    cuts.insert({ aLeft + ":1", aRight + ":1" });
-    cuts.insert({ aRight + ":1", aLeft + ":1" });
-  }
-
-  asio::io_context context{ 1 };
-  Metrics metrics;
-  std::map<std::string, std::unique_ptr<TestLinks>> links;
-  std::map<std::string, std::unique_ptr<Membership>> members;
-  std::set<std::pair<std::string, std::string>> cuts;
-};
-
-auto TestLinks::Send(const std::string& aAddress, wire::MessageType aType,
-                     std::string aBody) -> bool
-{
-  if (m_network.cuts.contains({ self.address, aAddress })) {
-    return false;
-  }
-  asio::post(m_network.context, [this, aAddress, aType, aBody] {
-    auto& receiver = m_network.links[aAddress];
-    if (receiver && receiver->handlers.contains(aType)) {
-      receiver->handlers[aType](self, aBody);
-    }
-  });
-  return true;
-}
-
-} // namespace
-
 Test(Membership, MembersOfOneDomainFindEachOther)
 {
   TestNetwork network;
@@ -160,6 +65,30 @@
   cr_assert(other.AliveCount() == 1);
 }
 
+Test(Membership, OtherDomainsTellTheLowestKeyOfAllTheirMembers)
+{
+  TestNetwork network;
+  const auto has = [](std::uint32_t aKey) {
+    return [aKey](wire::Heartbeat& aHeartbeat) { aHeartbeat.newestKey = aKey; };
+  };
+  std::uint32_t late = 1;
+  auto& first = network.Add("a", "north", 1, has(2));
+  network.Add("b", "south", 1, has(2));
+  network.Add("c", "south", 1, [&late](wire::Heartbeat& aHeartbeat) {
+    aHeartbeat.newestKey = late;
+  });
+  network.RunFor(Milliseconds(3000));
+  cr_assert(first.LowestKeys() == (std::map<std::string, std::uint32_t>{
+                                    { "north", 2 }, { "south", 1 } }));
+  late = 2;
+  network.RunFor(Milliseconds(3000));
+  cr_assert(first.LowestKeys().at("south") == 2);
+  network.CutBoth("a", "b");
+  network.CutBoth("a", "c");
+  network.RunFor(Milliseconds(5000));
+  cr_assert(!first.LowestKeys().contains("south"));
+}
+
 Test(Membership, UnknownOwnerIsTriedUntilConnectsFail)
 {
   TestNetwork network;
