Split Membership.cpp by job

Probes, heartbeats with the news that they carry, and what is known of the members stand in files of their own; answers to probes are functions in place of handlers written out in Listen. No change of behaviour; the period of refutations that are announced has a name of its own, with the same value.

--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -89,6 +89,10 @@
 
   auto Listen() -> void;
   auto PeriodLoop() -> awaitable<void>;
+  auto AnswerProbe(const wire::Hello& aSender, const wire::Probe& aProbe)
+    -> void;
+  auto TakeProbeAnswer(const wire::Hello& aSender,
+                       const wire::ProbeAnswer& aAnswer) -> void;
   auto ProbeOne(std::string aAddress, bool aDirect) -> awaitable<void>;
   auto AnswerFor(std::string aAsker, std::uint64_t aSequence,
                  std::string aAddress) -> awaitable<void>;
--- /dev/null
+++ b/lib/Peer/MemberGossip.cpp
@@ -0,0 +1,183 @@
+// Heartbeats, and the news of members that every message carries.
+
+#include "bramleylock/Peer/Membership.h"
+
+#include <algorithm>
+
+namespace bramleylock::peer {
+
+/// Heartbeats that a balancer sends a period beside its probe.
+static constexpr std::size_t kSpreadTo = 2;
+
+/// Summaries of domains in a heartbeat.
+static constexpr std::size_t kDomainsInHeartbeat = 4;
+
+/// A fleet of this size hears every heartbeat of everybody.
+static constexpr std::size_t kSmallFleet = 8;
+
+/// Targets whose requests in flight a heartbeat tells.
+static constexpr std::size_t kTargetsInHeartbeat = 16;
+
+/// Members that an announcement goes to.
+static constexpr std::size_t kAnnounceTo = 16;
+
+/// How long a refutation that was announced is not announced again.
+static constexpr Milliseconds kAnnounceRefutationEvery{ 500 };
+
+auto Membership::Announce() -> void
+{
+  wire::Heartbeat heartbeat;
+  m_fill(heartbeat);
+  m_table.SetSelf(MemberState::Alive, heartbeat.draining);
+  std::vector<std::string> addresses;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (Reachable(member.state)) {
+      addresses.push_back(address);
+    }
+  }
+  for (const auto& address : Choose(std::move(addresses), kAnnounceTo)) {
+    SendHeartbeat(address, 0);
+  }
+}
+
+auto Membership::Leave() -> void
+{
+  m_table.SetSelf(MemberState::Left, true);
+  for (const auto& address : Choose(InDomain(), kAnnounceTo)) {
+    SendSync(address, false);
+  }
+  for (const auto& domain : OtherDomains()) {
+    for (const auto& address : ContactsOf(domain)) {
+      SendSync(address, false);
+    }
+  }
+}
+
+/// Keeps the targets with the most requests, as many as a heartbeat may list.
+static auto BoundInFlight(wire::Heartbeat& aHeartbeat) -> void
+{
+  auto& counts = aHeartbeat.inFlight;
+  if (counts.size() <= kTargetsInHeartbeat) {
+    return;
+  }
+  const auto end =
+    counts.begin() + static_cast<std::ptrdiff_t>(kTargetsInHeartbeat);
+  std::partial_sort(counts.begin(), end, counts.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.second > aRight.second;
+                    });
+  counts.resize(kTargetsInHeartbeat);
+}
+
+auto Membership::MakeGossip(const std::string& aReceiver, std::size_t aDomains,
+                            bool aWhole) -> wire::Gossip
+{
+  wire::Gossip gossip;
+  m_fill(gossip.heartbeat);
+  BoundInFlight(gossip.heartbeat);
+  gossip.whole = aWhole;
+  if (!aWhole) {
+    gossip.heartbeat.inFlight.clear();
+  }
+  gossip.refutation = m_table.SelfRecord().refutation;
+  gossip.digest = m_table.Digest();
+  const auto* receiver = m_table.Find(aReceiver);
+  const bool ownDomain =
+    receiver == nullptr || receiver->failureDomain == Self().failureDomain;
+  if (ownDomain) {
+    gossip.updates = m_table.TakeUpdates();
+  }
+  if (receiver != nullptr && receiver->state > MemberState::Alive) {
+    // Whoever is suspected or held dead has to hear it, to refute it.
+    gossip.updates.push_back(MemberTable::RecordOf(*receiver));
+  }
+  gossip.domains = m_domains.Take(aDomains, Clock::now());
+  return gossip;
+}
+
+auto Membership::SendHeartbeat(const std::string& aAddress,
+                               std::size_t aDomains) -> void
+{
+  m_links.SendMessage(aAddress, wire::MessageType::Heartbeat,
+                      MakeGossip(aAddress, aDomains, true));
+}
+
+auto Membership::TakeGossip(const wire::Hello& aSender,
+                            const wire::Gossip& aGossip) -> void
+{
+  if (aSender.address == Self().address) {
+    return;
+  }
+  const auto* held = m_table.Find(aSender.address);
+  if (held != nullptr && held->incarnation < aSender.incarnation) {
+    m_failures.erase(aSender.address);
+  }
+  const bool heard = m_table.Hear(aSender, aGossip, Clock::now());
+  if (TakeRecords(aGossip.updates)) {
+    SendHeartbeat(aSender.address, 0);
+  }
+  TakeDomains(aGossip.domains);
+  const auto* member = m_table.Find(aSender.address);
+  if (!heard) {
+    // A replaced or declared dead balancer is told what is held of it.
+    if (member != nullptr && member->incarnation == aSender.incarnation) {
+      m_links.SendMessage(
+        aSender.address, wire::MessageType::MemberSync,
+        wire::MemberSync{ false, { MemberTable::RecordOf(*member) } });
+    }
+    return;
+  }
+  SyncIfApart(aSender, aGossip.digest);
+  if (m_listener && member != nullptr) {
+    m_listener(*member);
+  }
+}
+
+auto Membership::TakeRecords(const std::vector<wire::MemberRecord>& aRecords)
+  -> bool
+{
+  const auto now = Clock::now();
+  bool refuted = false;
+  for (const auto& record : aRecords) {
+    const bool changed = m_table.Apply(record, now);
+    refuted = refuted || (changed && record.address == Self().address);
+  }
+  if (refuted && now - m_lastRefuted > kAnnounceRefutationEvery) {
+    m_lastRefuted = now;
+    Announce();
+  }
+  return refuted;
+}
+
+auto Membership::Spread() -> void
+{
+  auto inDomain = InDomain();
+  const auto alive = Alive();
+  if (alive.size() < kSmallFleet) {
+    for (const auto& member : alive) {
+      SendHeartbeat(member.address, kDomainsInHeartbeat);
+    }
+    return;
+  }
+  for (const auto& address : Choose(std::move(inDomain), kSpreadTo)) {
+    SendHeartbeat(address, kDomainsInHeartbeat);
+  }
+}
+
+/// Tries one member of the own domain that is not heard: a listed address, or
+/// a dead one that may be back after a cut.
+auto Membership::Knock() -> void
+{
+  std::vector<std::string> silent;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (!Reachable(member.state) && member.state != MemberState::Left &&
+        member.failureDomain == Self().failureDomain) {
+      silent.push_back(address);
+    }
+  }
+  for (const auto& address : Choose(std::move(silent), 1)) {
+    SendHeartbeat(address, 0);
+  }
+}
+
+} // namespace bramleylock::peer
