Pass the record of a stopped owner on within the other failure domains

Cause: an owner knows at most 8 members of another failure domain, and those were to tell the rest of theirs.

The handler now passes on the records that were new to it.

Test: Continuations/ARecordReachesMembersThatItsOwnerDoesNotKnow (real links, 11 members of another domain) failed before and holds now, twice. Planned stops of a fleet with more than 8 members a domain were not measured.

--- a/lib/Flow/Continuations.cpp
+++ b/lib/Flow/Continuations.cpp
@@ -58,10 +58,14 @@
              return;
            }
            wire::ContinuesReply reply;
+           wire::Continues added;
            for (const auto& record : message->records) {
-             Add(record);
+             if (Add(record)) {
+               added.records.push_back(record);
+             }
              reply.owners.push_back(record.from);
            }
+           SpreadFrom(aSender.failureDomain, added);
            m_environment.hub.SendMessage(
              aSender.address, wire::MessageType::ContinuesReply, reply);
          });
--- /dev/null
+++ b/unittests/Flow/ContinuationsTest.cpp
@@ -0,0 +1,92 @@
+// How the records of stopped owners reach every balancer.
+
+#include "bramleylock/Flow/Continuations.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::flow;
+
+/// More balancers than a failure domain's summary names.
+static constexpr std::size_t kSouth = 11;
+
+/// Until new balancers ask their peers only now and then.
+static constexpr Milliseconds kSettled{ 6500 };
+static constexpr Milliseconds kPassedOn{ 1500 };
+
+namespace {
+
+/// One balancer's links, members and records.
+struct Node
+{
+  Node(asio::io_context& aContext, const std::string& aName,
+       const std::string& aDomain)
+    : lists(metrics)
+    , hub(aContext, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), {},
+          metrics)
+    , self{ aName, aDomain, hub.Address(), 1 }
+    , members(aContext, hub, self, metrics)
+    , targets(aDomain,
+              target::TransportRegistry::Instance().Create("http1", aContext),
+              target::ChoiceRegistry::Instance().Create("two-choices"), metrics,
+              1)
+    , admission(
+        admission::AdmissionRegistry::Instance().Create("fifo", aContext))
+    , environment{ aContext, metrics, keys,       lists,   hub,
+                   members,  targets, *admission, retries, {} }
+    , continuations(environment, std::chrono::seconds(60))
+  {
+  }
+
+  auto Start() -> void
+  {
+    hub.Start(self);
+    members.Start([](wire::Heartbeat&) {});
+    continuations.Start();
+  }
+
+  Metrics metrics;
+  wire::KeyRing keys;
+  lists::ListKeeper lists;
+  peer::PeerHub hub;
+  wire::Hello self;
+  peer::Membership members;
+  target::TargetTable targets;
+  std::unique_ptr<admission::AdmissionPolicy> admission;
+  admission::RetryBudget retries;
+  Environment environment;
+  Continuations continuations;
+};
+
+} // namespace
+
+Test(Continuations, ARecordReachesMembersThatItsOwnerDoesNotKnow)
+{
+  asio::io_context context(1);
+  std::vector<std::unique_ptr<Node>> south;
+  std::vector<peer::MemberHint> hints;
+  for (std::size_t i = 0; i < kSouth; ++i) {
+    const auto name = "south-" + std::to_string(i);
+    south.push_back(std::make_unique<Node>(context, name, "south"));
+    hints.push_back({ name, "south", south.back()->self.address });
+  }
+  Node owner(context, "north-0", "north");
+  hints.push_back({ "north-0", "north", owner.self.address });
+  owner.members.SetHints(hints);
+  owner.Start();
+  for (const auto& node : south) {
+    node->members.SetHints(hints);
+    node->Start();
+  }
+  context.run_for(kSettled);
+  cr_assert_lt(owner.members.Alive().size(), kSouth);
+  const auto from = OwnerOf(owner.self);
+  const auto to = OwnerOf(south[0]->self);
+  Spawn(context, "announce",
+        owner.continuations.Announce(to, Clock::now() + kPassedOn));
+  context.run_for(kPassedOn);
+  for (const auto& node : south) {
+    cr_assert(node->continuations.Resolve(from) == to, "%s",
+              node->self.vm.c_str());
+  }
+}
