--- a/test/balancer.bash
+++ b/test/balancer.bash
@@ -16,7 +16,7 @@
   shift
   "$@" >"$run/$name.out" 2>"$run/$name.log" &
   pids+=($!)
-  until grep -q '^ready' "$run/$name.out"; do
+  until grep -qs '^ready' "$run/$name.out"; do
     tries=$((tries + 1))
     kill -0 "${pids[-1]}" 2>/dev/null && [ $tries -lt 400 ] ||
       { echo "$name did not start:" >&2; cat "$run/$name.log" >&2; return 1; }
--- /dev/null
+++ b/tools/bramleylockctl/Session.h
@@ -0,0 +1,55 @@
+// What a command was given, and calls to the administration API.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "bramleylock/Support/Asio.h"
+
+namespace bramleylock::ctl {
+
+/// Exit codes, listed in --help.
+enum ExitCode
+{
+  Success = 0,
+  Failed = 1,
+  Usage = 2,
+  Conflict = 3,
+  NotEverywhere = 4
+};
+
+/// One run of the program.
+struct Session
+{
+  std::vector<std::string> servers;
+  std::string token;
+  bool json = false;
+  bool dryRun = false;
+  int waitMs = 0;
+  std::string baseFile;
+  /// The command and its arguments.
+  std::vector<std::string> words;
+};
+
+/// Longer than a balancer tries an edit at a slow store.
+inline constexpr Milliseconds kCallTimeout{ 15000 };
+
+/// Calls one server; the status, or 0 when it did not answer.
+auto Call(const Session& aSession, const std::string& aServer,
+          const std::string& aMethod, const std::string& aTarget,
+          const std::string& aBody, nlohmann::json& aAnswer,
+          Milliseconds aTimeout = kCallTimeout) -> unsigned;
+
+/// Prints the error in an answer; always Failed.
+auto PrintError(const nlohmann::json& aAnswer) -> int;
+
+/// Reads the lists from the first server that answers.
+auto ReadLists(const Session& aSession, nlohmann::json& aAnswer) -> bool;
+
+/// Prints what every server answers on one path.
+auto PrintEach(const Session& aSession, const char* aMethod, const char* aPath)
+  -> int;
+
+} // namespace bramleylock::ctl
