Keep members of a lost domain that are still heard

Cause: when the summaries of a failure domain stood still, all members that were held of it counted as gone, also one that had just sent a heartbeat. A balancer of another domain then called braga lost and for 60 ms answered requests for the first one as owner-lost: three bookings ended as unknown that ran at their live owner. A member that went silent after its domain was lost, on the other hand, was never called gone.

Members of lost domains are now dropped each period unless they were heard in the last 2 s. Ruled out: the stale packets of the woken balancer itself, since the answers came from a balancer that was never paused (its log has the only domain-lost at that moment).

The new test fails before (live member not alive 3.98 s into it) and passes after; all 9 of Membership pass.

--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -109,6 +109,7 @@
   auto Spread() -> void;
   auto SpeakToOtherDomains() -> void;
   auto RaiseSummary() -> void;
+  auto DropUnheard(const std::vector<std::string>& aDomains) -> void;
   auto ForgetStale() -> void;
   auto NextProbed() -> std::string;
   auto Knock() -> void;
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -12,6 +12,10 @@
 /// Balancers of a domain that speak to other domains.
 static constexpr std::size_t kRelays = 2;
 
+/// A member of another domain that was heard so lately is there, whatever its
+/// domain's summaries say: their writer may be gone and not yet replaced.
+static constexpr Milliseconds kHeardLately{ 2000 };
+
 /// Summaries that a message to another domain carries beside the own one.
 static constexpr std::size_t kDomainsToOthers = 3;
 
@@ -127,6 +131,25 @@
   }
 }
 
+/// Members of lost domains are tried anew. That is not a verdict to pass on:
+/// only this side cannot hear them.
+auto Membership::DropUnheard(const std::vector<std::string>& aDomains) -> void
+{
+  if (aDomains.empty()) {
+    return;
+  }
+  const auto now = Clock::now();
+  for (const auto& [address, member] : m_table.Members()) {
+    const bool lost = std::find(aDomains.begin(), aDomains.end(),
+                                member.failureDomain) != aDomains.end();
+    if (lost && Reachable(member.state) &&
+        member.failureDomain != Self().failureDomain &&
+        now - member.lastHeard > kHeardLately) {
+      m_table.Find(address)->state = MemberState::Candidate;
+    }
+  }
+}
+
 /// The first of the domain's members writes its summary.
 auto Membership::RaiseSummary() -> void
 {
@@ -140,14 +163,8 @@
     }
     m_metrics.Add(Counter::DomainsLost);
     LogWarning("domain-lost", { { "failure_domain", domain } });
-    for (const auto& [address, member] : m_table.Members()) {
-      auto& held = *m_table.Find(address);
-      if (held.failureDomain == domain && Reachable(held.state)) {
-        // Not a verdict to pass on: only this side cannot hear them.
-        held.state = MemberState::Candidate;
-      }
-    }
   }
+  DropUnheard(LostDomains());
   if (m_order.front() != Self().address) {
     return;
   }
--- a/unittests/Peer/MembershipTest.cpp
+++ b/unittests/Peer/MembershipTest.cpp
@@ -216,3 +216,27 @@
   cr_assert(first.IsAlive("b:1", 1));
   cr_assert(second.IsAlive("a:1", 1));
 }
+
+Test(Membership, MemberOfALostDomainCountsAsAliveWhileItIsHeard)
+{
+  TestNetwork network;
+  auto& here = network.Add("a", "north");
+  const wire::Hello there{ "b", "south", "b:1", 1 };
+  // Its domain's summary comes once and then stands still.
+  wire::Gossip gossip;
+  wire::DomainSummary summary{ "south", 1, 7, 1, {} };
+  summary.members.push_back({ "b", "south", "b:1", 1, 0, 1, false });
+  gossip.domains.push_back(summary);
+  for (int i = 0; i < 10; ++i) {
+    network.links["a:1"]->handlers[wire::MessageType::Heartbeat](
+      there, wire::PackBody(gossip));
+    gossip.domains.clear();
+    for (int j = 0; j < 10; ++j) {
+      network.RunFor(Milliseconds(50));
+      cr_assert(here.IsAlive("b:1", 1));
+    }
+  }
+  cr_assert(here.LostDomains().size() == 1);
+  network.RunFor(Milliseconds(3000));
+  cr_assert(!here.IsAlive("b:1", 1));
+}
