Let the soak cut failure domains and silence connections, with all checks

Cause: soak had neither cuts nor silent connections, ran its two events of a round mostly one after the other, did not judge at-most-once work that ended as unknown, and had no checks of late new work, late starts, agreement of views, revisions, or service inside a cut domain.

Each unknown outcome needs a cause from the records, the targets' journals and what the proxies lost; repeatable work never has one.

Changes to checks: - Edits count as accepted by their status.

--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -346,46 +346,6 @@
   return m_directory;
 }
 
-auto Cluster::Journal(TargetProcess& aTarget) -> json
-{
-  const auto saved = m_savedJournals.find(aTarget.name);
-  if (saved != m_savedJournals.end()) {
-    return saved->second;
-  }
-  return Control(aTarget.process->Value("target"), "/journal", {});
-}
-
-auto Cluster::SaveJournal(TargetProcess& aTarget) -> void
-{
-  m_savedJournals[aTarget.name] = Journal(aTarget);
-}
-
-auto Cluster::Runs() -> std::map<std::string, RunCount>
-{
-  std::map<std::string, RunCount> runs;
-  for (auto& target : m_targets) {
-    const auto journal = Journal(target);
-    for (const auto& run : journal["runs"]) {
-      auto& count = runs[run.value("id", "")];
-      ++count.runs;
-      count.services.insert(target.service);
-    }
-  }
-  return runs;
-}
-
-auto Cluster::RunsByTarget(const std::string& aService)
-  -> std::map<std::string, int>
-{
-  std::map<std::string, int> runs;
-  for (auto& target : m_targets) {
-    if (target.service == aService) {
-      runs[target.name] = static_cast<int>(Journal(target)["runs"].size());
-    }
-  }
-  return runs;
-}
-
 auto Cluster::CounterSum(const std::string& aName) -> std::uint64_t
 {
   std::uint64_t sum = 0;
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -52,6 +52,8 @@
   std::unique_ptr<Process> process;
   bool listed = true;
   bool sprayed = true;
+  /// Stopped by a signal, so that it answers nothing.
+  bool paused = false;
   double weight = 1;
 };
 
@@ -123,7 +125,8 @@
   auto WaitReady(BalancerProcess& aBalancer) -> void;
 
   /// Cuts the links from balancers of aFrom to those of aTo, or heals them;
-  /// needs the option proxied, as the next three.
+  /// needs the option proxied, as CutLink, CutStore, CutDomains and
+  /// LosePackets.
   auto CutLinks(const std::string& aFrom, const std::string& aTo, bool aCut)
     -> void;
 
@@ -134,6 +137,17 @@
   /// Cuts aDomain from the platform, or heals it.
   auto CutStore(const std::string& aDomain, bool aCut) -> void;
 
+  /// Cuts exactly these failure domains from all others and from the platform,
+  /// also their balancers that were added since the last call.
+  auto CutDomains(const std::set<std::string>& aDomains) -> void;
+
+  /// Makes the proxies of all targets forget the connections that exist.
+  auto ForgetConnections() -> void;
+
+  /// Ids of requests that were lost on connections which a target's proxy
+  /// forgot, or whose answers were.
+  auto LostRequests(TargetProcess& aTarget) -> std::set<std::string>;
+
   /// Loses aPart of the packets on all peer links.
   auto LosePackets(double aPart) -> void;
 
@@ -158,7 +172,8 @@
   /// What a target tells of its runs and refusals.
   auto Journal(TargetProcess& aTarget) -> nlohmann::json;
 
-  /// Keeps the journal of a target that is about to stop.
+  /// Keeps the journal of a target that is about to stop, and what its proxy
+  /// lost.
   auto SaveJournal(TargetProcess& aTarget) -> void;
 
   /// Sum of a counter over the running balancers.
@@ -191,6 +206,7 @@
   std::vector<BalancerProcess> m_balancers;
   std::vector<TargetProcess> m_targets;
   std::map<std::string, nlohmann::json> m_savedJournals;
+  std::map<std::string, std::set<std::string>> m_savedLosses;
   std::map<std::string, std::unique_ptr<Process>> m_storeProxies;
   std::map<std::string, std::unique_ptr<Process>> m_peerProxies;
   /// Prefixes of addresses that are cut, by the balancer that they cannot send
--- a/measure/ClusterFaults.cpp
+++ b/measure/ClusterFaults.cpp
@@ -117,6 +117,30 @@
           { { "cut", cut } });
 }
 
+auto Cluster::CutDomains(const std::set<std::string>& aDomains) -> void
+{
+  const auto& domains = m_deployment.failureDomains;
+  for (const auto& to : domains) {
+    for (const auto& from : domains) {
+      if (from != to) {
+        CutLinks(from, to, aDomains.contains(from) || aDomains.contains(to));
+      }
+    }
+    CutStore(to, aDomains.contains(to));
+  }
+}
+
+auto Cluster::ForgetConnections() -> void
+{
+  for (auto& target : m_targets) {
+    if (!target.proxy->Running()) {
+      continue;
+    }
+    Control(target.proxy->Value("control"), "/control/fault",
+            { { "forget_existing", true } });
+  }
+}
+
 auto Cluster::LosePackets(double aPart) -> void
 {
   m_loss = aPart;
--- /dev/null
+++ b/measure/ClusterJournals.cpp
@@ -0,0 +1,82 @@
+// What ran at the targets of a cluster, and what their proxies lost.
+
+#include "measure/Cluster.h"
+
+namespace bramleylock::measure {
+
+using nlohmann::json;
+
+auto Cluster::Journal(TargetProcess& aTarget) -> json
+{
+  const auto saved = m_savedJournals.find(aTarget.name);
+  if (saved != m_savedJournals.end()) {
+    return saved->second;
+  }
+  return Control(aTarget.process->Value("target"), "/journal", {});
+}
+
+auto Cluster::SaveJournal(TargetProcess& aTarget) -> void
+{
+  m_savedJournals[aTarget.name] = Journal(aTarget);
+  if (aTarget.proxy) {
+    m_savedLosses[aTarget.name] = LostRequests(aTarget);
+  }
+}
+
+auto Cluster::Runs() -> std::map<std::string, RunCount>
+{
+  std::map<std::string, RunCount> runs;
+  for (auto& target : m_targets) {
+    const auto journal = Journal(target);
+    for (const auto& run : journal["runs"]) {
+      auto& count = runs[run.value("id", "")];
+      ++count.runs;
+      count.services.insert(target.service);
+    }
+  }
+  return runs;
+}
+
+auto Cluster::RunsByTarget(const std::string& aService)
+  -> std::map<std::string, int>
+{
+  std::map<std::string, int> runs;
+  for (auto& target : m_targets) {
+    if (target.service == aService) {
+      runs[target.name] = static_cast<int>(Journal(target)["runs"].size());
+    }
+  }
+  return runs;
+}
+
+/// The id in a request to a target; empty without one.
+static auto RequestId(const std::string& aRequest) -> std::string
+{
+  static const std::string kWord = "\nid=";
+  const auto found = aRequest.find(kWord);
+  if (found == std::string::npos) {
+    return "";
+  }
+  const auto from = found + kWord.size();
+  return aRequest.substr(from, aRequest.find(' ', from) - from);
+}
+
+auto Cluster::LostRequests(TargetProcess& aTarget) -> std::set<std::string>
+{
+  const auto saved = m_savedLosses.find(aTarget.name);
+  if (saved != m_savedLosses.end()) {
+    return saved->second;
+  }
+  std::set<std::string> ids;
+  const auto losses =
+    Control(aTarget.proxy->Value("control"), "/control/losses", {});
+  for (const std::string request : losses["requests"]) {
+    if (request.starts_with("POST ")) {
+      ids.insert(RequestId(request));
+    }
+  }
+  ids.erase("");
+  return ids;
+}
+
+} // namespace bramleylock::measure
--- a/measure/OwnerFaults.cpp
+++ b/measure/OwnerFaults.cpp
@@ -9,7 +9,7 @@
 /// A caller that heard its owner within this time still sends to it.
 static constexpr double kOwnerProvenSeconds = 1.1;
 
-static auto Explained(const Record& aRecord,
+auto ExplainedByOwner(const Record& aRecord,
                       const std::vector<OwnerFault>& aFaults) -> bool
 {
   const auto inFlight = [&aRecord](const OwnerFault& aFault) {
@@ -30,7 +30,7 @@
   for (const auto& [label, records] : aRecords) {
     for (const auto& record : records) {
       if (record.outcome == caller::CallOutcome::Unknown) {
-        ++(Explained(record, aFaults) ? allowed : broken);
+        ++(ExplainedByOwner(record, aFaults) ? allowed : broken);
       }
     }
   }
--- a/measure/OwnerFaults.h
+++ b/measure/OwnerFaults.h
@@ -18,6 +18,11 @@
   double until = 0;
 };
 
+/// Whether aRecord is at-most-once work that was in flight at an owner during
+/// one of its faults.
+auto ExplainedByOwner(const Record& aRecord,
+                      const std::vector<OwnerFault>& aFaults) -> bool;
+
 /// Counts requests that ended as unknown. Those of at-most-once work that was
 /// in flight at an owner during its fault are allowed, all others are broken.
 /// Requires that none is broken.
--- /dev/null
+++ b/measure/SoakEvidence.cpp
@@ -0,0 +1,212 @@
+// Checks of a soak that need the log of its faults.
+
+#include "measure/SoakEvidence.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+
+namespace bramleylock::measure {
+
+/// By when views agree again after a cut has healed.
+static constexpr double kAgreeSeconds = 4;
+
+/// By when balancers see that the connections to a killed target are closed.
+static constexpr double kResetSeenSeconds = 1;
+static constexpr std::uint64_t kLatestNewWorkMs = 3000;
+
+/// Clocks of caller and target are read at different moments.
+static constexpr std::uint64_t kClockSlackMs = 50;
+
+namespace {
+
+/// Where and when requests ran, and which of them a proxy lost.
+class Evidence
+{
+public:
+  Evidence(const FaultLog& aLog, Cluster& aCluster)
+    : m_log(aLog)
+  {
+    for (auto& target : aCluster.Targets()) {
+      const auto journal = aCluster.Journal(target);
+      for (const auto& run : journal["runs"]) {
+        m_ranAt[run.value("id", "")].insert(target.name);
+      }
+      for (const auto& id : aCluster.LostRequests(target)) {
+        m_lost.insert(id);
+      }
+    }
+  }
+
+  auto CauseOf(const Record& aRecord) const -> UnknownCause
+  {
+    if (!aRecord.atMostOnce) {
+      return UnknownCause::Unexplained;
+    }
+    if (m_lost.contains(aRecord.id)) {
+      return UnknownCause::ConnectionForgotten;
+    }
+    if (ExplainedByOwner(aRecord, m_log.owners)) {
+      return UnknownCause::OwnerFault;
+    }
+    if (OwnerWasCutOff(aRecord)) {
+      return UnknownCause::OwnerCutOff;
+    }
+    return TargetWasKilled(aRecord) ? UnknownCause::TargetCrash
+                                    : UnknownCause::Unexplained;
+  }
+
+  /// Names of the targets that ran a request.
+  auto RanAt(const std::string& aId) const -> std::string
+  {
+    const auto found = m_ranAt.find(aId);
+    return found == m_ranAt.end()
+             ? ""
+             : fmt::format("{}", fmt::join(found->second, " "));
+  }
+
+private:
+  static auto EndedAt(const Record& aRecord) -> double
+  {
+    return aRecord.startedAt + aRecord.latencyMs / 1000;
+  }
+
+  /// A balancer said that the owner is lost while a cut lay between some
+  /// balancers and every owner, or before the views had to agree again.
+  auto OwnerWasCutOff(const Record& aRecord) const -> bool
+  {
+    const auto ended = EndedAt(aRecord);
+    return aRecord.reason == wire::Reason::OwnerLost &&
+           !aRecord.owner.empty() &&
+           std::any_of(m_log.cuts.begin(), m_log.cuts.end(),
+                       [ended](const CutInterval& aCut) {
+                         return ended >= aCut.from &&
+                                ended <= aCut.until + kAgreeSeconds;
+                       });
+  }
+
+  /// The owner lost a target at the moment at which one was killed, and no
+  /// other target ran the request.
+  auto TargetWasKilled(const Record& aRecord) const -> bool
+  {
+    if (aRecord.reason != wire::Reason::TargetLost) {
+      return false;
+    }
+    const auto ended = EndedAt(aRecord);
+    return std::any_of(m_log.crashes.begin(), m_log.crashes.end(),
+                       [&, ended](const TargetCrash& aCrash) {
+                         return aRecord.startedAt <= aCrash.until &&
+                                ended >= aCrash.from &&
+                                ended <= aCrash.until + kResetSeenSeconds &&
+                                !RanElsewhere(aRecord.id, aCrash.target);
+                       });
+  }
+
+  auto RanElsewhere(const std::string& aId, const std::string& aTarget) const
+    -> bool
+  {
+    const auto found = m_ranAt.find(aId);
+    return found != m_ranAt.end() &&
+           found->second != std::set<std::string>{ aTarget };
+  }
+
+  const FaultLog& m_log;
+  std::map<std::string, std::set<std::string>> m_ranAt;
+  std::set<std::string> m_lost;
+};
+
+} // namespace
+
+/// Says what is known of an outcome that nothing explains.
+static auto PrintUnexplained(const std::string& aLabel, const Record& aRecord,
+                             const std::string& aRanAt) -> void
+{
+  std::cerr << fmt::format(
+    "unexplained: {} {} reason {} owner {} from {:.3f} s for {:.0f} ms, ran at "
+    "[{}]\n",
+    aLabel, aRecord.id, NameOf(wire::kReasonNames, aRecord.reason),
+    aRecord.owner, aRecord.startedAt, aRecord.latencyMs, aRanAt);
+}
+
+auto AddUnknownCauses(
+  const std::map<std::string, std::vector<Record>>& aRecords,
+  const FaultLog& aLog, Cluster& aCluster, Report& aReport) -> void
+{
+  const Evidence evidence(aLog, aCluster);
+  std::map<UnknownCause, std::uint64_t> counts;
+  std::uint64_t repeatable = 0;
+  for (const auto& [label, records] : aRecords) {
+    for (const auto& record : records) {
+      if (record.outcome != caller::CallOutcome::Unknown) {
+        continue;
+      }
+      const auto cause = evidence.CauseOf(record);
+      ++counts[cause];
+      repeatable += record.atMostOnce ? 0 : 1;
+      if (cause == UnknownCause::Unexplained) {
+        PrintUnexplained(label, record, evidence.RanAt(record.id));
+      }
+    }
+  }
+  for (const auto& [cause, name] : kUnknownCauseNames) {
+    aReport.Add(fmt::format("unknown_{}", name), counts[cause]);
+  }
+  aReport.Add("repeatable_unknown", repeatable);
+  aReport.Require("repeatable_unknown=0", repeatable == 0);
+  aReport.Require("unknown_unexplained=0",
+                  counts[UnknownCause::Unexplained] == 0);
+}
+
+auto AddLateWork(const FaultLog& aLog, Cluster& aCluster, Report& aReport)
+  -> void
+{
+  std::uint64_t late = 0;
+  std::uint64_t latestMs = 0;
+  for (const auto& leaving : aLog.leaving) {
+    for (auto& target : aCluster.Targets()) {
+      if (target.name != leaving.target) {
+        continue;
+      }
+      const auto journal = aCluster.Journal(target);
+      for (const auto& run : journal["runs"]) {
+        const auto at = run.value("at", std::uint64_t{ 0 });
+        const auto after = at > leaving.since ? at - leaving.since : 0;
+        latestMs = std::max(latestMs, after);
+        late += after > kLatestNewWorkMs ? 1 : 0;
+      }
+    }
+  }
+  aReport.Add("late_new_work", late);
+  aReport.Add("latest_new_work_ms", latestMs);
+  aReport.Require("late_new_work=0", late == 0);
+}
+
+auto AddStartedLate(const std::map<std::string, std::vector<Record>>& aRecords,
+                    const Deployment& aDeployment, std::uint64_t aStartedAt,
+                    Cluster& aCluster, Report& aReport) -> void
+{
+  std::map<std::string, std::uint64_t> deadlines;
+  for (const auto& [label, records] : aRecords) {
+    for (const auto& record : records) {
+      const bool bulk = record.service == aDeployment.bulk.service;
+      const auto& shape = bulk ? aDeployment.bulk : aDeployment.reading;
+      deadlines[record.id] =
+        aStartedAt + static_cast<std::uint64_t>(record.startedAt * 1000) +
+        static_cast<std::uint64_t>(shape.deadlineMs) + kClockSlackMs;
+    }
+  }
+  std::uint64_t late = 0;
+  for (auto& target : aCluster.Targets()) {
+    const auto journal = aCluster.Journal(target);
+    for (const auto& run : journal["runs"]) {
+      const auto at = run.value("at", std::uint64_t{ 0 });
+      late += at > deadlines[run.value("id", "")] ? 1 : 0;
+    }
+  }
+  aReport.Add("started_late", late);
+  aReport.Require("started_late=0", late == 0);
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/SoakFaults.cpp
@@ -0,0 +1,352 @@
+// Makes the events of a soak and keeps the log of what they explain.
+
+#include "measure/SoakFaults.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace bramleylock::measure {
+
+static constexpr double kPauseSeconds = 4;
+static constexpr double kOutageSeconds = 4;
+static constexpr double kCutSeconds = 5;
+static constexpr double kStopLimitSeconds = 60;
+static constexpr double kLookEverySeconds = 0.5;
+static constexpr Milliseconds kKilledWithin{ 5000 };
+
+/// How often each kind of event is in the deck.
+static constexpr int kTimesEach = 2;
+
+SoakFaults::SoakFaults(Cluster& aCluster, const Deployment& aDeployment,
+                       const Load& aLoad, std::uint64_t aSeed)
+  : m_cluster(aCluster)
+  , m_deployment(aDeployment)
+  , m_load(aLoad)
+  , m_random(aSeed)
+  , m_edits(aCluster, aDeployment.bulk.plan)
+{
+}
+
+auto SoakFaults::Kinds() -> const std::vector<Event>&
+{
+  static const std::vector<Event> kKinds{
+    { "edit", &SoakFaults::EditLists },
+    { "drain", &SoakFaults::DrainBalancer },
+    { "crash", &SoakFaults::CrashBalancer },
+    { "pause", &SoakFaults::PauseBalancer },
+    { "target_drain", &SoakFaults::DrainTarget },
+    { "target_crash", &SoakFaults::CrashTarget },
+    { "store_outage", &SoakFaults::StoreOutage },
+    { "cut", &SoakFaults::CutDomain },
+    { "forget", &SoakFaults::ForgetConnections },
+  };
+  return kKinds;
+}
+
+auto SoakFaults::FillDeck() -> void
+{
+  for (int i = 0; i < kTimesEach; ++i) {
+    m_deck.insert(m_deck.end(), Kinds().begin(), Kinds().end());
+  }
+  std::shuffle(m_deck.begin(), m_deck.end(), m_random);
+}
+
+auto SoakFaults::Begin() -> void
+{
+  if (m_deck.empty()) {
+    FillDeck();
+  }
+  const auto event = m_deck.back();
+  m_deck.pop_back();
+  ++m_counts[event.name];
+  fmt::print(stderr, "at {:.3f} s: {}\n", m_load.Elapsed(), event.name);
+  (this->*event.run)();
+}
+
+auto SoakFaults::EndAt(double aSeconds, std::function<void()> aEnd) -> void
+{
+  m_endings.push_back({ aSeconds, std::move(aEnd) });
+}
+
+auto SoakFaults::Poll() -> void
+{
+  const auto now = m_load.Elapsed();
+  const auto due = std::stable_partition(
+    m_endings.begin(), m_endings.end(),
+    [now](const Ending& aEnding) { return aEnding.at > now; });
+  std::vector<Ending> ended(due, m_endings.end());
+  m_endings.erase(due, m_endings.end());
+  for (const auto& ending : ended) {
+    ending.end();
+  }
+  std::erase_if(m_stopping, [this](const Stopping& aStopping) {
+    return !Find(aStopping.name).process->Running();
+  });
+  if (now >= m_nextLook) {
+    m_revisions.Look(m_cluster);
+    m_nextLook = m_load.Elapsed() + kLookEverySeconds;
+  }
+}
+
+auto SoakFaults::Calm() -> void
+{
+  for (auto& ending : m_endings) {
+    ending.at = 0;
+  }
+  Poll();
+}
+
+auto SoakFaults::AwaitStops() -> void
+{
+  for (const auto& stopping : m_stopping) {
+    const double left = stopping.since + kStopLimitSeconds - m_load.Elapsed();
+    const auto limit = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::duration<double>(std::max(0.0, left)));
+    if (!Find(stopping.name).process->Wait(limit)) {
+      ++m_counts["drain_too_long"];
+    }
+  }
+}
+
+auto SoakFaults::Counts() const -> const std::map<std::string, std::uint64_t>&
+{
+  return m_counts;
+}
+
+auto SoakFaults::Log() const -> const FaultLog&
+{
+  return m_log;
+}
+
+auto SoakFaults::Reverted() const -> std::uint64_t
+{
+  return m_edits.Reverted() + m_revisions.Reverted();
+}
+
+auto SoakFaults::AgreeSeconds(double aLimit) -> double
+{
+  return SecondsUntilAgreed(m_cluster, m_revisions, aLimit);
+}
+
+auto SoakFaults::AnyBalancer() -> BalancerProcess&
+{
+  auto& balancers = m_cluster.Balancers();
+  for (;;) {
+    auto& balancer = balancers[m_random() % balancers.size()];
+    if (balancer.listed && !balancer.paused && balancer.process->Running()) {
+      return balancer;
+    }
+  }
+}
+
+auto SoakFaults::AnyTarget() -> TargetProcess&
+{
+  auto& targets = m_cluster.Targets();
+  for (;;) {
+    auto& target = targets[m_random() % targets.size()];
+    if (target.listed && !target.leaving && target.process->Running()) {
+      return target;
+    }
+  }
+}
+
+auto SoakFaults::Find(const std::string& aName) -> BalancerProcess&
+{
+  for (auto& balancer : m_cluster.Balancers()) {
+    if (balancer.name == aName) {
+      return balancer;
+    }
+  }
+  throw std::logic_error("no balancer " + aName);
+}
+
+/// Starts a balancer in aName's failure domain, in which a cut also holds for
+/// it, and takes aName off the lists.
+auto SoakFaults::Replace(const std::string& aName) -> void
+{
+  // Adding may move the vector, so the domain is copied first.
+  const auto domain = Find(aName).failureDomain;
+  m_cluster.AddBalancer(domain);
+  if (!m_cut.empty()) {
+    ApplyCuts();
+  }
+  m_cluster.Publish();
+  auto& old = Find(aName);
+  old.listed = false;
+  old.sprayed = false;
+  m_cluster.Publish();
+}
+
+auto SoakFaults::EditLists() -> void
+{
+  m_edits.Edit(AnyBalancer());
+}
+
+auto SoakFaults::Edits() -> RisingEdits&
+{
+  return m_edits;
+}
+
+auto SoakFaults::DrainBalancer() -> void
+{
+  const auto name = AnyBalancer().name;
+  m_met[name] = m_load.Elapsed();
+  Replace(name);
+  Find(name).process->Signal(SIGTERM);
+  m_stopping.push_back({ name, m_load.Elapsed() });
+}
+
+auto SoakFaults::CrashBalancer() -> void
+{
+  auto& killed = AnyBalancer();
+  const auto name = killed.name;
+  const auto now = m_load.Elapsed();
+  m_met[name] = now;
+  m_log.owners.push_back({ killed.process->Value("peers"), now, now });
+  killed.process->Signal(SIGKILL);
+  killed.process->Wait(kKilledWithin);
+  Replace(name);
+}
+
+auto SoakFaults::PauseBalancer() -> void
+{
+  auto& paused = AnyBalancer();
+  const auto name = paused.name;
+  const auto from = m_load.Elapsed();
+  m_met[name] = from;
+  paused.paused = true;
+  paused.process->Signal(SIGSTOP);
+  EndAt(from + kPauseSeconds, [this, name, from] {
+    auto& woken = Find(name);
+    woken.process->Signal(SIGCONT);
+    woken.paused = false;
+    m_met[name] = m_load.Elapsed();
+    m_log.owners.push_back(
+      { woken.process->Value("peers"), from, m_load.Elapsed() });
+  });
+}
+
+/// The target says itself that it leaves, and the platform's list says so too.
+auto SoakFaults::DrainTarget() -> void
+{
+  auto& leaving = AnyTarget();
+  const auto name = leaving.name;
+  m_cluster.Control(leaving.process->Value("target"), "/control/behave",
+                    { { "draining", true } });
+  m_log.leaving.push_back({ name, WallMilliseconds() });
+  leaving.leaving = true;
+  const auto service = leaving.service;
+  const auto domain = leaving.failureDomain;
+  m_cluster.AddTarget(service, domain);
+  m_cluster.Publish();
+}
+
+auto SoakFaults::CrashTarget() -> void
+{
+  auto& killed = AnyTarget();
+  const auto service = killed.service;
+  const auto domain = killed.failureDomain;
+  const auto from = m_load.Elapsed();
+  // The journal is read first; what runs between that and the crash is not
+  // counted, which can hide a run but never invent one.
+  m_cluster.SaveJournal(killed);
+  killed.process->Signal(SIGKILL);
+  killed.process->Wait(kKilledWithin);
+  // Connects to a dead host fail, so its proxy goes too.
+  killed.proxy->Signal(SIGKILL);
+  killed.proxy->Wait(kKilledWithin);
+  m_log.crashes.push_back({ killed.name, from, m_load.Elapsed() });
+  killed.listed = false;
+  m_cluster.AddTarget(service, domain);
+  m_cluster.Publish();
+}
+
+auto SoakFaults::StoreOutage() -> void
+{
+  ++m_outages;
+  m_cluster.Control(m_cluster.StoreAddress(), "/control/fault",
+                    { { "down", true } });
+  EndAt(m_load.Elapsed() + kOutageSeconds, [this] {
+    if (--m_outages == 0) {
+      m_cluster.Control(m_cluster.StoreAddress(), "/control/fault",
+                        nlohmann::json::object());
+    }
+  });
+}
+
+auto SoakFaults::ForgetConnections() -> void
+{
+  m_cluster.ForgetConnections();
+}
+
+auto SoakFaults::CutDomain() -> void
+{
+  const auto& domains = m_deployment.failureDomains;
+  const auto domain = domains[m_random() % domains.size()];
+  const auto from = m_load.Elapsed();
+  m_cut.insert(domain);
+  ApplyCuts();
+  EndAt(m_load.Elapsed() + kCutSeconds,
+        [this, domain, from, before = Answered(domain)] {
+          EndCut(domain, from, before);
+        });
+}
+
+auto SoakFaults::EndCut(const std::string& aDomain, double aFrom,
+                        const std::map<std::string, std::uint64_t>& aBefore)
+  -> void
+{
+  CheckServed(aDomain, aBefore);
+  m_cut.erase(m_cut.find(aDomain));
+  ApplyCuts();
+  m_log.cuts.push_back({ aDomain, aFrom, m_load.Elapsed() });
+}
+
+auto SoakFaults::ApplyCuts() -> void
+{
+  m_cluster.CutDomains({ m_cut.begin(), m_cut.end() });
+}
+
+auto SoakFaults::Answered(const std::string& aDomain)
+  -> std::map<std::string, std::uint64_t>
+{
+  std::map<std::string, std::uint64_t> answered;
+  for (auto& balancer : m_cluster.Balancers()) {
+    if (balancer.failureDomain != aDomain || !balancer.listed ||
+        balancer.paused || !balancer.process->Running()) {
+      continue;
+    }
+    const auto counters = m_cluster.Admin(balancer, "GET", "/counters");
+    answered[balancer.name] =
+      counters.value("requests_answered", std::uint64_t{ 0 });
+  }
+  return answered;
+}
+
+/// The balancers of a domain that was cut off, and that no other event met,
+/// have to answer during the cut.
+auto SoakFaults::CheckServed(
+  const std::string& aDomain,
+  const std::map<std::string, std::uint64_t>& aBefore) -> void
+{
+  const auto from = m_load.Elapsed() - kCutSeconds;
+  std::uint64_t grown = 0;
+  bool unmet = false;
+  for (const auto& [name, after] : Answered(aDomain)) {
+    const auto before = aBefore.find(name);
+    if (before == aBefore.end() || m_met[name] >= from) {
+      continue;
+    }
+    unmet = true;
+    grown += after - before->second;
+  }
+  if (!unmet) {
+    return;
+  }
+  ++m_counts["cuts_watched"];
+  m_counts["cuts_served"] += grown > 0 ? 1 : 0;
+}
+
+} // namespace bramleylock::measure
--- a/measure/Views.cpp
+++ b/measure/Views.cpp
@@ -2,6 +2,8 @@
 
 #include "measure/Views.h"
 
+#include <fmt/format.h>
+
 #include <set>
 #include <thread>
 
@@ -12,7 +14,7 @@
 auto RevisionWatch::Look(Cluster& aCluster) -> void
 {
   for (auto& balancer : aCluster.Balancers()) {
-    if (!balancer.process->Running()) {
+    if (!balancer.process->Running() || balancer.paused) {
       continue;
     }
     const auto status = aCluster.Admin(balancer, "GET", "/status");
@@ -20,6 +22,8 @@
     auto& last = m_last[balancer.name];
     if (!status.empty() && revision < last) {
       ++m_reverted;
+      fmt::print(stderr, "{} fell from revision {} to {}\n", balancer.name,
+                 last, revision);
     }
     last = std::max(last, revision);
   }
@@ -86,7 +90,10 @@
   plans.begin().value()["weight"] = aWeight;
   const auto answer =
     aCluster.Admin(aBalancer, "PUT", "/lists", held["lists"].dump());
-  return answer.value("revision", std::uint64_t{ 0 });
+  // Refusals name a revision too.
+  return answer.value("status", "") == "accepted"
+           ? answer.value("revision", std::uint64_t{ 0 })
+           : 0;
 }
 
 } // namespace bramleylock::measure
