Let scenarios under load share their set-up, and stand-ins their start-up

Cause: at-most-once, balancer-crash, rolling-replace, drain-faults, successor-dies, steady, target-drain and lying-health each wrote the same start of cluster and load and the same closing checks; domain-cut wrote again what the member faults have; the stand-ins parsed the same options four times.

LoadedScenario runs the common course, MemberFault adds proxies and the agreement of views, Standin.cpp the options and the wait for a signal. Tests: none changed.

--- a/measure/AtMostOnce.cpp
+++ b/measure/AtMostOnce.cpp
@@ -1,10 +1,9 @@
 // Scenario "at-most-once": lost, doubled and delayed packets, targets that
 // lose answers, and a killed owner.
 
-#include "measure/OwnerFaults.h"
+#include "measure/LoadedScenario.h"
 
 #include <csignal>
-#include <thread>
 
 namespace bramleylock::measure {
 
@@ -16,58 +15,62 @@
 
 namespace {
 
-class AtMostOnce : public Scenario
+class AtMostOnce : public LoadedScenario
 {
 public:
+  AtMostOnce()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "bookings over faulty packets, lost answers and a crash";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
+  {
+    aCluster.Control(aCluster.FabricControl(), "/control/fault",
+                     { { "loss", 0.05 },
+                       { "duplicate", 0.2 },
+                       { "delay", 0.2 },
+                       { "delay_ms", 250 } });
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    cluster.Control(cluster.FabricControl(), "/control/fault",
-                    { { "loss", 0.05 },
-                      { "duplicate", 0.2 },
-                      { "delay", 0.2 },
-                      { "delay_ms", 250 } });
-    Load load(cluster.CallerAddress(), aOptions.seed);
     // Each label has one flow open at a time, so there are several.
     for (int i = 0; i < kFlows; ++i) {
-      load.Add({ deployment.booking, 10, 10, 0, seconds, "booking" });
+      aLoad.Add({ aDeployment.booking, 10, 10, 0, aSeconds, "booking" });
     }
-    load.Add({ deployment.reading, 50, 5, 0, seconds, "reading" });
-    load.Start();
-    Wait(load, kTargetsLoseAt);
-    LoseAnswers(cluster, deployment.booking.service, true);
-    Wait(load, kTargetsKeepAt);
-    LoseAnswers(cluster, deployment.booking.service, false);
-    Wait(load, kCrashAt);
+    aLoad.Add({ aDeployment.reading, 50, 5, 0, aSeconds, "reading" });
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    auto& cluster = aBench.cluster;
+    const auto& service = aBench.deployment.booking.service;
+    WaitUntil(aBench.load, kTargetsLoseAt);
+    LoseAnswers(cluster, service, true);
+    WaitUntil(aBench.load, kTargetsKeepAt);
+    LoseAnswers(cluster, service, false);
+    WaitUntil(aBench.load, kCrashAt);
     auto& killed = cluster.Balancers().front();
     killed.process->Signal(SIGKILL);
     killed.sprayed = false;
     killed.listed = false;
     cluster.Publish();
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Add("packet_duplicate", cluster.CounterSum("packet_duplicate"));
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
   }
 
-private:
-  static auto Wait(const Load& aLoad, double aSeconds) -> void
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
   {
-    while (aLoad.Elapsed() < aSeconds) {
-      std::this_thread::sleep_for(Milliseconds(10));
-    }
+    AddCounters(aBench.cluster, { "packet_duplicate" }, aReport);
   }
 
+private:
   /// Every third target of aService drops connections after it ran the work.
   static auto LoseAnswers(Cluster& aCluster, const std::string& aService,
                           bool aLose) -> void
--- a/measure/BalancerCrash.cpp
+++ b/measure/BalancerCrash.cpp
@@ -1,5 +1,6 @@
 // Scenario "balancer-crash": owners are killed under load.
 
+#include "measure/LoadedScenario.h"
 #include "measure/OwnerFaults.h"
 
 #include <csignal>
@@ -20,53 +21,53 @@
 
 namespace {
 
-class BalancerCrash : public Scenario
+class BalancerCrash : public LoadedScenario
 {
 public:
+  BalancerCrash()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "owners killed under load";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
+  {
+    DelayPackets(aCluster, kDelayMs);
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    cluster.Control(cluster.FabricControl(), "/control/fault",
-                    { { "delay", 1.0 }, { "delay_ms", kDelayMs } });
-    auto longAnswer = deployment.bulk;
-    longAnswer.answerBytes = kLongAnswerBytes;
-    Load load(cluster.CallerAddress(), aOptions.seed);
     // Each label has one flow open at a time, so there are several.
     for (int i = 0; i < kFlows; ++i) {
-      load.Add({ deployment.booking, 5, 10, 0, seconds, "booking" });
-      load.Add({ deployment.reading, 8, 10, 0, seconds, "reading" });
+      aLoad.Add({ aDeployment.booking, 5, 10, 0, aSeconds, "booking" });
+      aLoad.Add({ aDeployment.reading, 8, 10, 0, aSeconds, "reading" });
     }
-    load.Add({ longAnswer, 3, 1, 0, seconds, "bulk" });
-    load.Start();
-    std::vector<OwnerFault> faults;
+    auto longAnswer = aDeployment.bulk;
+    longAnswer.answerBytes = kLongAnswerBytes;
+    aLoad.Add({ longAnswer, 3, 1, 0, aSeconds, "bulk" });
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
     for (int i = 0; i < kCrashes; ++i) {
-      WaitUntil(load, kFirstCrash + i * kBetweenCrashes);
-      faults.push_back(Kill(cluster, load, i));
+      WaitUntil(aBench.load, kFirstCrash + i * kBetweenCrashes);
+      m_faults.push_back(Kill(aBench.cluster, aBench.load, i));
     }
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    AddOwnerFaults(load.Records(), faults, aReport);
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
   }
 
-private:
-  static auto WaitUntil(const Load& aLoad, double aSeconds) -> void
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
   {
-    while (aLoad.Elapsed() < aSeconds) {
-      std::this_thread::sleep_for(Milliseconds(10));
-    }
+    AddOwnerFaults(aBench.load.Records(), m_faults, aReport);
   }
 
+private:
   static auto Kill(Cluster& aCluster, const Load& aLoad, int aIndex)
     -> OwnerFault
   {
@@ -79,6 +80,8 @@
     aCluster.Publish();
     return { balancer.process->Value("peers"), now, now };
   }
+
+  std::vector<OwnerFault> m_faults;
 };
 
 const Registration<ScenarioRegistry, BalancerCrash> kRegistration(
--- a/measure/DomainCut.cpp
+++ b/measure/DomainCut.cpp
@@ -1,10 +1,7 @@
 // Scenario "domain-cut": one failure domain is cut from the others and from
 // the platform under load, while the lists are edited on the other side.
 
-#include "measure/Scenario.h"
-#include "measure/Views.h"
-
-#include <thread>
+#include "measure/MemberFault.h"
 
 namespace bramleylock::measure {
 
@@ -12,84 +9,55 @@
 static constexpr double kCutAt = 3;
 static constexpr double kEditAt = 6;
 static constexpr double kHealAt = 9;
-static constexpr double kAgreeLimit = 4;
-static constexpr double kAgreeGiveUp = 12;
 
 namespace {
 
-class DomainCut : public Scenario
+class DomainCut : public MemberFault
 {
 public:
+  DomainCut()
+    : MemberFault(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "one failure domain cut from the others and the platform";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto During(const Bench& aBench, Report& aReport) -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    ClusterOptions options;
-    options.seed = aOptions.seed;
-    options.proxied = true;
-    Cluster cluster(deployment, options);
-    cluster.Start();
-    RevisionWatch revisions;
-    aReport.Require("views agree before the cut",
-                    SecondsUntilAgreed(cluster, revisions, kAgreeGiveUp) <
-                      kAgreeGiveUp);
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 60, 5, 0, kSeconds, "booking" });
-    load.Add({ deployment.reading, 120, 5, 0, kSeconds, "reading" });
-    load.Start();
-    WaitUntil(load, kCutAt, cluster, revisions);
-    const auto& cutOff = deployment.failureDomains.back();
-    Cut(cluster, deployment, cutOff, true);
-    WaitUntil(load, kEditAt, cluster, revisions);
+    auto& cluster = aBench.cluster;
+    const auto& cutOff = aBench.deployment.failureDomains.back();
+    WatchUntil(aBench, kCutAt);
+    cluster.CutDomains({ cutOff });
+    WatchUntil(aBench, kEditAt);
     const auto revision = EditWeight(cluster, cluster.Balancers().front(), 3);
     aReport.Require("edit accepted at the majority", revision > 0);
     const auto before = Answered(cluster);
-    WaitUntil(load, kHealAt, cluster, revisions);
+    WatchUntil(aBench, kHealAt);
     RequireServing(before, Answered(cluster), cluster, cutOff, aReport);
-    Cut(cluster, deployment, cutOff, false);
-    const auto agreed = SecondsUntilAgreed(cluster, revisions, kAgreeGiveUp);
-    load.Join();
-    revisions.Look(cluster);
-    aReport.AddChecks(CheckRecords(load.Records(), cluster));
-    aReport.Add("views_agree_s", agreed);
-    aReport.Require("views_agree_s<=4", agreed <= kAgreeLimit);
-    aReport.Add("reverted", revisions.Reverted());
-    aReport.Require("reverted=0", revisions.Reverted() == 0);
-    for (const auto* name :
-         { "domains_lost", "member_suspected", "member_died", "member_refuted",
-           "peer_unreachable", "peer_link_lost", "unknown_owner_lost" }) {
-      aReport.Add(name, cluster.CounterSum(name));
-    }
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
-  }
-
-private:
-  static auto WaitUntil(const Load& aLoad, double aSecond, Cluster& aCluster,
-                        RevisionWatch& aWatch) -> void
-  {
-    while (aLoad.Elapsed() < aSecond) {
-      aWatch.Look(aCluster);
-      std::this_thread::sleep_for(Milliseconds(100));
-    }
+    cluster.CutDomains({});
+    AwaitAgreement(cluster);
+    aBench.load.Join();
+    Revisions().Look(cluster);
   }
 
-  static auto Cut(Cluster& aCluster, const Deployment& aDeployment,
-                  const std::string& aCutOff, bool aCut) -> void
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
   {
-    for (const auto& domain : aDeployment.failureDomains) {
-      if (domain != aCutOff) {
-        aCluster.CutLinks(domain, aCutOff, aCut);
-        aCluster.CutLinks(aCutOff, domain, aCut);
-      }
-    }
-    aCluster.CutStore(aCutOff, aCut);
+    JudgeAgreement(aReport);
+    aReport.Add("reverted", Revisions().Reverted());
+    aReport.Require("reverted=0", Revisions().Reverted() == 0);
+    AddCounters(aBench.cluster,
+                { "domains_lost", "member_suspected", "member_died",
+                  "member_refuted", "peer_unreachable", "peer_link_lost",
+                  "unknown_owner_lost" },
+                aReport);
   }
 
+private:
   static auto Answered(Cluster& aCluster)
     -> std::map<std::string, std::uint64_t>
   {
--- a/measure/DrainFaults.cpp
+++ b/measure/DrainFaults.cpp
@@ -1,6 +1,7 @@
 // Scenarios "drain-faults" and "successor-dies": planned stops that meet other
 // stops, an outage of the store, or the death of the receiver.
 
+#include "measure/LoadedScenario.h"
 #include "measure/OwnerFaults.h"
 
 #include <algorithm>
@@ -22,31 +23,6 @@
 static constexpr int kLongAnswerBytes = 2000000;
 static constexpr int kBookingAnswerBytes = 200000;
 
-static auto AddLoad(Load& aLoad, const Deployment& aDeployment, double aSeconds)
-  -> void
-{
-  auto longAnswer = aDeployment.bulk;
-  longAnswer.answerBytes = kLongAnswerBytes;
-  aLoad.Add({ longAnswer, 3, 1, 0, aSeconds, "bulk" });
-  // Its answer is on the way for longer than its run, so a stop meets it.
-  auto longBooking = aDeployment.booking;
-  longBooking.answerBytes = kBookingAnswerBytes;
-  aLoad.Add({ longBooking, 20, 1, 0, aSeconds, "booking_with_parts" });
-  for (int i = 0; i < kFlows; ++i) {
-    aLoad.Add(
-      { aDeployment.booking, 5, kLongFlow, 0, aSeconds, "long_booking" });
-    aLoad.Add(
-      { aDeployment.reading, 5, kLongFlow, 0, aSeconds, "long_reading" });
-  }
-}
-
-static auto WaitUntil(const Load& aLoad, double aSeconds) -> void
-{
-  while (aLoad.Elapsed() < aSeconds) {
-    std::this_thread::sleep_for(Milliseconds(10));
-  }
-}
-
 /// Requests that were turned away because of a stop.
 static auto RefusedByDrain(const Load& aLoad) -> std::uint64_t
 {
@@ -85,7 +61,35 @@
 
 namespace {
 
-class DrainFaults : public Scenario
+/// A planned stop under flows that last and long answers.
+class PlannedStop : public LoadedScenario
+{
+protected:
+  PlannedStop()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
+  {
+    auto longAnswer = aDeployment.bulk;
+    longAnswer.answerBytes = kLongAnswerBytes;
+    aLoad.Add({ longAnswer, 3, 1, 0, aSeconds, "bulk" });
+    // Its answer is on the way for longer than its run, so a stop meets it.
+    auto longBooking = aDeployment.booking;
+    longBooking.answerBytes = kBookingAnswerBytes;
+    aLoad.Add({ longBooking, 20, 1, 0, aSeconds, "booking_with_parts" });
+    for (int i = 0; i < kFlows; ++i) {
+      aLoad.Add(
+        { aDeployment.booking, 5, kLongFlow, 0, aSeconds, "long_booking" });
+      aLoad.Add(
+        { aDeployment.reading, 5, kLongFlow, 0, aSeconds, "long_reading" });
+    }
+  }
+};
+
+class DrainFaults : public PlannedStop
 {
 public:
   auto Summary() const -> std::string override
@@ -94,50 +98,52 @@
            "while the store is down";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    cluster.Control(cluster.FabricControl(), "/control/fault",
-                    { { "delay", 1.0 }, { "delay_ms", kDelayMs } });
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    AddLoad(load, deployment, seconds);
-    load.Start();
-    WaitUntil(load, kStopAt);
+    DelayPackets(aCluster, kDelayMs);
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    auto& cluster = aBench.cluster;
+    WaitUntil(aBench.load, kStopAt);
     cluster.Control(cluster.StoreAddress(), "/control/fault",
                     { { "down", true } });
     const auto domain = FirstDomain(cluster);
-    bool stopped = true;
+    m_drained = domain.size();
     // All but the last together, so that they could choose each other.
     for (std::size_t i = 0; i + 1 < domain.size(); ++i) {
       domain[i]->process->Signal(SIGTERM);
     }
     for (std::size_t i = 0; i + 1 < domain.size(); ++i) {
-      stopped = Stopped(cluster, *domain[i]) && stopped;
+      m_stopped = Stopped(cluster, *domain[i]) && m_stopped;
     }
-    WaitUntil(load, kChainAt);
+    WaitUntil(aBench.load, kChainAt);
     domain.back()->process->Signal(SIGTERM);
-    stopped = Stopped(cluster, *domain.back()) && stopped;
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Add("drained", static_cast<std::uint64_t>(domain.size()));
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    const auto refused = RefusedByDrain(load);
+    m_stopped = Stopped(cluster, *domain.back()) && m_stopped;
+  }
+
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
+  {
+    aReport.Add("drained", m_drained);
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    const auto refused = RefusedByDrain(aBench.load);
     aReport.Add("refused_by_drain", refused);
     aReport.Require("refused_by_drain=0", refused == 0);
-    aReport.Require("every balancer stopped by itself", stopped);
-    aReport.Add("flows_inherited", cluster.CounterSum("flows_inherited"));
-    aReport.Require("flows_inherited>0",
-                    cluster.CounterSum("flows_inherited") > 0);
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    aReport.Require("every balancer stopped by itself", m_stopped);
+    const auto inherited = aBench.cluster.CounterSum("flows_inherited");
+    aReport.Add("flows_inherited", inherited);
+    aReport.Require("flows_inherited>0", inherited > 0);
   }
+
+private:
+  std::uint64_t m_drained = 0;
+  bool m_stopped = true;
 };
 
-class SuccessorDies : public Scenario
+class SuccessorDies : public PlannedStop
 {
 public:
   auto Summary() const -> std::string override
@@ -145,43 +151,40 @@
     return "the receiver of a hand-over is silent and then dies";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    AddLoad(load, deployment, seconds);
-    load.Start();
-    WaitUntil(load, kStopAt);
+    auto& cluster = aBench.cluster;
+    WaitUntil(aBench.load, kStopAt);
     // Every peer of the domain is silent, so the receiver is one of them.
     const auto domain = FirstDomain(cluster);
     for (std::size_t i = 1; i < domain.size(); ++i) {
       domain[i]->process->Signal(SIGSTOP);
     }
     domain.front()->process->Signal(SIGTERM);
-    WaitUntil(load, kStopAt + kSilentSeconds);
+    WaitUntil(aBench.load, kStopAt + kSilentSeconds);
     for (std::size_t i = 1; i < domain.size(); ++i) {
       domain[i]->process->Signal(SIGKILL);
       domain[i]->sprayed = false;
     }
     cluster.Publish();
-    const bool stopped = Stopped(cluster, *domain.front());
-    std::vector<OwnerFault> faults;
-    faults.reserve(domain.size());
+    m_stopped = Stopped(cluster, *domain.front());
     for (const auto* balancer : domain) {
-      faults.push_back(
-        { balancer->process->Value("peers"), kStopAt, load.Elapsed() });
+      m_faults.push_back(
+        { balancer->process->Value("peers"), kStopAt, aBench.load.Elapsed() });
     }
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    AddOwnerFaults(load.Records(), faults, aReport);
-    aReport.Require("the drained balancer stopped by itself", stopped);
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
   }
+
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
+  {
+    AddOwnerFaults(aBench.load.Records(), m_faults, aReport);
+    aReport.Require("the drained balancer stopped by itself", m_stopped);
+  }
+
+private:
+  std::vector<OwnerFault> m_faults;
+  bool m_stopped = false;
 };
 
 const Registration<ScenarioRegistry, DrainFaults> kDrain("drain-faults");
--- /dev/null
+++ b/measure/LoadedScenario.cpp
@@ -0,0 +1,78 @@
+// The course that scenarios under load have in common.
+
+#include "measure/LoadedScenario.h"
+
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr Milliseconds kPollEvery{ 10 };
+
+LoadedScenario::LoadedScenario(double aSeconds)
+  : m_seconds(aSeconds)
+{
+}
+
+auto LoadedScenario::Run(const ScenarioOptions& aOptions, Report& aReport)
+  -> void
+{
+  const auto& deployment = *aOptions.deployment;
+  const double seconds = aOptions.seconds > 0 ? aOptions.seconds : m_seconds;
+  Cluster cluster(deployment, Options(aOptions));
+  cluster.Start();
+  Prepare(cluster, aReport);
+  Load load(cluster.CallerAddress(), aOptions.seed);
+  AddLoad(load, deployment, seconds);
+  const Bench bench{ deployment, seconds, cluster, load };
+  load.Start();
+  During(bench, aReport);
+  load.Join();
+  const auto checks = CheckRecords(load.Records(), cluster);
+  aReport.AddChecks(checks);
+  Judge(bench, checks, aReport);
+  aReport.AddReasons(load.Records());
+  aReport.AddLatencies(load.Records());
+}
+
+auto LoadedScenario::Options(const ScenarioOptions& aOptions) const
+  -> ClusterOptions
+{
+  return { aOptions.seed, {}, aOptions.nodes, 0 };
+}
+
+auto LoadedScenario::Prepare(Cluster& /*aCluster*/, Report& /*aReport*/) -> void
+{
+}
+
+auto LoadedScenario::During(const Bench& /*aBench*/, Report& /*aReport*/)
+  -> void
+{
+}
+
+auto FixedSize(const ScenarioOptions& aOptions) -> ClusterOptions
+{
+  return { aOptions.seed, {}, 0, 0 };
+}
+
+auto WaitUntil(const Load& aLoad, double aSeconds) -> void
+{
+  while (aLoad.Elapsed() < aSeconds) {
+    std::this_thread::sleep_for(kPollEvery);
+  }
+}
+
+auto DelayPackets(Cluster& aCluster, int aMilliseconds) -> void
+{
+  aCluster.Control(aCluster.FabricControl(), "/control/fault",
+                   { { "delay", 1.0 }, { "delay_ms", aMilliseconds } });
+}
+
+auto AddCounters(Cluster& aCluster, const std::vector<const char*>& aNames,
+                 Report& aReport) -> void
+{
+  for (const auto* name : aNames) {
+    aReport.Add(name, aCluster.CounterSum(name));
+  }
+}
+
+} // namespace bramleylock::measure
--- a/measure/LyingHealth.cpp
+++ b/measure/LyingHealth.cpp
@@ -1,12 +1,11 @@
 // Scenario "lying-health": health and load endpoints say the opposite of what
 // is true, and must neither draw all work to one host nor empty the rest.
 
-#include "measure/Scenario.h"
+#include "measure/LoadedScenario.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <thread>
 
 namespace bramleylock::measure {
 
@@ -17,38 +16,46 @@
 
 namespace {
 
-class LyingHealth : public Scenario
+class LyingHealth : public LoadedScenario
 {
 public:
+  LyingHealth()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "a shedding host claims health, a busy one no load, all others ill";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Options(const ScenarioOptions& aOptions) const -> ClusterOptions override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, 0, 0 });
-    cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 100, 5, 0, seconds, "booking" });
-    load.Add({ deployment.reading, 200, 5, 0, seconds, "reading" });
-    load.Start();
-    std::this_thread::sleep_for(
-      std::chrono::duration<double>(kLieAt - load.Elapsed()));
-    Lie(cluster, deployment.reading.service);
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    aReport.Require("refused=0", checks.refused == 0);
-    AddShares(cluster, deployment.reading.service, aReport);
-    for (const auto* name : { "retry_target_shed", "target_ejected" }) {
-      aReport.Add(name, cluster.CounterSum(name));
-    }
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    return FixedSize(aOptions);
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
+  {
+    aLoad.Add({ aDeployment.booking, 100, 5, 0, aSeconds, "booking" });
+    aLoad.Add({ aDeployment.reading, 200, 5, 0, aSeconds, "reading" });
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    WaitUntil(aBench.load, kLieAt);
+    Lie(aBench.cluster, aBench.deployment.reading.service);
+  }
+
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
+  {
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    aReport.Require("refused=0", aChecks.refused == 0);
+    AddShares(aBench.cluster, aBench.deployment.reading.service, aReport);
+    AddCounters(aBench.cluster, { "retry_target_shed", "target_ejected" },
+                aReport);
   }
 
 private:
--- /dev/null
+++ b/measure/MemberFault.cpp
@@ -0,0 +1,64 @@
+// What scenarios with faults between balancers have in common.
+
+#include "measure/MemberFault.h"
+
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr double kAgreeLimit = 4;
+static constexpr double kAgreeGiveUp = 12;
+static constexpr Milliseconds kLookEvery{ 100 };
+
+MemberFault::MemberFault(double aSeconds)
+  : LoadedScenario(aSeconds)
+{
+}
+
+auto MemberFault::Options(const ScenarioOptions& aOptions) const
+  -> ClusterOptions
+{
+  ClusterOptions options;
+  options.seed = aOptions.seed;
+  options.proxied = true;
+  return options;
+}
+
+auto MemberFault::Prepare(Cluster& aCluster, Report& aReport) -> void
+{
+  const auto agreed = SecondsUntilAgreed(aCluster, m_revisions, kAgreeGiveUp);
+  aReport.Require("views agree before the fault", agreed < kAgreeGiveUp);
+}
+
+auto MemberFault::AddLoad(Load& aLoad, const Deployment& aDeployment,
+                          double aSeconds) const -> void
+{
+  aLoad.Add({ aDeployment.booking, 60, 5, 0, aSeconds, "booking" });
+  aLoad.Add({ aDeployment.reading, 120, 5, 0, aSeconds, "reading" });
+}
+
+auto MemberFault::WatchUntil(const Bench& aBench, double aSeconds) -> void
+{
+  while (aBench.load.Elapsed() < aSeconds) {
+    m_revisions.Look(aBench.cluster);
+    std::this_thread::sleep_for(kLookEvery);
+  }
+}
+
+auto MemberFault::AwaitAgreement(Cluster& aCluster) -> void
+{
+  m_agreed = SecondsUntilAgreed(aCluster, m_revisions, kAgreeGiveUp);
+}
+
+auto MemberFault::JudgeAgreement(Report& aReport) const -> void
+{
+  aReport.Add("views_agree_s", m_agreed);
+  aReport.Require("views_agree_s<=4", m_agreed <= kAgreeLimit);
+}
+
+auto MemberFault::Revisions() -> RevisionWatch&
+{
+  return m_revisions;
+}
+
+} // namespace bramleylock::measure
--- a/measure/MemberFaults.cpp
+++ b/measure/MemberFaults.cpp
@@ -1,65 +1,51 @@
 // Scenarios "paused-balancer", "one-way-loss" and "split-domain": a balancer
 // that stops and wakes, and cuts within a failure domain.
 
-#include "measure/Scenario.h"
-#include "measure/Views.h"
+#include "measure/MemberFault.h"
 
 #include <csignal>
-#include <thread>
 
 namespace bramleylock::measure {
 
 static constexpr double kSeconds = 13;
 static constexpr double kFaultAt = 2;
 static constexpr double kMendAt = 8;
-static constexpr double kAgreeLimit = 4;
-static constexpr double kAgreeGiveUp = 12;
 
 namespace {
 
-/// A fault that is put in at kFaultAt and taken out at kMendAt, under load.
-class MemberFault : public Scenario
+/// A fault that is put in at kFaultAt and taken out at kMendAt.
+class TimedFault : public MemberFault
 {
-public:
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  TimedFault()
+    : MemberFault(kSeconds)
   {
-    const auto& deployment = *aOptions.deployment;
-    ClusterOptions options;
-    options.seed = aOptions.seed;
-    options.proxied = true;
-    Cluster cluster(deployment, options);
-    cluster.Start();
-    RevisionWatch revisions;
-    aReport.Require("views agree before the fault",
-                    SecondsUntilAgreed(cluster, revisions, kAgreeGiveUp) <
-                      kAgreeGiveUp);
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 60, 5, 0, kSeconds, "booking" });
-    load.Add({ deployment.reading, 120, 5, 0, kSeconds, "reading" });
-    load.Start();
-    SleepUntil(load, kFaultAt);
-    Fault(cluster, true);
-    SleepUntil(load, kMendAt);
-    Fault(cluster, false);
-    const auto died = cluster.CounterSum("member_died");
-    const auto agreed = SecondsUntilAgreed(cluster, revisions, kAgreeGiveUp);
-    load.Join();
-    aReport.AddChecks(CheckRecords(load.Records(), cluster));
-    aReport.Add("died_by_mending", died);
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    WaitUntil(aBench.load, kFaultAt);
+    Fault(aBench.cluster, true);
+    WaitUntil(aBench.load, kMendAt);
+    Fault(aBench.cluster, false);
+    m_died = aBench.cluster.CounterSum("member_died");
+    AwaitAgreement(aBench.cluster);
+  }
+
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
+  {
+    aReport.Add("died_by_mending", m_died);
     aReport.Require(ExpectsDeath() ? "died_by_mending>0" : "died_by_mending=0",
-                    ExpectsDeath() == (died > 0));
-    aReport.Add("views_agree_s", agreed);
-    aReport.Require("views_agree_s<=4", agreed <= kAgreeLimit);
-    for (const auto* name :
-         { "member_suspected", "member_died", "member_refuted", "domains_lost",
-           "peer_unreachable", "peer_link_silent", "unknown_owner_lost" }) {
-      aReport.Add(name, cluster.CounterSum(name));
-    }
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+                    ExpectsDeath() == (m_died > 0));
+    JudgeAgreement(aReport);
+    AddCounters(aBench.cluster,
+                { "member_suspected", "member_died", "member_refuted",
+                  "domains_lost", "peer_unreachable", "peer_link_silent",
+                  "unknown_owner_lost" },
+                aReport);
   }
 
-protected:
   virtual auto Fault(Cluster& aCluster, bool aOn) -> void = 0;
 
   /// Whether the members are right to hold somebody dead.
@@ -79,15 +65,10 @@
   }
 
 private:
-  static auto SleepUntil(const Load& aLoad, double aSecond) -> void
-  {
-    while (aLoad.Elapsed() < aSecond) {
-      std::this_thread::sleep_for(Milliseconds(20));
-    }
-  }
+  std::uint64_t m_died = 0;
 };
 
-class PausedBalancer : public MemberFault
+class PausedBalancer : public TimedFault
 {
 public:
   auto Summary() const -> std::string override
@@ -105,7 +86,7 @@
   auto ExpectsDeath() const -> bool override { return true; }
 };
 
-class OneWayLoss : public MemberFault
+class OneWayLoss : public TimedFault
 {
 public:
   auto Summary() const -> std::string override
@@ -123,7 +104,7 @@
   auto ExpectsDeath() const -> bool override { return false; }
 };
 
-class SplitDomain : public MemberFault
+class SplitDomain : public TimedFault
 {
 public:
   auto Summary() const -> std::string override
--- a/measure/RollingReplace.cpp
+++ b/measure/RollingReplace.cpp
@@ -1,7 +1,7 @@
 // Scenario "rolling-replace": every balancer and a third of the targets are
 // replaced under short and long flows.
 
-#include "measure/Scenario.h"
+#include "measure/LoadedScenario.h"
 
 #include <csignal>
 #include <thread>
@@ -24,60 +24,27 @@
 
 namespace {
 
-class RollingReplace : public Scenario
+class RollingReplace : public LoadedScenario
 {
 public:
+  RollingReplace()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "every balancer and a third of the targets replaced under load";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    cluster.Control(cluster.FabricControl(), "/control/fault",
-                    { { "delay", 1.0 }, { "delay_ms", kDelayMs } });
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    AddLoad(load, deployment, seconds);
-    load.Start();
-    const auto balancers = cluster.Balancers().size();
-    LeaveTargets(cluster, deployment);
-    const auto targetsLeave = Clock::now();
-    std::uint64_t replaced = 0;
-    std::uint64_t inherited = 0;
-    bool stopped = true;
-    while (replaced < balancers && load.Elapsed() < seconds) {
-      stopped = ReplaceBalancer(cluster, replaced++) && stopped;
-      inherited = std::max(inherited, cluster.CounterSum("flows_inherited"));
-      if (Clock::now() - targetsLeave > kTargetLeaves) {
-        StopTargets(cluster);
-      }
-    }
-    load.Join();
-    StopTargets(cluster);
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Add("balancers_replaced", replaced);
-    aReport.Add("targets_replaced", m_replacedTargets);
-    aReport.Add("flows_inherited_most", inherited);
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    aReport.Require("every balancer replaced within the load",
-                    replaced == balancers);
-    aReport.Require("every balancer stopped by itself", stopped);
-    for (const auto* name : { "packets_held", "owner_continued",
-                              "hand_over_in_doubt", "hand_over_refused" }) {
-      aReport.Add(name, cluster.CounterSum(name));
-    }
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    DelayPackets(aCluster, kDelayMs);
   }
 
-private:
-  static auto AddLoad(Load& aLoad, const Deployment& aDeployment,
-                      double aSeconds) -> void
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
   {
     auto longAnswer = aDeployment.bulk;
     longAnswer.answerBytes = kLongAnswerBytes;
@@ -92,6 +59,41 @@
     }
   }
 
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    auto& cluster = aBench.cluster;
+    m_balancers = cluster.Balancers().size();
+    LeaveTargets(cluster, aBench.deployment);
+    const auto targetsLeave = Clock::now();
+    while (m_replaced < m_balancers && aBench.load.Elapsed() < aBench.seconds) {
+      m_stopped = ReplaceBalancer(cluster, m_replaced++) && m_stopped;
+      m_inherited =
+        std::max(m_inherited, cluster.CounterSum("flows_inherited"));
+      if (Clock::now() - targetsLeave > kTargetLeaves) {
+        StopTargets(cluster);
+      }
+    }
+    aBench.load.Join();
+    StopTargets(cluster);
+  }
+
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
+  {
+    aReport.Add("balancers_replaced", m_replaced);
+    aReport.Add("targets_replaced", m_replacedTargets);
+    aReport.Add("flows_inherited_most", m_inherited);
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    aReport.Require("every balancer replaced within the load",
+                    m_replaced == m_balancers);
+    aReport.Require("every balancer stopped by itself", m_stopped);
+    AddCounters(aBench.cluster,
+                { "packets_held", "owner_continued", "hand_over_in_doubt",
+                  "hand_over_refused" },
+                aReport);
+  }
+
+private:
   /// Starts a new balancer, lists it, then drains the old one; false when the
   /// old one did not stop by itself.
   static auto ReplaceBalancer(Cluster& aCluster, std::size_t aIndex) -> bool
@@ -143,7 +145,11 @@
     aCluster.Publish();
   }
 
+  std::uint64_t m_balancers = 0;
+  std::uint64_t m_replaced = 0;
   std::uint64_t m_replacedTargets = 0;
+  std::uint64_t m_inherited = 0;
+  bool m_stopped = true;
 };
 
 const Registration<ScenarioRegistry, RollingReplace> kRegistration(
--- a/measure/TargetDrain.cpp
+++ b/measure/TargetDrain.cpp
@@ -1,14 +1,13 @@
 // Scenario "target-drain": a third of the targets say that they are leaving
 // while the platform's list lags behind.
 
-#include "measure/Scenario.h"
+#include "measure/LoadedScenario.h"
 
 #include "bramleylock/Support/Random.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <thread>
 
 namespace bramleylock::measure {
 
@@ -20,52 +19,56 @@
 
 namespace {
 
-class TargetDrain : public Scenario
+class TargetDrain : public LoadedScenario
 {
 public:
+  TargetDrain()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "a third of the targets drain, told by themselves before the list";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Options(const ScenarioOptions& aOptions) const -> ClusterOptions override
+  {
+    return FixedSize(aOptions);
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, 0, 0 });
-    cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    load.Add({ deployment.booking, 100, 5, 0, seconds, "booking" });
-    load.Add({ deployment.reading, 200, 5, 0, seconds, "reading" });
-    load.Add({ deployment.bulk, 10, 1, 0, seconds, "bulk" });
-    load.Start();
-    WaitUntil(load, kDrainAt);
-    for (auto* target : Leaving(cluster)) {
-      cluster.Control(target->process->Value("target"), "/control/behave",
-                      { { "draining", true } });
+    aLoad.Add({ aDeployment.booking, 100, 5, 0, aSeconds, "booking" });
+    aLoad.Add({ aDeployment.reading, 200, 5, 0, aSeconds, "reading" });
+    aLoad.Add({ aDeployment.bulk, 10, 1, 0, aSeconds, "bulk" });
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    WaitUntil(aBench.load, kDrainAt);
+    for (auto* target : Leaving(aBench.cluster)) {
+      aBench.cluster.Control(target->process->Value("target"),
+                             "/control/behave", { { "draining", true } });
     }
-    const auto drainedAt = WallMilliseconds();
-    WaitUntil(load, std::min(kListedAt, seconds));
-    for (auto* target : Leaving(cluster)) {
+    m_drainedAt = WallMilliseconds();
+    WaitUntil(aBench.load, std::min(kListedAt, aBench.seconds));
+    for (auto* target : Leaving(aBench.cluster)) {
       target->leaving = true;
     }
-    cluster.Publish();
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    AddLateWork(cluster, drainedAt, aReport);
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    aBench.cluster.Publish();
   }
 
-private:
-  static auto WaitUntil(const Load& aLoad, double aSeconds) -> void
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
   {
-    std::this_thread::sleep_for(
-      std::chrono::duration<double>(aSeconds - aLoad.Elapsed()));
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    AddLateWork(aBench.cluster, m_drainedAt, aReport);
   }
 
+private:
   static auto Leaving(Cluster& aCluster) -> std::vector<TargetProcess*>
   {
     std::vector<TargetProcess*> leaving;
@@ -93,6 +96,8 @@
     aReport.Add("latest_new_work_ms", latestMs);
     aReport.Require("late_new_work=0", late == 0);
   }
+
+  std::uint64_t m_drainedAt = 0;
 };
 
 const Registration<ScenarioRegistry, TargetDrain> kRegistration("target-drain");
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -8,11 +8,8 @@
 #include "bramleylock/Support/Random.h"
 #include "bramleylock/Wire/Packet.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
-#include <iostream>
-
 namespace bramleylock::standin {
 
 using nlohmann::json;
@@ -213,27 +210,19 @@
 auto RunFabric(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin fabric");
-  options.add_options()(
-    "listen", "ip:port for callers",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "control", "ip:port for control",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "seed", "seed of the spray",
-    cxxopts::value<std::uint64_t>()->default_value("1"))("help", "help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
+  AddCommonOptions(options, { "ip:port for callers", "ip:port for control",
+                              "seed of the spray" });
+  const auto parsed = ParseOptions(options, argc, argv);
+  if (!parsed) {
     return 0;
   }
   std::error_code error;
   const auto listen =
-    ParseUdpEndpoint(parsed["listen"].as<std::string>(), error);
-  const auto control =
-    ParseTcpEndpoint(parsed["control"].as<std::string>(), error);
+    ParseUdpEndpoint((*parsed)["listen"].as<std::string>(), error);
   asio::io_context context(1);
-  Fabric fabric(context, listen, control, parsed["seed"].as<std::uint64_t>());
-  std::cout << fabric.ReadyLine() << std::endl;
-  return RunUntilSignal(&context);
+  Fabric fabric(context, listen, TcpOption(*parsed, "control"),
+                (*parsed)["seed"].as<std::uint64_t>());
+  return Serve(context, fabric.ReadyLine());
 }
 
 } // namespace bramleylock::standin
--- a/standins/Proxy.cpp
+++ b/standins/Proxy.cpp
@@ -7,10 +7,8 @@
 #include "bramleylock/Http/Http.h"
 
 #include <boost/asio/write.hpp>
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
-#include <iostream>
 #include <random>
 #include <set>
 
@@ -259,29 +257,19 @@
 auto RunProxy(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin proxy");
-  options.add_options()(
-    "listen", "ip:port",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "to", "ip:port behind the proxy", cxxopts::value<std::string>())(
-    "control", "ip:port for control",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "seed", "seed of random faults",
-    cxxopts::value<std::uint64_t>()->default_value("1"))("help", "help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
+  AddCommonOptions(
+    options, { "ip:port", "ip:port for control", "seed of random faults" });
+  options.add_options()("to", "ip:port behind the proxy",
+                        cxxopts::value<std::string>());
+  const auto parsed = ParseOptions(options, argc, argv);
+  if (!parsed) {
     return 0;
   }
-  std::error_code error;
-  const auto listen =
-    ParseTcpEndpoint(parsed["listen"].as<std::string>(), error);
-  const auto to = ParseTcpEndpoint(parsed["to"].as<std::string>(), error);
-  const auto control =
-    ParseTcpEndpoint(parsed["control"].as<std::string>(), error);
   asio::io_context context(1);
-  Proxy proxy(context, listen, to, control, parsed["seed"].as<std::uint64_t>());
-  std::cout << proxy.ReadyLine() << std::endl;
-  return RunUntilSignal(&context);
+  Proxy proxy(context, TcpOption(*parsed, "listen"), TcpOption(*parsed, "to"),
+              TcpOption(*parsed, "control"),
+              (*parsed)["seed"].as<std::uint64_t>());
+  return Serve(context, proxy.ReadyLine());
 }
 
 } // namespace bramleylock::standin
--- a/standins/Store.cpp
+++ b/standins/Store.cpp
@@ -6,11 +6,8 @@
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Support/Random.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
-#include <iostream>
-
 namespace bramleylock::standin {
 
 using nlohmann::json;
@@ -224,23 +221,15 @@
 auto RunStore(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin store");
-  options.add_options()(
-    "listen", "ip:port",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "seed", "seed of random faults",
-    cxxopts::value<std::uint64_t>()->default_value("1"))("help", "help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
+  AddCommonOptions(options, { "ip:port", "", "seed of random faults" });
+  const auto parsed = ParseOptions(options, argc, argv);
+  if (!parsed) {
     return 0;
   }
-  std::error_code error;
-  const auto address =
-    ParseTcpEndpoint(parsed["listen"].as<std::string>(), error);
   asio::io_context context(1);
-  Store store(context, address, parsed["seed"].as<std::uint64_t>());
-  std::cout << "ready store=" << store.Address() << std::endl;
-  return RunUntilSignal(&context);
+  Store store(context, TcpOption(*parsed, "listen"),
+              (*parsed)["seed"].as<std::uint64_t>());
+  return Serve(context, "ready store=" + store.Address());
 }
 
 } // namespace bramleylock::standin
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -7,12 +7,9 @@
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Support/Random.h"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <iostream>
-
 namespace bramleylock::standin {
 
 using nlohmann::json;
@@ -236,31 +233,30 @@
 auto RunTarget(int argc, char** argv) -> int
 {
   cxxopts::Options options("bramleylock-standin target");
-  options.add_options()(
-    "listen", "ip:port",
-    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
-    "name", "name", cxxopts::value<std::string>()->default_value("target"))(
+  AddCommonOptions(options, { "ip:port", "", "" });
+  options.add_options()("name", "name",
+                        cxxopts::value<std::string>()->default_value("target"))(
     "service", "service",
     cxxopts::value<std::string>()->default_value("service"))(
     "slots", "requests at the same time",
     cxxopts::value<std::size_t>()->default_value("2"))(
     "backlog", "requests that wait for a slot before load is shed",
-    cxxopts::value<std::size_t>()->default_value("4"))("help", "help");
-  const auto parsed = options.parse(argc, argv);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
+    cxxopts::value<std::size_t>()->default_value("4"));
+  const auto parsed = ParseOptions(options, argc, argv);
+  if (!parsed) {
     return 0;
   }
-  std::error_code error;
-  const auto address =
-    ParseTcpEndpoint(parsed["listen"].as<std::string>(), error);
   asio::io_context context(1);
+  const auto text = [&parsed](const char* aName) {
+    return (*parsed)[aName].as<std::string>();
+  };
+  const auto number = [&parsed](const char* aName) {
+    return (*parsed)[aName].as<std::size_t>();
+  };
   TargetHost host(
-    context, address,
-    { parsed["name"].as<std::string>(), parsed["service"].as<std::string>(),
-      parsed["slots"].as<std::size_t>(), parsed["backlog"].as<std::size_t>() });
-  std::cout << "ready target=" << host.Address() << std::endl;
-  return RunUntilSignal(&context);
+    context, TcpOption(*parsed, "listen"),
+    { text("name"), text("service"), number("slots"), number("backlog") });
+  return Serve(context, "ready target=" + host.Address());
 }
 
 } // namespace bramleylock::standin
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -2,27 +2,9 @@
 
 #include "standins/Standin.h"
 
-#include "bramleylock/Support/Asio.h"
-
-#include <boost/asio/signal_set.hpp>
-
-#include <csignal>
+#include <array>
 #include <iostream>
 
-namespace bramleylock::standin {
-
-auto RunUntilSignal(void* aContext) -> int
-{
-  auto& context = *static_cast<asio::io_context*>(aContext);
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait(
-    [&context](const boost::system::error_code&, int) { context.stop(); });
-  context.run();
-  return 0;
-}
-
-} // namespace bramleylock::standin
-
 namespace {
 
 struct Row
