--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -121,6 +121,7 @@
   auto RaiseSummary() -> void;
   auto MakeSummary() -> wire::DomainSummary;
   auto LowestKeyHere() const -> std::uint32_t;
+  auto DropUnheard(const std::vector<std::string>& aDomains) -> void;
   auto ForgetStale() -> void;
   auto NextProbed() -> std::string;
   auto Knock() -> void;
