Move rate allowance between balancers of a failure domain

Cause: a static share is lost where callers' packets do not come. With plugins.plan_limits = "transfer" a balancer that is offered more than it is dealt asks one holder of the plan's allowance, which takes it off its own before it sends it. "static" stays the default until uneven-spray has been measured on both.

--- a/include/bramleylock/Admission/PlanLimits.h
+++ b/include/bramleylock/Admission/PlanLimits.h
@@ -1,19 +1,46 @@
 // The limits of plans over the whole fleet, held on each balancer by its share.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Admission/AllowanceDeal.h"
+#include "bramleylock/Admission/AllowanceSharing.h"
 
 namespace bramleylock::admission {
 
+/// Told that aWanted requests' allowance of a plan is short in a period.
+using ShortListener = std::function<void(
+  const std::string& aName, std::uint64_t aPeriod, std::uint64_t aWanted)>;
+
 /// Decides whether a plan may start one more request here. Nobody is asked for
 /// a request; a refusal is final.
 class PlanLimits
 {
 public:
+  explicit PlanLimits(std::unique_ptr<AllowanceSharing> aSharing);
+
+  auto OnShort(ShortListener aListener) -> void;
+
+  /// Takes up to aWanted off the own allowance for a peer, and says how much. A
+  /// grant that is lost is lost to all; it is never used twice.
+  auto Give(const std::string& aName, const lists::Plan& aPlan,
+            std::uint64_t aPeriod, std::uint64_t aWanted, std::uint64_t aNowMs)
+    -> std::uint64_t;
+
+  /// Adds what a peer gave; nothing when its period is over.
+  auto Receive(const std::string& aName, const lists::Plan& aPlan,
+               std::uint64_t aPeriod, std::uint64_t aGranted,
+               std::uint64_t aNowMs) -> void;
+
+  /// Other balancers of the failure domain that are dealt allowance of aPlan in
+  /// the current period.
+  auto Holders(const std::string& aName, const lists::Plan& aPlan) const
+    -> std::vector<std::string>;
+
   /// Sets who shares the limits. More sharers count at once, fewer from the
   /// next period on.
   auto SetView(FleetView aView) -> void;
@@ -37,11 +64,10 @@
   struct State
   {
     std::uint64_t period = 0;
-    /// What dealt was computed for.
+    /// What the dealt allowance was computed for.
     std::uint64_t viewNumber = 0;
     double ratePerSecond = 0;
-    std::uint64_t dealt = 0;
-    std::uint64_t used = 0;
+    Allowance allowance;
     std::uint32_t inFlight = 0;
   };
 
@@ -51,9 +77,16 @@
                  std::uint64_t aNowMs) -> State&;
   auto Slots(const std::string& aName, const lists::Plan& aPlan) const
     -> std::uint64_t;
+  auto DomainRequests(const std::string& aName, const lists::Plan& aPlan) const
+    -> std::uint64_t;
+  auto Decide(const std::string& aName, const lists::Plan& aPlan,
+              std::uint64_t aNowMs) -> Refusal;
+  auto TellShort(const std::string& aName, const State& aState) -> void;
   auto RateRetryAfterMs(const lists::Plan& aPlan, std::uint64_t aNowMs) const
     -> std::uint32_t;
 
+  std::unique_ptr<AllowanceSharing> m_sharing;
+  ShortListener m_onShort;
   FleetView m_view;
   std::uint64_t m_viewNumber = 0;
   FleetView m_nextView;
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -30,6 +30,7 @@
   std::string platformStore;
   std::string targetChoice;
   std::string admissionPolicy;
+  std::string planLimits;
   std::string logLevel;
   std::string logFormat;
   std::int64_t idleFlowSeconds = 0;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -34,10 +34,12 @@
   MemberSync,
   WatcherNotice,
   Vms,
-  VmsRequest
+  VmsRequest,
+  AllowanceRequest,
+  AllowanceGrant
 };
 
-inline constexpr std::array<NameRow<MessageType>, 19> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 21> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -57,6 +59,8 @@
   { MessageType::WatcherNotice, "watcher-notice" },
   { MessageType::Vms, "vms" },
   { MessageType::VmsRequest, "vms-request" },
+  { MessageType::AllowanceRequest, "allowance-request" },
+  { MessageType::AllowanceGrant, "allowance-grant" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
@@ -374,6 +378,24 @@
   MSGPACK_DEFINE_ARRAY(digest)
 };
 
+/// Asks for a part of the receiver's allowance of a plan in one period.
+struct AllowanceRequest
+{
+  std::string plan;
+  std::uint64_t period = 0;
+  std::uint32_t wanted = 0;
+  MSGPACK_DEFINE_ARRAY(plan, period, wanted)
+};
+
+/// Gives allowance that the sender has already taken off its own.
+struct AllowanceGrant
+{
+  std::string plan;
+  std::uint64_t period = 0;
+  std::uint32_t granted = 0;
+  MSGPACK_DEFINE_ARRAY(plan, period, granted)
+};
+
 /// Packs the body of a message.
 template<typename Message>
 auto PackBody(const Message& aMessage) -> std::string
--- a/lib/Admission/PlanLimits.cpp
+++ b/lib/Admission/PlanLimits.cpp
@@ -18,6 +18,17 @@
 /// How often plans that were not used are forgotten.
 static constexpr std::uint64_t kForgetEveryPeriods = 60;
 
+PlanLimits::PlanLimits(std::unique_ptr<AllowanceSharing> aSharing)
+  : m_sharing(std::move(aSharing))
+  , m_onShort([](const std::string&, std::uint64_t, std::uint64_t) {})
+{
+}
+
+auto PlanLimits::OnShort(ShortListener aListener) -> void
+{
+  m_onShort = std::move(aListener);
+}
+
 auto PlanLimits::SetView(FleetView aView) -> void
 {
   m_nextView = std::move(aView);
@@ -65,19 +76,80 @@
     return state;
   }
   if (begins) {
-    state.used = 0;
+    const bool follows = state.period + 1 == m_period;
+    const auto before = follows ? state.allowance.offered : 0;
+    state.allowance = Allowance{};
+    state.allowance.offeredBefore = before;
   }
   state.period = m_period;
   state.viewNumber = m_viewNumber;
   state.ratePerSecond = aPlan.ratePerSecond;
-  const auto rotation = RotationOf(aName, m_period);
-  const auto ofDomain =
-    DealtPart(RequestsInPeriod(aPlan.ratePerSecond, m_period),
-              DomainPlace(aPlan, m_view), rotation);
-  state.dealt = DealtPart(ofDomain, MemberPlace(m_view), rotation);
+  state.allowance.dealt =
+    DealtPart(DomainRequests(aName, aPlan), MemberPlace(m_view),
+              RotationOf(aName, m_period));
+  if (begins) {
+    TellShort(aName, state);
+  }
   return state;
 }
 
+/// The requests that the failure domain may start in the current period.
+auto PlanLimits::DomainRequests(const std::string& aName,
+                                const lists::Plan& aPlan) const -> std::uint64_t
+{
+  return DealtPart(RequestsInPeriod(aPlan.ratePerSecond, m_period),
+                   DomainPlace(aPlan, m_view), RotationOf(aName, m_period));
+}
+
+auto PlanLimits::TellShort(const std::string& aName, const State& aState)
+  -> void
+{
+  const auto wanted = m_sharing->Wanted(aState.allowance);
+  if (wanted > 0) {
+    m_onShort(aName, aState.period, wanted);
+  }
+}
+
+auto PlanLimits::Give(const std::string& aName, const lists::Plan& aPlan,
+                      std::uint64_t aPeriod, std::uint64_t aWanted,
+                      std::uint64_t aNowMs) -> std::uint64_t
+{
+  auto& state = RateState(aName, aPlan, aNowMs);
+  if (state.period != aPeriod) {
+    return 0;
+  }
+  const auto granted = std::min(aWanted, m_sharing->Spare(state.allowance));
+  state.allowance.given += granted;
+  return granted;
+}
+
+auto PlanLimits::Receive(const std::string& aName, const lists::Plan& aPlan,
+                         std::uint64_t aPeriod, std::uint64_t aGranted,
+                         std::uint64_t aNowMs) -> void
+{
+  auto& state = RateState(aName, aPlan, aNowMs);
+  if (state.period == aPeriod) {
+    state.allowance.received += aGranted;
+  }
+}
+
+auto PlanLimits::Holders(const std::string& aName,
+                         const lists::Plan& aPlan) const
+  -> std::vector<std::string>
+{
+  const auto ofDomain = DomainRequests(aName, aPlan);
+  const auto rotation = RotationOf(aName, m_period);
+  const auto& members = m_view.members;
+  std::vector<std::string> holders;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const auto part = DealtPart(ofDomain, { i, members.size() }, rotation);
+    if (part > 0 && members[i] != m_view.self) {
+      holders.push_back(members[i]);
+    }
+  }
+  return holders;
+}
+
 /// The share of the plan's concurrency. It is not dealt anew in each period,
 /// because requests outlast a period.
 auto PlanLimits::Slots(const std::string& aName, const lists::Plan& aPlan) const
@@ -105,8 +177,8 @@
     std::min<double>(pause, kLongestRetryAfterMs));
 }
 
-auto PlanLimits::Check(const std::string& aName, const lists::Plan& aPlan,
-                       std::uint64_t aNowMs) -> Refusal
+auto PlanLimits::Decide(const std::string& aName, const lists::Plan& aPlan,
+                        std::uint64_t aNowMs) -> Refusal
 {
   if (aPlan.concurrency > 0) {
     EnterPeriod(aNowMs / kAllowancePeriodMs);
@@ -115,20 +187,34 @@
     }
   }
   if (aPlan.ratePerSecond > 0) {
-    const auto& state = RateState(aName, aPlan, aNowMs);
-    if (state.used >= state.dealt) {
+    if (RateState(aName, aPlan, aNowMs).allowance.Left() == 0) {
       return { Reason::PlanRate, RateRetryAfterMs(aPlan, aNowMs) };
     }
   }
   return {};
 }
 
+/// A refused request has been offered, also where it only asked.
+auto PlanLimits::Check(const std::string& aName, const lists::Plan& aPlan,
+                       std::uint64_t aNowMs) -> Refusal
+{
+  const auto refusal = Decide(aName, aPlan, aNowMs);
+  if (refusal.reason == Reason::PlanRate) {
+    auto& state = RateState(aName, aPlan, aNowMs);
+    ++state.allowance.offered;
+    TellShort(aName, state);
+  }
+  return refusal;
+}
+
 auto PlanLimits::Take(const std::string& aName, const lists::Plan& aPlan,
                       std::uint64_t aNowMs) -> Refusal
 {
   const auto refusal = Check(aName, aPlan, aNowMs);
   if (refusal.reason == Reason::None && aPlan.ratePerSecond > 0) {
-    ++RateState(aName, aPlan, aNowMs).used;
+    auto& allowance = RateState(aName, aPlan, aNowMs).allowance;
+    ++allowance.offered;
+    ++allowance.used;
   }
   return refusal;
 }
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -4,6 +4,7 @@
 
 #include "bramleylock/Flow/Dispatcher.h"
 #include "bramleylock/Kernel/AdminApi.h"
+#include "bramleylock/Kernel/AllowanceExchange.h"
 #include "bramleylock/Kernel/CallerEntry.h"
 #include "bramleylock/Kernel/CapacityKeeper.h"
 #include "bramleylock/Kernel/KeyKeeper.h"
@@ -39,6 +40,8 @@
     : context(aContext)
     , settings(std::move(aSettings))
     , lists(metrics)
+    , planLimits(
+        admission::SharingRegistry::Instance().Create(settings.planLimits))
   {
   }
 
@@ -56,19 +59,20 @@
   Metrics metrics;
   wire::KeyRing keys;
   lists::ListKeeper lists;
+  admission::PlanLimits planLimits;
   peer::ClusterKey clusterKey{};
   std::string adminToken;
   std::unique_ptr<CallerEntry> entry;
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   admission::RetryBudget retries;
-  admission::PlanLimits planLimits;
   std::unique_ptr<target::TargetTable> targets;
   std::unique_ptr<target::HealthProber> prober;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<CapacityKeeper> capacity;
   std::unique_ptr<PlanLimitsKeeper> planKeeper;
+  std::unique_ptr<AllowanceExchange> exchange;
   std::unique_ptr<flow::Environment> environment;
   std::unique_ptr<flow::Dispatcher> dispatcher;
   std::unique_ptr<lists::ListEditor> editor;
@@ -136,6 +140,8 @@
     std::make_unique<CapacityKeeper>(lists, *members, *targets, *admission);
   planKeeper =
     std::make_unique<PlanLimitsKeeper>(*members, *targets, planLimits);
+  exchange = std::make_unique<AllowanceExchange>(lists, *hub, planLimits,
+                                                 metrics, WallMilliseconds);
   prober =
     std::make_unique<target::HealthProber>(context, *targets, hub->Address());
   const auto send = [this](const Udp::endpoint& aCaller,
@@ -316,6 +322,7 @@
     parts.members->Announce();
   });
   Spawn(parts.context, "capacity", parts.CapacityLoop());
+  parts.exchange->Start();
   parts.prober->Start();
 }
 
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -4,6 +4,7 @@
 #include "bramleylock/Kernel/Settings.h"
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Admission/AllowanceSharing.h"
 #include "bramleylock/Kernel/CallerEntry.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Target/TargetChoice.h"
@@ -69,7 +70,7 @@
   return AnyRegistry::Instance().Names();
 }
 
-const std::array<TextRow, 17> kTextRows{ {
+const std::array<TextRow, 18> kTextRows{ {
   { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
     "name of this VM in logs and status" },
   { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
@@ -103,6 +104,9 @@
     "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
   { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fair",
     NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
+  { "plugins.plan_limits", &Settings::planLimits, TextKind::Choice, "static",
+    NamesOf<admission::SharingRegistry>,
+    "how balancers share plans' rate limits" },
   { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
     "lowest level that is written" },
   { "log.format", &Settings::logFormat, TextKind::Choice, "text", LogFormats,
--- a/measure/PlanLimitsCut.cpp
+++ b/measure/PlanLimitsCut.cpp
@@ -6,6 +6,8 @@
 
 #include "bramleylock/Admission/AllowanceDeal.h"
 
+#include <fmt/format.h>
+
 #include <csignal>
 #include <thread>
 
@@ -13,7 +15,7 @@
 
 static constexpr double kLimitPerSecond = 60;
 static constexpr double kOfferedPerSecond = 180;
-static constexpr std::uint32_t kConcurrency = 6;
+static constexpr std::uint32_t kConcurrency = 4;
 static constexpr double kLongPerSecond = 120;
 static constexpr int kLongWorkMs = 200;
 static constexpr int kLongBytes = 900;
@@ -42,28 +44,40 @@
     auto& plans = deployment.lists.plans;
     plans[deployment.reading.plan].ratePerSecond = kLimitPerSecond;
     plans[deployment.bulk.plan].concurrency = kConcurrency;
+    for (const auto* sharing : { "static", "transfer" }) {
+      RunWith(sharing, deployment, aOptions.seed, aReport);
+    }
+  }
+
+private:
+  static auto RunWith(const std::string& aSharing,
+                      const Deployment& aDeployment, std::uint64_t aSeed,
+                      Report& aReport) -> void
+  {
     ClusterOptions options;
-    options.seed = aOptions.seed;
+    options.seed = aSeed;
     options.proxied = true;
-    Cluster cluster(deployment, options);
+    options.settings["plugins"] =
+      fmt::format("plan_limits = \"{}\"\n", aSharing);
+    Cluster cluster(aDeployment, options);
     cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
-    auto bulk = deployment.bulk;
+    aReport.Add("case", aSharing);
+    Load load(cluster.CallerAddress(), aSeed);
+    auto bulk = aDeployment.bulk;
     bulk.workMs = kLongWorkMs;
     bulk.answerBytes = kLongBytes;
     load.Add(
-      { deployment.reading, kOfferedPerSecond, 1, 0, kUntil, "limited_rate" });
+      { aDeployment.reading, kOfferedPerSecond, 1, 0, kUntil, "limited_rate" });
     load.Add({ bulk, kLongPerSecond, 1, 0, kUntil, "limited_concurrency" });
     load.Start();
-    Disturb(deployment, load, cluster);
+    Disturb(aDeployment, load, cluster);
     load.Join();
     aReport.AddChecks(CheckRecords(load.Records(), cluster));
-    AddRate(load, cluster, aReport);
-    AddConcurrency(load, cluster, deployment, aReport);
+    AddRate(aSharing, load, cluster, aReport);
+    AddConcurrency(aSharing, load, cluster, aDeployment, aReport);
     aReport.AddReasons(load.Records());
   }
 
-private:
   static auto WaitUntil(const Load& aLoad, double aSecond) -> void
   {
     while (aLoad.Elapsed() < aSecond) {
@@ -102,27 +116,34 @@
     Cut(aDeployment, aCluster, false);
   }
 
-  static auto AddRate(const Load& aLoad, Cluster& aCluster, Report& aReport)
-    -> void
+  static auto AddRate(const std::string& aSharing, const Load& aLoad,
+                      Cluster& aCluster, Report& aReport) -> void
   {
     const auto& records = aLoad.Records().at("limited_rate");
     const PlanLimitsUse use(records, aCluster);
     const auto most = static_cast<double>(use.MostRan(kWindowSeconds));
     const auto rate = kLimitPerSecond;
-    aReport.Add("rate_offered", std::uint64_t{ records.size() });
-    aReport.Add("rate_allowed", std::uint64_t{ use.Ran(0, kUntil) });
-    AddUnusable("rate_unusable_before_cut", use, 0, kCutAt, aReport);
-    AddUnusable("rate_unusable_in_cut", use, kCutAt, kHealAt, aReport);
-    AddUnusable("rate_unusable_after", use, kHealAt, kUntil, aReport);
-    aReport.Add("rate_overshoot", most / (rate * kWindowSeconds) - 1);
+    aReport.Add(aSharing + "_rate_offered", std::uint64_t{ records.size() });
+    aReport.Add(aSharing + "_rate_allowed",
+                std::uint64_t{ use.Ran(0, kUntil) });
+    AddUnusable(aSharing + "_rate_unusable_before_cut", use, 0, kCutAt,
+                aReport);
+    AddUnusable(aSharing + "_rate_unusable_in_cut", use, kCutAt, kHealAt,
+                aReport);
+    AddUnusable(aSharing + "_rate_unusable_after", use, kHealAt, kUntil,
+                aReport);
+    aReport.Add(aSharing + "_rate_overshoot",
+                most / (rate * kWindowSeconds) - 1);
     // One period more than the window, and the share that the dead balancer had
     // used before it was dealt to the others; a domain's share covers it.
     const auto domains = DomainsOf(aCluster);
     const auto bound = rate * (kWindowSeconds + kPeriodSeconds) +
                        rate * kPeriodSeconds / domains;
-    aReport.Require("rate within rate * (window + period) and one share",
+    aReport.Require(aSharing +
+                      " rate within rate * (window + period) and one share",
                     most <= bound);
-    aReport.Require("rate allowed in the cut", use.Ran(kCutAt, kHealAt) > 0);
+    aReport.Require(aSharing + " rate allowed in the cut",
+                    use.Ran(kCutAt, kHealAt) > 0);
   }
 
   static auto AddUnusable(const std::string& aKey, const PlanLimitsUse& aUse,
@@ -142,22 +163,23 @@
     return static_cast<double>(domains.size());
   }
 
-  static auto AddConcurrency(const Load& aLoad, Cluster& aCluster,
-                             const Deployment& aDeployment, Report& aReport)
-    -> void
+  static auto AddConcurrency(const std::string& aSharing, const Load& aLoad,
+                             Cluster& aCluster, const Deployment& aDeployment,
+                             Report& aReport) -> void
   {
     const auto& records = aLoad.Records().at("limited_concurrency");
     const PlanLimitsUse use(records, aCluster);
     const auto most = use.MostAtOnce(kLongWorkMs);
-    aReport.Add("concurrency_limit", std::uint64_t{ kConcurrency });
-    aReport.Add("concurrency_most_at_once", std::uint64_t{ most });
+    aReport.Add(aSharing + "_concurrency_limit", std::uint64_t{ kConcurrency });
+    aReport.Add(aSharing + "_concurrency_most_at_once", std::uint64_t{ most });
     // Requests in flight when a balancer joins keep their slots until they
     // end, at most all of that failure domain.
     const auto domains = aDeployment.failureDomains.size();
     const auto ofDomain = (kConcurrency + domains - 1) / domains;
-    aReport.Require("concurrency within the limit and one domain's share",
+    aReport.Require(aSharing +
+                      " concurrency within the limit and one domain's share",
                     most <= kConcurrency + ofDomain);
-    aReport.Require("concurrency is used", most > 0);
+    aReport.Require(aSharing + " concurrency is used", most > 0);
   }
 };
 
--- a/measure/UnevenSpray.cpp
+++ b/measure/UnevenSpray.cpp
@@ -29,12 +29,14 @@
 struct SprayCase
 {
   const char* label;
+  const char* sharing;
   double busyWeight;
 };
 
-constexpr std::array<SprayCase, 2> kCases{ {
-  { "even", 1 },
-  { "uneven", kBusyWeight },
+constexpr std::array<SprayCase, 3> kCases{ {
+  { "static_even", "static", 1 },
+  { "static", "static", kBusyWeight },
+  { "transfer", "transfer", kBusyWeight },
 } };
 
 class UnevenSpray : public Scenario
@@ -61,6 +63,8 @@
   {
     ClusterOptions options;
     options.seed = aSeed;
+    options.settings["plugins"] =
+      fmt::format("plan_limits = \"{}\"\n", aCase.sharing);
     Cluster cluster(aDeployment, options);
     cluster.Start();
     auto& balancers = cluster.Balancers();
@@ -79,6 +83,11 @@
     AddUse(aCase, load, cluster, aReport);
     AddKept(aCase, load, aReport);
     aReport.AddReasons(load.Records());
+    for (const auto* name :
+         { "allowance_asked", "allowance_given", "allowance_received" }) {
+      aReport.Add(std::string(aCase.label) + "_" + name,
+                  cluster.CounterSum(name));
+    }
   }
 
   static auto AddUse(const SprayCase& aCase, const Load& aLoad,
--- a/unittests/Admission/PlanLimitsTest.cpp
+++ b/unittests/Admission/PlanLimitsTest.cpp
@@ -39,6 +39,11 @@
   return plan;
 }
 
+static auto MakeLimits(const std::string& aSharing = "static") -> PlanLimits
+{
+  return PlanLimits(SharingRegistry::Instance().Create(aSharing));
+}
+
 /// Requests that aLimits let through of aOffered.
 static auto Taken(PlanLimits& aLimits, const lists::Plan& aPlan, int aOffered,
                   std::uint64_t aNowMs = kNowMs) -> int
@@ -71,7 +76,7 @@
   std::uint64_t sum = 0;
   for (int domain = 0; domain < 14; ++domain) {
     for (int self = 0; self < 86; ++self) {
-      PlanLimits limits;
+      auto limits = MakeLimits();
       limits.SetView(MakeView(14, 86, self, domain));
       sum += Taken(limits, plan, 5);
     }
@@ -115,14 +120,14 @@
 
 Test(PlanLimits, PlanWithoutLimitsIsNeverRefused)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   cr_assert_eq(Taken(limits, MakePlan(0), 10000), 10000);
 }
 
 Test(PlanLimits, RateBeyondTheShareIsRefusedUntilTheNextPeriod)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   const auto plan = MakePlan(60);
   cr_assert_eq(Taken(limits, plan, 100, kNowMs + 400), 10);
@@ -134,7 +139,7 @@
 
 Test(PlanLimits, CheckTakesNothing)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   const auto plan = MakePlan(60);
   for (int i = 0; i < 100; ++i) {
@@ -145,7 +150,7 @@
 
 Test(PlanLimits, ChangedLimitIsInForceAtOnce)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   cr_assert_eq(Taken(limits, MakePlan(60), 100), 10);
   cr_assert_eq(Taken(limits, MakePlan(120), 100), 10);
@@ -154,7 +159,7 @@
 
 Test(PlanLimits, JoiningBalancerShrinksSharesAtOnce)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 1));
   cr_assert_eq(Taken(limits, MakePlan(60), 12), 12);
   limits.SetView(MakeView(3, 2));
@@ -163,7 +168,7 @@
 
 Test(PlanLimits, DeadBalancersShareComesBackInTheNextPeriod)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   cr_assert_eq(Taken(limits, MakePlan(60), 100), 10);
   limits.SetView(MakeView(3, 1));
@@ -174,7 +179,7 @@
 
 Test(PlanLimits, RequestsInFlightStayWithinTheShareOfTheConcurrency)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(3, 2));
   const auto plan = MakePlan(0, 12);
   limits.Begin("clubs");
@@ -189,7 +194,7 @@
 
 Test(PlanLimits, ConcurrencyOutlastsThePeriods)
 {
-  PlanLimits limits;
+  auto limits = MakeLimits();
   limits.SetView(MakeView(1, 1));
   const auto plan = MakePlan(0, 1);
   limits.Begin("clubs");
@@ -205,7 +210,7 @@
   int slots = 0;
   for (int domain = 0; domain < 3; ++domain) {
     for (int self = 0; self < 20; ++self) {
-      PlanLimits limits;
+      auto limits = MakeLimits();
       limits.SetView(MakeView(3, 20, self, domain));
       const auto refusal = limits.Take("clubs", MakePlan(0, 7), kNowMs);
       slots += refusal.reason == Reason::None ? 1 : 0;
@@ -213,3 +218,97 @@
   }
   cr_assert_eq(slots, 7);
 }
+
+Test(AllowanceTransfer, IdleBalancerGivesAllItsAllowance)
+{
+  auto idle = MakeLimits("transfer");
+  auto busy = MakeLimits("transfer");
+  idle.SetView(MakeView(3, 2, 0));
+  busy.SetView(MakeView(3, 2, 1));
+  const auto plan = MakePlan(60);
+  cr_assert_eq(Taken(busy, plan, 30), 10);
+  const auto granted = idle.Give("clubs", plan, kPeriod, 20, kNowMs);
+  cr_assert_eq(granted, 10);
+  busy.Receive("clubs", plan, kPeriod, granted, kNowMs);
+  cr_assert_eq(Taken(busy, plan, 30), 10);
+  cr_assert_eq(Taken(idle, plan, 30), 0);
+}
+
+Test(AllowanceTransfer, BusyBalancerKeepsWhatItWillBeOffered)
+{
+  auto limits = MakeLimits("transfer");
+  limits.SetView(MakeView(3, 2));
+  const auto plan = MakePlan(60);
+  const auto next = kNowMs + kAllowancePeriodMs;
+  cr_assert_eq(Taken(limits, plan, 7), 7);
+  cr_assert_eq(limits.Give("clubs", plan, kPeriod + 1, 20, next), 3);
+  cr_assert_eq(Taken(limits, plan, 30, next), 7);
+}
+
+Test(AllowanceTransfer, LostGrantIsUsedByNobody)
+{
+  auto giver = MakeLimits("transfer");
+  giver.SetView(MakeView(3, 2));
+  const auto plan = MakePlan(60);
+  cr_assert_eq(giver.Give("clubs", plan, kPeriod, 4, kNowMs), 4);
+  cr_assert_eq(Taken(giver, plan, 30), 6);
+}
+
+Test(AllowanceTransfer, AllowanceOfAnotherPeriodIsNotMoved)
+{
+  auto limits = MakeLimits("transfer");
+  limits.SetView(MakeView(3, 2));
+  const auto plan = MakePlan(60);
+  cr_assert_eq(limits.Give("clubs", plan, kPeriod - 1, 5, kNowMs), 0);
+  limits.Receive("clubs", plan, kPeriod - 1, 5, kNowMs);
+  cr_assert_eq(Taken(limits, plan, 30), 10);
+}
+
+Test(AllowanceTransfer, LoweredLimitLeavesNothingToGive)
+{
+  auto limits = MakeLimits("transfer");
+  limits.SetView(MakeView(3, 2));
+  cr_assert_eq(limits.Give("clubs", MakePlan(60), kPeriod, 8, kNowMs), 8);
+  cr_assert_eq(limits.Give("clubs", MakePlan(30), kPeriod, 8, kNowMs), 0);
+  cr_assert_eq(Taken(limits, MakePlan(30), 30), 0);
+}
+
+Test(AllowanceTransfer, ShortBalancerAsksForWhatItLacks)
+{
+  auto limits = MakeLimits("transfer");
+  limits.SetView(MakeView(3, 2));
+  std::vector<std::uint64_t> wanted;
+  limits.OnShort(
+    [&wanted](const std::string&, std::uint64_t, std::uint64_t aWanted) {
+      wanted.push_back(aWanted);
+    });
+  const auto plan = MakePlan(60);
+  Taken(limits, plan, 12);
+  cr_assert_eq(wanted.size(), 2);
+  cr_assert_eq(wanted.back(), 2);
+  limits.Check("clubs", plan, kNowMs + kAllowancePeriodMs);
+  cr_assert_eq(wanted.size(), 3);
+  cr_assert_eq(wanted.back(), 2);
+}
+
+Test(AllowanceTransfer, HoldersOfSharesBelowOneRequestAreFound)
+{
+  auto limits = MakeLimits("transfer");
+  limits.SetView(MakeView(1, 86));
+  const auto plan = MakePlan(3);
+  const auto taken = Taken(limits, plan, 5);
+  const auto holders = limits.Holders("clubs", plan);
+  cr_assert_eq(static_cast<int>(holders.size()) + taken, 3);
+}
+
+Test(AllowanceTransfer, StaticSharingMovesNothing)
+{
+  auto limits = MakeLimits();
+  limits.SetView(MakeView(3, 2));
+  limits.OnShort([](const std::string&, std::uint64_t, std::uint64_t) {
+    cr_assert_fail("static shares ask nobody");
+  });
+  const auto plan = MakePlan(60);
+  cr_assert_eq(limits.Give("clubs", plan, kPeriod, 5, kNowMs), 0);
+  cr_assert_eq(Taken(limits, plan, 30), 10);
+}
