--- a/lib/Kernel/SettingsSchema.cpp
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -3,6 +3,7 @@
 #include "SettingsSchema.h"
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Admission/AllowanceSharing.h"
 #include "bramleylock/Kernel/CallerEntry.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Target/TargetChoice.h"
@@ -81,6 +82,9 @@
       "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
     { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fair",
       NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
+    { "plugins.plan_limits", &Settings::planLimits, TextKind::Choice, "static",
+      NamesOf<admission::SharingRegistry>,
+      "how balancers share plans' rate limits" },
     { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
       "lowest level that is written" },
     { "log.format", &Settings::logFormat, TextKind::Choice, "text", LogFormats,
