Report the part of the slots' time that a flood leaves idle

The targets' journals tell how long each request waited and ran. Flood scenarios add <policy>_slots_busy and <policy>_waiting_at_targets, so that a low goodput can be told apart from idle slots.

--- a/measure/Flood.cpp
+++ b/measure/Flood.cpp
@@ -2,6 +2,8 @@
 
 #include "measure/Flood.h"
 
+#include "bramleylock/Support/Random.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -187,6 +189,39 @@
   }
 }
 
+/// What a service's slots did over aSpan, which counts from aStart of the wall
+/// clock: the part of their time that they ran requests, and the requests that
+/// waited for one of them meanwhile.
+static auto AddSlotUse(const FloodGround& aGround, const std::string& aPrefix,
+                       Cluster& aCluster, std::uint64_t aStart, Span aSpan,
+                       Report& aReport) -> void
+{
+  const auto& service = aGround.deployment.booking.service;
+  const auto from = static_cast<double>(aStart) + aSpan.from * 1000;
+  const auto until = static_cast<double>(aStart) + aSpan.until * 1000;
+  const auto overlap = [from, until](double aBegin, double aLength) {
+    const auto end = std::min(aBegin + aLength, until);
+    return std::max(0.0, end - std::max(aBegin, from));
+  };
+  double ran = 0;
+  double waited = 0;
+  for (auto& target : aCluster.Targets()) {
+    if (target.service != service) {
+      continue;
+    }
+    const auto journal = aCluster.Journal(target);
+    for (const auto& run : journal["runs"]) {
+      const auto at = run.value("at", 0.0);
+      const auto wait = run.value("waited_ms", 0.0);
+      ran += overlap(at, run.value("ran_ms", 0.0));
+      waited += overlap(at - wait, wait);
+    }
+  }
+  const auto slots = aGround.capacity * kWorkMs / 1000.0;
+  aReport.Add(aPrefix + "_slots_busy", ran / (until - from) / slots);
+  aReport.Add(aPrefix + "_waiting_at_targets", waited / (until - from));
+}
+
 static auto AddLoads(const FloodGround& aGround, const FloodRun& aRun,
                      Load& aLoad) -> void
 {
@@ -211,6 +246,7 @@
   cluster.Start();
   Load load(cluster.CallerAddress(), aRun.seed);
   AddLoads(aGround, aRun, load);
+  const auto start = WallMilliseconds();
   load.Start();
   if (aRun.during) {
     aRun.during(cluster, load);
@@ -229,6 +265,8 @@
     JudgeKept(name, calm, flood, after, aJudged, aReport);
   }
   JudgeFlood(aGround, aRun, records, aJudged, aReport);
+  AddSlotUse(aGround, aRun.policy, cluster, start,
+             { aRun.flood.from + kSettle, aRun.flood.until }, aReport);
   const auto checks = CheckRecords(records, cluster);
   aReport.Add(aRun.policy + "_false_not_run", checks.falseNotRun);
   aReport.Add(aRun.policy + "_double_runs", checks.doubleRuns);
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -68,6 +68,11 @@
   }
 
 private:
+  static auto MillisecondsOf(Clock::duration aDuration) -> double
+  {
+    return std::chrono::duration<double, std::milli>(aDuration).count();
+  }
+
   static auto ReplyJson(const json& aBody) -> http::Reply
   {
     http::Reply reply;
@@ -138,6 +143,7 @@
       co_return RefuseWork();
     }
     ++m_waiting;
+    const auto arrived = Clock::now();
     while (m_running >= m_options.slots && Clock::now() < deadline &&
            !aRequest.abandoned()) {
       co_await m_slotFreed.WaitUntil(
@@ -155,10 +161,15 @@
     ++m_running;
     auto words = ParseWork(aRequest.body);
     const auto& id = words["id"];
-    m_journal.push_back(
-      { { "id", id }, { "work", aWork }, { "at", WallMilliseconds() } });
+    const auto started = Clock::now();
+    const auto entry = m_journal.size();
+    m_journal.push_back({ { "id", id },
+                          { "work", aWork },
+                          { "at", WallMilliseconds() },
+                          { "waited_ms", MillisecondsOf(started - arrived) } });
     const auto ms = std::atoi(words["ms"].c_str()) + m_behaviour.extraMs;
     const bool finished = co_await WorkFor(Milliseconds(ms), aRequest);
+    m_journal[entry]["ran_ms"] = MillisecondsOf(Clock::now() - started);
     --m_running;
     m_slotFreed.Notify();
     if (!finished) {
