Tell callers without a token at once who owns their request

Short work that takes 100 ms or waits in a queue was always run twice. Only long work was told its owner at once.

Change: "accepted" also goes out when the request came without a token. This costs one datagram for each such repeatable request; its cost in speed was not measured.

--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -271,9 +271,10 @@
   const auto owner = m_continuations.Resolve(OwnerOf(aArrival.token));
   const bool leadsHere = !known.empty() && OwnedHere(aArrival, owner);
   exchange->token = leadsHere ? known : aFlow->token;
-  if (aArrival.work.size == lists::SizeClass::Long) {
-    // The caller learns the owner before its first resend, so that one long
-    // answer is not started twice.
+  if (known.empty() || aArrival.work.size == lists::SizeClass::Long) {
+    // The caller learns the owner before its first resend. Without a token a
+    // resend opens another owner, where the request runs a second time; in a
+    // flood all work takes longer than that.
     SendWithToken(aArrival, PacketType::Accepted, exchange->token);
   }
   exchange->request = std::move(aArrival.packet);
