Let work within its weight start while work above it holds the slots

Change: such work counts only its own kind against the slots.

Not enough: a trace of the lanes showed that the urgent flood, while it has any credit, takes every slot beyond each lane's first, and other lanes wait with 3 s of credit.

--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -33,6 +33,8 @@
   std::size_t bytes = 0;
   /// Slot-seconds that the lane was charged for the request.
   double charged = 0;
+  /// Whether its lane had no credit when it began to run.
+  bool aboveWeight = false;
   Clock::time_point startedAt{};
   /// Called when the state changes from Waiting.
   std::function<void()> changed;
@@ -130,6 +132,7 @@
   std::array<std::size_t, lists::kUrgencyNames.size()> m_runningByClass{};
   std::size_t m_running = 0;
   std::size_t m_runningLong = 0;
+  std::size_t m_runningAboveWeight = 0;
   std::size_t m_waiting = 0;
   std::size_t m_waitingBytes = 0;
   /// Whether the service has work that slots are to be kept for.
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -293,8 +293,14 @@
   const auto fits = [slots](std::size_t aCount, double aKept) {
     return static_cast<double>(aCount + 1) <= slots - aKept;
   };
-  if (aLane.credit <= 0 &&
-      static_cast<double>(m_running + 1) > m_limit.ExcessSlots()) {
+  const bool above = aLane.credit <= 0;
+  if (above && static_cast<double>(m_running + 1) > m_limit.ExcessSlots()) {
+    return false;
+  }
+  // Work within its weight does not wait here for work above it to end. What
+  // this adds is bounded by the credit, and work above it starts again only
+  // when all that runs has room.
+  if (!above && !fits(m_running - m_runningAboveWeight, 0)) {
     return false;
   }
   if (aLane.urgency == Urgency::Bulk && m_urgentSeen &&
@@ -329,8 +335,7 @@
 
 auto FairQueue::Run(Clock::time_point aNow) -> void
 {
-  while (m_waiting > 0 &&
-         (m_running == 0 || static_cast<double>(m_running + 1) <= Slots())) {
+  while (m_waiting > 0) {
     const auto lane = PickNext(aNow);
     if (!lane) {
       return;
@@ -348,6 +353,8 @@
   ticket->startedAt = aNow;
   ticket->charged =
     aLane->chargeSeconds > 0 ? aLane->chargeSeconds : Hold(*aLane);
+  ticket->aboveWeight = aLane->credit <= 0;
+  m_runningAboveWeight += ticket->aboveWeight ? 1 : 0;
   aLane->credit -= ticket->charged;
   auto& base = m_virtualTime[Index(aLane->urgency)];
   base = std::max(base, aLane->virtualTime);
@@ -371,6 +378,7 @@
   AverageRunning(lane, aNow);
   --lane.running;
   --m_running;
+  m_runningAboveWeight -= aTicket->aboveWeight ? 1 : 0;
   --m_runningByClass[Index(lane.urgency)];
   m_runningLong -= lane.size == SizeClass::Long ? 1 : 0;
   const auto held = Seconds(aNow - aTicket->startedAt);
--- a/unittests/Admission/FairQueueTest.cpp
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -225,3 +225,37 @@
   cr_assert_leq(longest, Milliseconds(1100), "waited %ld ms",
                 std::chrono::duration_cast<Milliseconds>(longest).count());
 }
+
+Test(FairQueue, WorkWithinItsWeightDoesNotWaitForWorkAboveIt)
+{
+  Bench bench(4);
+  for (int step = 0; step < 40; ++step) {
+    if (step % 5 == 0) {
+      bench.Offer(bench.Request("other", "read", Urgency::Normal));
+    }
+    bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 40, 1);
+  }
+  const auto flooding = bench.queue.Running();
+  cr_assert_geq(flooding, 4);
+  for (int i = 0; i < 3; ++i) {
+    const auto ticket =
+      bench.Offer(bench.Request("other", "read", Urgency::Normal));
+    cr_assert(ticket && ticket->state == TicketState::Running, "burst %d", i);
+  }
+  cr_assert_eq(bench.queue.Running(), flooding + 3);
+}
+
+Test(FairQueue, WorkWithinItsWeightStaysWithinTheSlots)
+{
+  Bench bench(4);
+  // Eight plans that each have credit offer more than the slots together.
+  for (int step = 0; step < 30; ++step) {
+    for (int plan = 0; plan < 8; ++plan) {
+      bench.Offer(
+        bench.Request(std::to_string(plan), "read", Urgency::Normal));
+    }
+    cr_assert_leq(static_cast<double>(bench.queue.Running()),
+                  bench.queue.Slots());
+    bench.Step();
+  }
+}
