--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "bramleylock/Support/Names.h"
 
@@ -40,7 +42,8 @@
   RefusedDeadline,
   RefusedNoTarget,
   RefusedTargetShed,
-  RefusedPlanLimit,
+  RefusedPlanRate,
+  RefusedPlanConcurrency,
   RefusedOpenFirst,
   RefusedTooLarge,
   UnknownOwnerLost,
@@ -53,6 +56,7 @@
   RetryBudgetEmpty,
   HedgeSent,
   HedgeWon,
+  PermitVacated,
   PartsResent,
   TargetEjected,
   TargetSilent,
@@ -137,7 +141,8 @@
   { Counter::RefusedDeadline, "refused_deadline" },
   { Counter::RefusedNoTarget, "refused_no_target" },
   { Counter::RefusedTargetShed, "refused_target_shed" },
-  { Counter::RefusedPlanLimit, "refused_plan_limit" },
+  { Counter::RefusedPlanRate, "refused_plan_rate" },
+  { Counter::RefusedPlanConcurrency, "refused_plan_concurrency" },
   { Counter::RefusedOpenFirst, "refused_open_first" },
   { Counter::RefusedTooLarge, "refused_too_large" },
   { Counter::UnknownOwnerLost, "unknown_owner_lost" },
@@ -150,6 +155,7 @@
   { Counter::RetryBudgetEmpty, "retry_budget_empty" },
   { Counter::HedgeSent, "hedge_sent" },
   { Counter::HedgeWon, "hedge_won" },
+  { Counter::PermitVacated, "permit_vacated" },
   { Counter::PartsResent, "parts_resent" },
   { Counter::TargetEjected, "target_ejected" },
   { Counter::TargetSilent, "target_silent" },
@@ -203,11 +209,53 @@
   { Counter::DomainsLost, "domains_lost" },
 } };
 
+/// Every latency that a balancer observes. Each is one series of /metrics, so
+/// the number of series does not grow with plans, services or targets.
+enum class Latency
+{
+  AnsweredUrgent,
+  AnsweredNormal,
+  AnsweredBulk,
+  NotRun,
+  Unfinished,
+  QueueWaitUrgent,
+  QueueWaitNormal,
+  QueueWaitBulk,
+  TargetUrgent,
+  TargetNormal,
+  TargetBulk
+};
+
+/// The metric that a latency belongs to, and the labels of its series.
+struct LatencyRow
+{
+  Latency latency;
+  std::string_view metric;
+  std::string_view labels;
+};
+
+inline constexpr std::array<LatencyRow, 11> kLatencyRows{ {
+  { Latency::AnsweredUrgent, "request_seconds",
+    R"(outcome="answered",urgency="urgent")" },
+  { Latency::AnsweredNormal, "request_seconds",
+    R"(outcome="answered",urgency="normal")" },
+  { Latency::AnsweredBulk, "request_seconds",
+    R"(outcome="answered",urgency="bulk")" },
+  { Latency::NotRun, "request_seconds", R"(outcome="not_run")" },
+  { Latency::Unfinished, "request_seconds", R"(outcome="unfinished")" },
+  { Latency::QueueWaitUrgent, "queue_wait_seconds", R"(urgency="urgent")" },
+  { Latency::QueueWaitNormal, "queue_wait_seconds", R"(urgency="normal")" },
+  { Latency::QueueWaitBulk, "queue_wait_seconds", R"(urgency="bulk")" },
+  { Latency::TargetUrgent, "target_seconds", R"(urgency="urgent")" },
+  { Latency::TargetNormal, "target_seconds", R"(urgency="normal")" },
+  { Latency::TargetBulk, "target_seconds", R"(urgency="bulk")" },
+} };
+
 /// A summary of observed latencies in seconds.
 struct LatencySummary
 {
   std::uint64_t count = 0;
-  double mean = 0;
+  double sum = 0;
   double median = 0;
   double p99 = 0;
 };
@@ -227,9 +275,10 @@
   /// Sets a gauge; aName must be a valid metric name.
   auto SetGauge(const std::string& aName, double aValue) -> void;
 
-  /// Records one latency in seconds under aName.
-  auto Observe(const std::string& aName, double aSeconds) -> void;
-  auto Summary(const std::string& aName) const -> LatencySummary;
+  auto Observe(Latency aLatency, std::chrono::nanoseconds aTime) -> void;
+
+  /// Over all that was observed since the start of the process.
+  auto Summary(Latency aLatency) const -> LatencySummary;
 
   /// The text exposition format, one metric a line.
   auto Exposition() const -> std::string;
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -3,6 +3,7 @@
 #include "bramleylock/Flow/RequestRunner.h"
 
 #include "bramleylock/Flow/HedgedReader.h"
+#include "bramleylock/Flow/RequestTimes.h"
 
 #include <fmt/format.h>
 
@@ -15,8 +16,11 @@
 using wire::PacketType;
 using wire::Reason;
 
-/// Attempts at different targets that one request may take.
-static constexpr int kAttemptLimit = 3;
+/// Attempts at different targets that one request may take. Targets that lose
+/// answers are a few of many, so that another one is worth the try; when
+/// several shed, the whole service is full.
+static constexpr int kAttemptLimit = 6;
+static constexpr int kShedLimit = 3;
 
 /// How recently an idle connection must have worked to carry a request that
 /// may not be repeated, and one that may. The first is always proven anew,
@@ -50,12 +54,15 @@
 
   auto Run() -> awaitable<void>
   {
+    RequestTimes times(m_environment.metrics, m_exchange->work.urgency);
     auto request =
       MakeAdmissionRequest(m_environment, m_exchange->plan, m_flow->service,
                            m_exchange->request, m_exchange->work);
     request.deadline = m_exchange->deadline;
     auto admitted = co_await m_environment.admission.Admit(std::move(request));
+    times.EndWait();
     m_permit = std::move(admitted.permit);
+    m_reader.WatchOverdue(admitted.overdueAfter, [this] { VacatePlace(); });
     if (admitted.refusal != Reason::None) {
       EndNotRun(admitted.refusal, admitted.retryAfterMs);
     } else if (m_exchange->cancelled) {
@@ -64,6 +71,7 @@
       co_await RunAttempts();
     }
     m_permit.Finish(m_outcome);
+    times.End(m_bodyEnded, m_mayHaveRun, m_outcome.latency);
     m_exchange->stage = Stage::Done;
     m_flow->active.erase(m_exchange->request.sequence);
     m_flow->lastUsed = Clock::now();
@@ -87,6 +95,9 @@
       if (result == AttemptResult::Finished) {
         co_return;
       }
+      if (m_sheds >= kShedLimit) {
+        break;
+      }
       if (!m_environment.retries.Take(m_exchange->plan, m_flow->service)) {
         m_environment.metrics.Add(Counter::RetryBudgetEmpty);
         break;
@@ -151,6 +162,14 @@
     co_return co_await Stream(leg, head);
   }
 
+  /// Frees the place of a request whose target shows no byte. On a connection
+  /// that has gone silent it would else keep others waiting to its deadline.
+  auto VacatePlace() -> void
+  {
+    m_environment.metrics.Add(Counter::PermitVacated);
+    m_permit.Vacate();
+  }
+
   auto NoteDraining(const Leg& aLeg, const target::TargetHead& aHead) -> void
   {
     if (aHead.draining) {
@@ -180,6 +199,7 @@
     // may go to another one.
     m_mayHaveRun = m_everLost;
     m_outcome.shed = true;
+    ++m_sheds;
     m_retryAfterMs = std::max(m_retryAfterMs, aHead.retryAfterMs);
     m_failure = Reason::TargetShed;
     m_environment.metrics.Add(Counter::RetryTargetShed);
@@ -434,6 +454,7 @@
   HedgedReader m_reader;
   Reason m_failure = Reason::NoTarget;
   std::uint32_t m_retryAfterMs = 0;
+  int m_sheds = 0;
   bool m_mayHaveRun = false;
   bool m_everLost = false;
   bool m_bodyEnded = false;
