Start first what a lane's credit covers whole

Cause: among lanes with credit the more urgent class took every slot beyond each lane's first. Change: a lane whose credit covers all that waits in it goes first. The others count as work above their weight, with or without some credit; those with some credit go before those without, by class.

Test changed: MoreUrgentClassGoesFirst offered an urgent request to a queue flooded by a bulk lane, and wanted it to run after one step. It now runs at once and has ended by then, so the test wants it to run at once, which is stricter. New: a burst is not kept waiting by an urgent flood with credit left.

--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -35,7 +35,7 @@
   std::size_t bytes = 0;
   /// Slot-seconds that the lane was charged for the request.
   double charged = 0;
-  /// Whether its lane had no credit when it began to run.
+  /// Whether its lane's credit did not cover it when it began to run.
   bool aboveWeight = false;
   Clock::time_point startedAt{};
   /// Called when the state changes from Waiting.
@@ -131,6 +131,7 @@
   auto MakeRoom(const Lane& aFor) -> bool;
   auto LongestLane() const -> LanePointer;
   auto PushOut(Lane& aLane) -> void;
+  auto Covered(const Lane& aLane) const -> bool;
   auto MayRun(const Lane& aLane) const -> bool;
   auto PickNext(Clock::time_point aNow) -> LanePointer;
   auto Run(Clock::time_point aNow) -> void;
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -288,6 +288,16 @@
   }
 }
 
+/// Whether the lane's credit covers all that waits in it. A lane that floods
+/// has credit now and then, but never as much.
+auto FairQueue::Covered(const Lane& aLane) const -> bool
+{
+  const auto charge =
+    aLane.chargeSeconds > 0 ? aLane.chargeSeconds : Hold(aLane);
+  const auto behind = static_cast<double>(aLane.waiting.size()) - 1;
+  return aLane.credit > 0 && aLane.credit > behind * charge;
+}
+
 /// Whether the slots that are left may go to aLane's class and size.
 auto FairQueue::MayRun(const Lane& aLane) const -> bool
 {
@@ -298,7 +308,7 @@
   const auto fits = [slots](std::size_t aCount, double aKept) {
     return static_cast<double>(aCount + 1) <= slots - aKept;
   };
-  const bool above = aLane.credit <= 0;
+  const bool above = !Covered(aLane);
   if (above && static_cast<double>(m_running + 1) > m_limit.ExcessSlots()) {
     return false;
   }
@@ -320,14 +330,16 @@
 {
   LanePointer best;
   const auto slots = Slots();
-  const auto rank = [slots](const Lane& aLane) {
-    // Within its weight, a lane's own part of the slots does not wait for more
-    // urgent classes; the order of classes holds for the rest.
+  const auto rank = [this, slots](const Lane& aLane) {
+    // What the credit covers goes first, or an urgent flood would take every
+    // slot for as long as it has any credit. Within its weight, a lane's own
+    // part of the slots does not wait for more urgent classes; the order of
+    // classes holds for the rest.
     const bool above = aLane.credit <= 0;
     const auto part = std::max(1.0, std::floor(aLane.share * slots));
     const bool holdsPart = static_cast<double>(aLane.running) >= part;
-    return std::tuple(above, above || holdsPart, Index(aLane.urgency),
-                      aLane.virtualTime);
+    return std::tuple(!Covered(aLane), above, above || holdsPart,
+                      Index(aLane.urgency), aLane.virtualTime);
   };
   for (const auto& lane : m_backlogged) {
     Earn(*lane, aNow);
@@ -353,13 +365,13 @@
   -> void
 {
   const auto ticket = aLane->waiting.front();
+  ticket->aboveWeight = !Covered(*aLane);
+  m_runningAboveWeight += ticket->aboveWeight ? 1 : 0;
   Leave(ticket);
   ticket->state = TicketState::Running;
   ticket->startedAt = aNow;
   ticket->charged =
     aLane->chargeSeconds > 0 ? aLane->chargeSeconds : Hold(*aLane);
-  ticket->aboveWeight = aLane->credit <= 0;
-  m_runningAboveWeight += ticket->aboveWeight ? 1 : 0;
   aLane->credit -= ticket->charged;
   auto& base = m_virtualTime[Index(aLane->urgency)];
   base = std::max(base, aLane->virtualTime);
--- a/unittests/Admission/FairQueueTest.cpp
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -102,8 +102,8 @@
 {
   Bench bench(1);
   bench.Flood({ bench.Request("a", "export", Urgency::Bulk) }, 3, 20);
+  // It is within its weight, so that it does not wait for the export to end.
   const auto urgent = bench.Offer(bench.Request("b", "book", Urgency::Urgent));
-  bench.Step();
   cr_assert(urgent && urgent->state == TicketState::Running);
 }
 
@@ -305,11 +305,37 @@
   // Eight plans that each have credit offer more than the slots together.
   for (int step = 0; step < 30; ++step) {
     for (int plan = 0; plan < 8; ++plan) {
-      bench.Offer(
-        bench.Request(std::to_string(plan), "read", Urgency::Normal));
+      bench.Offer(bench.Request(std::to_string(plan), "read", Urgency::Normal));
     }
     cr_assert_leq(static_cast<double>(bench.queue.Running()),
                   bench.queue.Slots());
     bench.Step();
   }
 }
+
+Test(FairQueue, UrgentFloodWithSavedCreditLeavesABurstOfOtherWorkAlone)
+{
+  Bench bench(4);
+  const auto offerOther = [&bench] {
+    return bench.Offer(bench.Request("other", "export", Urgency::Bulk));
+  };
+  for (int step = 0; step < 40; ++step) {
+    bench.Offer(bench.Request("flood", "book", Urgency::Urgent));
+    offerOther();
+    bench.Step();
+  }
+  // The flood spends what it has saved, until that does not cover its queue.
+  for (int step = 0; step < 14; ++step) {
+    offerOther();
+    bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 80, 1);
+  }
+  std::vector<std::shared_ptr<Ticket>> burst;
+  burst.reserve(6);
+  for (int i = 0; i < 6; ++i) {
+    burst.push_back(offerOther());
+  }
+  bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 80, 1);
+  for (const auto& ticket : burst) {
+    cr_assert(ticket && ticket->state != TicketState::Waiting);
+  }
+}
