--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -35,6 +35,8 @@
   std::size_t bytes = 0;
   /// Slot-seconds that the lane was charged for the request.
   double charged = 0;
+  /// Whether its lane's credit did not cover it when it began to run.
+  bool aboveWeight = false;
   Clock::time_point startedAt{};
   /// Called when the state changes from Waiting.
   std::function<void()> changed;
@@ -64,6 +66,9 @@
   /// Least seconds to an answer's head, drifting up.
   double leastLatency = 0;
   std::size_t running = 0;
+  /// Requests that ran at the same time, averaged over the last moments.
+  double meanRunning = 0;
+  Clock::time_point meanRunningAt{};
   std::deque<std::shared_ptr<Ticket>> waiting;
   /// When the last caller that was sent away may come back.
   Clock::time_point nextReturn{};
@@ -126,10 +131,11 @@
   auto MakeRoom(const Lane& aFor) -> bool;
   auto LongestLane() const -> LanePointer;
   auto PushOut(Lane& aLane) -> void;
+  auto Covered(const Lane& aLane) const -> bool;
   auto MayRun(const Lane& aLane) const -> bool;
   auto PickNext(Clock::time_point aNow) -> LanePointer;
   auto Run(Clock::time_point aNow) -> void;
-  auto FreeSlot(Lane& aLane) -> void;
+  auto FreeSlot(const Ticket& aTicket, Clock::time_point aNow) -> void;
   auto StartFirst(const LanePointer& aLane, Clock::time_point aNow) -> void;
 
   LearntLimit m_limit;
@@ -140,6 +146,7 @@
   std::array<std::size_t, lists::kUrgencyNames.size()> m_runningByClass{};
   std::size_t m_running = 0;
   std::size_t m_runningLong = 0;
+  std::size_t m_runningAboveWeight = 0;
   std::size_t m_vacated = 0;
   std::size_t m_waiting = 0;
   std::size_t m_waitingBytes = 0;
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -41,6 +41,9 @@
 /// was.
 static constexpr double kChargeLimit = 2;
 
+/// The time over which a lane's running requests are averaged.
+static constexpr double kMeanRunningSeconds = 1.0;
+
 /// A request whose target is quiet for this many usual holds of its kind, and
 /// for the least time at least, is taken for lost.
 static constexpr double kOverdueHolds = 4;
@@ -69,6 +72,16 @@
   aValue = aValue == 0 ? aSample : aValue + kSmoothing * (aSample - aValue);
 }
 
+/// Brings the average up to aNow; has to go before each change of the number.
+static auto AverageRunning(Lane& aLane, Clock::time_point aNow) -> void
+{
+  const auto passed = Seconds(aNow - aLane.meanRunningAt);
+  const auto weight = 1 - std::exp(-passed / kMeanRunningSeconds);
+  aLane.meanRunning +=
+    weight * (static_cast<double>(aLane.running) - aLane.meanRunning);
+  aLane.meanRunningAt = aNow;
+}
+
 auto FairQueue::SetShare(double aSlots, Clock::time_point aNow) -> void
 {
   m_limit.SetShare(aSlots);
@@ -149,7 +162,9 @@
 }
 
 /// Requests a second that the lane gets through: by its credit, its share, or
-/// what it holds now when others leave it more.
+/// what others have left it lately when that is more. What it holds at one
+/// moment says little: with ten times the load offered, the queue would fill
+/// up to what the best moment promises.
 auto FairQueue::DrainPerSecond(const Lane& aLane) const -> double
 {
   const auto covered = static_cast<double>(aLane.waiting.size() + 1) *
@@ -158,8 +173,7 @@
     // Work within its weight goes before all other work.
     return Slots() / Hold(aLane);
   }
-  const auto slots =
-    std::max(Slots() * aLane.share, static_cast<double>(aLane.running));
+  const auto slots = std::max(Slots() * aLane.share, aLane.meanRunning);
   return std::max(slots, 0.1) / Hold(aLane);
 }
 
@@ -274,6 +288,16 @@
   }
 }
 
+/// Whether the lane's credit covers all that waits in it. A lane that floods
+/// has credit now and then, but never as much.
+auto FairQueue::Covered(const Lane& aLane) const -> bool
+{
+  const auto charge =
+    aLane.chargeSeconds > 0 ? aLane.chargeSeconds : Hold(aLane);
+  const auto behind = static_cast<double>(aLane.waiting.size()) - 1;
+  return aLane.credit > 0 && aLane.credit > behind * charge;
+}
+
 /// Whether the slots that are left may go to aLane's class and size.
 auto FairQueue::MayRun(const Lane& aLane) const -> bool
 {
@@ -284,8 +308,14 @@
   const auto fits = [slots](std::size_t aCount, double aKept) {
     return static_cast<double>(aCount + 1) <= slots - aKept;
   };
-  if (aLane.credit <= 0 &&
-      static_cast<double>(m_running + 1) > m_limit.ExcessSlots()) {
+  const bool above = !Covered(aLane);
+  if (above && static_cast<double>(m_running + 1) > m_limit.ExcessSlots()) {
+    return false;
+  }
+  // Work within its weight does not wait here for work above it to end. What
+  // this adds is bounded by the credit, and work above it starts again only
+  // when all that runs has room.
+  if (!above && !fits(m_running - m_runningAboveWeight, 0)) {
     return false;
   }
   if (aLane.urgency == Urgency::Bulk && m_urgentSeen &&
@@ -300,14 +330,16 @@
 {
   LanePointer best;
   const auto slots = Slots();
-  const auto rank = [slots](const Lane& aLane) {
-    // Within its weight, a lane's own part of the slots does not wait for more
-    // urgent classes; the order of classes holds for the rest.
+  const auto rank = [this, slots](const Lane& aLane) {
+    // What the credit covers goes first, or an urgent flood would take every
+    // slot for as long as it has any credit. Within its weight, a lane's own
+    // part of the slots does not wait for more urgent classes; the order of
+    // classes holds for the rest.
     const bool above = aLane.credit <= 0;
     const auto part = std::max(1.0, std::floor(aLane.share * slots));
     const bool holdsPart = static_cast<double>(aLane.running) >= part;
-    return std::tuple(above, above || holdsPart, Index(aLane.urgency),
-                      aLane.virtualTime);
+    return std::tuple(!Covered(aLane), above, above || holdsPart,
+                      Index(aLane.urgency), aLane.virtualTime);
   };
   for (const auto& lane : m_backlogged) {
     Earn(*lane, aNow);
@@ -320,8 +352,7 @@
 
 auto FairQueue::Run(Clock::time_point aNow) -> void
 {
-  while (m_waiting > 0 &&
-         (m_running == 0 || static_cast<double>(m_running + 1) <= Slots())) {
+  while (m_waiting > 0) {
     const auto lane = PickNext(aNow);
     if (!lane) {
       return;
@@ -334,6 +365,8 @@
   -> void
 {
   const auto ticket = aLane->waiting.front();
+  ticket->aboveWeight = !Covered(*aLane);
+  m_runningAboveWeight += ticket->aboveWeight ? 1 : 0;
   Leave(ticket);
   ticket->state = TicketState::Running;
   ticket->startedAt = aNow;
@@ -343,6 +376,7 @@
   auto& base = m_virtualTime[Index(aLane->urgency)];
   base = std::max(base, aLane->virtualTime);
   aLane->virtualTime += ticket->charged / aLane->share;
+  AverageRunning(*aLane, aNow);
   ++aLane->running;
   ++m_running;
   ++m_runningByClass[Index(aLane->urgency)];
@@ -359,12 +393,15 @@
     std::chrono::duration<double>(seconds));
 }
 
-auto FairQueue::FreeSlot(Lane& aLane) -> void
+auto FairQueue::FreeSlot(const Ticket& aTicket, Clock::time_point aNow) -> void
 {
-  --aLane.running;
+  auto& lane = *aTicket.lane;
+  AverageRunning(lane, aNow);
+  --lane.running;
   --m_running;
-  --m_runningByClass[Index(aLane.urgency)];
-  m_runningLong -= aLane.size == SizeClass::Long ? 1 : 0;
+  m_runningAboveWeight -= aTicket.aboveWeight ? 1 : 0;
+  --m_runningByClass[Index(lane.urgency)];
+  m_runningLong -= lane.size == SizeClass::Long ? 1 : 0;
 }
 
 auto FairQueue::Vacate(const std::shared_ptr<Ticket>& aTicket,
@@ -378,7 +415,7 @@
   }
   aTicket->state = TicketState::Vacated;
   ++m_vacated;
-  FreeSlot(*aTicket->lane);
+  FreeSlot(*aTicket, aNow);
   Run(aNow);
 }
 
@@ -392,7 +429,7 @@
     --m_vacated;
   } else {
     assert(aTicket->state == TicketState::Running);
-    FreeSlot(lane);
+    FreeSlot(*aTicket, aNow);
   }
   aTicket->state = TicketState::Done;
   const auto held = Seconds(aNow - aTicket->startedAt);
--- a/unittests/Admission/FairQueueTest.cpp
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -102,8 +102,8 @@
 {
   Bench bench(1);
   bench.Flood({ bench.Request("a", "export", Urgency::Bulk) }, 3, 20);
+  // It is within its weight, so that it does not wait for the export to end.
   const auto urgent = bench.Offer(bench.Request("b", "book", Urgency::Urgent));
-  bench.Step();
   cr_assert(urgent && urgent->state == TicketState::Running);
 }
 
@@ -247,3 +247,95 @@
     });
   cr_assert_eq(atTargets, 20);
 }
+
+Test(FairQueue, WhatIsQueuedWaitsNoLongerThanTheLimit)
+{
+  Bench bench(4);
+  std::vector<std::pair<std::shared_ptr<Ticket>, Clock::time_point>> queued;
+  Clock::duration longest{};
+  for (int step = 0; step < 100; ++step) {
+    // The other plan comes in bursts, so that the flood holds all slots at one
+    // moment and few at the next.
+    for (int i = 0; i < 4 && step % 2 == 0; ++i) {
+      bench.Offer(bench.Request("other", "read", Urgency::Normal));
+    }
+    for (int i = 0; i < 40; ++i) {
+      const auto ticket =
+        bench.Offer(bench.Request("flood", "book", Urgency::Normal));
+      // Before that the queue does not know how long requests run.
+      if (ticket && step >= 20) {
+        queued.emplace_back(ticket, bench.now);
+      }
+    }
+    bench.Step();
+    std::erase_if(queued, [&](const auto& aQueued) {
+      const auto& [ticket, since] = aQueued;
+      const bool started = ticket->state != TicketState::Waiting;
+      longest = std::max(longest, bench.now - since);
+      return started;
+    });
+  }
+  // One step more than the limit of 1 s, because the steps are coarse.
+  cr_assert_leq(longest, Milliseconds(1100), "waited %ld ms",
+                std::chrono::duration_cast<Milliseconds>(longest).count());
+}
+
+Test(FairQueue, WorkWithinItsWeightDoesNotWaitForWorkAboveIt)
+{
+  Bench bench(4);
+  for (int step = 0; step < 40; ++step) {
+    if (step % 5 == 0) {
+      bench.Offer(bench.Request("other", "read", Urgency::Normal));
+    }
+    bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 40, 1);
+  }
+  const auto flooding = bench.queue.Running();
+  cr_assert_geq(flooding, 4);
+  for (int i = 0; i < 3; ++i) {
+    const auto ticket =
+      bench.Offer(bench.Request("other", "read", Urgency::Normal));
+    cr_assert(ticket && ticket->state == TicketState::Running, "burst %d", i);
+  }
+  cr_assert_eq(bench.queue.Running(), flooding + 3);
+}
+
+Test(FairQueue, WorkWithinItsWeightStaysWithinTheSlots)
+{
+  Bench bench(4);
+  // Eight plans that each have credit offer more than the slots together.
+  for (int step = 0; step < 30; ++step) {
+    for (int plan = 0; plan < 8; ++plan) {
+      bench.Offer(bench.Request(std::to_string(plan), "read", Urgency::Normal));
+    }
+    cr_assert_leq(static_cast<double>(bench.queue.Running()),
+                  bench.queue.Slots());
+    bench.Step();
+  }
+}
+
+Test(FairQueue, UrgentFloodWithSavedCreditLeavesABurstOfOtherWorkAlone)
+{
+  Bench bench(4);
+  const auto offerOther = [&bench] {
+    return bench.Offer(bench.Request("other", "export", Urgency::Bulk));
+  };
+  for (int step = 0; step < 40; ++step) {
+    bench.Offer(bench.Request("flood", "book", Urgency::Urgent));
+    offerOther();
+    bench.Step();
+  }
+  // The flood spends what it has saved, until that does not cover its queue.
+  for (int step = 0; step < 14; ++step) {
+    offerOther();
+    bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 80, 1);
+  }
+  std::vector<std::shared_ptr<Ticket>> burst;
+  burst.reserve(6);
+  for (int i = 0; i < 6; ++i) {
+    burst.push_back(offerOther());
+  }
+  bench.Flood({ bench.Request("flood", "book", Urgency::Urgent) }, 80, 1);
+  for (const auto& ticket : burst) {
+    cr_assert(ticket && ticket->state != TicketState::Waiting);
+  }
+}
