--- a/lib/Kernel/SettingsSchema.cpp
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -36,9 +36,9 @@
 
 } // namespace
 
-auto TextRows() -> const std::array<TextRow, 20>&
+auto TextRows() -> const std::array<TextRow, 21>&
 {
-  static const std::array<TextRow, 20> kRows{ {
+  static const std::array<TextRow, 21> kRows{ {
     { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
       "name of this VM in logs and status" },
     { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
--- a/lib/Kernel/SettingsSchema.h
+++ b/lib/Kernel/SettingsSchema.h
@@ -42,7 +42,7 @@
   const char* help;
 };
 
-auto TextRows() -> const std::array<TextRow, 20>&;
+auto TextRows() -> const std::array<TextRow, 21>&;
 
 auto NumberRows() -> const std::array<NumberRow, 4>&;
 
