--- a/unittests/Flow/ContinuationsTest.cpp
+++ b/unittests/Flow/ContinuationsTest.cpp
@@ -32,8 +32,9 @@
               1)
     , admission(
         admission::AdmissionRegistry::Instance().Create("fifo", aContext))
-    , environment{ aContext, metrics, keys,       lists,   hub,
-                   members,  targets, *admission, retries, {} }
+    , planLimits(admission::SharingRegistry::Instance().Create("static"))
+    , environment{ aContext, metrics,    keys,    lists,      hub, members,
+                   targets,  *admission, retries, planLimits, {} }
     , continuations(environment, std::chrono::seconds(60))
   {
   }
@@ -54,6 +55,7 @@
   target::TargetTable targets;
   std::unique_ptr<admission::AdmissionPolicy> admission;
   admission::RetryBudget retries;
+  admission::PlanLimits planLimits;
   Environment environment;
   Continuations continuations;
 };
