Do not let a cancelled owner's last word end a request

Cause: when two owners answer one request, the caller keeps the first and tells the second to stop. If the first was then silent for 600 ms, the word of the second that it was cancelled was taken as the request's outcome, although the first one still ran it.

Such a word is now dropped as stray. The word of the owner that the caller keeps still counts. The new test fails before (outcome unknown at 1.60 s) and passes after.

--- a/lib/Caller/Client.cpp
+++ b/lib/Caller/Client.cpp
@@ -291,6 +291,12 @@
     ++m_client.m_stray;
     return false;
   }
+  if (other && aPacket.type != PacketType::Answer &&
+      aPacket.code == static_cast<std::uint32_t>(Reason::Cancelled)) {
+    // The last word of an owner that was told to stop; the kept one goes on.
+    ++m_client.m_stray;
+    return false;
+  }
   if (other && now - aPending.lastHeard < kAnswerSilence) {
     ++m_client.m_stray;
     m_client.Send(
--- /dev/null
+++ b/unittests/Caller/ClientTest.cpp
@@ -0,0 +1,98 @@
+// A caller between two owners of one request.
+
+#include "bramleylock/Caller/Client.h"
+
+#include "bramleylock/Wire/Packet.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::caller;
+
+namespace {
+
+/// Plays the balancers: it sends what a test asks for to the caller.
+class Balancers
+{
+public:
+  explicit Balancers(asio::io_context& aContext)
+    : socket(aContext, Udp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+  {
+  }
+
+  auto ReceiveRequest() -> awaitable<wire::Packet>
+  {
+    std::array<char, 2048> buffer;
+    boost::system::error_code failure;
+    const auto size = co_await socket.async_receive_from(asio::buffer(buffer),
+                                                         caller, Into(failure));
+    std::error_code error;
+    auto packet = wire::Decode(buffer.data(), size, error);
+    co_return packet;
+  }
+
+  auto Send(const wire::Packet& aPacket) -> void
+  {
+    socket.send_to(asio::buffer(wire::Encode(aPacket)), caller);
+  }
+
+  Udp::socket socket;
+  Udp::endpoint caller;
+};
+
+auto Part(const wire::Packet& aRequest, const std::string& aToken,
+          std::uint32_t aPart) -> wire::Packet
+{
+  wire::Packet packet;
+  packet.type = wire::PacketType::Answer;
+  packet.flow = aRequest.flow;
+  packet.sequence = aRequest.sequence;
+  packet.token = aToken;
+  packet.code = 200;
+  packet.answerTag = 7;
+  packet.part = aPart;
+  packet.parts = 2;
+  packet.payload = aPart == 0 ? std::string(wire::kPartBytes, 'x') : "end";
+  return packet;
+}
+
+auto CallOnce(Client& aClient, Flow& aFlow, CallResult& aResult)
+  -> awaitable<void>
+{
+  CallOptions options;
+  options.work = "proof";
+  options.deadline = Milliseconds(5000);
+  aResult = co_await aFlow.Call(options);
+  aClient.Close();
+}
+
+/// The caller tells the second owner to stop; the first one is slow.
+auto AnswerSlowly(Balancers& aBalancers) -> awaitable<void>
+{
+  const auto request = co_await aBalancers.ReceiveRequest();
+  aBalancers.Send(Part(request, "first", 0));
+  aBalancers.Send(Part(request, "second", 0));
+  co_await Sleep(Milliseconds(1500));
+  auto word = Part(request, "second", 0);
+  word.type = wire::PacketType::Unknown;
+  word.code = static_cast<std::uint32_t>(wire::Reason::Cancelled);
+  aBalancers.Send(word);
+  co_await Sleep(Milliseconds(100));
+  aBalancers.Send(Part(request, "first", 1));
+}
+
+} // namespace
+
+Test(Client, WordOfACancelledOwnerDoesNotEndTheRequest)
+{
+  asio::io_context context(1);
+  Balancers balancers(context);
+  Client client(context, balancers.socket.local_endpoint());
+  Flow flow(client, "proofs", "plan.secret");
+  CallResult result;
+  Spawn(context, "call", CallOnce(client, flow, result));
+  Spawn(context, "answer", AnswerSlowly(balancers));
+  context.run_for(std::chrono::seconds(8));
+  cr_assert(result.outcome == CallOutcome::Answered);
+  cr_assert(result.body == std::string(wire::kPartBytes, 'x') + "end");
+}
