Write the token keys back to a store that lost them

Cause: when the store had no keys, a watcher wrote a new key 1, whatever keys were in force. Balancers that ran kept theirs; balancers that started read the new one, with an id that others hold for another key, so that each took the other's tokens for forged. A store restored to before a rotation never got the newest key back, and the next rotation wrote an empty text for it.

A watcher now fills a store that lacks the newest key with the keys in force, by compare-and-swap. A balancer without keys makes the first one only after it has listened to peers for 1 s and none has a key, so the first start of a fleet takes up to 1.5 s longer.

Lists were written back to an emptied store before; the exploration of two edits now also empties the store at every point.

The scenario was not run with the mechanism taken out.

--- a/include/bramleylock/Kernel/KeyKeeper.h
+++ b/include/bramleylock/Kernel/KeyKeeper.h
@@ -61,7 +61,9 @@
 private:
   auto ListenToPeers() -> void;
   auto KeepKeys() -> awaitable<void>;
-  auto CreateKeys() -> awaitable<void>;
+  auto FillStore(std::uint64_t aExpected) -> awaitable<void>;
+  auto MayHaveKeys() const -> bool;
+  auto HoldsNewest(const std::string& aDocument) const -> bool;
   auto WatchPeers() -> awaitable<void>;
   auto SwitchSigning() -> void;
   auto ExpireOld() -> void;
@@ -77,6 +79,7 @@
   Metrics& m_metrics;
   std::chrono::seconds m_overlap;
   Milliseconds m_settle;
+  Clock::time_point m_started{};
   Clock::time_point m_newestSince{};
   Clock::time_point m_switchedAt{};
   /// Keys below this have expired here.
--- a/lib/Kernel/KeyKeeper.cpp
+++ b/lib/Kernel/KeyKeeper.cpp
@@ -17,6 +17,10 @@
 static constexpr Milliseconds kPollKeys{ 5000 };
 static constexpr Milliseconds kWatchPeers{ 500 };
 
+/// How long a balancer without keys listens to peers before it makes the first
+/// one.
+static constexpr Milliseconds kListen{ 1000 };
+
 /// Keys that the store's document holds.
 static constexpr std::size_t kKeysKept = 2;
 
@@ -37,6 +41,7 @@
 
 auto KeyKeeper::Start() -> void
 {
+  m_started = Clock::now();
   ListenToPeers();
   Spawn(m_context, "keep-keys", KeepKeys());
   Spawn(m_context, "watch-peers-keys", WatchPeers());
@@ -99,6 +104,15 @@
   }
 }
 
+/// Whether the store's document has the newest key; one that was restored to
+/// an older state does not.
+auto KeyKeeper::HoldsNewest(const std::string& aDocument) const -> bool
+{
+  const auto document = json::parse(aDocument, nullptr, false);
+  return !document.is_object() || m_keys.Empty() ||
+         document.contains(std::to_string(NewestKey()));
+}
+
 auto KeyKeeper::InstallDocument(const std::string& aDocument) -> void
 {
   const auto document = json::parse(aDocument, nullptr, false);
@@ -114,13 +128,40 @@
   }
 }
 
-auto KeyKeeper::CreateKeys() -> awaitable<void>
+/// The keys here, as the store's document.
+static auto FormatKeys(const wire::KeyRing& aKeys) -> std::string
+{
+  auto document = json::object();
+  for (const auto& [id, key] : aKeys.Keys()) {
+    document[std::to_string(id)] = wire::KeyToHex(key);
+  }
+  return document.dump();
+}
+
+/// Whether the balancers that run may have keys although the store has none,
+/// as after it was emptied. A second key of the same id would tear them apart.
+auto KeyKeeper::MayHaveKeys() const -> bool
+{
+  const auto alive = m_members.Alive();
+  return std::any_of(alive.begin(), alive.end(), [](const auto& aMember) {
+    return aMember.latest.newestKey > 0;
+  });
+}
+
+auto KeyKeeper::FillStore(std::uint64_t aExpected) -> awaitable<void>
 {
-  // The first writer wins; whoever loses reads the winner's key next time.
-  const json document{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
   std::error_code error;
-  co_await m_store.CompareAndSwap(lists::kTokenKeysKey, 0, document.dump(),
-                                  error);
+  auto document = FormatKeys(m_keys);
+  if (m_keys.Empty()) {
+    if (Clock::now() - m_started < kListen || MayHaveKeys()) {
+      co_return;
+    }
+    const json first{ { "1", wire::KeyToHex(wire::NewSigningKey()) } };
+    document = first.dump();
+  }
+  // The first writer wins; whoever loses reads the winner's keys next time.
+  co_await m_store.CompareAndSwap(lists::kTokenKeysKey, aExpected,
+                                  std::move(document), error);
 }
 
 auto KeyKeeper::SetGate(std::function<bool()> aGate) -> void
@@ -139,14 +180,14 @@
     }
     std::error_code error;
     const auto stored = co_await m_store.Get(lists::kTokenKeysKey, error);
-    if (error == StoreError::NotFound) {
-      co_await CreateKeys();
-      continue;
-    }
     if (!error) {
       InstallDocument(stored.value);
     }
-    co_await Sleep(error ? kRetryStore : kPollKeys);
+    const bool lacks = !error && !HoldsNewest(stored.value);
+    if (error == StoreError::NotFound || lacks) {
+      co_await FillStore(stored.revision);
+    }
+    co_await Sleep(error || lacks ? kRetryStore : kPollKeys);
   }
 }
 
--- a/measure/EditProbe.cpp
+++ b/measure/EditProbe.cpp
@@ -2,6 +2,7 @@
 
 #include "measure/EditProbe.h"
 
+#include "bramleylock/Http/SyncFetch.h"
 #include "bramleylock/Support/Random.h"
 
 #include <algorithm>
@@ -180,6 +181,23 @@
     .value("writes", std::uint64_t{ 0 });
 }
 
+auto StoreHoldsLists(Cluster& aCluster) -> bool
+{
+  http::Request request;
+  request.target = "/kv/lists";
+  std::error_code error;
+  const auto reply = http::SyncFetch(aCluster.StoreAddress(), request,
+                                     Milliseconds(2000), error);
+  const auto row = json::parse(reply.body, nullptr, false);
+  if (error || !row.is_object()) {
+    return false;
+  }
+  const auto document = json::parse(row.value("value", ""), nullptr, false);
+  const auto status = aCluster.Admin(aCluster.Balancers()[0], "GET", "/status");
+  return document.is_object() &&
+         document.value("revision", 0) == status.value("lists_revision", 1);
+}
+
 auto WatchersOf(Cluster& aCluster, const std::string& aFailureDomain)
   -> std::vector<BalancerProcess*>
 {
--- a/measure/EditProbe.h
+++ b/measure/EditProbe.h
@@ -80,6 +80,9 @@
 /// Writes that the store has seen so far.
 auto StoreWrites(Cluster& aCluster) -> std::uint64_t;
 
+/// Whether the store's document has the revision that the balancers have.
+auto StoreHoldsLists(Cluster& aCluster) -> bool;
+
 /// Balancers of a failure domain that hold the platform's watches.
 auto WatchersOf(Cluster& aCluster, const std::string& aFailureDomain)
   -> std::vector<BalancerProcess*>;
--- /dev/null
+++ b/measure/StoreEmptied.cpp
@@ -0,0 +1,107 @@
+// Scenario "store-emptied": the store loses every key, while it answers and
+// during an outage.
+
+#include "measure/EditProbe.h"
+
+namespace bramleylock::measure {
+
+static constexpr int kPerDomain = 4;
+static constexpr double kLoadSeconds = 14;
+static constexpr double kWriteBackSeconds = 3;
+static constexpr double kOutageSeconds = 1;
+
+namespace {
+
+class StoreEmptied : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "the store loses lists and keys, while up and during an outage";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    const auto& deployment = *aOptions.deployment;
+    ClusterOptions options;
+    options.seed = aOptions.seed;
+    options.balancers =
+      static_cast<int>(deployment.failureDomains.size()) * kPerDomain;
+    options.hosts = 1;
+    Cluster cluster(deployment, options);
+    cluster.Start();
+    EditProbe probe(cluster, deployment);
+    Load load(cluster.CallerAddress(), aOptions.seed);
+    load.Add({ deployment.reading, 40, 50, 0, kLoadSeconds, "reading" });
+    load.Start();
+    EditOften(cluster, probe, aOptions.seed);
+
+    Empty(cluster);
+    EditOften(cluster, probe, aOptions.seed + 1);
+    Pause(kWriteBackSeconds);
+    CheckStore(cluster, "held_after_emptying", aReport);
+
+    SetFault(cluster, { { "down", true } });
+    Empty(cluster);
+    Pause(kOutageSeconds);
+    SetFault(cluster, nlohmann::json::object());
+    Join(cluster);
+    Pause(kWriteBackSeconds);
+    CheckStore(cluster, "held_after_outage", aReport);
+    EditOften(cluster, probe, aOptions.seed + 2);
+    load.Join();
+    const auto checks = CheckRecords(load.Records(), cluster);
+    aReport.AddChecks(checks);
+    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
+    for (const auto* name : { "token_forged", "token_key_unknown" }) {
+      aReport.Add(name, cluster.CounterSum(name));
+      aReport.Require(std::string(name) + "=0", cluster.CounterSum(name) == 0);
+    }
+    probe.AddTo(aReport);
+  }
+
+private:
+  static auto SetFault(Cluster& aCluster, const nlohmann::json& aFault) -> void
+  {
+    aCluster.Control(aCluster.StoreAddress(), "/control/fault", aFault);
+  }
+
+  /// Restores a backup that was never made.
+  static auto Empty(Cluster& aCluster) -> void
+  {
+    aCluster.Control(aCluster.StoreAddress(), "/control/restore", {});
+  }
+
+  /// A balancer that starts before the store has lists and keys again.
+  static auto Join(Cluster& aCluster) -> void
+  {
+    auto& fresh = aCluster.AddBalancer(aCluster.Balancers()[0].failureDomain);
+    aCluster.Publish();
+    aCluster.WaitReady(fresh);
+  }
+
+  static auto EditOften(Cluster& aCluster, EditProbe& aProbe,
+                        std::uint64_t aSeed) -> void
+  {
+    Random random(aSeed);
+    auto& balancers = aCluster.Balancers();
+    for (const auto& plan : aProbe.Plans()) {
+      aProbe.EditAndWait(balancers[random() % balancers.size()], plan);
+    }
+  }
+
+  static auto CheckStore(Cluster& aCluster, const std::string& aName,
+                         Report& aReport) -> void
+  {
+    const bool held = StoreHoldsLists(aCluster);
+    aReport.Add(aName, std::uint64_t{ held ? 1U : 0U });
+    aReport.Require(aName + "=1", held);
+  }
+};
+
+const Registration<ScenarioRegistry, StoreEmptied> kRegistration(
+  "store-emptied");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- a/measure/StoreFaults.cpp
+++ b/measure/StoreFaults.cpp
@@ -3,8 +3,6 @@
 
 #include "measure/EditProbe.h"
 
-#include "bramleylock/Http/SyncFetch.h"
-
 #include <csignal>
 
 namespace bramleylock::measure {
@@ -134,30 +132,13 @@
     aReport.Add("written_back", cluster.CounterSum("lists_written_back"));
     aReport.Add("store_older", cluster.CounterSum("lists_store_older"));
     aReport.Add("superseded", cluster.CounterSum("lists_edit_superseded"));
-    const auto inStore = InStore(cluster);
+    const auto inStore = StoreHoldsLists(cluster);
     aReport.Add("store_holds_all", std::uint64_t{ inStore ? 1U : 0U });
     aReport.Require("store_holds_all=1", inStore);
     aReport.Require("written_back>0",
                     cluster.CounterSum("lists_written_back") > 0);
     probe.AddTo(aReport);
   }
-
-private:
-  /// Whether the store's document has the revision that the balancers have.
-  static auto InStore(Cluster& aCluster) -> bool
-  {
-    http::Request request;
-    request.target = "/kv/lists";
-    std::error_code error;
-    const auto reply = http::SyncFetch(aCluster.StoreAddress(), request,
-                                       Milliseconds(2000), error);
-    const auto row = json::parse(reply.body, nullptr, false);
-    const auto document = json::parse(row.value("value", ""), nullptr, false);
-    const auto status =
-      aCluster.Admin(aCluster.Balancers()[0], "GET", "/status");
-    return document.is_object() &&
-           document.value("revision", 0) == status.value("lists_revision", 1);
-  }
 };
 
 class JoinInOutage : public Scenario
--- a/unittests/Kernel/KeyKeeperTest.cpp
+++ b/unittests/Kernel/KeyKeeperTest.cpp
@@ -75,3 +75,67 @@
   network.RunFor(2 * kExchange);
   cr_assert_eq(keeper.SigningKey(), 2);
 }
+
+Test(KeyKeeper, AnEmptiedStoreGetsTheKeysInForce)
+{
+  peer::TestNetwork network;
+  lists::MockStore store(network.context);
+  store.open = true;
+  wire::KeyRing ring;
+  ring.Add(3, wire::NewSigningKey());
+  auto& members = network.Add("a", "north");
+  KeyKeeper keeper(network.context, store, ring, *network.links["a:1"], members,
+                   network.metrics, kOverlap, kNoSettling);
+  keeper.Start();
+  network.RunFor(Milliseconds(200));
+  const auto written = nlohmann::json::parse(store.stored.value);
+  cr_assert(written ==
+            nlohmann::json({ { "3", wire::KeyToHex(ring.Keys().at(3)) } }));
+}
+
+Test(KeyKeeper, AStoreRestoredToBeforeARotationGetsTheNewestKey)
+{
+  peer::TestNetwork network;
+  lists::MockStore store(network.context);
+  store.open = true;
+  store.stored = { R"({"1":"00"})", 4 };
+  wire::KeyRing ring;
+  ring.Add(2, wire::NewSigningKey());
+  auto& members = network.Add("a", "north");
+  KeyKeeper keeper(network.context, store, ring, *network.links["a:1"], members,
+                   network.metrics, kOverlap, kNoSettling);
+  keeper.Start();
+  network.RunFor(Milliseconds(200));
+  cr_assert(nlohmann::json::parse(store.stored.value).contains("2"));
+}
+
+Test(KeyKeeper, NoFirstKeyIsMadeWhilePeersHaveOne)
+{
+  peer::TestNetwork network;
+  lists::MockStore store(network.context);
+  store.open = true;
+  wire::KeyRing ring;
+  auto& members = network.Add("a", "north");
+  network.Add("b", "north", 1,
+              [](wire::Heartbeat& aHeartbeat) { aHeartbeat.newestKey = 1; });
+  KeyKeeper keeper(network.context, store, ring, *network.links["a:1"], members,
+                   network.metrics, kOverlap, kNoSettling);
+  keeper.Start();
+  network.RunFor(kExchange);
+  cr_assert(store.written.empty());
+}
+
+Test(KeyKeeper, TheFirstBalancerMakesTheFirstKey)
+{
+  peer::TestNetwork network;
+  lists::MockStore store(network.context);
+  store.open = true;
+  wire::KeyRing ring;
+  auto& members = network.Add("a", "north");
+  KeyKeeper keeper(network.context, store, ring, *network.links["a:1"], members,
+                   network.metrics, kOverlap, kNoSettling);
+  keeper.Start();
+  network.RunFor(kExchange);
+  cr_assert_eq(keeper.NewestKey(), 1);
+  cr_assert_eq(store.written.size(), 1);
+}
--- a/unittests/Lists/ListEditorTest.cpp
+++ b/unittests/Lists/ListEditorTest.cpp
@@ -104,6 +104,8 @@
   int lost = 1;
   int notArrived = 1;
   int restores = 1;
+  /// A restore leaves nothing, not the first lists.
+  bool empties = false;
 };
 
 } // namespace
@@ -152,7 +154,7 @@
     const auto step = steps[aChoices.Pick(steps.size())];
     if (step.restore) {
       --aFaults.restores;
-      aStore.stored = { first.value, first.revision };
+      aStore.stored = aFaults.empties ? StoredValue{} : first;
       continue;
     }
     aFaults.lost -= step.fate == CallFate::AnswerLost ? 1 : 0;
@@ -233,6 +235,20 @@
   cr_assert_gt(runs, 100);
 }
 
+Test(ListEditor, EditsOfOtherEntriesSurviveAnEmptiedStore)
+{
+  const Edit left{ "l", { { "plans/clubs", PlanText(1), PlanText(2) } } };
+  const Edit right{ "r", { { "plans/members", PlanText(1), PlanText(3) } } };
+  const int runs = Explore(
+    left, right, { 1, 0, 1, true }, [](const Node& aLeft, const Node& aRight) {
+      cr_assert(aLeft.result->status == EditStatus::Accepted);
+      cr_assert(aRight.result->status == EditStatus::Accepted);
+      cr_assert_eq(WeightOf(aLeft, "clubs"), 2);
+      cr_assert_eq(WeightOf(aLeft, "members"), 3);
+    });
+  cr_assert_gt(runs, 100);
+}
+
 Test(ListEditor, OneOfTwoEditsOfAnEntryIsRefusedWithoutARestore)
 {
   const Edit left{ "l", { { "plans/clubs", PlanText(1), PlanText(2) } } };
