Send queued peer messages in one write, and read what has come at once

Cause: each forwarded packet took a write of its own at the sender, and at the receiver two reads (length, frame) with their turns through the event loop.

A link now seals the messages that wait for it, up to 64 KiB of bodies, into one write. The receiver reads up to 64 KiB at once into a buffer that all links of a thread share, so an idle link keeps no read buffer; it waits for the socket before each read, so a peer that sends without a pause leaves other tasks their turn. Frames on the wire are the same.

--- a/include/bramleylock/Peer/SecureLink.h
+++ b/include/bramleylock/Peer/SecureLink.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "bramleylock/Support/Asio.h"
 #include "bramleylock/Support/Errors.h"
@@ -56,7 +57,8 @@
   auto Handshake(const ClusterKey& aKey, bool aDialer, std::error_code& aError)
     -> awaitable<void>;
 
-  auto Write(const Envelope& aMessage, std::error_code& aError)
+  /// Sends aMessages in order, in one write.
+  auto Write(const std::vector<Envelope>& aMessages, std::error_code& aError)
     -> awaitable<void>;
 
   auto Read(std::error_code& aError) -> awaitable<Envelope>;
@@ -70,6 +72,9 @@
 
 private:
   struct State;
+
+  auto Seal(const Envelope& aMessage, std::string& aFrames) -> std::error_code;
+  auto ReadMore() -> awaitable<std::error_code>;
   std::unique_ptr<State> m_state;
 };
 
--- a/lib/Peer/PeerHub.cpp
+++ b/lib/Peer/PeerHub.cpp
@@ -9,6 +9,10 @@
 /// Messages that wait for one link before new ones are dropped.
 static constexpr std::size_t kQueueBytes = 8U << 20;
 
+/// Bodies of queued messages that go out in one write; a longer message goes
+/// out alone.
+static constexpr std::size_t kBatchBytes = 64U << 10;
+
 /// How long connecting and the handshake may take.
 static constexpr Milliseconds kConnectTimeout{ 1000 };
 
@@ -39,6 +43,23 @@
   {
   }
 
+  /// Takes the oldest queued messages, as many as go out in one write. The
+  /// queue must not be empty.
+  auto TakeBatch() -> std::vector<Envelope>
+  {
+    assert(!queue.empty());
+    std::vector<Envelope> batch;
+    std::size_t bytes = 0;
+    do {
+      bytes += queue.front().body.size();
+      batch.push_back(std::move(queue.front()));
+      queue.pop_front();
+    } while (!queue.empty() &&
+             bytes + queue.front().body.size() <= kBatchBytes);
+    queuedBytes -= bytes;
+    return batch;
+  }
+
   std::deque<Envelope> queue;
   std::size_t queuedBytes = 0;
   Signal wake;
@@ -307,9 +328,10 @@
     }
     co_await Sleep(kAcknowledgeEvery);
     sent = aIncoming->count;
-    const Envelope message{ wire::MessageType::Received,
-                            wire::PackBody(wire::Received{ sent }) };
-    co_await aLink->Write(message, error);
+    const std::vector<Envelope> messages{
+      { wire::MessageType::Received, wire::PackBody(wire::Received{ sent }) }
+    };
+    co_await aLink->Write(messages, error);
   }
 }
 
@@ -351,7 +373,8 @@
     }
     co_return nullptr;
   }
-  const Envelope hello{ wire::MessageType::Hello, wire::PackBody(m_self) };
+  const std::vector<Envelope> hello{ { wire::MessageType::Hello,
+                                       wire::PackBody(m_self) } };
   co_await link->Write(hello, aError);
   co_return link;
 }
@@ -401,16 +424,14 @@
       co_await aOutgoing->wake.WaitUntil(limit);
       continue;
     }
-    const auto message = std::move(aOutgoing->queue.front());
-    aOutgoing->queue.pop_front();
-    aOutgoing->queuedBytes -= message.body.size();
+    const auto messages = aOutgoing->TakeBatch();
     if (!owed) {
       aOutgoing->oldestUnacknowledged = now;
     }
-    ++aOutgoing->written;
+    aOutgoing->written += messages.size();
     aOutgoing->lastUse = now;
     aOutgoing->owing.Notify();
-    co_await aLink->Write(message, error);
+    co_await aLink->Write(messages, error);
     if (error) {
       co_return;
     }
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -11,12 +11,18 @@
 #include <boost/asio/write.hpp>
 #include <sodium.h>
 
+#include <string_view>
+
 namespace bramleylock::peer {
 
 /// The largest sealed frame: the lists of a megabyte and their envelope.
 static constexpr std::size_t kFrameLimitBytes = 2U << 20;
 
 static constexpr std::size_t kLengthBytes = 4;
+
+/// Read from the socket at once. Links share the buffer, because an idle link
+/// must cost little memory.
+static constexpr std::size_t kReadBytes = 65536;
 static constexpr std::size_t kHelloMacBytes = 16;
 static constexpr unsigned char kLinkVersion = 1;
 
@@ -45,6 +51,9 @@
   Tcp::socket socket;
   crypto_secretstream_xchacha20poly1305_state sending{};
   crypto_secretstream_xchacha20poly1305_state receiving{};
+  /// Bytes that were read; those before taken belong to earlier frames.
+  std::string received;
+  std::size_t taken = 0;
   std::uint64_t bytesSent = 0;
   std::uint64_t bytesReceived = 0;
 };
@@ -160,6 +169,7 @@
   crypto_secretstream_xchacha20poly1305_init_pull(
     &m_state->receiving, theirs.streamHeader.data(),
     MixClusterKey(aKey, receive).data());
+  socket.non_blocking(true, failure);
   m_state->bytesSent += kGreetingBytes;
   m_state->bytesReceived += kGreetingBytes;
   aError.clear();
@@ -195,67 +205,116 @@
   return message;
 }
 
-auto SecureLink::Write(const Envelope& aMessage, std::error_code& aError)
-  -> awaitable<void>
+/// Appends the sealed frame of aMessage to aFrames.
+auto SecureLink::Seal(const Envelope& aMessage, std::string& aFrames)
+  -> std::error_code
 {
   const auto plain = PackEnvelope(aMessage);
   const auto sealed =
     plain.size() + crypto_secretstream_xchacha20poly1305_ABYTES;
   if (sealed > kFrameLimitBytes) {
-    aError = LinkError::Oversized;
-    co_return;
+    return LinkError::Oversized;
   }
-  std::string frame(kLengthBytes + sealed, '\0');
+  const auto start = aFrames.size();
+  aFrames.resize(start + kLengthBytes + sealed);
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    frame[i] = static_cast<char>(sealed >> (8 * (kLengthBytes - 1 - i)));
+    aFrames[start + i] =
+      static_cast<char>(sealed >> (8 * (kLengthBytes - 1 - i)));
   }
   crypto_secretstream_xchacha20poly1305_push(
     &m_state->sending,
-    reinterpret_cast<unsigned char*>(frame.data() + kLengthBytes), nullptr,
-    reinterpret_cast<const unsigned char*>(plain.data()), plain.size(), nullptr,
-    0, 0);
+    reinterpret_cast<unsigned char*>(aFrames.data() + start + kLengthBytes),
+    nullptr, reinterpret_cast<const unsigned char*>(plain.data()), plain.size(),
+    nullptr, 0, 0);
+  return {};
+}
+
+auto SecureLink::Write(const std::vector<Envelope>& aMessages,
+                       std::error_code& aError) -> awaitable<void>
+{
+  std::string frames;
+  for (const auto& message : aMessages) {
+    aError = Seal(message, frames);
+    if (aError) {
+      co_return;
+    }
+  }
   boost::system::error_code failure;
-  co_await asio::async_write(m_state->socket, asio::buffer(frame),
+  co_await asio::async_write(m_state->socket, asio::buffer(frames),
                              Into(failure));
-  m_state->bytesSent += frame.size();
+  m_state->bytesSent += frames.size();
   aError = failure ? make_error_code(LinkError::Lost) : std::error_code{};
 }
 
-auto SecureLink::Read(std::error_code& aError) -> awaitable<Envelope>
+/// Waits for bytes even if some are there already, so that a peer that sends
+/// without a pause leaves other tasks their turn.
+auto SecureLink::ReadMore() -> awaitable<std::error_code>
 {
-  std::array<unsigned char, kLengthBytes> length{};
+  static thread_local std::array<char, kReadBytes> buffer;
+  auto& state = *m_state;
+  state.received.erase(0, state.taken);
+  state.taken = 0;
+  if (state.received.empty()) {
+    state.received.shrink_to_fit();
+  }
   boost::system::error_code failure;
-  co_await asio::async_read(m_state->socket, asio::buffer(length),
-                            Into(failure));
+  co_await state.socket.async_wait(Tcp::socket::wait_read, Into(failure));
   if (failure) {
-    aError = LinkError::Lost;
-    co_return Envelope{};
+    co_return LinkError::Lost;
   }
+  const auto size = state.socket.read_some(asio::buffer(buffer), failure);
+  if (failure && failure != asio::error::would_block) {
+    co_return LinkError::Lost;
+  }
+  state.received.append(buffer.data(), size);
+  co_return std::error_code{};
+}
+
+/// The length at the start of aFrames, which has at least kLengthBytes.
+static auto FrameLength(std::string_view aFrames, std::error_code& aError)
+  -> std::size_t
+{
   std::size_t size = 0;
-  for (const auto byte : length) {
-    size = size << 8 | byte;
+  for (const auto byte : aFrames.substr(0, kLengthBytes)) {
+    size = size << 8 | static_cast<unsigned char>(byte);
   }
   if (size > kFrameLimitBytes) {
     aError = LinkError::Oversized;
-    co_return Envelope{};
-  }
-  if (size < crypto_secretstream_xchacha20poly1305_ABYTES) {
+  } else if (size < crypto_secretstream_xchacha20poly1305_ABYTES) {
     aError = LinkError::Malformed;
-    co_return Envelope{};
   }
-  std::string frame(size, '\0');
-  co_await asio::async_read(m_state->socket, asio::buffer(frame),
-                            Into(failure));
-  if (failure) {
-    aError = LinkError::Lost;
-    co_return Envelope{};
+  return size;
+}
+
+auto SecureLink::Read(std::error_code& aError) -> awaitable<Envelope>
+{
+  auto& state = *m_state;
+  std::size_t size = 0;
+  aError.clear();
+  for (;;) {
+    const auto frames = std::string_view(state.received).substr(state.taken);
+    if (frames.size() >= kLengthBytes) {
+      size = FrameLength(frames, aError);
+      if (aError) {
+        co_return Envelope{};
+      }
+      if (frames.size() >= kLengthBytes + size) {
+        break;
+      }
+    }
+    aError = co_await ReadMore();
+    if (aError) {
+      co_return Envelope{};
+    }
   }
-  m_state->bytesReceived += kLengthBytes + size;
+  const auto* frame = state.received.data() + state.taken + kLengthBytes;
+  state.taken += kLengthBytes + size;
+  state.bytesReceived += kLengthBytes + size;
   std::string plain(size - crypto_secretstream_xchacha20poly1305_ABYTES, '\0');
   if (crypto_secretstream_xchacha20poly1305_pull(
-        &m_state->receiving, reinterpret_cast<unsigned char*>(plain.data()),
-        nullptr, nullptr, reinterpret_cast<const unsigned char*>(frame.data()),
-        size, nullptr, 0) != 0) {
+        &state.receiving, reinterpret_cast<unsigned char*>(plain.data()),
+        nullptr, nullptr, reinterpret_cast<const unsigned char*>(frame), size,
+        nullptr, 0) != 0) {
     aError = LinkError::Authentication;
     co_return Envelope{};
   }
--- a/unittests/Peer/SecureLinkTest.cpp
+++ b/unittests/Peer/SecureLinkTest.cpp
@@ -45,10 +45,10 @@
   aMessage = co_await aLink.Read(aError);
 }
 
-auto WriteOne(SecureLink& aLink, Envelope aMessage, std::error_code& aError)
-  -> awaitable<void>
+auto WriteAll(SecureLink& aLink, std::vector<Envelope> aMessages,
+              std::error_code& aError) -> awaitable<void>
 {
-  co_await aLink.Write(aMessage, aError);
+  co_await aLink.Write(aMessages, aError);
 }
 
 /// Two links whose bytes pass through the test, so that it can change them.
@@ -89,10 +89,20 @@
 
   /// Bytes of one message from the dialer.
   auto Frame(const std::string& aBody) -> std::string
+  {
+    return Frames({ aBody });
+  }
+
+  /// Bytes of messages that the dialer sends in one write.
+  auto Frames(const std::vector<std::string>& aBodies) -> std::string
   {
     std::error_code error;
-    Spawn(context, "write",
-          WriteOne(*dialer, { wire::MessageType::Heartbeat, aBody }, error));
+    std::vector<Envelope> messages;
+    messages.reserve(aBodies.size());
+    for (const auto& body : aBodies) {
+      messages.push_back({ wire::MessageType::Heartbeat, body });
+    }
+    Spawn(context, "write", WriteAll(*dialer, messages, error));
     Run();
     std::string bytes(near->available(), '\0');
     asio::read(*near, asio::buffer(bytes));
@@ -129,6 +139,46 @@
   cr_assert(message.body == "body");
 }
 
+Test(SecureLink, MessagesOfOneWriteArriveEachInOrder)
+{
+  Tapped tapped;
+  std::error_code error;
+  const auto frames = tapped.Frames({ "first", "", std::string(5000, 'x') });
+  cr_assert(tapped.Receive(frames, error).body == "first" && !error);
+  cr_assert(tapped.Receive("", error).body.empty() && !error);
+  cr_assert(tapped.Receive("", error).body == std::string(5000, 'x') && !error);
+}
+
+Test(SecureLink, FramesMayBeCutAnywhereOnTheWay)
+{
+  Tapped tapped;
+  const auto frames = tapped.Frames({ "first", "second" });
+  std::error_code error;
+  Envelope message;
+  Spawn(tapped.context, "read", ReadOne(*tapped.acceptor, error, message));
+  for (std::size_t i = 0; i + 1 < frames.size(); ++i) {
+    asio::write(*tapped.far, asio::buffer(&frames[i], 1));
+    tapped.context.restart();
+    tapped.context.run_for(Milliseconds(2));
+  }
+  cr_assert(!error);
+  cr_assert(message.body == "first");
+  const auto last = tapped.Receive(frames.substr(frames.size() - 1), error);
+  cr_assert(!error);
+  cr_assert(last.body == "second");
+}
+
+Test(SecureLink, ForgedFrameBehindAGoodOneIsRefused)
+{
+  Tapped tapped;
+  std::error_code error;
+  auto frames = tapped.Frames({ "first", "second" });
+  frames.back() = static_cast<char>(frames.back() ^ 1);
+  cr_assert(tapped.Receive(frames, error).body == "first" && !error);
+  tapped.Receive("", error);
+  cr_assert(error == LinkError::Authentication);
+}
+
 Test(SecureLink, AnotherClustersKeyIsRefusedAtBothEnds)
 {
   asio::io_context context(1);
@@ -217,8 +267,8 @@
   Tapped tapped;
   std::error_code error;
   Spawn(tapped.context, "write",
-        WriteOne(*tapped.dialer,
-                 { wire::MessageType::Lists, std::string(3U << 20, 'x') },
+        WriteAll(*tapped.dialer,
+                 { { wire::MessageType::Lists, std::string(3U << 20, 'x') } },
                  error));
   tapped.Run();
   cr_assert(error == LinkError::Oversized);
