--- a/include/bramleylock/Http/Http.h
+++ b/include/bramleylock/Http/Http.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "bramleylock/Http/Tls.h"
 #include "bramleylock/Support/Asio.h"
 
 namespace bramleylock::http {
@@ -30,9 +31,11 @@
 };
 
 /// Sends aRequest on a fresh connection; a connection or protocol failure, or
-/// no whole reply within aTimeout, sets aError.
+/// no whole reply within aTimeout, sets aError. With aTls, the server has to
+/// prove a trusted certificate that names its IP address.
 auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
-           std::error_code& aError) -> awaitable<Reply>;
+           std::error_code& aError, TlsContext aTls = nullptr)
+  -> awaitable<Reply>;
 
 /// Answers one request.
 using Handler = std::function<awaitable<Reply>(const Request&)>;
@@ -41,9 +44,10 @@
 class Server
 {
 public:
-  /// Binds aAddress; port 0 lets the kernel choose.
+  /// Binds aAddress; port 0 lets the kernel choose. With aTls, it serves
+  /// nothing but HTTPS.
   Server(asio::io_context& aContext, const Tcp::endpoint& aAddress,
-         Handler aHandler);
+         Handler aHandler, TlsContext aTls = nullptr);
 
   auto Endpoint() const -> Tcp::endpoint;
 
@@ -56,10 +60,12 @@
 private:
   auto AcceptLoop() -> awaitable<void>;
   auto Serve(Tcp::socket aSocket) -> awaitable<void>;
+  auto ServeTls(Tcp::socket aSocket) -> awaitable<void>;
 
   asio::io_context& m_context;
   Tcp::acceptor m_acceptor;
   Handler m_handler;
+  TlsContext m_tls;
 };
 
 /// The path part of a target, without its query.
--- a/include/bramleylock/Http/SyncFetch.h
+++ b/include/bramleylock/Http/SyncFetch.h
@@ -7,6 +7,7 @@
 
 /// Runs Fetch on an io_context of its own.
 auto SyncFetch(const std::string& aServer, Request aRequest,
-               Milliseconds aTimeout, std::error_code& aError) -> Reply;
+               Milliseconds aTimeout, std::error_code& aError,
+               TlsContext aTls = nullptr) -> Reply;
 
 } // namespace bramleylock::http
--- a/include/bramleylock/Kernel/AdminApi.h
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -42,7 +42,7 @@
 public:
   /// Binds aAddress; throws boost::system::system_error when it cannot.
   AdminApi(asio::io_context& aContext, const std::string& aAddress,
-           std::string aToken, AdminView aView);
+           http::TlsContext aTls, std::string aToken, AdminView aView);
 
   auto Address() const -> std::string;
 
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -25,6 +25,11 @@
   std::string storeAddress;
   std::string clusterKeyFile;
   std::string adminTokenFile;
+  /// Empty for plain HTTP, like the file of the key.
+  std::string adminCertificateFile;
+  std::string adminKeyFile;
+  /// "loopback" or "anywhere".
+  std::string adminPlainHttp;
   std::string callerEntry;
   std::string targetTransport;
   std::string platformStore;
--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -2,8 +2,10 @@
 
 #include "bramleylock/Http/Http.h"
 
+#include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
 
 #include <sys/socket.h>
 
@@ -15,9 +17,14 @@
 /// The largest body that a whole-message exchange accepts.
 static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20;
 
+/// How long a server waits for a TLS handshake.
+static constexpr std::chrono::seconds kHandshakeTimeout{ 5 };
+
 /// How long a server keeps an idle connection.
 static constexpr std::chrono::seconds kServerIdle{ 120 };
 
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+
 static auto MakeMessage(const Tcp::endpoint& aServer, Request& aRequest)
   -> wire::request<wire::string_body>
 {
@@ -36,34 +43,23 @@
   return message;
 }
 
-auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
-           std::error_code& aError) -> awaitable<Reply>
+/// Sends aMessage and reads the reply to it on an open connection.
+template<typename Stream>
+static auto Exchange(Stream& aStream, wire::request<wire::string_body> aMessage,
+                     boost::system::error_code& aFailure) -> awaitable<Reply>
 {
-  auto executor = co_await asio::this_coro::executor;
-  beast::tcp_stream stream(executor);
-  stream.expires_after(aTimeout);
-  boost::system::error_code failure;
   Reply reply;
-  co_await stream.async_connect(aServer, Into(failure));
-  if (failure) {
-    aError = failure;
-    co_return reply;
-  }
-  auto message = MakeMessage(aServer, aRequest);
-  co_await wire::async_write(stream, message, Into(failure));
-  if (failure) {
-    aError = failure;
+  co_await wire::async_write(aStream, aMessage, Into(aFailure));
+  if (aFailure) {
     co_return reply;
   }
   beast::flat_buffer buffer;
   wire::response_parser<wire::string_body> parser;
   parser.body_limit(kBodyLimitBytes);
-  co_await wire::async_read(stream, buffer, parser, Into(failure));
-  if (failure) {
-    aError = failure;
+  co_await wire::async_read(aStream, buffer, parser, Into(aFailure));
+  if (aFailure) {
     co_return reply;
   }
-  aError.clear();
   reply.status = parser.get().result_int();
   reply.body = std::move(parser.get().body());
   for (const auto& field : parser.get()) {
@@ -73,11 +69,66 @@
   co_return reply;
 }
 
+static auto FetchTls(Tcp::endpoint aServer,
+                     wire::request<wire::string_body> aMessage,
+                     Milliseconds aTimeout, TlsContext aTls,
+                     boost::system::error_code& aFailure) -> awaitable<Reply>
+{
+  auto executor = co_await asio::this_coro::executor;
+  TlsStream stream(executor, *aTls);
+  auto& lowest = beast::get_lowest_layer(stream);
+  lowest.expires_after(aTimeout);
+  co_await lowest.async_connect(aServer, Into(aFailure));
+  if (aFailure) {
+    co_return Reply{};
+  }
+  stream.set_verify_callback(
+    asio::ssl::host_name_verification(aServer.address().to_string()));
+  co_await stream.async_handshake(asio::ssl::stream_base::client,
+                                  Into(aFailure));
+  if (aFailure) {
+    co_return Reply{};
+  }
+  co_return co_await Exchange(stream, std::move(aMessage), aFailure);
+}
+
+static auto FetchPlain(Tcp::endpoint aServer,
+                       wire::request<wire::string_body> aMessage,
+                       Milliseconds aTimeout,
+                       boost::system::error_code& aFailure) -> awaitable<Reply>
+{
+  auto executor = co_await asio::this_coro::executor;
+  beast::tcp_stream stream(executor);
+  stream.expires_after(aTimeout);
+  co_await stream.async_connect(aServer, Into(aFailure));
+  if (aFailure) {
+    co_return Reply{};
+  }
+  co_return co_await Exchange(stream, std::move(aMessage), aFailure);
+}
+
+auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
+           std::error_code& aError, TlsContext aTls) -> awaitable<Reply>
+{
+  boost::system::error_code failure;
+  auto message = MakeMessage(aServer, aRequest);
+  Reply reply;
+  if (aTls) {
+    reply = co_await FetchTls(aServer, std::move(message), aTimeout,
+                              std::move(aTls), failure);
+  } else {
+    reply = co_await FetchPlain(aServer, std::move(message), aTimeout, failure);
+  }
+  aError = failure;
+  co_return reply;
+}
+
 Server::Server(asio::io_context& aContext, const Tcp::endpoint& aAddress,
-               Handler aHandler)
+               Handler aHandler, TlsContext aTls)
   : m_context(aContext)
   , m_acceptor(aContext, aAddress)
   , m_handler(std::move(aHandler))
+  , m_tls(std::move(aTls))
 {
 }
 
@@ -109,7 +160,10 @@
       co_await Sleep(Milliseconds(10));
       continue;
     }
-    Spawn(m_context, "http-connection", Serve(std::move(socket)));
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    Spawn(m_context, "http-connection",
+          m_tls ? ServeTls(std::move(socket)) : Serve(std::move(socket)));
   }
 }
 
@@ -136,24 +190,26 @@
          0;
 }
 
-auto Server::Serve(Tcp::socket aSocket) -> awaitable<void>
+/// Answers the requests of one connection. No closing message of TLS is sent
+/// at its end: the length in each reply shows whether it is whole.
+template<typename Stream>
+static auto ServeOn(Stream& aStream, const Handler& aHandler) -> awaitable<void>
 {
-  beast::tcp_stream stream(std::move(aSocket));
-  stream.socket().set_option(Tcp::no_delay(true));
+  auto& lowest = beast::get_lowest_layer(aStream);
   beast::flat_buffer buffer;
   for (;;) {
     boost::system::error_code failure;
     wire::request_parser<wire::string_body> parser;
     parser.body_limit(kBodyLimitBytes);
-    stream.expires_after(kServerIdle);
-    co_await wire::async_read(stream, buffer, parser, Into(failure));
+    lowest.expires_after(kServerIdle);
+    co_await wire::async_read(aStream, buffer, parser, Into(failure));
     if (failure) {
       co_return;
     }
     const bool keepAlive = parser.get().keep_alive();
     auto request = ToRequest(parser.get());
-    request.abandoned = [&stream] { return Abandoned(stream.socket()); };
-    auto reply = co_await m_handler(request);
+    request.abandoned = [&lowest] { return Abandoned(lowest.socket()); };
+    auto reply = co_await aHandler(request);
     if (reply.status == 0) {
       // The handler asks to drop the connection without an answer.
       co_return;
@@ -168,14 +224,32 @@
     }
     message.body() = std::move(reply.body);
     message.prepare_payload();
-    stream.expires_after(kServerIdle);
-    co_await wire::async_write(stream, message, Into(failure));
+    lowest.expires_after(kServerIdle);
+    co_await wire::async_write(aStream, message, Into(failure));
     if (failure || !keepAlive) {
       co_return;
     }
   }
 }
 
+auto Server::Serve(Tcp::socket aSocket) -> awaitable<void>
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  co_await ServeOn(stream, m_handler);
+}
+
+auto Server::ServeTls(Tcp::socket aSocket) -> awaitable<void>
+{
+  TlsStream stream(std::move(aSocket), *m_tls);
+  beast::get_lowest_layer(stream).expires_after(kHandshakeTimeout);
+  boost::system::error_code failure;
+  co_await stream.async_handshake(asio::ssl::stream_base::server,
+                                  Into(failure));
+  if (!failure) {
+    co_await ServeOn(stream, m_handler);
+  }
+}
+
 auto PathOf(const std::string& aTarget) -> std::string
 {
   return aTarget.substr(0, aTarget.find('?'));
--- a/lib/Http/SyncFetch.cpp
+++ b/lib/Http/SyncFetch.cpp
@@ -6,13 +6,15 @@
 
 static auto FetchInto(Tcp::endpoint aServer, Request aRequest,
                       Milliseconds aTimeout, std::error_code& aError,
-                      Reply& aReply) -> awaitable<void>
+                      Reply& aReply, TlsContext aTls) -> awaitable<void>
 {
-  aReply = co_await Fetch(aServer, std::move(aRequest), aTimeout, aError);
+  aReply = co_await Fetch(aServer, std::move(aRequest), aTimeout, aError,
+                          std::move(aTls));
 }
 
 auto SyncFetch(const std::string& aServer, Request aRequest,
-               Milliseconds aTimeout, std::error_code& aError) -> Reply
+               Milliseconds aTimeout, std::error_code& aError, TlsContext aTls)
+  -> Reply
 {
   const auto endpoint = ParseTcpEndpoint(aServer, aError);
   Reply reply;
@@ -21,7 +23,8 @@
   }
   asio::io_context context(1);
   Spawn(context, "fetch",
-        FetchInto(endpoint, std::move(aRequest), aTimeout, aError, reply));
+        FetchInto(endpoint, std::move(aRequest), aTimeout, aError, reply,
+                  std::move(aTls)));
   context.run();
   return reply;
 }
--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -33,11 +33,13 @@
 }
 
 AdminApi::AdminApi(asio::io_context& aContext, const std::string& aAddress,
-                   std::string aToken, AdminView aView)
+                   http::TlsContext aTls, std::string aToken, AdminView aView)
   : m_token(std::move(aToken))
   , m_view(std::move(aView))
-  , m_server(aContext, ParseAddress(aAddress),
-             [this](const http::Request& aRequest) { return Answer(aRequest); })
+  , m_server(
+      aContext, ParseAddress(aAddress),
+      [this](const http::Request& aRequest) { return Answer(aRequest); },
+      std::move(aTls))
 {
   m_server.Start();
 }
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -57,6 +57,7 @@
   lists::ListKeeper lists;
   peer::ClusterKey clusterKey{};
   std::string adminToken;
+  http::TlsContext adminTls;
   std::unique_ptr<CallerEntry> entry;
   std::unique_ptr<lists::PlatformStore> store;
   std::unique_ptr<admission::AdmissionPolicy> admission;
@@ -96,6 +97,11 @@
   adminToken = ReadSecretFile(settings.adminTokenFile, aError);
   if (aError) {
     aDetail = settings.adminTokenFile + ": expected a line with the token";
+    return;
+  }
+  if (!settings.adminCertificateFile.empty()) {
+    adminTls = http::MakeServerTls(settings.adminCertificateFile,
+                                   settings.adminKeyFile, aError, aDetail);
   }
 }
 
@@ -282,8 +288,9 @@
                   *parts.watcher,      *parts.admission,  *parts.hub,
                   [this] { Drain(); }, *parts.keyKeeper };
   try {
-    parts.admin = std::make_unique<AdminApi>(
-      parts.context, parts.settings.adminAddress, parts.adminToken, view);
+    parts.admin =
+      std::make_unique<AdminApi>(parts.context, parts.settings.adminAddress,
+                                 parts.adminTls, parts.adminToken, view);
   } catch (const boost::system::system_error& failure) {
     aError = failure.code();
     aDetail = "listen.administration = " + parts.settings.adminAddress;
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -1,13 +1,8 @@
-// One schema table describes every setting; reading, checking and printing of
-// defaults all follow it.
+// Reading, checking and printing of defaults, which all follow the schema.
 
-#include "bramleylock/Kernel/Settings.h"
+#include "SettingsSchema.h"
 
-#include "bramleylock/Admission/AdmissionPolicy.h"
-#include "bramleylock/Kernel/CallerEntry.h"
-#include "bramleylock/Lists/PlatformStore.h"
-#include "bramleylock/Target/TargetChoice.h"
-#include "bramleylock/Target/TargetTransport.h"
+#include "bramleylock/Support/Asio.h"
 
 #include <fmt/format.h>
 #include <toml++/toml.h>
@@ -21,105 +16,6 @@
 
 namespace {
 
-enum class TextKind
-{
-  Name,
-  TcpAddress,
-  OptionalTcpAddress,
-  TcpAddresses,
-  File,
-  Choice
-};
-
-struct TextRow
-{
-  const char* key;
-  std::string Settings::*member;
-  TextKind kind;
-  /// Null when the setting has to be given.
-  const char* byDefault;
-  std::vector<std::string> (*choices)();
-  const char* help;
-};
-
-struct NumberRow
-{
-  const char* key;
-  std::int64_t Settings::*member;
-  std::int64_t byDefault;
-  std::int64_t lowest;
-  std::int64_t highest;
-  const char* unit;
-  const char* help;
-};
-
-auto LogLevels() -> std::vector<std::string>
-{
-  return { "debug", "info", "warning", "error" };
-}
-
-auto LogFormats() -> std::vector<std::string>
-{
-  return { "text", "json" };
-}
-
-template<typename AnyRegistry>
-auto NamesOf() -> std::vector<std::string>
-{
-  return AnyRegistry::Instance().Names();
-}
-
-const std::array<TextRow, 17> kTextRows{ {
-  { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
-    "name of this VM in logs and status" },
-  { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
-    nullptr, "failure domain that this VM stands in" },
-  { "listen.callers", &Settings::callerAddress, TextKind::TcpAddress, nullptr,
-    nullptr, "ip:port for callers' datagrams" },
-  { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
-    nullptr, "ip:port for the other balancers" },
-  { "listen.peers_advertised", &Settings::peerAdvertised,
-    TextKind::OptionalTcpAddress, "", nullptr,
-    "ip:port at which the other balancers reach listen.peers; empty for the "
-    "bound address" },
-  { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
-    "peers to ask for lists and keys while the platform does not answer" },
-  { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
-    nullptr, nullptr, "ip:port of the administration API" },
-  { "platform.address", &Settings::storeAddress, TextKind::TcpAddress, nullptr,
-    nullptr, "ip:port of the platform's key-value service" },
-  { "secrets.cluster_key_file", &Settings::clusterKeyFile, TextKind::File,
-    nullptr, nullptr, "file with the 64 hexadecimal digits of the peer key" },
-  { "secrets.administration_token_file", &Settings::adminTokenFile,
-    TextKind::File, nullptr, nullptr,
-    "file with the bearer token of the administration API" },
-  { "plugins.caller_entry", &Settings::callerEntry, TextKind::Choice, "udp",
-    NamesOf<CallerEntryRegistry>, "how callers' packets come in" },
-  { "plugins.target_transport", &Settings::targetTransport, TextKind::Choice,
-    "http1", NamesOf<target::TransportRegistry>, "protocol towards targets" },
-  { "plugins.platform_store", &Settings::platformStore, TextKind::Choice,
-    "http", NamesOf<lists::StoreRegistry>, "protocol of the platform" },
-  { "plugins.target_choice", &Settings::targetChoice, TextKind::Choice,
-    "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
-  { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fair",
-    NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
-  { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
-    "lowest level that is written" },
-  { "log.format", &Settings::logFormat, TextKind::Choice, "text", LogFormats,
-    "form of log records" },
-} };
-
-const std::array<NumberRow, 4> kNumberRows{ {
-  { "flows.idle_seconds", &Settings::idleFlowSeconds, 600, 1, 86400, "s",
-    "a flow without requests is forgotten after this time" },
-  { "flows.drain_seconds", &Settings::drainSeconds, 60, 1, 3600, "s",
-    "longest time that a planned stop waits for requests in flight" },
-  { "listen.receive_buffer_bytes", &Settings::receiveBufferBytes, 8388608,
-    65536, 1073741824, "bytes", "socket buffer for callers' datagrams" },
-  { "vm.seed", &Settings::seed, 0, 0, 9223372036854775807, "",
-    "seed of choices between targets; 0 takes one from the system" },
-} };
-
 auto AllAddresses(const std::string& aText) -> bool
 {
   std::istringstream words(aText);
@@ -180,6 +76,30 @@
     aSettings.*aRow.member = *number;
   }
 
+  /// The token of the administration API would cross a network in the clear.
+  auto CheckAdministration(const Settings& aSettings) -> void
+  {
+    const bool certificate = !aSettings.adminCertificateFile.empty();
+    const bool key = !aSettings.adminKeyFile.empty();
+    if (certificate != key) {
+      Fault(m_table.at_path(certificate ? "administration.certificate_file"
+                                        : "administration.key_file"),
+            certificate ? "administration.certificate_file"
+                        : "administration.key_file",
+            "allowed: with the other of certificate_file and key_file");
+      return;
+    }
+    std::error_code error;
+    const auto address = ParseTcpEndpoint(aSettings.adminAddress, error);
+    if (!error && !certificate && !address.address().is_loopback() &&
+        aSettings.adminPlainHttp == "loopback") {
+      Fault(m_table.at_path("listen.administration"), "listen.administration",
+            "allowed without TLS: a loopback address; or set "
+            "administration.certificate_file and key_file, or "
+            "administration.plain_http = \"anywhere\"");
+    }
+  }
+
   auto RefuseUnknown(const std::set<std::string>& aKnown) -> void
   {
     for (const auto& [section, node] : m_table) {
@@ -210,6 +130,8 @@
         return "allowed: \"ip:port ip:port ...\"";
       case TextKind::File:
         return "allowed: a file path";
+      case TextKind::OptionalFile:
+        return "allowed: a file path or empty";
       case TextKind::Name:
         return "allowed: a name of 1 to 64 characters";
       case TextKind::Choice:
@@ -232,6 +154,8 @@
         return AllAddresses(aText);
       case TextKind::File:
         return !aText.empty();
+      case TextKind::OptionalFile:
+        return true;
       case TextKind::Name:
         return !aText.empty() && aText.size() <= 64;
       case TextKind::Choice:
@@ -304,14 +228,15 @@
   }
   Reader reader(table, aName, aProblems);
   std::set<std::string> known;
-  for (const auto& row : kTextRows) {
+  for (const auto& row : TextRows()) {
     known.insert(row.key);
     reader.Read(row, settings);
   }
-  for (const auto& row : kNumberRows) {
+  for (const auto& row : NumberRows()) {
     known.insert(row.key);
     reader.Read(row, settings);
   }
+  reader.CheckAdministration(settings);
   reader.RefuseUnknown(known);
   aError = aProblems.empty() ? std::error_code{}
                              : make_error_code(SettingsError::Invalid);
@@ -342,7 +267,7 @@
     sections[aKey.substr(0, dot)] +=
       fmt::format("# {}\n{} = {}\n", aComment, aKey.substr(dot + 1), aLine);
   };
-  for (const auto& row : kTextRows) {
+  for (const auto& row : TextRows()) {
     const auto choices =
       row.choices == nullptr
         ? std::string()
@@ -351,7 +276,7 @@
         row.byDefault == nullptr ? "\"\"  # required"
                                  : fmt::format("\"{}\"", row.byDefault));
   }
-  for (const auto& row : kNumberRows) {
+  for (const auto& row : NumberRows()) {
     add(row.key,
         fmt::format("{} ({} to {} {})", row.help, row.lowest, row.highest,
                     row.unit),
--- /dev/null
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -0,0 +1,107 @@
+// Every setting has one row here: its type, default and what is allowed.
+
+#include "SettingsSchema.h"
+
+#include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Target/TargetChoice.h"
+#include "bramleylock/Target/TargetTransport.h"
+
+namespace bramleylock::kernel {
+
+namespace {
+
+auto LogLevels() -> std::vector<std::string>
+{
+  return { "debug", "info", "warning", "error" };
+}
+
+auto LogFormats() -> std::vector<std::string>
+{
+  return { "text", "json" };
+}
+
+auto PlainHttpPlaces() -> std::vector<std::string>
+{
+  return { "loopback", "anywhere" };
+}
+
+template<typename AnyRegistry>
+auto NamesOf() -> std::vector<std::string>
+{
+  return AnyRegistry::Instance().Names();
+}
+
+} // namespace
+
+auto TextRows() -> const std::array<TextRow, 20>&
+{
+  static const std::array<TextRow, 20> kRows{ {
+    { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
+      "name of this VM in logs and status" },
+    { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
+      nullptr, "failure domain that this VM stands in" },
+    { "listen.callers", &Settings::callerAddress, TextKind::TcpAddress, nullptr,
+      nullptr, "ip:port for callers' datagrams" },
+    { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
+      nullptr, "ip:port for the other balancers" },
+    { "listen.peers_advertised", &Settings::peerAdvertised,
+      TextKind::OptionalTcpAddress, "", nullptr,
+      "ip:port at which the other balancers reach listen.peers; empty for the "
+      "bound address" },
+    { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
+      "peers to ask for lists and keys while the platform does not answer" },
+    { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
+      nullptr, nullptr, "ip:port of the administration API" },
+    { "platform.address", &Settings::storeAddress, TextKind::TcpAddress,
+      nullptr, nullptr, "ip:port of the platform's key-value service" },
+    { "secrets.cluster_key_file", &Settings::clusterKeyFile, TextKind::File,
+      nullptr, nullptr, "file with the 64 hexadecimal digits of the peer key" },
+    { "secrets.administration_token_file", &Settings::adminTokenFile,
+      TextKind::File, nullptr, nullptr,
+      "file with the bearer token of the administration API" },
+    { "administration.certificate_file", &Settings::adminCertificateFile,
+      TextKind::OptionalFile, "", nullptr,
+      "certificate chain in PEM, for TLS on listen.administration; empty for "
+      "plain HTTP" },
+    { "administration.key_file", &Settings::adminKeyFile,
+      TextKind::OptionalFile, "", nullptr,
+      "key of the certificate in PEM, without a password" },
+    { "administration.plain_http", &Settings::adminPlainHttp, TextKind::Choice,
+      "loopback", PlainHttpPlaces,
+      "where listen.administration may stand without TLS" },
+    { "plugins.caller_entry", &Settings::callerEntry, TextKind::Choice, "udp",
+      NamesOf<CallerEntryRegistry>, "how callers' packets come in" },
+    { "plugins.target_transport", &Settings::targetTransport, TextKind::Choice,
+      "http1", NamesOf<target::TransportRegistry>, "protocol towards targets" },
+    { "plugins.platform_store", &Settings::platformStore, TextKind::Choice,
+      "http", NamesOf<lists::StoreRegistry>, "protocol of the platform" },
+    { "plugins.target_choice", &Settings::targetChoice, TextKind::Choice,
+      "spill-over", NamesOf<target::ChoiceRegistry>, "how a target is chosen" },
+    { "plugins.admission", &Settings::admissionPolicy, TextKind::Choice, "fair",
+      NamesOf<admission::AdmissionRegistry>, "how requests are admitted" },
+    { "log.level", &Settings::logLevel, TextKind::Choice, "info", LogLevels,
+      "lowest level that is written" },
+    { "log.format", &Settings::logFormat, TextKind::Choice, "text", LogFormats,
+      "form of log records" },
+  } };
+  return kRows;
+}
+
+auto NumberRows() -> const std::array<NumberRow, 4>&
+{
+  static const std::array<NumberRow, 4> kRows{ {
+    { "flows.idle_seconds", &Settings::idleFlowSeconds, 600, 1, 86400, "s",
+      "a flow without requests is forgotten after this time" },
+    { "flows.drain_seconds", &Settings::drainSeconds, 60, 1, 3600, "s",
+      "longest time that a planned stop waits for requests in flight" },
+    { "listen.receive_buffer_bytes", &Settings::receiveBufferBytes, 8388608,
+      65536, 1073741824, "bytes", "socket buffer for callers' datagrams" },
+    { "vm.seed", &Settings::seed, 0, 0, 9223372036854775807, "",
+      "seed of choices between targets; 0 takes one from the system" },
+  } };
+  return kRows;
+}
+
+} // namespace bramleylock::kernel
--- /dev/null
+++ b/lib/Kernel/SettingsSchema.h
@@ -0,0 +1,49 @@
+// The table of settings, from which they are read, checked and printed.
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "bramleylock/Kernel/Settings.h"
+
+namespace bramleylock::kernel {
+
+enum class TextKind
+{
+  Name,
+  TcpAddress,
+  OptionalTcpAddress,
+  TcpAddresses,
+  File,
+  OptionalFile,
+  Choice
+};
+
+struct TextRow
+{
+  const char* key;
+  std::string Settings::*member;
+  TextKind kind;
+  /// Null when the setting has to be given.
+  const char* byDefault;
+  std::vector<std::string> (*choices)();
+  const char* help;
+};
+
+struct NumberRow
+{
+  const char* key;
+  std::int64_t Settings::*member;
+  std::int64_t byDefault;
+  std::int64_t lowest;
+  std::int64_t highest;
+  const char* unit;
+  const char* help;
+};
+
+auto TextRows() -> const std::array<TextRow, 20>&;
+
+auto NumberRows() -> const std::array<NumberRow, 4>&;
+
+} // namespace bramleylock::kernel
--- a/lib/Support/AsioSeparate.cpp
+++ b/lib/Support/AsioSeparate.cpp
@@ -3,4 +3,5 @@
 #include <utility>
 
 #include <boost/asio/impl/src.hpp>
+#include <boost/asio/ssl/impl/src.hpp>
 #include <boost/beast/src.hpp>
--- a/tools/bramleylockctl/Session.cpp
+++ b/tools/bramleylockctl/Session.cpp
@@ -12,6 +12,20 @@
 
 using nlohmann::json;
 
+/// What to look at when one end speaks TLS and the other does not.
+static auto Hint(const Session& aSession, std::error_code aError) -> std::string
+{
+  const bool reached = aError != std::errc::connection_refused &&
+                       aError != std::errc::network_unreachable &&
+                       aError != std::errc::host_unreachable;
+  if (!reached) {
+    return "";
+  }
+  return aSession.tls ? " (over TLS; has the server a certificate that names "
+                        "this address, from an issuer in the --ca file?)"
+                      : " (over plain HTTP; a server with TLS needs --ca FILE)";
+}
+
 auto Call(const Session& aSession, const std::string& aServer,
           const std::string& aMethod, const std::string& aTarget,
           const std::string& aBody, json& aAnswer, Milliseconds aTimeout)
@@ -24,9 +38,10 @@
   request.headers["Authorization"] = "Bearer " + aSession.token;
   std::error_code error;
   const auto reply =
-    http::SyncFetch(aServer, std::move(request), aTimeout, error);
+    http::SyncFetch(aServer, std::move(request), aTimeout, error, aSession.tls);
   if (error) {
-    aAnswer = { { "error", error.message() }, { "detail", aServer } };
+    aAnswer = { { "error", error.message() },
+                { "detail", aServer + Hint(aSession, error) } };
     return 0;
   }
   aAnswer = json::parse(reply.body, nullptr, false);
--- a/tools/bramleylockctl/Session.h
+++ b/tools/bramleylockctl/Session.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bramleylock/Http/Tls.h"
 #include "bramleylock/Support/Asio.h"
 
 namespace bramleylock::ctl {
@@ -25,6 +26,8 @@
 {
   std::vector<std::string> servers;
   std::string token;
+  /// Null for plain HTTP.
+  http::TlsContext tls;
   bool json = false;
   bool dryRun = false;
   int waitMs = 0;
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <iostream>
 
 using namespace bramleylock;
@@ -47,6 +48,7 @@
   bramleylockctl --server A --server B ... lists set plans/clubes/weight 2
   bramleylockctl ... lists apply lists.json
   bramleylockctl ... --json status
+  bramleylockctl --server 10.0.0.1:7402 --ca ca.pem --token-file admin.token status
 
 With several --server, edits go through the first that answers, and the command
 waits until the edit is in force on all of them. An edit whose answer was lost is
@@ -87,6 +89,9 @@
                         cxxopts::value<std::vector<std::string>>())(
     "token-file", "file with the bearer token",
     cxxopts::value<std::string>()->default_value(""))(
+    "ca", "certificates to trust, in PEM; the calls then go over TLS",
+    cxxopts::value<std::string>()->default_value(""))(
+    "plain-http", "send the token in the clear to other than loopback")(
     "wait-ms", "how long to wait until an edit is in force",
     cxxopts::value<int>()->default_value("4000"))(
     "base", "lists that the file of 'lists apply' was made from",
@@ -100,6 +105,38 @@
   return options;
 }
 
+static auto AllLoopback(const std::vector<std::string>& aServers) -> bool
+{
+  return std::all_of(
+    aServers.begin(), aServers.end(), [](const std::string& aServer) {
+      std::error_code error;
+      return ParseTcpEndpoint(aServer, error).address().is_loopback();
+    });
+}
+
+/// Sets up TLS; plain HTTP takes a word where others can read along.
+static auto ReadTls(const cxxopts::ParseResult& aParsed, Session& aSession)
+  -> int
+{
+  const auto file = aParsed["ca"].as<std::string>();
+  if (file.empty()) {
+    if (aParsed.count("plain-http") != 0 || AllLoopback(aSession.servers)) {
+      return Success;
+    }
+    std::cerr << "bramleylockctl: a --server is not on loopback: give --ca "
+                 "FILE, or --plain-http to send the token in the clear\n";
+    return Usage;
+  }
+  std::error_code error;
+  aSession.tls = http::MakeClientTls(file, error);
+  if (error) {
+    std::cerr << "bramleylockctl: --ca " << file
+              << ": expected certificates in PEM: " << error.message() << "\n";
+    return Usage;
+  }
+  return Success;
+}
+
 /// Reads what the command line and the token file say; another code than
 /// Success ends the program.
 static auto ReadSession(const cxxopts::ParseResult& aParsed, Session& aSession)
@@ -129,7 +166,7 @@
     std::cerr << "bramleylockctl: --token-file cannot be read\n";
     return Usage;
   }
-  return Success;
+  return ReadTls(aParsed, aSession);
 }
 
 auto main(int argc, char** argv) -> int
--- a/unittests/Kernel/SettingsTest.cpp
+++ b/unittests/Kernel/SettingsTest.cpp
@@ -87,3 +87,26 @@
   ExpectOnly("# settings\n1\xef\xaf\xbf\x02\x10",
              "b.toml:2: found byte 0xef; allowed: ASCII characters");
 }
+
+Test(Settings, PlainAdministrationIsForLoopbackUnlessSaid)
+{
+  auto far = std::string(kValid);
+  far.replace(far.find("127.0.0.1:3"), 11, "10.0.0.1:3");
+  const std::string section = "[administration]\n";
+  const std::string files = "certificate_file = \"a\"\nkey_file = \"b\"\n";
+  ExpectOnly(far, "b.toml:7: listen.administration: found '10.0.0.1:3'; "
+                  "allowed without TLS: a loopback address");
+  cr_assert(ProblemsOf(far + section + files).empty());
+  cr_assert(ProblemsOf(far + section + "plain_http = \"anywhere\"\n").empty());
+}
+
+Test(Settings, CertificateNeedsItsKey)
+{
+  const auto start = std::string(kValid) + "[administration]\n";
+  ExpectOnly(start + "certificate_file = \"a\"\n",
+             "b.toml:14: administration.certificate_file: found 'a'; allowed: "
+             "with the other");
+  ExpectOnly(start + "key_file = \"b\"\n",
+             "b.toml:14: administration.key_file: found 'b'; allowed: with "
+             "the other");
+}
