--- a/test/docs.sh
+++ b/test/docs.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The operators' pages name every counter, setting and scenario, and no
+# The operators' pages name every counter, setting, route and scenario, and no
 # scenario that does not exist.
 set -euo pipefail
 bin=$1
@@ -14,6 +14,10 @@
   grep -q "\`$counter\`" docs/OPERATING.md docs/operating/*.md ||
     missing "counter $counter is on no operators' page"
 done
+while read -r method path; do
+  grep -qE "^\| \`$method $path(\?[^\`]*)?\` \|" docs/ADMIN-API.md ||
+    missing "route $method $path is not in docs/ADMIN-API.md"
+done < <(sed -n 's/^    { "\([A-Z]*\)", "\([a-z/]*\)", [a-z]*, &AdminApi::.*/\1 \2/p' lib/Kernel/AdminApi.cpp)
 section=
 while IFS= read -r line; do
   case $line in
