--- a/test/metrics.sh
+++ b/test/metrics.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# /metrics tells the latencies of requests, of their wait and of targets.
+# /metrics tells the latencies of requests, of their wait and of targets, and
+# takes the token like every route but /healthz.
 set -euo pipefail
 bin=$1
 . "$(dirname "$0")/balancer.bash"
@@ -28,3 +29,12 @@
     'index($1, metric) == 1 && /urgency="urgent"/ { found = $2 >= 0.015 } END { exit !found }' \
     <<<"$text" || { echo "${metric}_seconds_sum is too low" >&2; exit 1; }
 done
+# Only the health of a balancer is told without the token.
+grep -q '"ready":true' <<<"$(http GET "$(address entry-1 administration)" /healthz)" ||
+  { echo "/healthz needs a token" >&2; exit 1; }
+for path in metrics status targets counters lists lists/history; do
+  grep -q '"error":"unauthorized"' <<<"$(http GET "$(address entry-1 administration)" /$path '' wrong)" ||
+    { echo "/$path needs no token" >&2; exit 1; }
+done
+text=$(metrics)
+has 'bramleylock_admin_unauthorized_total 6'
