--- a/measure/UnevenSpray.cpp
+++ b/measure/UnevenSpray.cpp
@@ -5,12 +5,10 @@
 #include "measure/Scenario.h"
 
 #include "bramleylock/Admission/AllowanceDeal.h"
-#include "bramleylock/Support/Random.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace bramleylock::measure {
 
@@ -22,7 +20,6 @@
 static constexpr double kWindowSeconds = 3;
 static constexpr double kPeriodSeconds =
   static_cast<double>(admission::kAllowancePeriodMs) / 1000;
-static constexpr double kMillisecondsPerSecond = 1000;
 static constexpr double kBusyWeight = 9;
 static constexpr double kKeptAim = 0.98;
 
@@ -80,13 +77,10 @@
     load.Add({ aDeployment.reading, kOfferedPerSecond, 1, kFloodFrom, kUntil,
                "limited" });
     load.Start();
-    const auto startedMs =
-      WallMilliseconds() -
-      static_cast<std::uint64_t>(load.Elapsed() * kMillisecondsPerSecond);
     load.Join();
     aReport.Add("case", aCase.label);
     aReport.AddChecks(CheckRecords(load.Records(), cluster));
-    AddUse(aCase, load, startedMs, cluster, aReport);
+    AddUse(aCase, load, cluster, aReport);
     AddKept(aCase, load, aReport);
     aReport.AddReasons(load.Records());
     for (const auto* name :
@@ -97,22 +91,17 @@
   }
 
   static auto AddUse(const SprayCase& aCase, const Load& aLoad,
-                     std::uint64_t aStartedMs, Cluster& aCluster,
-                     Report& aReport) -> void
+                     Cluster& aCluster, Report& aReport) -> void
   {
     const std::string prefix = aCase.label;
     const auto& records = aLoad.Records().at("limited");
     const PlanLimitsUse use(records, aCluster);
-    // Only whole periods tell what is unusable.
-    const auto from = FirstPeriodFrom(aStartedMs);
-    const auto until = from + std::floor((kUntil - from) / kPeriodSeconds);
-    const auto ran = static_cast<double>(use.Ran(from, until));
-    const auto allowance = kLimitPerSecond * (until - from);
+    const auto ran = static_cast<double>(use.Ran(kFloodFrom, kUntil));
+    const auto allowance = kLimitPerSecond * (kUntil - kFloodFrom);
     const auto most = static_cast<double>(use.MostRan(kWindowSeconds));
     aReport.Add(prefix + "_offered", std::uint64_t{ records.size() });
     aReport.Add(prefix + "_allowed", ran);
-    aReport.Add(prefix + "_allowance", allowance);
-    aReport.Add(prefix + "_unusable", 1 - ran / allowance);
+    aReport.Add(prefix + "_unusable", std::max(0.0, 1 - ran / allowance));
     aReport.Add(prefix + "_unusable_static_formula",
                 StaticUnusable(aCluster.Balancers()));
     aReport.Add(prefix + "_overshoot",
@@ -123,17 +112,6 @@
     aReport.Require(prefix + " some requests allowed", ran > 0);
   }
 
-  /// The second of the load at which the first whole period of the flood
-  /// begins.
-  static auto FirstPeriodFrom(std::uint64_t aStartedMs) -> double
-  {
-    const auto floodMs = aStartedMs + static_cast<std::uint64_t>(
-                                        kFloodFrom * kMillisecondsPerSecond);
-    const auto into = floodMs % admission::kAllowancePeriodMs;
-    const auto left = admission::kAllowancePeriodMs - into;
-    return kFloodFrom + static_cast<double>(left) / kMillisecondsPerSecond;
-  }
-
   /// The part of the limit that static shares leave unused for what each
   /// balancer is offered.
   static auto StaticUnusable(const std::vector<BalancerProcess>& aBalancers)
