Add a scenario in which one failure domain is cut off from the store

Its watchers get no answer while the other domains reach the store and the peer links hold. Edits made elsewhere have to be in force in the cut domain, an edit inside is refused as unavailable, and one after the healing accepted.

--- /dev/null
+++ b/measure/StoreCut.cpp
@@ -0,0 +1,81 @@
+// Scenario "store-cut": one failure domain is cut off from the platform's
+// store while the others reach it, and the peer links hold.
+
+#include "measure/EditProbe.h"
+
+namespace bramleylock::measure {
+
+static constexpr int kPerDomain = 4;
+
+/// Longer than a watcher's last answer counts as fresh.
+static constexpr double kCutSeconds = 6;
+static constexpr double kHealSeconds = 3;
+
+namespace {
+
+class StoreCut : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "the watchers of one failure domain are cut off from the store";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    const auto& deployment = *aOptions.deployment;
+    ClusterOptions options;
+    options.seed = aOptions.seed;
+    options.balancers =
+      static_cast<int>(deployment.failureDomains.size()) * kPerDomain;
+    options.hosts = 1;
+    options.proxied = true;
+    Cluster cluster(deployment, options);
+    cluster.Start();
+    EditProbe probe(cluster, deployment);
+    const auto& cut = deployment.failureDomains[0];
+    auto& inside = BalancerOf(cluster, cut);
+    auto& outside = BalancerOf(cluster, deployment.failureDomains[1]);
+
+    cluster.CutStore(cut, true);
+    EditAll(outside, probe);
+    Pause(kCutSeconds);
+    EditAll(outside, probe);
+    const auto& plan = probe.Plans()[0];
+    const auto refused = probe.Submit(inside, probe.NextEdit(plan));
+    cluster.CutStore(cut, false);
+    Pause(kHealSeconds);
+    probe.EditAndWait(inside, plan);
+
+    const auto status = refused.value("status", "none");
+    aReport.Add("edit_inside_the_cut", status);
+    aReport.Require("edit_inside_the_cut=unavailable", status == "unavailable");
+    probe.AddTo(aReport);
+  }
+
+private:
+  static auto BalancerOf(Cluster& aCluster, const std::string& aFailureDomain)
+    -> BalancerProcess&
+  {
+    auto* found = &aCluster.Balancers()[0];
+    for (auto& balancer : aCluster.Balancers()) {
+      if (balancer.failureDomain == aFailureDomain) {
+        found = &balancer;
+      }
+    }
+    return *found;
+  }
+
+  static auto EditAll(BalancerProcess& aThrough, EditProbe& aProbe) -> void
+  {
+    for (const auto& plan : aProbe.Plans()) {
+      aProbe.EditAndWait(aThrough, plan);
+    }
+  }
+};
+
+const Registration<ScenarioRegistry, StoreCut> kRegistration("store-cut");
+
+} // namespace
+
+} // namespace bramleylock::measure
