Let only a flow that came from its stopping owner answer for it

The first packet of a flow may come twice and open it at two balancers. When the second of them is the stopping owner's heir, it took its own copy for the flow and, lacking the record, said "flow-forgotten" before the owner's batch had come.

Ruled out: the flow's floor, which rises only when an outcome expires, and an outcome too large to go along.

A packet is now answered here only when the flow came from the owner that its token names; until then it goes to that owner.

--- a/include/bramleylock/Flow/FlowRecord.h
+++ b/include/bramleylock/Flow/FlowRecord.h
@@ -22,6 +22,9 @@
 auto MakeFlow(const Environment& aEnvironment, const wire::HandedFlow& aHanded)
   -> std::shared_ptr<Flow>;
 
+/// Whether the whole flow came here from aOwner, with its record.
+auto CameFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool;
+
 /// Adds the record that came along to what is known of aFlow.
 auto Merge(Flow& aFlow, const wire::HandedFlow& aHanded) -> void;
 
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "Arrival.h"
 
 #include "bramleylock/Flow/Authorization.h"
+#include "bramleylock/Flow/FlowRecord.h"
 #include "bramleylock/Support/Log.h"
 
 #include <algorithm>
@@ -251,7 +252,8 @@
 
 /// Whether this balancer decides about the packet: its token names this
 /// incarnation or one whose flows continue here, or the flow has come already
-/// from an owner that is still handing over.
+/// from an owner that is still handing over. A copy that a second first packet
+/// opened here has not come from it.
 auto Dispatcher::OwnedHere(const Arrival& aArrival, const wire::Owner& aOwner)
   -> bool
 {
@@ -262,7 +264,8 @@
     return false;
   }
   const auto flow = m_flows.Find(aArrival.packet.flow);
-  return flow || m_handOver.Moving(aArrival.packet.flow);
+  return (flow && CameFrom(*flow, OwnerOf(aArrival.token))) ||
+         m_handOver.Moving(aArrival.packet.flow);
 }
 
 auto Dispatcher::Reachable(const wire::Owner& aOwner) const -> bool
--- a/lib/Flow/FlowRecord.cpp
+++ b/lib/Flow/FlowRecord.cpp
@@ -151,6 +151,12 @@
   return flow;
 }
 
+auto CameFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool
+{
+  const auto& origins = aFlow.origins;
+  return std::find(origins.begin(), origins.end(), aOwner) != origins.end();
+}
+
 auto Merge(Flow& aFlow, const wire::HandedFlow& aHanded) -> void
 {
   // A copy of the first packet may have opened the flow here as well.
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -2,6 +2,7 @@
 
 #include "Arrival.h"
 
+#include "bramleylock/Flow/FlowRecord.h"
 #include "bramleylock/Flow/RequestRunner.h"
 #include "bramleylock/Support/Random.h"
 
@@ -102,16 +103,6 @@
   return flow;
 }
 
-/// Whether the whole flow is here for this token. A flow that was opened again
-/// for repeatable work has no record of what its earlier owner ran.
-static auto HoldsRecord(const Flow& aFlow, const wire::Owner& aNamed,
-                        const wire::Owner& aSelf) -> bool
-{
-  const auto& origins = aFlow.origins;
-  return aNamed == aSelf ||
-         std::find(origins.begin(), origins.end(), aNamed) != origins.end();
-}
-
 auto Dispatcher::HandleOwned(Arrival& aArrival) -> void
 {
   const auto& packet = aArrival.packet;
@@ -141,8 +132,11 @@
     return;
   }
   const auto self = OwnerOf(m_environment.members.Self());
+  const auto named = OwnerOf(aArrival.token);
   if (aArrival.work.execution == Execution::AtMostOnce &&
-      (!flow || !HoldsRecord(*flow, OwnerOf(aArrival.token), self))) {
+      (!flow || (named != self && !CameFrom(*flow, named)))) {
+    // A flow that was opened again for repeatable work has no record of what
+    // its earlier owner ran.
     CountReason(m_environment.metrics, Reason::FlowForgotten);
     Reply(aArrival, PacketType::Unknown, Reason::FlowForgotten);
     return;
--- a/unittests/Flow/ContinuationsTest.cpp
+++ b/unittests/Flow/ContinuationsTest.cpp
@@ -1,6 +1,6 @@
 // How the records of stopped owners reach every balancer.
 
-#include "bramleylock/Flow/Continuations.h"
+#include "unittests/Flow/TestNode.h"
 
 #include <criterion/criterion.h>
 
@@ -14,54 +14,6 @@
 static constexpr Milliseconds kSettled{ 6500 };
 static constexpr Milliseconds kPassedOn{ 1500 };
 
-namespace {
-
-/// One balancer's links, members and records.
-struct Node
-{
-  Node(asio::io_context& aContext, const std::string& aName,
-       const std::string& aDomain)
-    : lists(metrics)
-    , hub(aContext, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), {},
-          metrics)
-    , self{ aName, aDomain, hub.Address(), 1 }
-    , members(aContext, hub, self, metrics)
-    , targets(aDomain,
-              target::TransportRegistry::Instance().Create("http1", aContext),
-              target::ChoiceRegistry::Instance().Create("two-choices"), metrics,
-              1)
-    , admission(
-        admission::AdmissionRegistry::Instance().Create("fifo", aContext))
-    , planLimits(admission::SharingRegistry::Instance().Create("static"))
-    , environment{ aContext, metrics,    keys,    lists,      hub, members,
-                   targets,  *admission, retries, planLimits, {} }
-    , continuations(environment, std::chrono::seconds(60))
-  {
-  }
-
-  auto Start() -> void
-  {
-    hub.Start(self);
-    members.Start([](wire::Heartbeat&) {});
-    continuations.Start();
-  }
-
-  Metrics metrics;
-  wire::KeyRing keys;
-  lists::ListKeeper lists;
-  peer::PeerHub hub;
-  wire::Hello self;
-  peer::Membership members;
-  target::TargetTable targets;
-  std::unique_ptr<admission::AdmissionPolicy> admission;
-  admission::RetryBudget retries;
-  admission::PlanLimits planLimits;
-  Environment environment;
-  Continuations continuations;
-};
-
-} // namespace
-
 Test(Continuations, ARecordReachesMembersThatItsOwnerDoesNotKnow)
 {
   asio::io_context context(1);
--- /dev/null
+++ b/unittests/Flow/TestNode.h
@@ -0,0 +1,70 @@
+// A balancer of which tests use single parts of the flow layer.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bramleylock/Flow/Continuations.h"
+
+namespace bramleylock::flow {
+
+/// One balancer without its entry: links, members and records. What it sends
+/// to callers is kept.
+struct Node
+{
+  Node(asio::io_context& aContext, const std::string& aName,
+       const std::string& aDomain)
+    : lists(metrics)
+    , hub(aContext, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), {},
+          metrics)
+    , self{ aName, aDomain, hub.Address(), 1 }
+    , members(aContext, hub, self, metrics)
+    , targets(aDomain,
+              target::TransportRegistry::Instance().Create("http1", aContext),
+              target::ChoiceRegistry::Instance().Create("two-choices"), metrics,
+              1)
+    , admission(
+        admission::AdmissionRegistry::Instance().Create("fifo", aContext))
+    , planLimits(admission::SharingRegistry::Instance().Create("static"))
+    , environment{ aContext,
+                   metrics,
+                   keys,
+                   lists,
+                   hub,
+                   members,
+                   targets,
+                   *admission,
+                   retries,
+                   planLimits,
+                   [this](const Udp::endpoint&, const std::string& aData) {
+                     sent.push_back(aData);
+                   } }
+    , continuations(environment, std::chrono::seconds(60))
+  {
+  }
+
+  auto Start() -> void
+  {
+    hub.Start(self);
+    members.Start([](wire::Heartbeat&) {});
+    continuations.Start();
+  }
+
+  /// Datagrams to callers.
+  std::vector<std::string> sent;
+  Metrics metrics;
+  wire::KeyRing keys;
+  lists::ListKeeper lists;
+  peer::PeerHub hub;
+  wire::Hello self;
+  peer::Membership members;
+  target::TargetTable targets;
+  std::unique_ptr<admission::AdmissionPolicy> admission;
+  admission::RetryBudget retries;
+  admission::PlanLimits planLimits;
+  Environment environment;
+  Continuations continuations;
+};
+
+} // namespace bramleylock::flow
