Split the fair queue: what lanes earn and use, and the choice

LaneAccounts.cpp has the lanes' shares, credit, drain estimate and what the end of a request teaches. MakeRoom was declared and defined nowhere. No behaviour changes; the 16 tests of the queue hold.

--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -123,12 +123,17 @@
   auto FindLane(const AdmissionRequest& aRequest, Clock::time_point aNow)
     -> LanePointer;
   auto RefreshShares(Clock::time_point aNow) -> void;
+  /// Brings the lane's average up to aNow; has to go before each change of what
+  /// runs.
+  static auto AverageRunning(Lane& aLane, Clock::time_point aNow) -> void;
+  /// Takes over what the end of a request tells of its kind and the targets.
+  auto Learn(const Ticket& aTicket, const AdmissionOutcome& aOutcome,
+             bool aFull, Clock::time_point aNow) -> void;
   auto Earn(Lane& aLane, Clock::time_point aNow) -> void;
   auto Hold(const Lane& aLane) const -> double;
   auto DrainPerSecond(const Lane& aLane) const -> double;
   auto NextReturn(Lane& aLane, Clock::time_point aNow) -> std::uint32_t;
   auto QueueLimit() const -> std::size_t;
-  auto MakeRoom(const Lane& aFor) -> bool;
   auto LongestLane() const -> LanePointer;
   auto PushOut(Lane& aLane) -> void;
   auto Covered(const Lane& aLane) const -> bool;
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -1,4 +1,4 @@
-// Lanes, their credit, and the choice of the next request.
+// The choice of the request that runs next, and of those that are refused.
 
 #include "bramleylock/Admission/FairQueue.h"
 
@@ -22,36 +22,6 @@
 static constexpr double kLongestWaitSeconds = 1.0;
 static constexpr double kWaitPart = 0.25;
 
-/// Slot time that a lane may save up, in seconds of its share, and the
-/// requests that it covers at least.
-static constexpr double kSavedSeconds = 3.0;
-static constexpr double kSavedRequests = 4;
-
-/// How long a lane without requests keeps its part of the weights, and how
-/// long it is remembered.
-static constexpr Milliseconds kActiveFor{ 1000 };
-static constexpr std::chrono::seconds kRememberedFor{ 60 };
-static constexpr Milliseconds kSharesEvery{ 100 };
-
-static constexpr double kUnknownHoldSeconds = 0.05;
-static constexpr double kSmoothing = 0.1;
-static constexpr double kLeastLatencyDrift = 1.002;
-
-/// The most that a request is charged, over the least that one of its kind
-/// was.
-static constexpr double kChargeLimit = 2;
-
-/// The time over which a lane's running requests are averaged.
-static constexpr double kMeanRunningSeconds = 1.0;
-
-/// A request whose target is quiet for this many usual holds of its kind, and
-/// for the least time at least, is taken for lost.
-static constexpr double kOverdueHolds = 4;
-static constexpr double kLeastOverdueSeconds = 1.0;
-
-static constexpr std::uint32_t kLeastRetryMs = 50;
-static constexpr std::uint32_t kMostRetryMs = 5000;
-
 /// The part of the slots that the least urgent class leaves to others, and
 /// that long work leaves to short work.
 static constexpr double kReservedPart = 0.1;
@@ -67,141 +37,12 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-static auto Smooth(double& aValue, double aSample) -> void
-{
-  aValue = aValue == 0 ? aSample : aValue + kSmoothing * (aSample - aValue);
-}
-
-/// Brings the average up to aNow; has to go before each change of the number.
-static auto AverageRunning(Lane& aLane, Clock::time_point aNow) -> void
-{
-  const auto passed = Seconds(aNow - aLane.meanRunningAt);
-  const auto weight = 1 - std::exp(-passed / kMeanRunningSeconds);
-  aLane.meanRunning +=
-    weight * (static_cast<double>(aLane.running) - aLane.meanRunning);
-  aLane.meanRunningAt = aNow;
-}
-
 auto FairQueue::SetShare(double aSlots, Clock::time_point aNow) -> void
 {
   m_limit.SetShare(aSlots);
   Run(aNow);
 }
 
-auto FairQueue::FindLane(const AdmissionRequest& aRequest,
-                         Clock::time_point aNow) -> LanePointer
-{
-  auto& lane = m_lanes[{ aRequest.plan, aRequest.work }];
-  if (!lane) {
-    lane = std::make_shared<Lane>();
-    lane->plan = aRequest.plan;
-    lane->urgency = aRequest.urgency;
-    lane->size = aRequest.size;
-    lane->creditAt = aNow;
-    lane->credit = kUnknownHoldSeconds * kSavedRequests;
-    m_shortSeen |= aRequest.size == SizeClass::Short;
-    m_urgentSeen |= aRequest.urgency != Urgency::Bulk;
-    m_sharesAt = {};
-  }
-  lane->planWeight = std::max(aRequest.weight, 1e-6);
-  lane->lastUsed = aNow;
-  if (aNow - m_sharesAt >= kSharesEvery) {
-    RefreshShares(aNow);
-  }
-  Earn(*lane, aNow);
-  return lane;
-}
-
-/// Splits the slots over the plans that are in use, and a plan's part evenly
-/// over its kinds of work, so that a plan's flood leaves its other work alone.
-auto FairQueue::RefreshShares(Clock::time_point aNow) -> void
-{
-  m_sharesAt = aNow;
-  std::map<std::string, std::size_t> kinds;
-  double weights = 0;
-  const auto active = [aNow](const Lane& aLane) {
-    return aLane.running > 0 || !aLane.waiting.empty() ||
-           aNow - aLane.lastUsed < kActiveFor;
-  };
-  for (auto entry = m_lanes.begin(); entry != m_lanes.end();) {
-    auto& lane = *entry->second;
-    Earn(lane, aNow);
-    if (active(lane)) {
-      weights += kinds[lane.plan]++ == 0 ? lane.planWeight : 0;
-    } else if (aNow - lane.lastUsed > kRememberedFor) {
-      entry = m_lanes.erase(entry);
-      continue;
-    }
-    ++entry;
-  }
-  for (auto& [key, lane] : m_lanes) {
-    const auto found = kinds.find(lane->plan);
-    const auto sharers =
-      found == kinds.end() ? 1 : std::max<std::size_t>(1, found->second);
-    lane->share = weights == 0
-                    ? 1
-                    : lane->planWeight / weights / static_cast<double>(sharers);
-  }
-}
-
-auto FairQueue::Hold(const Lane& aLane) const -> double
-{
-  if (aLane.holdSeconds > 0) {
-    return aLane.holdSeconds;
-  }
-  return m_holdSeconds > 0 ? m_holdSeconds : kUnknownHoldSeconds;
-}
-
-auto FairQueue::Earn(Lane& aLane, Clock::time_point aNow) -> void
-{
-  const auto earned = Seconds(aNow - aLane.creditAt) * Slots() * aLane.share;
-  const auto most = std::max(kSavedSeconds * Slots() * aLane.share,
-                             kSavedRequests * Hold(aLane));
-  aLane.credit = std::min(most, aLane.credit + earned);
-  aLane.creditAt = aNow;
-}
-
-/// Requests a second that the lane gets through: by its credit, its share, or
-/// what others have left it lately when that is more. What it holds at one
-/// moment says little: with ten times the load offered, the queue would fill
-/// up to what the best moment promises.
-auto FairQueue::DrainPerSecond(const Lane& aLane) const -> double
-{
-  const auto covered = static_cast<double>(aLane.waiting.size() + 1) *
-                       (aLane.chargeSeconds > 0 ? aLane.chargeSeconds : 0);
-  if (aLane.credit > covered) {
-    // Work within its weight goes before all other work.
-    return Slots() / Hold(aLane);
-  }
-  const auto slots = std::max(Slots() * aLane.share, aLane.meanRunning);
-  return std::max(slots, 0.1) / Hold(aLane);
-}
-
-auto FairQueue::NextReturn(Lane& aLane, Clock::time_point aNow) -> std::uint32_t
-{
-  // Each caller that is sent away gets the next place after the one before,
-  // so that they do not come back together.
-  const auto perSecond = DrainPerSecond(aLane);
-  const auto first =
-    aNow +
-    std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(
-      static_cast<double>(aLane.waiting.size()) / perSecond));
-  const auto step = std::chrono::duration_cast<Clock::duration>(
-    std::chrono::duration<double>(1 / perSecond));
-  aLane.nextReturn = std::max(first, aLane.nextReturn + step);
-  const auto last = aNow + Milliseconds(kMostRetryMs);
-  aLane.nextReturn = std::min(aLane.nextReturn, last);
-  const auto wait =
-    static_cast<std::uint32_t>(Seconds(aLane.nextReturn - aNow) * 1000);
-  return std::clamp(wait, kLeastRetryMs, kMostRetryMs);
-}
-
-auto FairQueue::RetryAfter(const std::shared_ptr<Ticket>& aTicket,
-                           Clock::time_point aNow) -> std::uint32_t
-{
-  return NextReturn(*aTicket->lane, aNow);
-}
-
 auto FairQueue::QueueLimit() const -> std::size_t
 {
   return static_cast<std::size_t>(kQueuePerSlot * (Slots() + 1));
@@ -384,15 +225,6 @@
   ticket->changed();
 }
 
-auto FairQueue::OverdueAfter(const std::shared_ptr<Ticket>& aTicket) const
-  -> Clock::duration
-{
-  const auto seconds =
-    std::max(kLeastOverdueSeconds, kOverdueHolds * Hold(*aTicket->lane));
-  return std::chrono::duration_cast<Clock::duration>(
-    std::chrono::duration<double>(seconds));
-}
-
 auto FairQueue::FreeSlot(const Ticket& aTicket, Clock::time_point aNow) -> void
 {
   auto& lane = *aTicket.lane;
@@ -423,7 +255,6 @@
                        const AdmissionOutcome& aOutcome, Clock::time_point aNow)
   -> void
 {
-  auto& lane = *aTicket->lane;
   const bool full = static_cast<double>(m_running + 1) > Slots();
   if (aTicket->state == TicketState::Vacated) {
     --m_vacated;
@@ -432,34 +263,7 @@
     FreeSlot(*aTicket, aNow);
   }
   aTicket->state = TicketState::Done;
-  const auto held = Seconds(aNow - aTicket->startedAt);
-  Earn(lane, aNow);
-  lane.lastUsed = aNow;
-  double queued = 0;
-  if (aOutcome.answered) {
-    Smooth(lane.holdSeconds, held);
-    Smooth(m_holdSeconds, held);
-    const auto latency =
-      std::max(1e-6, std::chrono::duration<double>(aOutcome.latency).count());
-    lane.leastLatency =
-      lane.leastLatency == 0
-        ? latency
-        : std::min(latency, lane.leastLatency * kLeastLatencyDrift);
-    queued = latency - lane.leastLatency;
-    m_limit.OnAnswer(latency / lane.leastLatency, full, aNow);
-  }
-  // Others' work that the target ran first is not charged to the lane.
-  // Neither is most of the time that a slow caller takes for its answer.
-  const auto alone = std::max(0.0, held - queued);
-  if (aOutcome.answered) {
-    lane.leastHold = lane.leastHold == 0
-                       ? alone
-                       : std::min(alone, lane.leastHold * kLeastLatencyDrift);
-  }
-  const auto used =
-    lane.leastHold > 0 ? std::min(alone, kChargeLimit * lane.leastHold) : alone;
-  lane.credit -= used - aTicket->charged;
-  Smooth(lane.chargeSeconds, used);
+  Learn(*aTicket, aOutcome, full, aNow);
   if (aOutcome.shed) {
     m_limit.OnShed(aNow);
   }
