--- a/test/balancer.bash
+++ b/test/balancer.bash
@@ -74,3 +74,13 @@
     "service": "encomendas", "failure_domain": "guimaraes",
     "address": "'"$(address target target)"'"}]' >"$run/vms"
 }
+
+# Waits until the balancer has lists and token keys.
+wait_ready() { # name
+  local tries=0
+  until grep -q '"ready":true' <<<"$(http GET "$(address "$1" administration)" /healthz)"; do
+    tries=$((tries + 1))
+    [ $tries -lt 200 ] || { echo "$1 does not get ready" >&2; return 1; }
+    sleep 0.05
+  done
+}
