--- a/include/bramleylock/Flow/Dispatcher.h
+++ b/include/bramleylock/Flow/Dispatcher.h
@@ -51,6 +51,7 @@
   auto NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>;
   auto StartRequest(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
     -> void;
+  auto Accept(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow) -> void;
   auto RepeatKnown(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
     -> bool;
   auto HandleActive(const Arrival& aArrival, Flow& aFlow) -> void;
--- a/include/bramleylock/Flow/FlowRecord.h
+++ b/include/bramleylock/Flow/FlowRecord.h
@@ -18,10 +18,14 @@
 /// Everything that the receiver needs of aFlow; its requests stop here.
 auto Freeze(Flow& aFlow, const wire::Owner& aSelf) -> wire::HandedFlow;
 
-/// A flow of this balancer for one that was handed over, without its record.
-auto MakeFlow(const Environment& aEnvironment, const wire::HandedFlow& aHanded)
+/// A flow that this balancer owns from now on.
+auto MakeFlow(const Environment& aEnvironment, std::uint64_t aId,
+              const std::string& aPlan, const std::string& aService)
   -> std::shared_ptr<Flow>;
 
+/// Gives aFlow a token that names this balancer, under the signing key.
+auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void;
+
 /// Whether the whole flow came here from aOwner, with its record.
 auto CameFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool;
 
--- a/lib/Flow/FlowRecord.cpp
+++ b/lib/Flow/FlowRecord.cpp
@@ -139,18 +139,25 @@
   return handed;
 }
 
-auto MakeFlow(const Environment& aEnvironment, const wire::HandedFlow& aHanded)
+auto MakeFlow(const Environment& aEnvironment, std::uint64_t aId,
+              const std::string& aPlan, const std::string& aService)
   -> std::shared_ptr<Flow>
 {
   auto flow = std::make_shared<Flow>();
-  flow->id = aHanded.id;
-  flow->plan = aHanded.plan;
-  flow->service = aHanded.service;
-  flow->token = SignFlow(aEnvironment, flow->service, flow->id);
-  flow->keyId = aEnvironment.keys.Signing();
+  flow->id = aId;
+  flow->plan = aPlan;
+  flow->service = aService;
+  flow->lastUsed = Clock::now();
+  RenewToken(aEnvironment, *flow);
   return flow;
 }
 
+auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void
+{
+  aFlow.token = SignFlow(aEnvironment, aFlow.service, aFlow.id);
+  aFlow.keyId = aEnvironment.keys.Signing();
+}
+
 auto CameFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool
 {
   const auto& origins = aFlow.origins;
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -25,18 +25,23 @@
   if (flow && RepeatKnown(aArrival, flow)) {
     return;
   }
+  const bool once = aArrival.work.execution == Execution::AtMostOnce;
+  if (flow && !once) {
+    StartRequest(aArrival, flow);
+    return;
+  }
   if (RejectedEarly(aArrival, nullptr)) {
     return;
   }
   if (!flow) {
     flow = NewFlow(aArrival);
   }
-  if (aArrival.work.execution == Execution::AtMostOnce) {
+  if (once) {
     m_environment.metrics.Add(Counter::RefusedOpenFirst);
     SendWithToken(aArrival, PacketType::Opened, flow->token);
     return;
   }
-  StartRequest(aArrival, flow);
+  Accept(aArrival, flow);
 }
 
 /// Whether aPlan's limits refuse one more request. A request that only opens
@@ -56,22 +61,23 @@
 }
 
 /// Answers a request that the admission policy or its plan's limits refuse now,
-/// before anything is kept for it; true when it did.
+/// before anything is kept for it; true when it did. aOwned is the flow whose
+/// record keeps the answer; without one, at-most-once work only opens its flow.
 auto Dispatcher::RejectedEarly(const Arrival& aArrival,
                                const std::shared_ptr<Flow>& aOwned) -> bool
 {
   const auto request =
     MakeAdmissionRequest(m_environment, aArrival.plan, aArrival.packet.service,
                          aArrival.packet, aArrival.work);
+  const bool once = aArrival.work.execution == Execution::AtMostOnce;
   auto refusal = m_environment.admission.CheckEarly(request);
   if (refusal.reason == Reason::None) {
-    refusal = PlanRefusal(aArrival.plan, aOwned != nullptr);
+    refusal = PlanRefusal(aArrival.plan, aOwned || !once);
   }
   if (refusal.reason == Reason::None) {
     return false;
   }
   CountReason(m_environment.metrics, refusal.reason);
-  const bool once = aArrival.work.execution == Execution::AtMostOnce;
   wire::Packet packet;
   packet.type = once ? PacketType::NotRun : PacketType::Refused;
   packet.flow = aArrival.packet.flow;
@@ -91,13 +97,9 @@
 
 auto Dispatcher::NewFlow(const Arrival& aArrival) -> std::shared_ptr<Flow>
 {
-  auto flow = std::make_shared<Flow>();
-  flow->id = aArrival.packet.flow;
-  flow->plan = aArrival.plan;
-  flow->service = aArrival.packet.service;
-  flow->lastUsed = Clock::now();
-  flow->token = SignFlow(m_environment, flow->service, flow->id);
-  flow->keyId = m_environment.keys.Signing();
+  const auto& packet = aArrival.packet;
+  auto flow =
+    MakeFlow(m_environment, packet.flow, aArrival.plan, packet.service);
   m_flows.Add(flow);
   m_environment.metrics.Add(Counter::FlowsOpened);
   return flow;
@@ -149,8 +151,7 @@
     return;
   }
   if (flow->keyId != m_environment.keys.Signing()) {
-    flow->token = SignFlow(m_environment, flow->service, flow->id);
-    flow->keyId = m_environment.keys.Signing();
+    RenewToken(m_environment, *flow);
   }
   if (packet.token != flow->token) {
     // Later requests of the flow need no detour by an earlier owner, and no
@@ -278,6 +279,12 @@
   if (RejectedEarly(aArrival, aFlow)) {
     return;
   }
+  Accept(aArrival, aFlow);
+}
+
+auto Dispatcher::Accept(Arrival& aArrival, const std::shared_ptr<Flow>& aFlow)
+  -> void
+{
   auto exchange = std::make_shared<Exchange>();
   // The caller takes the answer under the token that it knows, as long as that
   // leads here.
--- a/lib/Flow/RequestRunner.cpp
+++ b/lib/Flow/RequestRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "bramleylock/Flow/RequestRunner.h"
 
+#include "bramleylock/Flow/FinalWord.h"
 #include "bramleylock/Flow/HedgedReader.h"
 #include "bramleylock/Flow/RequestTimes.h"
 
@@ -48,6 +49,7 @@
     : m_environment(aEnvironment)
     , m_flow(std::move(aFlow))
     , m_exchange(std::move(aExchange))
+    , m_final(aEnvironment, *m_flow, *m_exchange)
     , m_reader(aEnvironment, *m_exchange, m_flow->service, m_tried)
   {
   }
@@ -64,9 +66,9 @@
     m_permit = std::move(admitted.permit);
     m_reader.WatchOverdue(admitted.overdueAfter, [this] { VacatePlace(); });
     if (admitted.refusal != Reason::None) {
-      EndNotRun(admitted.refusal, admitted.retryAfterMs);
+      m_final.NotRun(admitted.refusal, admitted.retryAfterMs);
     } else if (m_exchange->cancelled) {
-      EndNotRun(Reason::Cancelled, 0);
+      m_final.NotRun(Reason::Cancelled, 0);
     } else {
       co_await RunAttempts();
     }
@@ -231,16 +233,6 @@
     return AttemptResult::TryElsewhere;
   }
 
-  auto MakeTemplate(PacketType aType) -> wire::Packet
-  {
-    wire::Packet packet;
-    packet.type = aType;
-    packet.flow = m_flow->id;
-    packet.sequence = m_exchange->request.sequence;
-    packet.token = m_exchange->token;
-    return packet;
-  }
-
   /// Whether the parts that the caller holds belong to this answer.
   auto Continues(const target::TargetHead& aHead) -> bool
   {
@@ -264,7 +256,8 @@
       return false;
     }
     m_exchange->answer = std::make_unique<AnswerSender>(
-      m_environment, MakeTemplate(PacketType::Answer), m_exchange->caller);
+      m_environment, m_final.MakePacket(PacketType::Answer),
+      m_exchange->caller);
     m_exchange->answer->SkipTo(first);
     m_body.clear();
     m_tag = aHead.tag;
@@ -347,15 +340,10 @@
     if (m_pushed <= wire::kPartBytes && m_exchange->request.part == 0) {
       // A short answer needs no acknowledgement: a caller that misses it sends
       // the request again.
-      auto packet = MakeTemplate(PacketType::Answer);
-      packet.code = aHead.status;
-      packet.answerTag = aHead.tag;
-      packet.parts = 1;
-      packet.payload = m_body;
-      EndWith(packet);
+      m_final.Answer(aHead.status, aHead.tag, m_body);
       co_return;
     }
-    RememberParts(aHead);
+    m_final.KeepParts(aHead.status, aHead.tag, m_body);
     co_await m_exchange->answer->Finish();
   }
 
@@ -367,72 +355,14 @@
     }
   }
 
-  auto RememberParts(const target::TargetHead& aHead) -> void
-  {
-    if (Repeatable() || m_exchange->frozen) {
-      return;
-    }
-    auto packet = MakeTemplate(PacketType::Answer);
-    packet.code = aHead.status;
-    packet.answerTag = aHead.tag;
-    packet.parts = static_cast<std::uint32_t>(
-      (m_body.size() + wire::kPartBytes - 1) / wire::kPartBytes);
-    auto& outcome = NewOutcome();
-    for (packet.part = 0; packet.part < packet.parts; ++packet.part) {
-      packet.payload =
-        m_body.substr(packet.part * wire::kPartBytes, wire::kPartBytes);
-      outcome.datagrams.push_back(wire::Encode(packet));
-    }
-  }
-
-  auto NewOutcome() -> Outcome&
-  {
-    auto& outcome = m_flow->outcomes[m_exchange->request.sequence];
-    outcome.datagrams.clear();
-    outcome.keepUntil =
-      std::max(m_exchange->deadline, Clock::now()) + kOutcomeMargin;
-    return outcome;
-  }
-
-  /// Sends aPacket as the final word and keeps it for at-most-once requests.
-  auto EndWith(const wire::Packet& aPacket) -> void
-  {
-    if (m_exchange->frozen) {
-      return;
-    }
-    SendPacket(m_environment, m_exchange->caller, aPacket);
-    if (!Repeatable()) {
-      NewOutcome().datagrams.push_back(wire::Encode(aPacket));
-    }
-  }
-
-  auto EndNotRun(Reason aReason, std::uint32_t aRetryAfterMs) -> void
-  {
-    CountReason(m_environment.metrics, aReason);
-    // Another copy of a repeatable request may have run at another owner.
-    const auto type = Repeatable() ? PacketType::Refused : PacketType::NotRun;
-    auto packet = MakeTemplate(type);
-    packet.code = static_cast<std::uint32_t>(aReason);
-    packet.retryAfterMs = aRetryAfterMs;
-    EndWith(packet);
-  }
-
-  auto EndUnknown(Reason aReason) -> void
-  {
-    CountReason(m_environment.metrics, aReason);
-    auto packet = MakeTemplate(PacketType::Unknown);
-    packet.code = static_cast<std::uint32_t>(aReason);
-    EndWith(packet);
-  }
-
   /// Says "not run" only when no target can have run the request.
   auto EndUndecided(Reason aReason) -> void
   {
     if (m_mayHaveRun) {
-      EndUnknown(aReason);
+      m_final.Unknown(aReason);
       return;
     }
-    EndNotRun(aReason, std::max(m_retryAfterMs, kShedRetryAfterMs));
+    m_final.NotRun(aReason, std::max(m_retryAfterMs, kShedRetryAfterMs));
   }
 
   auto EndAborted() -> void
@@ -441,7 +371,7 @@
     m_exchange->connection.reset();
     m_environment.metrics.Add(Counter::RequestsCancelled);
     if (!Repeatable()) {
-      EndUnknown(Reason::Cancelled);
+      m_final.Unknown(Reason::Cancelled);
     }
   }
 
@@ -450,6 +380,7 @@
   std::shared_ptr<Exchange> m_exchange;
   admission::Permit m_permit;
   AdmissionOutcome m_outcome;
+  FinalWord m_final;
   std::set<std::string> m_tried;
   HedgedReader m_reader;
   Reason m_failure = Reason::NoTarget;
