--- a/lib/Flow/HandOver.cpp
+++ b/lib/Flow/HandOver.cpp
@@ -303,8 +303,7 @@
 {
   auto flow = m_flows.Find(aHanded.id);
   if (!flow) {
-    flow =
-      MakeFlow(m_environment, aHanded.id, aHanded.plan, aHanded.service);
+    flow = MakeFlow(m_environment, aHanded.id, aHanded.plan, aHanded.service);
     m_flows.Add(flow);
   }
   Merge(*flow, aHanded);
