--- a/include/bramleylock/Support/Asio.h
+++ b/include/bramleylock/Support/Asio.h
@@ -28,6 +28,12 @@
 using Clock = std::chrono::steady_clock;
 using Milliseconds = std::chrono::milliseconds;
 
+/// aDuration in seconds, with its fractions.
+inline auto InSeconds(Clock::duration aDuration) -> double
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 /// A completion token that stores the error instead of throwing.
 inline auto Into(boost::system::error_code& aError)
 {
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -32,11 +32,6 @@
   return static_cast<std::size_t>(aUrgency);
 }
 
-static auto Seconds(Clock::duration aDuration) -> double
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 auto FairQueue::SetShare(double aSlots, Clock::time_point aNow) -> void
 {
   m_limit.SetShare(aSlots);
@@ -52,7 +47,7 @@
                            Clock::time_point aNow) -> Refusal
 {
   const auto lane = FindLane(aRequest, aNow);
-  const auto left = Seconds(aRequest.deadline - aNow) - Hold(*lane);
+  const auto left = InSeconds(aRequest.deadline - aNow) - Hold(*lane);
   const auto full = static_cast<std::size_t>(Slots()) <= m_running;
   if (left <= 0) {
     return { Reason::Deadline, NextReturn(*lane, aNow) };
--- a/lib/Admission/LaneAccounts.cpp
+++ b/lib/Admission/LaneAccounts.cpp
@@ -41,11 +41,6 @@
 static constexpr std::uint32_t kLeastRetryMs = 50;
 static constexpr std::uint32_t kMostRetryMs = 5000;
 
-static auto Seconds(Clock::duration aDuration) -> double
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 static auto Smooth(double& aValue, double aSample) -> void
 {
   aValue = aValue == 0 ? aSample : aValue + kSmoothing * (aSample - aValue);
@@ -54,7 +49,7 @@
 /// Brings the average up to aNow; has to go before each change of the number.
 auto FairQueue::AverageRunning(Lane& aLane, Clock::time_point aNow) -> void
 {
-  const auto passed = Seconds(aNow - aLane.meanRunningAt);
+  const auto passed = InSeconds(aNow - aLane.meanRunningAt);
   const auto weight = 1 - std::exp(-passed / kMeanRunningSeconds);
   aLane.meanRunning +=
     weight * (static_cast<double>(aLane.running) - aLane.meanRunning);
@@ -127,7 +122,7 @@
 
 auto FairQueue::Earn(Lane& aLane, Clock::time_point aNow) -> void
 {
-  const auto earned = Seconds(aNow - aLane.creditAt) * Slots() * aLane.share;
+  const auto earned = InSeconds(aNow - aLane.creditAt) * Slots() * aLane.share;
   const auto most = std::max(kSavedSeconds * Slots() * aLane.share,
                              kSavedRequests * Hold(aLane));
   aLane.credit = std::min(most, aLane.credit + earned);
@@ -165,7 +160,7 @@
   const auto last = aNow + Milliseconds(kMostRetryMs);
   aLane.nextReturn = std::min(aLane.nextReturn, last);
   const auto wait =
-    static_cast<std::uint32_t>(Seconds(aLane.nextReturn - aNow) * 1000);
+    static_cast<std::uint32_t>(InSeconds(aLane.nextReturn - aNow) * 1000);
   return std::clamp(wait, kLeastRetryMs, kMostRetryMs);
 }
 
@@ -188,15 +183,14 @@
                       bool aFull, Clock::time_point aNow) -> void
 {
   auto& lane = *aTicket.lane;
-  const auto held = Seconds(aNow - aTicket.startedAt);
+  const auto held = InSeconds(aNow - aTicket.startedAt);
   Earn(lane, aNow);
   lane.lastUsed = aNow;
   double queued = 0;
   if (aOutcome.answered) {
     Smooth(lane.holdSeconds, held);
     Smooth(m_holdSeconds, held);
-    const auto latency =
-      std::max(1e-6, std::chrono::duration<double>(aOutcome.latency).count());
+    const auto latency = std::max(1e-6, InSeconds(aOutcome.latency));
     lane.leastLatency =
       lane.leastLatency == 0
         ? latency
--- a/measure/AtMostOnce.cpp
+++ b/measure/AtMostOnce.cpp
@@ -31,11 +31,10 @@
 protected:
   auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
   {
-    aCluster.Control(aCluster.FabricControl(), "/control/fault",
-                     { { "loss", 0.05 },
-                       { "duplicate", 0.2 },
-                       { "delay", 0.2 },
-                       { "delay_ms", 250 } });
+    aCluster.SetFabricFault({ { "loss", 0.05 },
+                              { "duplicate", 0.2 },
+                              { "delay", 0.2 },
+                              { "delay_ms", 250 } });
   }
 
   auto AddLoad(Load& aLoad, const Deployment& aDeployment,
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -151,6 +151,11 @@
   /// Loses aPart of the packets on all peer links.
   auto LosePackets(double aPart) -> void;
 
+  /// Sets what is wrong with the platform's store, or with the packets between
+  /// callers and balancers; an empty object heals it.
+  auto SetStoreFault(const nlohmann::json& aFault) -> void;
+  auto SetFabricFault(const nlohmann::json& aFault) -> void;
+
   /// Sends a control document to a stand-in at "ip:port".
   auto Control(const std::string& aAddress, const std::string& aPath,
                const nlohmann::json& aBody) -> nlohmann::json;
--- a/measure/ClusterFaults.cpp
+++ b/measure/ClusterFaults.cpp
@@ -141,6 +141,16 @@
   }
 }
 
+auto Cluster::SetStoreFault(const json& aFault) -> void
+{
+  Control(StoreAddress(), "/control/fault", aFault);
+}
+
+auto Cluster::SetFabricFault(const json& aFault) -> void
+{
+  Control(FabricControl(), "/control/fault", aFault);
+}
+
 auto Cluster::LosePackets(double aPart) -> void
 {
   m_loss = aPart;
--- a/measure/DrainFaults.cpp
+++ b/measure/DrainFaults.cpp
@@ -108,8 +108,7 @@
   {
     auto& cluster = aBench.cluster;
     WaitUntil(aBench.load, kStopAt);
-    cluster.Control(cluster.StoreAddress(), "/control/fault",
-                    { { "down", true } });
+    cluster.SetStoreFault({ { "down", true } });
     const auto domain = FirstDomain(cluster);
     m_drained = domain.size();
     // All but the last together, so that they could choose each other.
--- a/measure/EditProbe.cpp
+++ b/measure/EditProbe.cpp
@@ -15,6 +15,16 @@
 static constexpr Milliseconds kPollEvery{ 20 };
 static constexpr double kWaitLimitSeconds = 10;
 
+auto ListsFleet(const ScenarioOptions& aOptions) -> ClusterOptions
+{
+  ClusterOptions options;
+  options.seed = aOptions.seed;
+  const auto domains = aOptions.deployment->failureDomains.size();
+  options.balancers = static_cast<int>(domains) * kListsPerDomain;
+  options.hosts = 1;
+  return options;
+}
+
 auto Pause(double aSeconds) -> void
 {
   std::this_thread::sleep_for(std::chrono::duration<double>(aSeconds));
--- a/measure/EditProbe.h
+++ b/measure/EditProbe.h
@@ -11,6 +11,12 @@
 
 namespace bramleylock::measure {
 
+/// Balancers of each failure domain, so that most are no watchers.
+inline constexpr int kListsPerDomain = 4;
+
+/// A fleet of that size, with one host for each service.
+auto ListsFleet(const ScenarioOptions& aOptions) -> ClusterOptions;
+
 /// An accepted edit must be in force everywhere within this time.
 inline constexpr double kSpreadLimitSeconds = 4;
 
--- a/measure/Edits.cpp
+++ b/measure/Edits.cpp
@@ -8,8 +8,6 @@
 
 using nlohmann::json;
 
-/// Balancers of each failure domain, so that most are no watchers.
-static constexpr int kPerDomain = 4;
 static constexpr int kEdits = 20;
 static constexpr double kRestSeconds = 5;
 
@@ -20,15 +18,11 @@
 /// keys and the lists' watch.
 static constexpr double kCallsPerWatcher = 1.5;
 
+/// The lists' fleet, or one of the size that the command line gives.
 static auto Fleet(const ScenarioOptions& aOptions) -> ClusterOptions
 {
-  ClusterOptions options;
-  options.seed = aOptions.seed;
-  const auto domains = aOptions.deployment->failureDomains.size();
-  options.balancers = aOptions.nodes > 0
-                        ? aOptions.nodes
-                        : static_cast<int>(domains) * kPerDomain;
-  options.hosts = 1;
+  auto options = ListsFleet(aOptions);
+  options.balancers = aOptions.nodes > 0 ? aOptions.nodes : options.balancers;
   return options;
 }
 
@@ -169,8 +163,7 @@
       auto& through = balancers[random() % balancers.size()];
       const auto edit = probe.NextEdit(probe.Plans()[0]);
       ids.insert(edit.value("edit", ""));
-      cluster.Control(cluster.StoreAddress(), "/control/fault",
-                      { { "lose_answers", 1 } });
+      cluster.SetStoreFault({ { "lose_answers", 1 } });
       const auto answer = probe.Submit(through, edit);
       // The operator's own connection may also break: the same edit goes
       // through another balancer and must be found, not written.
--- a/measure/HandOverSize.cpp
+++ b/measure/HandOverSize.cpp
@@ -2,6 +2,7 @@
 // callers go on using them.
 
 #include "measure/Scenario.h"
+#include "measure/Tasks.h"
 
 #include <fmt/format.h>
 
@@ -104,25 +105,6 @@
     std::this_thread::sleep_for(kPublished);
   }
 
-  /// Runs aTasks coroutines to their end.
-  template<typename MakeTask>
-  static auto RunTasks(asio::io_context& aContext, int aTasks,
-                       MakeTask aMakeTask) -> void
-  {
-    int open = aTasks;
-    const auto count = [&](int aTask) -> awaitable<void> {
-      co_await aMakeTask(aTask);
-      if (--open == 0) {
-        aContext.stop();
-      }
-    };
-    aContext.restart();
-    for (int i = 0; i < aTasks; ++i) {
-      Spawn(aContext, "task", count(i));
-    }
-    aContext.run();
-  }
-
   auto Shape(bool aAtMostOnce) const -> const LoadShape&
   {
     return aAtMostOnce ? m_deployment->booking : m_deployment->reading;
--- a/measure/KeyRotation.cpp
+++ b/measure/KeyRotation.cpp
@@ -1,7 +1,7 @@
 // Scenario "key-rotation": the token keys change twice under flows that live
 // through both changes.
 
-#include "measure/Scenario.h"
+#include "measure/LoadedScenario.h"
 
 #include <thread>
 
@@ -16,52 +16,63 @@
 
 namespace {
 
-class KeyRotation : public Scenario
+class KeyRotation : public LoadedScenario
 {
 public:
+  KeyRotation()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "token keys replaced twice under long flows";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Options(const ScenarioOptions& aOptions) const -> ClusterOptions override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
+    auto options = LoadedScenario::Options(aOptions);
     // Old keys stay for twice the time that a flow may be idle.
-    Cluster cluster(deployment, { aOptions.seed,
-                                  { { "flows", "idle_seconds = 2\n" } },
-                                  aOptions.nodes,
-                                  0 });
-    cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
+    options.settings["flows"] = "idle_seconds = 2\n";
+    return options;
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
+  {
     for (int i = 0; i < kFlows; ++i) {
-      load.Add({ deployment.booking, 5, kLongFlow, 0, seconds, "booking" });
-      load.Add({ deployment.reading, 30, kLongFlow, 0, seconds, "reading" });
+      aLoad.Add(
+        { aDeployment.booking, 5, kLongFlow, 0, aSeconds, "booking" });
+      aLoad.Add(
+        { aDeployment.reading, 30, kLongFlow, 0, aSeconds, "reading" });
     }
-    load.Add({ deployment.reading, 40, 2, 0, seconds, "short_reading" });
-    load.Add({ deployment.bulk, 2, 1, 0, seconds, "bulk" });
-    load.Start();
-    std::this_thread::sleep_for(std::chrono::duration<double>(kFirstRotation));
-    std::uint64_t done = 0;
+    aLoad.Add({ aDeployment.reading, 40, 2, 0, aSeconds, "short_reading" });
+    aLoad.Add({ aDeployment.bulk, 2, 1, 0, aSeconds, "bulk" });
+  }
+
+  auto During(const Bench& aBench, Report& aReport) -> void override
+  {
+    WaitUntil(aBench.load, kFirstRotation);
     for (int i = 0; i < kRotations; ++i) {
-      done += Rotate(cluster, static_cast<std::size_t>(i), i + 2) ? 1 : 0;
+      const auto balancer = static_cast<std::size_t>(i);
+      m_done += Rotate(aBench.cluster, balancer, i + 2) ? 1 : 0;
     }
     aReport.Add("rotations_within_the_load",
-                load.Elapsed() < seconds ? done : 0);
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    aReport.Require("every rotation ended", done == kRotations);
-    for (const auto* name : { "keys_rotated", "keys_expired", "token_key_newer",
-                              "token_key_unknown", "token_forged" }) {
-      aReport.Add(name, cluster.CounterSum(name));
-    }
+                aBench.load.Elapsed() < aBench.seconds ? m_done : 0);
+  }
+
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
+  {
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    aReport.Require("every rotation ended", m_done == kRotations);
+    AddCounters(aBench.cluster,
+                { "keys_rotated", "keys_expired", "token_key_newer",
+                  "token_key_unknown", "token_forged" },
+                aReport);
     aReport.Require("token_key_unknown=0",
-                    cluster.CounterSum("token_key_unknown") == 0);
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+                    aBench.cluster.CounterSum("token_key_unknown") == 0);
   }
 
 private:
@@ -85,6 +96,8 @@
     }
     return false;
   }
+
+  std::uint64_t m_done = 0;
 };
 
 const Registration<ScenarioRegistry, KeyRotation> kRegistration("key-rotation");
--- a/measure/LateAnswers.cpp
+++ b/measure/LateAnswers.cpp
@@ -1,6 +1,6 @@
 // Scenario "late-answers": answers come late, twice and out of order.
 
-#include "measure/Scenario.h"
+#include "measure/LoadedScenario.h"
 
 namespace bramleylock::measure {
 
@@ -8,38 +8,42 @@
 
 namespace {
 
-class LateAnswers : public Scenario
+class LateAnswers : public LoadedScenario
 {
 public:
+  LateAnswers()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "answers that come late, twice and crossed";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto Prepare(Cluster& aCluster, Report& /*aReport*/) -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    cluster.Control(
-      cluster.FabricControl(), "/control/fault",
+    aCluster.SetFabricFault(
       { { "duplicate", 0.3 }, { "delay", 0.4 }, { "delay_ms", 400 } });
-    Load load(cluster.CallerAddress(), aOptions.seed);
+  }
+
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
+  {
     // Many requests of one flow are under way at the same time.
-    load.Add({ deployment.booking, 60, 50, 0, seconds, "booking" });
-    load.Add({ deployment.reading, 150, 50, 0, seconds, "reading" });
-    load.Add({ deployment.bulk, 4, 4, 0, seconds, "bulk" });
-    load.Start();
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    aReport.Add("stray_answers", load.Stray());
-    aReport.Require("stray_answers>0", load.Stray() > 0);
-    aReport.Add("packet_stray", cluster.CounterSum("packet_stray"));
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    aLoad.Add({ aDeployment.booking, 60, 50, 0, aSeconds, "booking" });
+    aLoad.Add({ aDeployment.reading, 150, 50, 0, aSeconds, "reading" });
+    aLoad.Add({ aDeployment.bulk, 4, 4, 0, aSeconds, "bulk" });
+  }
+
+  auto Judge(const Bench& aBench, const Checks& aChecks, Report& aReport)
+    -> void override
+  {
+    aReport.Require("broken_flows=0", aChecks.brokenFlows == 0);
+    aReport.Add("stray_answers", aBench.load.Stray());
+    aReport.Require("stray_answers>0", aBench.load.Stray() > 0);
+    AddCounters(aBench.cluster, { "packet_stray" }, aReport);
   }
 };
 
--- a/measure/LoadedScenario.cpp
+++ b/measure/LoadedScenario.cpp
@@ -63,8 +63,7 @@
 
 auto DelayPackets(Cluster& aCluster, int aMilliseconds) -> void
 {
-  aCluster.Control(aCluster.FabricControl(), "/control/fault",
-                   { { "delay", 1.0 }, { "delay_ms", aMilliseconds } });
+  aCluster.SetFabricFault({ { "delay", 1.0 }, { "delay_ms", aMilliseconds } });
 }
 
 auto AddCounters(Cluster& aCluster, const std::vector<const char*>& aNames,
--- a/measure/PausedOwner.cpp
+++ b/measure/PausedOwner.cpp
@@ -1,9 +1,9 @@
 // Scenario "paused-owner": owners are stopped past every timeout and go on.
 
+#include "measure/LoadedScenario.h"
 #include "measure/OwnerFaults.h"
 
 #include <csignal>
-#include <thread>
 
 namespace bramleylock::measure {
 
@@ -17,59 +17,59 @@
 
 namespace {
 
-class PausedOwner : public Scenario
+class PausedOwner : public LoadedScenario
 {
 public:
+  PausedOwner()
+    : LoadedScenario(kSeconds)
+  {
+  }
+
   auto Summary() const -> std::string override
   {
     return "owners stopped past every timeout that go on later";
   }
 
-  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+protected:
+  auto AddLoad(Load& aLoad, const Deployment& aDeployment,
+               double aSeconds) const -> void override
   {
-    const auto& deployment = *aOptions.deployment;
-    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
-    Cluster cluster(deployment, { aOptions.seed, {}, aOptions.nodes, 0 });
-    cluster.Start();
-    Load load(cluster.CallerAddress(), aOptions.seed);
     // Each label has one flow open at a time, so there are several.
     for (int i = 0; i < kFlows; ++i) {
-      load.Add({ deployment.booking, 6, 10, 0, seconds, "booking" });
-      load.Add({ deployment.reading, 8, 10, 0, seconds, "reading" });
+      aLoad.Add({ aDeployment.booking, 6, 10, 0, aSeconds, "booking" });
+      aLoad.Add({ aDeployment.reading, 8, 10, 0, aSeconds, "reading" });
     }
-    load.Add({ deployment.bulk, 3, 1, 0, seconds, "bulk" });
-    load.Start();
-    Wait(load, kPauseAt);
-    std::vector<OwnerFault> faults;
+    aLoad.Add({ aDeployment.bulk, 3, 1, 0, aSeconds, "bulk" });
+  }
+
+  auto During(const Bench& aBench, Report& /*aReport*/) -> void override
+  {
+    WaitUntil(aBench.load, kPauseAt);
+    auto& balancers = aBench.cluster.Balancers();
     for (std::size_t i = 0; i < kPaused; ++i) {
-      auto& process = *cluster.Balancers()[i].process;
+      auto& process = *balancers[i].process;
       process.Signal(SIGSTOP);
-      faults.push_back(
+      m_faults.push_back(
         { process.Value("peers"), kPauseAt, kPauseAt + kPauseSeconds });
     }
-    Wait(load, kPauseAt + kPauseSeconds);
+    WaitUntil(aBench.load, kPauseAt + kPauseSeconds);
     for (std::size_t i = 0; i < kPaused; ++i) {
-      cluster.Balancers()[i].process->Signal(SIGCONT);
+      balancers[i].process->Signal(SIGCONT);
     }
-    load.Join();
-    const auto checks = CheckRecords(load.Records(), cluster);
-    aReport.AddChecks(checks);
-    AddOwnerFaults(load.Records(), faults, aReport);
-    const auto noticed = cluster.CounterSum("pause_noticed");
+  }
+
+  auto Judge(const Bench& aBench, const Checks& /*aChecks*/, Report& aReport)
+    -> void override
+  {
+    AddOwnerFaults(aBench.load.Records(), m_faults, aReport);
+    const auto noticed = aBench.cluster.CounterSum("pause_noticed");
     aReport.Add("pause_noticed", noticed);
     aReport.Require("every pause noticed", noticed >= kPaused);
-    aReport.Add("packet_stale", cluster.CounterSum("packet_stale"));
-    aReport.AddReasons(load.Records());
-    aReport.AddLatencies(load.Records());
+    AddCounters(aBench.cluster, { "packet_stale" }, aReport);
   }
 
 private:
-  static auto Wait(const Load& aLoad, double aSeconds) -> void
-  {
-    while (aLoad.Elapsed() < aSeconds) {
-      std::this_thread::sleep_for(Milliseconds(10));
-    }
-  }
+  std::vector<OwnerFault> m_faults;
 };
 
 const Registration<ScenarioRegistry, PausedOwner> kRegistration("paused-owner");
--- a/measure/SilentConnections.cpp
+++ b/measure/SilentConnections.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <thread>
 
 namespace bramleylock::measure {
@@ -59,7 +60,7 @@
     for (const double at : kForgetAt) {
       std::this_thread::sleep_for(
         std::chrono::duration<double>(at - load.Elapsed()));
-      Forget(cluster);
+      cluster.ForgetConnections();
     }
     load.Join();
     const auto checks = CheckRecords(load.Records(), cluster);
@@ -78,14 +79,6 @@
   }
 
 private:
-  static auto Forget(Cluster& aCluster) -> void
-  {
-    for (auto& target : aCluster.Targets()) {
-      aCluster.Control(target.proxy->Value("control"), "/control/fault",
-                       { { "forget_existing", true } });
-    }
-  }
-
   /// When each request first ran, in seconds of the load.
   static auto FirstRuns(Cluster& aCluster, std::uint64_t aStartedAt) -> Runs
   {
@@ -103,38 +96,20 @@
     return runs;
   }
 
-  /// The requests that were lost on connections which worked until then. What
-  /// was sent after a lost proof, which is a GET, is not among them.
-  static auto LostInFlight(Cluster& aCluster) -> std::vector<std::string>
+  static auto LostInFlight(Cluster& aCluster) -> std::set<std::string>
   {
-    std::vector<std::string> lost;
+    std::set<std::string> lost;
     for (auto& target : aCluster.Targets()) {
-      const auto losses =
-        aCluster.Control(target.proxy->Value("control"), "/control/losses", {});
-      for (const std::string request : losses["requests"]) {
-        if (request.starts_with("POST ")) {
-          lost.push_back(request);
-        }
-      }
+      lost.merge(aCluster.LostRequests(target));
     }
     return lost;
   }
 
-  static auto WasLost(const Record& aRecord,
-                      const std::vector<std::string>& aLost) -> bool
-  {
-    const auto word = "id=" + aRecord.id + " ";
-    return std::any_of(aLost.begin(), aLost.end(),
-                       [&word](const std::string& aRequest) {
-                         return aRequest.find(word) != std::string::npos;
-                       });
-  }
-
   /// Only at-most-once work that was in flight when its connection was
   /// forgotten may end without an answer.
   static auto AddLosses(
     const std::map<std::string, std::vector<Record>>& aRecords,
-    const std::vector<std::string>& aLost, const Runs& aRuns, Report& aReport)
+    const std::set<std::string>& aLost, const Runs& aRuns, Report& aReport)
     -> void
   {
     std::uint64_t excused = 0;
@@ -144,7 +119,7 @@
         if (record.outcome != caller::CallOutcome::Unknown) {
           continue;
         }
-        const bool mayEnd = record.atMostOnce && WasLost(record, aLost);
+        const bool mayEnd = record.atMostOnce && aLost.contains(record.id);
         (mayEnd ? excused : broken) += 1;
         if (!mayEnd) {
           Trace(label, record, aRuns, aReport);
--- a/measure/SoakFaults.cpp
+++ b/measure/SoakFaults.cpp
@@ -266,12 +266,10 @@
 auto SoakFaults::StoreOutage() -> void
 {
   ++m_outages;
-  m_cluster.Control(m_cluster.StoreAddress(), "/control/fault",
-                    { { "down", true } });
+  m_cluster.SetStoreFault({ { "down", true } });
   EndAt(m_load.Elapsed() + kOutageSeconds, [this] {
     if (--m_outages == 0) {
-      m_cluster.Control(m_cluster.StoreAddress(), "/control/fault",
-                        nlohmann::json::object());
+      m_cluster.SetStoreFault(nlohmann::json::object());
     }
   });
 }
--- a/measure/Speed.cpp
+++ b/measure/Speed.cpp
@@ -3,6 +3,7 @@
 
 #include "measure/ProcessUse.h"
 #include "measure/Scenario.h"
+#include "measure/Tasks.h"
 
 #include "bramleylock/Target/TargetTransport.h"
 
@@ -69,18 +70,8 @@
 {
   asio::io_context context(1);
   caller::Client client(context, aServer);
-  int open = aTasks;
-  const auto count = [&]() -> awaitable<void> {
-    co_await aMakeTask(client);
-    if (--open == 0) {
-      client.Close();
-      context.stop();
-    }
-  };
-  for (int i = 0; i < aTasks; ++i) {
-    Spawn(context, "speed", count());
-  }
-  context.run();
+  RunTasks(context, aTasks, [&](int) { return aMakeTask(client); });
+  client.Close();
 }
 
 auto MeasureThroughput(Cluster& aCluster, const Deployment& aDeployment,
@@ -226,27 +217,16 @@
   const auto before = UseOf(balancer.process->Id());
   const auto flowsBefore =
     aCluster.Admin(balancer, "GET", "/status").value("flows", 0.0);
-  double after = 0;
-  double flowsAfter = 0;
   asio::io_context context(1);
   caller::Client client(context, ServerOf(aCluster));
   std::vector<std::unique_ptr<caller::Flow>> flows;
-  int open = kFlowsInParallel;
-  const auto count = [&]() -> awaitable<void> {
-    co_await OpenLoop(client, aDeployment, kOpenFlows / kFlowsInParallel,
-                      flows);
-    if (--open == 0) {
-      after = UseOf(balancer.process->Id()).residentBytes;
-      flowsAfter =
-        aCluster.Admin(balancer, "GET", "/status").value("flows", 0.0);
-      client.Close();
-      context.stop();
-    }
-  };
-  for (int i = 0; i < kFlowsInParallel; ++i) {
-    Spawn(context, "open", count());
-  }
-  context.run();
+  RunTasks(context, kFlowsInParallel, [&](int) {
+    return OpenLoop(client, aDeployment, kOpenFlows / kFlowsInParallel, flows);
+  });
+  const double after = UseOf(balancer.process->Id()).residentBytes;
+  const double flowsAfter =
+    aCluster.Admin(balancer, "GET", "/status").value("flows", 0.0);
+  client.Close();
   flows.clear();
   const double opened = flowsAfter - flowsBefore;
   const double bytes = (after - before.residentBytes) / std::max(1.0, opened);
--- a/measure/StoreCut.cpp
+++ b/measure/StoreCut.cpp
@@ -5,8 +5,6 @@
 
 namespace bramleylock::measure {
 
-static constexpr int kPerDomain = 4;
-
 /// Longer than a watcher's last answer counts as fresh.
 static constexpr double kCutSeconds = 6;
 static constexpr double kHealSeconds = 3;
@@ -24,11 +22,7 @@
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
     const auto& deployment = *aOptions.deployment;
-    ClusterOptions options;
-    options.seed = aOptions.seed;
-    options.balancers =
-      static_cast<int>(deployment.failureDomains.size()) * kPerDomain;
-    options.hosts = 1;
+    auto options = ListsFleet(aOptions);
     options.proxied = true;
     Cluster cluster(deployment, options);
     cluster.Start();
--- a/measure/StoreEmptied.cpp
+++ b/measure/StoreEmptied.cpp
@@ -5,7 +5,6 @@
 
 namespace bramleylock::measure {
 
-static constexpr int kPerDomain = 4;
 static constexpr double kLoadSeconds = 14;
 static constexpr double kWriteBackSeconds = 3;
 static constexpr double kOutageSeconds = 1;
@@ -23,12 +22,7 @@
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
     const auto& deployment = *aOptions.deployment;
-    ClusterOptions options;
-    options.seed = aOptions.seed;
-    options.balancers =
-      static_cast<int>(deployment.failureDomains.size()) * kPerDomain;
-    options.hosts = 1;
-    Cluster cluster(deployment, options);
+    Cluster cluster(deployment, ListsFleet(aOptions));
     cluster.Start();
     EditProbe probe(cluster, deployment);
     Load load(cluster.CallerAddress(), aOptions.seed);
@@ -41,10 +35,10 @@
     Pause(kWriteBackSeconds);
     CheckStore(cluster, "held_after_emptying", aReport);
 
-    SetFault(cluster, { { "down", true } });
+    cluster.SetStoreFault({ { "down", true } });
     Empty(cluster);
     Pause(kOutageSeconds);
-    SetFault(cluster, nlohmann::json::object());
+    cluster.SetStoreFault(nlohmann::json::object());
     Join(cluster);
     Pause(kWriteBackSeconds);
     CheckStore(cluster, "held_after_outage", aReport);
@@ -61,11 +55,6 @@
   }
 
 private:
-  static auto SetFault(Cluster& aCluster, const nlohmann::json& aFault) -> void
-  {
-    aCluster.Control(aCluster.StoreAddress(), "/control/fault", aFault);
-  }
-
   /// Restores a backup that was never made.
   static auto Empty(Cluster& aCluster) -> void
   {
--- a/measure/StoreFaults.cpp
+++ b/measure/StoreFaults.cpp
@@ -9,24 +9,8 @@
 
 using nlohmann::json;
 
-static constexpr int kPerDomain = 4;
 static constexpr double kSettleSeconds = 3;
 
-static auto Fleet(const ScenarioOptions& aOptions) -> ClusterOptions
-{
-  ClusterOptions options;
-  options.seed = aOptions.seed;
-  options.balancers =
-    static_cast<int>(aOptions.deployment->failureDomains.size()) * kPerDomain;
-  options.hosts = 1;
-  return options;
-}
-
-static auto SetFault(Cluster& aCluster, const json& aFault) -> void
-{
-  aCluster.Control(aCluster.StoreAddress(), "/control/fault", aFault);
-}
-
 namespace {
 
 class StoreOutage : public Scenario
@@ -39,7 +23,7 @@
 
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
-    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    Cluster cluster(*aOptions.deployment, ListsFleet(aOptions));
     cluster.Start();
     EditProbe probe(cluster, *aOptions.deployment);
     Random random(aOptions.seed);
@@ -53,13 +37,13 @@
     load.Start();
     probe.EditAndWait(any(), plan);
 
-    SetFault(cluster, { { "down", true } });
+    cluster.SetStoreFault({ { "down", true } });
     const auto down = probe.Submit(any(), probe.NextEdit(plan));
     const auto before = StoreCalls(cluster);
     Pause(4);
     const auto during = static_cast<double>(StoreCalls(cluster) - before) / 4;
 
-    SetFault(cluster, { { "fail_ratio", 0.5 } });
+    cluster.SetStoreFault({ { "fail_ratio", 0.5 } });
     const auto back = StoreCalls(cluster);
     Pause(1);
     const auto stampede = StoreCalls(cluster) - back;
@@ -67,9 +51,9 @@
       probe.EditAndWait(any(), plan);
     }
 
-    SetFault(cluster, { { "slow_ms", 2000 } });
+    cluster.SetStoreFault({ { "slow_ms", 2000 } });
     const auto slow = probe.EditAndWait(any(), plan);
-    SetFault(cluster, json::object());
+    cluster.SetStoreFault(json::object());
     probe.EditAndWait(any(), plan);
     load.Join();
     const auto checks = CheckRecords(load.Records(), cluster);
@@ -102,7 +86,7 @@
 
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
-    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    Cluster cluster(*aOptions.deployment, ListsFleet(aOptions));
     cluster.Start();
     EditProbe probe(cluster, *aOptions.deployment);
     Random random(aOptions.seed);
@@ -151,14 +135,14 @@
 
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
-    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    Cluster cluster(*aOptions.deployment, ListsFleet(aOptions));
     cluster.Start();
     EditProbe probe(cluster, *aOptions.deployment);
     const auto& domains = aOptions.deployment->failureDomains;
     for (const auto& plan : probe.Plans()) {
       probe.EditAndWait(cluster.Balancers()[0], plan);
     }
-    SetFault(cluster, { { "down", true } });
+    cluster.SetStoreFault({ { "down", true } });
     CheckAlone(cluster, aOptions, aReport);
 
     // Every balancer but the first is replaced.
@@ -191,7 +175,7 @@
     const auto checks = CheckRecords(load.Records(), cluster);
     aReport.AddChecks(checks);
     aReport.Require("broken_flows=0", checks.brokenFlows == 0);
-    SetFault(cluster, json::object());
+    cluster.SetStoreFault(json::object());
     Pause(kSettleSeconds);
     probe.EditAndWait(cluster.Balancers()[0], probe.Plans()[0]);
     probe.AddTo(aReport);
@@ -235,7 +219,7 @@
 
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
   {
-    Cluster cluster(*aOptions.deployment, Fleet(aOptions));
+    Cluster cluster(*aOptions.deployment, ListsFleet(aOptions));
     cluster.Start();
     Pause(kSettleSeconds);
     EditProbe probe(cluster, *aOptions.deployment);
--- /dev/null
+++ b/measure/Tasks.h
@@ -0,0 +1,28 @@
+// Coroutines that run side by side in one thread.
+#pragma once
+
+#include "bramleylock/Support/Asio.h"
+
+namespace bramleylock::measure {
+
+/// Runs aTasks coroutines to their end; aMakeTask gets the number of each. What
+/// else runs on aContext stops then, and goes on with the next call.
+template<typename MakeTask>
+auto RunTasks(asio::io_context& aContext, int aTasks, MakeTask aMakeTask)
+  -> void
+{
+  int open = aTasks;
+  const auto count = [&](int aTask) -> awaitable<void> {
+    co_await aMakeTask(aTask);
+    if (--open == 0) {
+      aContext.stop();
+    }
+  };
+  aContext.restart();
+  for (int i = 0; i < aTasks; ++i) {
+    Spawn(aContext, "task", count(i));
+  }
+  aContext.run();
+}
+
+} // namespace bramleylock::measure
