--- a/measure/KeyRotation.cpp
+++ b/measure/KeyRotation.cpp
@@ -42,10 +42,8 @@
                double aSeconds) const -> void override
   {
     for (int i = 0; i < kFlows; ++i) {
-      aLoad.Add(
-        { aDeployment.booking, 5, kLongFlow, 0, aSeconds, "booking" });
-      aLoad.Add(
-        { aDeployment.reading, 30, kLongFlow, 0, aSeconds, "reading" });
+      aLoad.Add({ aDeployment.booking, 5, kLongFlow, 0, aSeconds, "booking" });
+      aLoad.Add({ aDeployment.reading, 30, kLongFlow, 0, aSeconds, "reading" });
     }
     aLoad.Add({ aDeployment.reading, 40, 2, 0, aSeconds, "short_reading" });
     aLoad.Add({ aDeployment.bulk, 2, 1, 0, aSeconds, "bulk" });
