--- a/test/balancer.bash
+++ b/test/balancer.bash
@@ -2,41 +2,12 @@
 # example on loopback, on ports of the kernel's choice; sourced by the tests.
 # Sets run, bin, administration and callers.
 example=$(cd "$(dirname "${BASH_SOURCE[0]}")/../examples/cooperative" && pwd)
-run=$(mktemp -d)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  wait "${pids[@]}" 2>/dev/null || true
-  rm -rf "$run"
-}
-trap stop_all EXIT
-
-start() { # name, command...
-  local name=$1 tries=0
-  shift
-  "$@" >"$run/$name.out" 2>"$run/$name.log" &
-  pids+=($!)
-  until grep -qs '^ready' "$run/$name.out"; do
-    tries=$((tries + 1))
-    kill -0 "${pids[-1]}" 2>/dev/null && [ $tries -lt 400 ] ||
-      { echo "$name did not start:" >&2; cat "$run/$name.log" >&2; return 1; }
-    sleep 0.05
-  done
-}
+. "$(dirname "${BASH_SOURCE[0]}")/../scripts/loopback.bash"
 
 address() { # name, key: an address of a ready line
   sed -n "s/^ready.* *$2=\([^ ]*\).*/\1/p" "$run/$1.out"
 }
 
-http() { # method, ip:port, path, body, bearer token
-  local body=${4:-} token=${5:-}
-  exec 9<>"/dev/tcp/${2%:*}/${2#*:}"
-  printf '%s %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
-    "$1" "$3" "$token" "${#body}" "$body" >&9
-  sed '1,/^\r$/d' <&9
-  exec 9>&-
-}
-
 # Writes the settings of a balancer to $run/NAME.toml, with more lines for the
 # section [administration].
 write_settings() { # name, lines...
@@ -74,13 +45,3 @@
     "service": "encomendas", "failure_domain": "guimaraes",
     "address": "'"$(address target target)"'"}]' >"$run/vms"
 }
-
-# Waits until the balancer has lists and token keys.
-wait_ready() { # name
-  local tries=0
-  until grep -q '"ready":true' <<<"$(http GET "$(address "$1" administration)" /healthz)"; do
-    tries=$((tries + 1))
-    [ $tries -lt 200 ] || { echo "$1 does not get ready" >&2; return 1; }
-    sleep 0.05
-  done
-}
--- a/test/metrics.sh
+++ b/test/metrics.sh
@@ -7,7 +7,7 @@
 start_platform
 write_settings entry-1
 start entry-1 "$bin/bramleylockd" --config "$run/entry-1.toml"
-wait_ready entry-1
+await_serving "$(address entry-1 administration)"
 metrics() { http GET "$(address entry-1 administration)" /metrics '' administration-token; }
 has() {
   grep -qxF -- "$1" <<<"$text" || { echo "missing: $1" >&2; printf '%s\n' "$text" >&2; exit 1; }
