--- /dev/null
+++ b/include/bramleylock/Flow/Environment.h
@@ -0,0 +1,37 @@
+// What the flow layer works with on one balancer.
+#pragma once
+
+#include <functional>
+
+#include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Support/Counters.h"
+#include "bramleylock/Target/TargetTable.h"
+#include "bramleylock/Wire/Token.h"
+
+namespace bramleylock::flow {
+
+/// References to the balancer's parts; the balancer outlives every flow.
+struct Environment
+{
+  asio::io_context& context;
+  Metrics& metrics;
+  wire::KeyRing& keys;
+  lists::ListKeeper& lists;
+  peer::PeerHub& hub;
+  peer::Membership& members;
+  target::TargetTable& targets;
+  admission::AdmissionPolicy& admission;
+  /// Sends one datagram to a caller.
+  std::function<void(const Udp::endpoint&, const std::string&)> send;
+};
+
+/// Sends aPacket to aCaller and counts it.
+auto SendPacket(Environment& aEnvironment, const Udp::endpoint& aCaller,
+                const wire::Packet& aPacket) -> void;
+
+/// Counts a refusal or unknown outcome for aReason.
+auto CountReason(Metrics& aMetrics, wire::Reason aReason) -> void;
+
+} // namespace bramleylock::flow
--- /dev/null
+++ b/include/bramleylock/Http/SyncFetch.h
@@ -0,0 +1,12 @@
+// A blocking HTTP exchange for command-line programs.
+#pragma once
+
+#include "bramleylock/Http/Http.h"
+
+namespace bramleylock::http {
+
+/// Runs Fetch on an io_context of its own.
+auto SyncFetch(const std::string& aServer, Request aRequest,
+               Milliseconds aTimeout, std::error_code& aError) -> Reply;
+
+} // namespace bramleylock::http
--- /dev/null
+++ b/include/bramleylock/Kernel/AdminApi.h
@@ -0,0 +1,60 @@
+// The administration API over HTTP and JSON (docs/ADMIN-API.md).
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "bramleylock/Admission/AdmissionPolicy.h"
+#include "bramleylock/Flow/Dispatcher.h"
+#include "bramleylock/Http/Http.h"
+#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Peer/Membership.h"
+
+namespace bramleylock::kernel {
+
+/// The parts of the balancer that the API shows and drives.
+struct AdminView
+{
+  Metrics& metrics;
+  lists::ListKeeper& lists;
+  peer::Membership& members;
+  target::TargetTable& targets;
+  flow::Dispatcher& dispatcher;
+  lists::PlatformStore& store;
+  admission::AdmissionPolicy& admission;
+  peer::PeerHub& hub;
+  std::function<void()> drain;
+};
+
+/// Serves the API.
+class AdminApi
+{
+public:
+  /// Binds aAddress; throws boost::system::system_error when it cannot.
+  AdminApi(asio::io_context& aContext, const std::string& aAddress,
+           std::string aToken, AdminView aView);
+
+  auto Address() const -> std::string;
+
+private:
+  using Route = awaitable<http::Reply> (AdminApi::*)(const http::Request&);
+
+  auto Answer(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto Authorized(const http::Request& aRequest) const -> bool;
+  auto GetHealth(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetStatus(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetTargets(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetCounters(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetMetrics(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto GetLists(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto PutLists(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto PostDrain(const http::Request& aRequest) -> awaitable<http::Reply>;
+
+  std::string m_token;
+  AdminView m_view;
+  http::Server m_server;
+};
+
+} // namespace bramleylock::kernel
--- /dev/null
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -0,0 +1,48 @@
+// Keeps the lists, the token keys and the VM list current.
+#pragma once
+
+#include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Target/TargetTable.h"
+#include "bramleylock/Wire/Token.h"
+
+namespace bramleylock::kernel {
+
+/// Follows the platform's store, and hears from peers what it cannot get
+/// there.
+class PlatformWatcher
+{
+public:
+  PlatformWatcher(asio::io_context& aContext, lists::PlatformStore& aStore,
+                  lists::ListKeeper& aLists, wire::KeyRing& aKeys,
+                  peer::PeerHub& aHub, peer::Membership& aMembers,
+                  target::TargetTable& aTargets);
+
+  auto Start() -> void;
+
+  /// Compares what a peer said it has with what is here.
+  auto OnHeartbeat(const peer::Member& aMember) -> void;
+
+  auto NewestKey() const -> std::uint32_t;
+
+private:
+  auto WatchLists() -> awaitable<void>;
+  auto KeepKeys() -> awaitable<void>;
+  auto CreateKeys() -> awaitable<void>;
+  auto WatchVms() -> awaitable<void>;
+  auto InstallKeys(const std::string& aDocument) -> void;
+  auto SendLists(const std::string& aAddress) -> void;
+  auto SendKeys(const std::string& aAddress) -> void;
+  auto ListenToPeers() -> void;
+
+  asio::io_context& m_context;
+  lists::PlatformStore& m_store;
+  lists::ListKeeper& m_lists;
+  wire::KeyRing& m_keys;
+  peer::PeerHub& m_hub;
+  peer::Membership& m_members;
+  target::TargetTable& m_targets;
+};
+
+} // namespace bramleylock::kernel
--- /dev/null
+++ b/include/bramleylock/Support/Asio.h
@@ -0,0 +1,78 @@
+// The parts of Boost.Asio that the layers share, under short names.
+#pragma once
+
+// Asio 1.74 uses std::exchange without including <utility> itself.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <system_error>
+
+namespace bramleylock {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+using boost::asio::awaitable;
+using Clock = std::chrono::steady_clock;
+using Milliseconds = std::chrono::milliseconds;
+
+/// A completion token that stores the error instead of throwing.
+inline auto
+Into(boost::system::error_code& aError)
+{
+  return asio::redirect_error(asio::use_awaitable, aError);
+}
+
+/// Suspends the calling coroutine for aDuration.
+auto Sleep(std::chrono::nanoseconds aDuration) -> awaitable<void>;
+
+/// Starts aTask on aContext; an escaping exception is logged under aName and
+/// ends only that task.
+auto Spawn(asio::io_context& aContext, const char* aName, awaitable<void> aTask)
+  -> void;
+
+/// Parses "ip:port"; names are not resolved.
+auto ParseTcpEndpoint(const std::string& aText, std::error_code& aError)
+  -> Tcp::endpoint;
+
+/// Parses "ip:port"; names are not resolved.
+auto ParseUdpEndpoint(const std::string& aText, std::error_code& aError)
+  -> Udp::endpoint;
+
+/// The text form that ParseTcpEndpoint and ParseUdpEndpoint read.
+auto FormatEndpoint(const asio::ip::address& aAddress, std::uint16_t aPort)
+  -> std::string;
+
+/// Wakes coroutines of one thread that wait for a condition to change. Waiters
+/// can wake early, so they wait in a loop over their condition.
+class Signal
+{
+public:
+  explicit Signal(asio::io_context& aContext);
+
+  /// Waits for the next Notify, at most until aDeadline.
+  auto WaitUntil(Clock::time_point aDeadline) -> awaitable<void>;
+
+  /// Waits for the next Notify.
+  auto Wait() -> awaitable<void>;
+
+  /// Wakes every present waiter.
+  auto Notify() -> void;
+
+private:
+  asio::steady_timer m_timer;
+};
+
+} // namespace bramleylock
--- /dev/null
+++ b/include/bramleylock/Support/Counters.h
@@ -0,0 +1,169 @@
+// Counters, one for each refusal, retry and drop reason, and latencies.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "bramleylock/Support/Names.h"
+
+namespace bramleylock {
+
+/// Every event that a balancer counts.
+enum class Counter
+{
+  PacketsReceived,
+  PacketsSent,
+  PacketsForwarded,
+  PacketMalformed,
+  PacketOversized,
+  PacketVersion,
+  PacketDuplicate,
+  PacketStray,
+  TokenForged,
+  TokenForeignService,
+  TokenKeyUnknown,
+  FlowsOpened,
+  FlowsClosed,
+  RequestsDispatched,
+  RequestsAnswered,
+  RequestsCancelled,
+  RefusedNotReady,
+  RefusedCredential,
+  RefusedService,
+  RefusedWork,
+  RefusedNotAllowed,
+  RefusedDraining,
+  RefusedQueueFull,
+  RefusedDeadline,
+  RefusedNoTarget,
+  RefusedTargetShed,
+  RefusedPlanLimit,
+  RefusedOpenFirst,
+  RefusedTooLarge,
+  UnknownOwnerLost,
+  UnknownTargetLost,
+  UnknownFlowForgotten,
+  UnknownDeadline,
+  RetryTargetShed,
+  RetryConnectFailed,
+  RetryConnectionLost,
+  RetryBudgetEmpty,
+  PartsResent,
+  TargetEjected,
+  TargetSilent,
+  PeerLinkOpened,
+  PeerLinkLost,
+  PeerAuthFailed,
+  PeerFrameMalformed,
+  PeerSendDropped,
+  StoreCalls,
+  StoreFailures,
+  ListsInstalled,
+  ListsLowerRevision,
+  ListsInvalid,
+  AdminUnauthorized,
+  Count
+};
+
+inline constexpr std::size_t kCounterCount =
+  static_cast<std::size_t>(Counter::Count);
+
+inline constexpr std::array<NameRow<Counter>, kCounterCount> kCounterNames{ {
+  { Counter::PacketsReceived, "packets_received" },
+  { Counter::PacketsSent, "packets_sent" },
+  { Counter::PacketsForwarded, "packets_forwarded" },
+  { Counter::PacketMalformed, "packet_malformed" },
+  { Counter::PacketOversized, "packet_oversized" },
+  { Counter::PacketVersion, "packet_version" },
+  { Counter::PacketDuplicate, "packet_duplicate" },
+  { Counter::PacketStray, "packet_stray" },
+  { Counter::TokenForged, "token_forged" },
+  { Counter::TokenForeignService, "token_foreign_service" },
+  { Counter::TokenKeyUnknown, "token_key_unknown" },
+  { Counter::FlowsOpened, "flows_opened" },
+  { Counter::FlowsClosed, "flows_closed" },
+  { Counter::RequestsDispatched, "requests_dispatched" },
+  { Counter::RequestsAnswered, "requests_answered" },
+  { Counter::RequestsCancelled, "requests_cancelled" },
+  { Counter::RefusedNotReady, "refused_not_ready" },
+  { Counter::RefusedCredential, "refused_credential" },
+  { Counter::RefusedService, "refused_service" },
+  { Counter::RefusedWork, "refused_work" },
+  { Counter::RefusedNotAllowed, "refused_not_allowed" },
+  { Counter::RefusedDraining, "refused_draining" },
+  { Counter::RefusedQueueFull, "refused_queue_full" },
+  { Counter::RefusedDeadline, "refused_deadline" },
+  { Counter::RefusedNoTarget, "refused_no_target" },
+  { Counter::RefusedTargetShed, "refused_target_shed" },
+  { Counter::RefusedPlanLimit, "refused_plan_limit" },
+  { Counter::RefusedOpenFirst, "refused_open_first" },
+  { Counter::RefusedTooLarge, "refused_too_large" },
+  { Counter::UnknownOwnerLost, "unknown_owner_lost" },
+  { Counter::UnknownTargetLost, "unknown_target_lost" },
+  { Counter::UnknownFlowForgotten, "unknown_flow_forgotten" },
+  { Counter::UnknownDeadline, "unknown_deadline" },
+  { Counter::RetryTargetShed, "retry_target_shed" },
+  { Counter::RetryConnectFailed, "retry_connect_failed" },
+  { Counter::RetryConnectionLost, "retry_connection_lost" },
+  { Counter::RetryBudgetEmpty, "retry_budget_empty" },
+  { Counter::PartsResent, "parts_resent" },
+  { Counter::TargetEjected, "target_ejected" },
+  { Counter::TargetSilent, "target_silent" },
+  { Counter::PeerLinkOpened, "peer_link_opened" },
+  { Counter::PeerLinkLost, "peer_link_lost" },
+  { Counter::PeerAuthFailed, "peer_auth_failed" },
+  { Counter::PeerFrameMalformed, "peer_frame_malformed" },
+  { Counter::PeerSendDropped, "peer_send_dropped" },
+  { Counter::StoreCalls, "store_calls" },
+  { Counter::StoreFailures, "store_failures" },
+  { Counter::ListsInstalled, "lists_installed" },
+  { Counter::ListsLowerRevision, "lists_lower_revision" },
+  { Counter::ListsInvalid, "lists_invalid" },
+  { Counter::AdminUnauthorized, "admin_unauthorized" },
+} };
+
+/// A summary of observed latencies in seconds.
+struct LatencySummary
+{
+  std::uint64_t count = 0;
+  double mean = 0;
+  double median = 0;
+  double p99 = 0;
+};
+
+/// All counters, gauges and latencies of one process.
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  auto operator=(const Metrics&) -> Metrics& = delete;
+
+  auto Add(Counter aCounter, std::uint64_t aAmount = 1) -> void;
+  auto Get(Counter aCounter) const -> std::uint64_t;
+
+  /// Sets a gauge; aName must be a valid metric name.
+  auto SetGauge(const std::string& aName, double aValue) -> void;
+
+  /// Records one latency in seconds under aName.
+  auto Observe(const std::string& aName, double aSeconds) -> void;
+  auto Summary(const std::string& aName) const -> LatencySummary;
+
+  /// The text exposition format, one metric a line.
+  auto Exposition() const -> std::string;
+
+  /// Counters by name, for the administration API.
+  auto NonZero() const -> std::map<std::string, std::uint64_t>;
+
+private:
+  struct Latencies;
+  std::array<std::uint64_t, kCounterCount> m_counters{};
+  std::map<std::string, double> m_gauges;
+  std::unique_ptr<Latencies> m_latencies;
+};
+
+} // namespace bramleylock
--- /dev/null
+++ b/include/bramleylock/Target/TargetChoice.h
@@ -0,0 +1,38 @@
+// Strategies that choose a target among candidates.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "bramleylock/Support/Random.h"
+#include "bramleylock/Support/Registry.h"
+
+namespace bramleylock::target {
+
+/// What a strategy knows of one candidate.
+struct Candidate
+{
+  /// Requests that this balancer has in flight there.
+  std::uint32_t inFlight = 0;
+  /// Requests that peers last said they have in flight there.
+  std::uint32_t peersInFlight = 0;
+  std::uint32_t slots = 1;
+  /// 1 for a warm target, less while it starts.
+  double warmth = 1;
+};
+
+/// Chooses one of some candidates.
+class TargetChoice
+{
+public:
+  virtual ~TargetChoice() = default;
+
+  /// The index of the choice; aCandidates is not empty.
+  virtual auto Pick(const std::vector<Candidate>& aCandidates, Random& aRandom)
+    -> std::size_t = 0;
+};
+
+using ChoiceRegistry = Registry<TargetChoice>;
+
+} // namespace bramleylock::target
--- /dev/null
+++ b/include/bramleylock/Wire/Packet.h
@@ -0,0 +1,163 @@
+// The datagrams between callers and balancers (docs/CALLERS.md).
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "bramleylock/Support/Errors.h"
+#include "bramleylock/Support/Names.h"
+
+namespace bramleylock::wire {
+
+/// The version that this build speaks.
+inline constexpr std::uint32_t kProtocolVersion = 1;
+
+/// The largest datagram in either direction.
+inline constexpr std::size_t kPacketBytes = 1200;
+
+/// Payload bytes in each part of an answer but the last.
+inline constexpr std::size_t kPartBytes = 1000;
+
+/// The largest request payload.
+inline constexpr std::size_t kRequestBytes = 900;
+
+/// NotRun vouches that no target ran the request: with a token it is the
+/// owner's word, without one it speaks of the packet without a token, which is
+/// never run for at-most-once work. Refused makes no such claim; another copy
+/// of a repeatable request may run elsewhere.
+enum class PacketType
+{
+  Request,
+  Acknowledge,
+  Cancel,
+  Close,
+  Answer,
+  Opened,
+  NotRun,
+  Unknown,
+  Accepted,
+  Refused
+};
+
+inline constexpr std::array<NameRow<PacketType>, 10> kPacketTypeNames{ {
+  { PacketType::Request, "request" },
+  { PacketType::Acknowledge, "acknowledge" },
+  { PacketType::Cancel, "cancel" },
+  { PacketType::Close, "close" },
+  { PacketType::Answer, "answer" },
+  { PacketType::Opened, "opened" },
+  { PacketType::NotRun, "not-run" },
+  { PacketType::Unknown, "unknown" },
+  { PacketType::Accepted, "accepted" },
+  { PacketType::Refused, "refused" },
+} };
+
+/// Why a request was not run, or why its outcome is not known.
+enum class Reason
+{
+  None,
+  NotReady,
+  Credential,
+  Service,
+  Work,
+  NotAllowed,
+  Draining,
+  QueueFull,
+  Deadline,
+  NoTarget,
+  TargetShed,
+  PlanLimit,
+  TooLarge,
+  Forged,
+  ForeignService,
+  KeyUnknown,
+  OwnerLost,
+  TargetLost,
+  FlowForgotten,
+  Cancelled,
+  Version
+};
+
+inline constexpr std::array<NameRow<Reason>, 21> kReasonNames{ {
+  { Reason::None, "none" },
+  { Reason::NotReady, "not-ready" },
+  { Reason::Credential, "credential" },
+  { Reason::Service, "service" },
+  { Reason::Work, "work" },
+  { Reason::NotAllowed, "not-allowed" },
+  { Reason::Draining, "draining" },
+  { Reason::QueueFull, "queue-full" },
+  { Reason::Deadline, "deadline" },
+  { Reason::NoTarget, "no-target" },
+  { Reason::TargetShed, "target-shed" },
+  { Reason::PlanLimit, "plan-limit" },
+  { Reason::TooLarge, "too-large" },
+  { Reason::Forged, "forged" },
+  { Reason::ForeignService, "foreign-service" },
+  { Reason::KeyUnknown, "key-unknown" },
+  { Reason::OwnerLost, "owner-lost" },
+  { Reason::TargetLost, "target-lost" },
+  { Reason::FlowForgotten, "flow-forgotten" },
+  { Reason::Cancelled, "cancelled" },
+  { Reason::Version, "version" },
+} };
+
+/// One datagram. Fields that a type does not use stay at their defaults.
+struct Packet
+{
+  PacketType type = PacketType::Request;
+  std::string service;
+  /// "<plan>.<secret>"; only from callers.
+  std::string credential;
+  /// The kind of work, as the service's entry names it.
+  std::string work;
+  std::uint64_t flow = 0;
+  std::uint32_t sequence = 0;
+  /// Answer: index of this part. Request: first part wanted, to resume.
+  /// Acknowledge: the first part not yet received.
+  std::uint32_t part = 0;
+  /// Answer: count of parts, 0 while not known.
+  std::uint32_t parts = 0;
+  /// Request: milliseconds left.
+  std::uint32_t deadlineMs = 0;
+  /// Answer: status of the target. NotRun, Refused and Unknown: a Reason.
+  std::uint32_t code = 0;
+  /// NotRun, Refused: when to come back, in milliseconds.
+  std::uint32_t retryAfterMs = 0;
+  /// Identifies the content of an answer, so that parts from two runs of a
+  /// request are never joined.
+  std::uint64_t answerTag = 0;
+  std::string token;
+  /// Acknowledge: parts above `part` that are missing below the highest
+  /// received one.
+  std::vector<std::uint32_t> missing;
+  std::string payload;
+};
+
+enum class PacketError
+{
+  Malformed = 1,
+  Oversized,
+  Version
+};
+
+inline constexpr std::array<NameRow<PacketError>, 3> kPacketErrorNames{ {
+  { PacketError::Malformed, "malformed packet" },
+  { PacketError::Oversized, "packet over 1200 bytes" },
+  { PacketError::Version, "packet of an unknown protocol version" },
+} };
+
+/// The datagram for aPacket.
+auto Encode(const Packet& aPacket) -> std::string;
+
+/// Parses one datagram; aError is a PacketError.
+auto Decode(const char* aData, std::size_t aSize, std::error_code& aError)
+  -> Packet;
+
+} // namespace bramleylock::wire
+
+BRAMLEYLOCK_ERROR_ENUM(bramleylock::wire, PacketError, kPacketErrorNames,
+                       "bramleylock.packet");
--- /dev/null
+++ b/lib/Caller/Client.cpp
@@ -0,0 +1,416 @@
+// Sending, resending and putting answers together.
+
+#include "bramleylock/Caller/Client.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+
+namespace bramleylock::caller {
+
+using wire::PacketType;
+using wire::Reason;
+
+static constexpr Milliseconds kFirstResend{ 100 };
+static constexpr Milliseconds kLastResend{ 1000 };
+
+/// How often a request that the owner has accepted is sent again, which finds
+/// an owner that died.
+static constexpr Milliseconds kAcceptedResend{ 1000 };
+
+/// Parts received before an acknowledgement is due.
+static constexpr std::uint32_t kAcknowledgeEvery = 8;
+
+/// While an answer is incomplete, silence of this length asks again.
+static constexpr Milliseconds kPartSilence{ 100 };
+
+/// After this much silence within an answer the request itself is sent again,
+/// so that another balancer can continue it.
+static constexpr Milliseconds kAnswerSilence{ 600 };
+
+static constexpr std::size_t kMissingLimit = 60;
+
+/// Parts of the largest answer that this library takes, 1 GB.
+static constexpr std::uint32_t kPartsLimit = 1000000;
+static constexpr int kSocketBufferBytes = 8 << 20;
+
+struct Flow::Pending
+{
+  explicit Pending(asio::io_context& aContext)
+    : changed(aContext)
+  {
+  }
+
+  CallOptions options;
+  std::uint32_t sequence = 0;
+  Clock::time_point deadline{};
+  Signal changed;
+  CallResult result;
+  bool done = false;
+  bool accepted = false;
+  bool opened = false;
+  /// Names the owner of this request, once one is known.
+  std::string token;
+  /// Whether a copy was sent with a token, which an owner may run.
+  bool sentWithToken = false;
+  Clock::time_point lastHeard{};
+  std::uint64_t tag = 0;
+  /// Parts by index; `have` tells which were received.
+  std::vector<bool> have;
+  std::uint32_t received = 0;
+  std::uint32_t firstMissing = 0;
+  std::uint32_t highest = 0;
+  std::uint32_t parts = 0;
+  std::uint32_t sinceAcknowledge = 0;
+  Clock::time_point lastPart{};
+  Clock::time_point nextResend{};
+  Milliseconds resendAfter = kFirstResend;
+};
+
+Flow::Flow(Client& aClient, std::string aService, std::string aCredential)
+  : m_client(aClient)
+  , m_service(std::move(aService))
+  , m_credential(std::move(aCredential))
+  , m_id(SecretNumber())
+{
+  m_client.m_flows[m_id] = this;
+}
+
+Flow::~Flow()
+{
+  if (!m_token.empty()) {
+    m_client.Send(MakePacket(PacketType::Close, 0, m_token));
+  }
+  m_client.m_flows.erase(m_id);
+}
+
+auto
+Flow::Id() const -> std::uint64_t
+{
+  return m_id;
+}
+
+auto
+Flow::MakePacket(PacketType aType, std::uint32_t aSequence,
+                 const std::string& aToken) const -> wire::Packet
+{
+  wire::Packet packet;
+  packet.type = aType;
+  packet.service = m_service;
+  packet.flow = m_id;
+  packet.sequence = aSequence;
+  packet.token = aToken;
+  return packet;
+}
+
+auto
+Flow::SendRequest(Pending& aPending) -> void
+{
+  const auto left = std::chrono::duration_cast<Milliseconds>(
+    aPending.deadline - Clock::now());
+  auto packet = MakePacket(PacketType::Request, aPending.sequence, aPending.token);
+  packet.credential = m_credential;
+  packet.work = aPending.options.work;
+  packet.payload = aPending.options.payload;
+  packet.part = aPending.firstMissing;
+  packet.answerTag = aPending.tag;
+  packet.deadlineMs =
+    static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+  aPending.sentWithToken |= !aPending.token.empty();
+  ++aPending.result.sends;
+  m_client.Send(packet);
+}
+
+auto
+Flow::Acknowledge(Pending& aPending) -> void
+{
+  auto packet = MakePacket(PacketType::Acknowledge, aPending.sequence, aPending.token);
+  packet.part = aPending.firstMissing;
+  for (auto part = aPending.firstMissing;
+       part < aPending.highest && packet.missing.size() < kMissingLimit;
+       ++part) {
+    if (!aPending.have[part]) {
+      packet.missing.push_back(part);
+    }
+  }
+  aPending.sinceAcknowledge = 0;
+  m_client.Send(packet);
+}
+
+auto
+Flow::Call(CallOptions aOptions) -> awaitable<CallResult>
+{
+  auto pending = std::make_shared<Pending>(m_client.m_context);
+  const auto started = Clock::now();
+  pending->options = std::move(aOptions);
+  pending->sequence = m_nextSequence++;
+  pending->deadline = started + pending->options.deadline;
+  pending->token = m_token;
+  m_pending[pending->sequence] = pending;
+  SendRequest(*pending);
+  pending->nextResend = started + kFirstResend;
+  while (!pending->done) {
+    const auto now = Clock::now();
+    if (now >= pending->deadline) {
+      // Nothing final came; the request may have run.
+      pending->result.outcome = CallOutcome::Unknown;
+      pending->result.reason = Reason::Deadline;
+      m_client.Send(
+        MakePacket(PacketType::Cancel, pending->sequence, pending->token));
+      break;
+    }
+    if (pending->opened) {
+      pending->opened = false;
+      SendRequest(*pending);
+    } else if (pending->received > 0 && now - pending->lastPart > kPartSilence) {
+      if (now - pending->lastPart > kAnswerSilence &&
+          now >= pending->nextResend) {
+        pending->nextResend = now + kAnswerSilence;
+        SendRequest(*pending);
+      } else {
+        Acknowledge(*pending);
+      }
+    } else if (pending->received == 0 && now >= pending->nextResend) {
+      SendRequest(*pending);
+      pending->resendAfter = std::min(pending->resendAfter * 2, kLastResend);
+      pending->nextResend =
+        now + (pending->accepted ? kAcceptedResend : pending->resendAfter);
+    }
+    const auto tick = pending->received > 0 ? now + kPartSilence
+                                            : pending->nextResend;
+    co_await pending->changed.WaitUntil(std::min(tick, pending->deadline));
+  }
+  m_pending.erase(pending->sequence);
+  pending->result.latency = Clock::now() - started;
+  co_return std::move(pending->result);
+}
+
+auto
+Flow::Cancel() -> void
+{
+  for (auto& [sequence, pending] : m_pending) {
+    m_client.Send(MakePacket(PacketType::Cancel, sequence, pending->token));
+    pending->result.outcome = CallOutcome::Unknown;
+    pending->result.reason = Reason::Cancelled;
+    pending->done = true;
+    pending->changed.Notify();
+  }
+}
+
+auto
+Flow::Receive(wire::Packet& aPacket) -> void
+{
+  const auto found = m_pending.find(aPacket.sequence);
+  if (found == m_pending.end() || found->second->done) {
+    ++m_client.m_stray;
+    return;
+  }
+  auto& pending = *found->second;
+  if (!AdoptToken(pending, aPacket)) {
+    return;
+  }
+  switch (aPacket.type) {
+    case PacketType::Answer:
+      ReceivePart(pending, aPacket);
+      return;
+    case PacketType::Opened:
+      pending.opened = true;
+      break;
+    case PacketType::Accepted:
+      pending.accepted = true;
+      break;
+    case PacketType::NotRun:
+    case PacketType::Refused:
+    case PacketType::Unknown:
+      ReceiveRefusal(pending, aPacket);
+      break;
+    default:
+      ++m_client.m_stray;
+      return;
+  }
+  pending.changed.Notify();
+}
+
+auto
+Flow::ReceiveRefusal(Pending& aPending, const wire::Packet& aPacket) -> void
+{
+  if (aPacket.type != PacketType::Unknown && aPacket.token.empty() &&
+      aPending.sentWithToken) {
+    // It answers a copy without a token; the owner has another, whose fate
+    // this balancer does not know.
+    ++m_client.m_stray;
+    return;
+  }
+  static constexpr std::array<std::pair<PacketType, CallOutcome>, 3> kOutcomes{
+    { { PacketType::NotRun, CallOutcome::NotRun },
+      { PacketType::Refused, CallOutcome::Refused },
+      { PacketType::Unknown, CallOutcome::Unknown } }
+  };
+  for (const auto& [type, outcome] : kOutcomes) {
+    if (type == aPacket.type) {
+      aPending.result.outcome = outcome;
+    }
+  }
+  aPending.result.reason = static_cast<Reason>(aPacket.code);
+  aPending.result.retryAfterMs = aPacket.retryAfterMs;
+  aPending.done = true;
+  if (aPacket.type == PacketType::Unknown && m_token == aPending.token) {
+    // The owner is gone or has forgotten the flow; the next request opens it
+    // anew, with a sequence that was never used.
+    m_token.clear();
+  }
+}
+
+/// Two copies of a first packet may open two owners. The first one heard is
+/// kept while it is heard; another is told to stop. An at-most-once request
+/// never changes its owner: "opened" counts only for a request without one.
+auto
+Flow::AdoptToken(Pending& aPending, const wire::Packet& aPacket) -> bool
+{
+  if (aPacket.token.empty()) {
+    return true;
+  }
+  const auto now = Clock::now();
+  const bool other = !aPending.token.empty() && aPacket.token != aPending.token;
+  if (other && aPacket.type == PacketType::Opened) {
+    ++m_client.m_stray;
+    return false;
+  }
+  if (other && now - aPending.lastHeard < kAnswerSilence) {
+    ++m_client.m_stray;
+    m_client.Send(
+      MakePacket(PacketType::Cancel, aPacket.sequence, aPacket.token));
+    return false;
+  }
+  aPending.token = aPacket.token;
+  aPending.lastHeard = now;
+  m_token = aPacket.token;
+  return true;
+}
+
+auto
+Flow::ReceivePart(Pending& aPending, wire::Packet& aPacket) -> void
+{
+  if (aPacket.part >= kPartsLimit || aPacket.parts > kPartsLimit) {
+    ++m_client.m_stray;
+    return;
+  }
+  if (aPending.received > 0 && aPacket.answerTag != aPending.tag) {
+    // Another run of the request with other content: parts are never mixed.
+    aPending.have.clear();
+    aPending.received = 0;
+    aPending.firstMissing = 0;
+    aPending.highest = 0;
+    aPending.parts = 0;
+    aPending.result.body.clear();
+  }
+  aPending.tag = aPacket.answerTag;
+  const auto index = aPacket.part;
+  if (aPacket.parts > 0) {
+    aPending.parts = aPacket.parts;
+  }
+  if (index >= aPending.have.size()) {
+    aPending.have.resize(index + 1);
+  }
+  aPending.lastPart = Clock::now();
+  if (aPending.have[index]) {
+    ++aPending.sinceAcknowledge;
+  } else {
+    aPending.have[index] = true;
+    ++aPending.received;
+    ++aPending.sinceAcknowledge;
+    const auto begin = std::size_t{ index } * wire::kPartBytes;
+    auto& body = aPending.result.body;
+    if (body.size() < begin + aPacket.payload.size()) {
+      body.resize(begin + aPacket.payload.size());
+    }
+    std::copy(aPacket.payload.begin(), aPacket.payload.end(),
+              body.begin() + static_cast<std::ptrdiff_t>(begin));
+  }
+  aPending.highest = std::max(aPending.highest, index + 1);
+  while (aPending.firstMissing < aPending.have.size() &&
+         aPending.have[aPending.firstMissing]) {
+    ++aPending.firstMissing;
+  }
+  const bool whole =
+    aPending.parts > 0 && aPending.firstMissing >= aPending.parts;
+  if (whole) {
+    aPending.result.outcome = CallOutcome::Answered;
+    aPending.result.status = aPacket.code;
+    aPending.done = true;
+    if (aPending.parts > 1) {
+      Acknowledge(aPending);
+    }
+    aPending.changed.Notify();
+    return;
+  }
+  if (aPending.sinceAcknowledge >= kAcknowledgeEvery) {
+    Acknowledge(aPending);
+  }
+}
+
+Client::Client(asio::io_context& aContext, const Udp::endpoint& aServer)
+  : m_context(aContext)
+  , m_socket(aContext, Udp::endpoint(aServer.address().is_v4()
+                                       ? asio::ip::address(asio::ip::address_v4::any())
+                                       : asio::ip::address(asio::ip::address_v6::any()),
+                                     0))
+  , m_server(aServer)
+{
+  boost::system::error_code ignored;
+  m_socket.set_option(
+    asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  m_socket.set_option(
+    asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+  m_socket.non_blocking(true, ignored);
+  Spawn(m_context, "caller-receive", ReceiveLoop());
+}
+
+auto
+Client::Close() -> void
+{
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
+auto
+Client::Stray() const -> std::uint64_t
+{
+  return m_stray;
+}
+
+auto
+Client::Send(const wire::Packet& aPacket) -> void
+{
+  boost::system::error_code ignored;
+  // A full socket buffer loses the packet, as the network may; it is resent.
+  m_socket.send_to(asio::buffer(wire::Encode(aPacket)), m_server, 0, ignored);
+}
+
+auto
+Client::ReceiveLoop() -> awaitable<void>
+{
+  std::array<char, wire::kPacketBytes + 1> buffer{};
+  while (m_socket.is_open()) {
+    Udp::endpoint from;
+    boost::system::error_code failure;
+    const auto size = co_await m_socket.async_receive_from(
+      asio::buffer(buffer), from, Into(failure));
+    if (failure == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (failure) {
+      continue;
+    }
+    std::error_code error;
+    auto packet = wire::Decode(buffer.data(), size, error);
+    const auto flow = m_flows.find(packet.flow);
+    if (error || flow == m_flows.end()) {
+      ++m_stray;
+      continue;
+    }
+    flow->second->Receive(packet);
+  }
+}
+
+} // namespace bramleylock::caller
--- /dev/null
+++ b/lib/Flow/FlowTable.cpp
@@ -0,0 +1,72 @@
+// Owned flows and when they are forgotten.
+
+#include "bramleylock/Flow/FlowTable.h"
+
+#include <cassert>
+
+namespace bramleylock::flow {
+
+auto
+FlowTable::Find(std::uint64_t aId) -> std::shared_ptr<Flow>
+{
+  const auto found = m_flows.find(aId);
+  return found == m_flows.end() ? nullptr : found->second;
+}
+
+auto
+FlowTable::Add(std::shared_ptr<Flow> aFlow) -> void
+{
+  assert(!m_flows.contains(aFlow->id));
+  m_flows.emplace(aFlow->id, std::move(aFlow));
+}
+
+auto
+FlowTable::Remove(std::uint64_t aId) -> void
+{
+  m_flows.erase(aId);
+}
+
+/// Drops old outcomes; the floor rises over each, so that a duplicate that
+/// comes later still is not run.
+static auto
+ForgetOutcomes(Flow& aFlow, Clock::time_point aNow) -> void
+{
+  while (!aFlow.outcomes.empty()) {
+    const auto oldest = aFlow.outcomes.begin();
+    if (oldest->second.keepUntil > aNow) {
+      return;
+    }
+    aFlow.floor = std::max(aFlow.floor, oldest->first);
+    aFlow.outcomes.erase(oldest);
+  }
+}
+
+auto
+FlowTable::Expire(std::chrono::seconds aIdle) -> std::size_t
+{
+  const auto now = Clock::now();
+  return std::erase_if(m_flows, [now, aIdle](auto& aEntry) {
+    auto& flow = *aEntry.second;
+    ForgetOutcomes(flow, now);
+    return flow.active.empty() && flow.outcomes.empty() &&
+           now - flow.lastUsed > aIdle;
+  });
+}
+
+auto
+FlowTable::Size() const -> std::size_t
+{
+  return m_flows.size();
+}
+
+auto
+FlowTable::Active() const -> std::size_t
+{
+  std::size_t active = 0;
+  for (const auto& [id, flow] : m_flows) {
+    active += flow->active.size();
+  }
+  return active;
+}
+
+} // namespace bramleylock::flow
--- /dev/null
+++ b/lib/Flow/RequestRunner.cpp
@@ -0,0 +1,410 @@
+// The life of a request, written straight down.
+
+#include "bramleylock/Flow/RequestRunner.h"
+
+#include <fmt/format.h>
+
+namespace bramleylock::flow {
+
+using admission::AdmissionOutcome;
+using lists::Execution;
+using target::TargetError;
+using target::TargetOutcome;
+using wire::PacketType;
+using wire::Reason;
+
+/// Attempts at different targets that one request may take.
+static constexpr int kAttemptLimit = 3;
+
+/// How recently an idle connection must have worked to carry a request that
+/// may not be repeated, and one that may.
+static constexpr Milliseconds kProvenForOnce{ 1000 };
+static constexpr Milliseconds kProvenForRepeatable{ 30000 };
+
+/// How long past its deadline an outcome is kept for late duplicates.
+static constexpr std::chrono::seconds kOutcomeMargin{ 30 };
+
+static constexpr std::size_t kReadBytes = 16384;
+static constexpr std::uint32_t kShedRetryAfterMs = 250;
+
+namespace {
+
+/// How one attempt ended.
+enum class AttemptResult
+{
+  Finished,
+  TryElsewhere
+};
+
+class Runner
+{
+public:
+  Runner(Environment& aEnvironment, std::shared_ptr<Flow> aFlow,
+         std::shared_ptr<Exchange> aExchange)
+    : m_environment(aEnvironment)
+    , m_flow(std::move(aFlow))
+    , m_exchange(std::move(aExchange))
+  {
+  }
+
+  auto Run() -> awaitable<void>
+  {
+    auto request = MakeAdmissionRequest();
+    auto admitted = co_await m_environment.admission.Admit(std::move(request));
+    m_permit = std::move(admitted.permit);
+    if (admitted.refusal != Reason::None) {
+      EndNotRun(admitted.refusal, admitted.retryAfterMs);
+    } else if (m_exchange->cancelled) {
+      EndNotRun(Reason::Cancelled, 0);
+    } else {
+      co_await RunAttempts();
+    }
+    m_permit.Finish(m_outcome);
+    m_exchange->stage = Stage::Done;
+    m_flow->active.erase(m_exchange->request.sequence);
+    m_flow->lastUsed = Clock::now();
+  }
+
+private:
+  auto MakeAdmissionRequest() -> admission::AdmissionRequest
+  {
+    admission::AdmissionRequest request;
+    request.plan = m_exchange->plan;
+    request.service = m_flow->service;
+    request.work = m_exchange->request.work;
+    request.urgency = m_exchange->work.urgency;
+    request.size = m_exchange->work.size;
+    request.bytes = m_exchange->request.payload.size();
+    request.deadline = m_exchange->deadline;
+    const auto lists = m_environment.lists.Current();
+    const auto plan = lists->plans.find(m_exchange->plan);
+    request.weight = plan == lists->plans.end() ? 1 : plan->second.weight;
+    return request;
+  }
+
+  auto RunAttempts() -> awaitable<void>
+  {
+    for (int attempt = 0; attempt < kAttemptLimit; ++attempt) {
+      if (Clock::now() >= m_exchange->deadline) {
+        EndUndecided(Reason::Deadline);
+        co_return;
+      }
+      const auto chosen =
+        m_environment.targets.Choose(m_flow->service, m_tried);
+      if (!chosen) {
+        break;
+      }
+      m_tried.insert(chosen->address);
+      ++chosen->inFlight;
+      const auto result = co_await Attempt(chosen);
+      --chosen->inFlight;
+      if (result == AttemptResult::Finished) {
+        co_return;
+      }
+    }
+    EndUndecided(m_failure);
+  }
+
+  /// Whether a request may be sent again after it may have run.
+  auto Repeatable() const -> bool
+  {
+    return m_exchange->work.execution == Execution::Repeatable;
+  }
+
+  auto Attempt(std::shared_ptr<target::Target> aTarget)
+    -> awaitable<AttemptResult>
+  {
+    const auto proven = Repeatable() ? kProvenForRepeatable : kProvenForOnce;
+    std::error_code error;
+    auto connection =
+      co_await m_environment.targets.Connect(aTarget, proven, error);
+    if (error) {
+      m_environment.targets.Report(aTarget, TargetOutcome::ConnectFailed);
+      m_environment.metrics.Add(Counter::RetryConnectFailed);
+      m_failure = Reason::NoTarget;
+      co_return AttemptResult::TryElsewhere;
+    }
+    if (m_exchange->cancelled) {
+      EndUndecided(Reason::Cancelled);
+      co_return AttemptResult::Finished;
+    }
+    m_exchange->connection = std::move(connection);
+    m_exchange->stage = Stage::Dispatched;
+    // From here on the target may have run the request.
+    m_mayHaveRun = true;
+    m_environment.metrics.Add(Counter::RequestsDispatched);
+    const auto started = Clock::now();
+    const auto call = MakeCall();
+    co_await m_exchange->connection->Send(call, error);
+    if (error) {
+      co_return Lost(aTarget, error);
+    }
+    const auto head = co_await m_exchange->connection->ReadHead(error);
+    if (error) {
+      co_return Lost(aTarget, error);
+    }
+    m_outcome.latency = Clock::now() - started;
+    if (head.notRun) {
+      co_return Shed(aTarget, head);
+    }
+    m_outcome.answered = true;
+    co_return co_await Stream(aTarget, head);
+  }
+
+  auto MakeCall() -> target::TargetCall
+  {
+    target::TargetCall call;
+    call.work = m_exchange->request.work;
+    call.plan = m_exchange->plan;
+    call.requestId =
+      fmt::format("{:016x}-{}", m_flow->id, m_exchange->request.sequence);
+    call.body = m_exchange->request.payload;
+    call.deadline = m_exchange->deadline;
+    const auto first = m_exchange->answer ? m_exchange->answer->Base()
+                                          : m_exchange->request.part;
+    call.offset = std::uint64_t{ first } * wire::kPartBytes;
+    return call;
+  }
+
+  auto Shed(const std::shared_ptr<target::Target>& aTarget,
+            const target::TargetHead& aHead) -> AttemptResult
+  {
+    // The target said that it ran nothing, so even an at-most-once request
+    // may go to another one.
+    m_mayHaveRun = m_everLost;
+    m_outcome.shed = true;
+    m_retryAfterMs = std::max(m_retryAfterMs, aHead.retryAfterMs);
+    m_failure = Reason::TargetShed;
+    m_environment.metrics.Add(Counter::RetryTargetShed);
+    m_environment.targets.Report(aTarget, TargetOutcome::Shed);
+    m_exchange->connection.reset();
+    return AttemptResult::TryElsewhere;
+  }
+
+  auto Lost(const std::shared_ptr<target::Target>& aTarget,
+            std::error_code aError) -> AttemptResult
+  {
+    m_exchange->connection.reset();
+    m_everLost = true;
+    if (m_exchange->cancelled) {
+      EndUndecided(Reason::Cancelled);
+      return AttemptResult::Finished;
+    }
+    if (aError == TargetError::Timeout) {
+      EndUndecided(Reason::Deadline);
+      return AttemptResult::Finished;
+    }
+    m_environment.targets.Report(aTarget, TargetOutcome::Lost);
+    m_failure = Reason::TargetLost;
+    if (!Repeatable()) {
+      EndUndecided(Reason::TargetLost);
+      return AttemptResult::Finished;
+    }
+    m_environment.metrics.Add(Counter::RetryConnectionLost);
+    return AttemptResult::TryElsewhere;
+  }
+
+  auto MakeTemplate(PacketType aType) -> wire::Packet
+  {
+    wire::Packet packet;
+    packet.type = aType;
+    packet.flow = m_flow->id;
+    packet.sequence = m_exchange->request.sequence;
+    packet.token = m_flow->token;
+    return packet;
+  }
+
+  /// Whether the parts that the caller holds belong to this answer.
+  auto Continues(const target::TargetHead& aHead) -> bool
+  {
+    const auto& request = m_exchange->request;
+    return m_exchange->answer ? m_tag == aHead.tag
+                              : request.answerTag == aHead.tag;
+  }
+
+  auto Stream(std::shared_ptr<target::Target> aTarget,
+              target::TargetHead aHead) -> awaitable<AttemptResult>
+  {
+    m_exchange->stage = Stage::Answering;
+    std::uint64_t skip = 0;
+    if (!m_exchange->answer || !Continues(aHead)) {
+      const auto first = static_cast<std::uint32_t>(
+        Continues(aHead) ? aHead.offset / wire::kPartBytes : 0);
+      if (first == 0 && aHead.offset != 0) {
+        // The content has changed; the caller has to start over.
+        m_exchange->connection->Close();
+        m_exchange->connection.reset();
+        m_exchange->request.part = 0;
+        m_exchange->answer.reset();
+        m_tried.erase(aTarget->address);
+        co_return AttemptResult::TryElsewhere;
+      }
+      m_exchange->answer = std::make_unique<AnswerSender>(
+        m_environment, MakeTemplate(PacketType::Answer), m_exchange->caller);
+      m_exchange->answer->SkipTo(first);
+      m_body.clear();
+      m_tag = aHead.tag;
+      m_pushed = std::uint64_t{ first } * wire::kPartBytes;
+    }
+    auto& answer = *m_exchange->answer;
+    answer.SetCode(aHead.status, aHead.tag);
+    if (aHead.length) {
+      answer.SetLength(*aHead.length);
+    }
+    skip = m_pushed - std::min(m_pushed, aHead.offset);
+    std::array<char, kReadBytes> buffer;
+    for (;;) {
+      std::error_code error;
+      const auto size = co_await m_exchange->connection->ReadSome(
+        buffer.data(), buffer.size(), error);
+      if (error) {
+        co_return Lost(aTarget, error);
+      }
+      if (size == 0) {
+        break;
+      }
+      const auto skipped = std::min<std::uint64_t>(skip, size);
+      skip -= skipped;
+      m_pushed += size - skipped;
+      Remember(buffer.data() + skipped, size - skipped);
+      const bool alive =
+        co_await answer.Push(buffer.data() + skipped, size - skipped);
+      if (!alive) {
+        EndAborted();
+        co_return AttemptResult::Finished;
+      }
+    }
+    m_environment.targets.Return(aTarget, std::move(m_exchange->connection));
+    m_environment.targets.Report(aTarget, TargetOutcome::Answered);
+    m_permit.Finish(m_outcome);
+    co_await FinishAnswer(aHead);
+    co_return AttemptResult::Finished;
+  }
+
+  auto FinishAnswer(target::TargetHead aHead) -> awaitable<void>
+  {
+    m_environment.metrics.Add(Counter::RequestsAnswered);
+    if (m_pushed <= wire::kPartBytes && m_exchange->request.part == 0) {
+      // A short answer needs no acknowledgement: a caller that misses it sends
+      // the request again.
+      auto packet = MakeTemplate(PacketType::Answer);
+      packet.code = aHead.status;
+      packet.answerTag = aHead.tag;
+      packet.parts = 1;
+      packet.payload = m_body;
+      EndWith(packet);
+      co_return;
+    }
+    RememberParts(aHead);
+    co_await m_exchange->answer->Finish();
+  }
+
+  /// Keeps the body of answers that must be repeated to late duplicates.
+  auto Remember(const char* aData, std::size_t aSize) -> void
+  {
+    if (!Repeatable() || m_body.size() + aSize <= wire::kPartBytes) {
+      m_body.append(aData, aSize);
+    }
+  }
+
+  auto RememberParts(const target::TargetHead& aHead) -> void
+  {
+    if (Repeatable()) {
+      return;
+    }
+    auto packet = MakeTemplate(PacketType::Answer);
+    packet.code = aHead.status;
+    packet.answerTag = aHead.tag;
+    packet.parts = static_cast<std::uint32_t>(
+      (m_body.size() + wire::kPartBytes - 1) / wire::kPartBytes);
+    auto& outcome = NewOutcome();
+    for (packet.part = 0; packet.part < packet.parts; ++packet.part) {
+      packet.payload =
+        m_body.substr(packet.part * wire::kPartBytes, wire::kPartBytes);
+      outcome.datagrams.push_back(wire::Encode(packet));
+    }
+  }
+
+  auto NewOutcome() -> Outcome&
+  {
+    auto& outcome = m_flow->outcomes[m_exchange->request.sequence];
+    outcome.datagrams.clear();
+    outcome.keepUntil =
+      std::max(m_exchange->deadline, Clock::now()) + kOutcomeMargin;
+    return outcome;
+  }
+
+  /// Sends aPacket as the final word and keeps it for at-most-once requests.
+  auto EndWith(const wire::Packet& aPacket) -> void
+  {
+    SendPacket(m_environment, m_exchange->caller, aPacket);
+    if (!Repeatable()) {
+      NewOutcome().datagrams.push_back(wire::Encode(aPacket));
+    }
+  }
+
+  auto EndNotRun(Reason aReason, std::uint32_t aRetryAfterMs) -> void
+  {
+    CountReason(m_environment.metrics, aReason);
+    // Another copy of a repeatable request may have run at another owner.
+    const auto type = Repeatable() ? PacketType::Refused : PacketType::NotRun;
+    auto packet = MakeTemplate(type);
+    packet.code = static_cast<std::uint32_t>(aReason);
+    packet.retryAfterMs = aRetryAfterMs;
+    EndWith(packet);
+  }
+
+  auto EndUnknown(Reason aReason) -> void
+  {
+    CountReason(m_environment.metrics, aReason);
+    auto packet = MakeTemplate(PacketType::Unknown);
+    packet.code = static_cast<std::uint32_t>(aReason);
+    EndWith(packet);
+  }
+
+  /// Says "not run" only when no target can have run the request.
+  auto EndUndecided(Reason aReason) -> void
+  {
+    if (m_mayHaveRun) {
+      EndUnknown(aReason);
+      return;
+    }
+    EndNotRun(aReason, std::max(m_retryAfterMs, kShedRetryAfterMs));
+  }
+
+  auto EndAborted() -> void
+  {
+    m_exchange->connection->Close();
+    m_exchange->connection.reset();
+    m_environment.metrics.Add(Counter::RequestsCancelled);
+    if (!Repeatable()) {
+      EndUnknown(Reason::Cancelled);
+    }
+  }
+
+  Environment& m_environment;
+  std::shared_ptr<Flow> m_flow;
+  std::shared_ptr<Exchange> m_exchange;
+  admission::Permit m_permit;
+  AdmissionOutcome m_outcome;
+  std::set<std::string> m_tried;
+  Reason m_failure = Reason::NoTarget;
+  std::uint32_t m_retryAfterMs = 0;
+  bool m_mayHaveRun = false;
+  bool m_everLost = false;
+  std::uint64_t m_tag = 0;
+  std::uint64_t m_pushed = 0;
+  std::string m_body;
+};
+
+} // namespace
+
+auto
+RunRequest(Environment& aEnvironment, std::shared_ptr<Flow> aFlow,
+           std::shared_ptr<Exchange> aExchange) -> awaitable<void>
+{
+  Runner runner(aEnvironment, std::move(aFlow), std::move(aExchange));
+  co_await runner.Run();
+}
+
+} // namespace bramleylock::flow
--- /dev/null
+++ b/lib/Http/Http.cpp
@@ -0,0 +1,200 @@
+// Whole-message HTTP/1.1 exchanges.
+
+#include "bramleylock/Http/Http.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bramleylock::http {
+
+namespace beast = boost::beast;
+namespace wire = boost::beast::http;
+
+/// The largest body that a whole-message exchange accepts.
+static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20;
+
+/// How long a server keeps an idle connection.
+static constexpr std::chrono::seconds kServerIdle{ 120 };
+
+static auto
+MakeMessage(const Tcp::endpoint& aServer, Request& aRequest)
+  -> wire::request<wire::string_body>
+{
+  wire::request<wire::string_body> message;
+  message.method_string(aRequest.method);
+  message.target(aRequest.target);
+  message.version(11);
+  message.set(wire::field::host,
+              FormatEndpoint(aServer.address(), aServer.port()));
+  message.set(wire::field::connection, "close");
+  for (const auto& [name, value] : aRequest.headers) {
+    message.set(name, value);
+  }
+  message.body() = std::move(aRequest.body);
+  message.prepare_payload();
+  return message;
+}
+
+auto
+Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
+      std::error_code& aError) -> awaitable<Reply>
+{
+  auto executor = co_await asio::this_coro::executor;
+  beast::tcp_stream stream(executor);
+  stream.expires_after(aTimeout);
+  boost::system::error_code failure;
+  Reply reply;
+  co_await stream.async_connect(aServer, Into(failure));
+  if (failure) {
+    aError = failure;
+    co_return reply;
+  }
+  auto message = MakeMessage(aServer, aRequest);
+  co_await wire::async_write(stream, message, Into(failure));
+  if (failure) {
+    aError = failure;
+    co_return reply;
+  }
+  beast::flat_buffer buffer;
+  wire::response_parser<wire::string_body> parser;
+  parser.body_limit(kBodyLimitBytes);
+  co_await wire::async_read(stream, buffer, parser, Into(failure));
+  if (failure) {
+    aError = failure;
+    co_return reply;
+  }
+  aError.clear();
+  reply.status = parser.get().result_int();
+  reply.body = std::move(parser.get().body());
+  for (const auto& field : parser.get()) {
+    reply.headers[std::string(field.name_string())] =
+      std::string(field.value());
+  }
+  co_return reply;
+}
+
+Server::Server(asio::io_context& aContext, const Tcp::endpoint& aAddress,
+               Handler aHandler)
+  : m_context(aContext)
+  , m_acceptor(aContext, aAddress)
+  , m_handler(std::move(aHandler))
+{
+}
+
+auto
+Server::Endpoint() const -> Tcp::endpoint
+{
+  return m_acceptor.local_endpoint();
+}
+
+auto
+Server::Start() -> void
+{
+  Spawn(m_context, "http-accept", AcceptLoop());
+}
+
+auto
+Server::StopAccepting() -> void
+{
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+auto
+Server::AcceptLoop() -> awaitable<void>
+{
+  while (m_acceptor.is_open()) {
+    boost::system::error_code failure;
+    auto socket = co_await m_acceptor.async_accept(Into(failure));
+    if (failure == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (failure) {
+      co_await Sleep(Milliseconds(10));
+      continue;
+    }
+    Spawn(m_context, "http-connection", Serve(std::move(socket)));
+  }
+}
+
+static auto
+ToRequest(wire::request<wire::string_body>& aMessage) -> Request
+{
+  Request request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  request.body = std::move(aMessage.body());
+  for (const auto& field : aMessage) {
+    std::string name(field.name_string());
+    for (char& letter : name) {
+      letter = static_cast<char>(std::tolower(letter));
+    }
+    request.headers[name] = std::string(field.value());
+  }
+  return request;
+}
+
+auto
+Server::Serve(Tcp::socket aSocket) -> awaitable<void>
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  stream.socket().set_option(Tcp::no_delay(true));
+  beast::flat_buffer buffer;
+  for (;;) {
+    boost::system::error_code failure;
+    wire::request_parser<wire::string_body> parser;
+    parser.body_limit(kBodyLimitBytes);
+    stream.expires_after(kServerIdle);
+    co_await wire::async_read(stream, buffer, parser, Into(failure));
+    if (failure) {
+      co_return;
+    }
+    const bool keepAlive = parser.get().keep_alive();
+    const auto request = ToRequest(parser.get());
+    auto reply = co_await m_handler(request);
+    if (reply.status == 0) {
+      // The handler asks to drop the connection without an answer.
+      co_return;
+    }
+    wire::response<wire::string_body> message;
+    message.result(reply.status);
+    message.version(11);
+    message.keep_alive(keepAlive);
+    message.set(wire::field::content_type, reply.contentType);
+    for (const auto& [name, value] : reply.headers) {
+      message.set(name, value);
+    }
+    message.body() = std::move(reply.body);
+    message.prepare_payload();
+    stream.expires_after(kServerIdle);
+    co_await wire::async_write(stream, message, Into(failure));
+    if (failure || !keepAlive) {
+      co_return;
+    }
+  }
+}
+
+auto
+PathOf(const std::string& aTarget) -> std::string
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+auto
+QueryOf(const std::string& aTarget, const std::string& aName,
+        const std::string& aDefault) -> std::string
+{
+  auto position = aTarget.find('?');
+  while (position != std::string::npos) {
+    const auto start = position + 1;
+    position = aTarget.find('&', start);
+    const auto pair = aTarget.substr(
+      start, position == std::string::npos ? position : position - start);
+    if (pair.starts_with(aName + "=")) {
+      return pair.substr(aName.size() + 1);
+    }
+  }
+  return aDefault;
+}
+
+} // namespace bramleylock::http
--- /dev/null
+++ b/lib/Http/SyncFetch.cpp
@@ -0,0 +1,30 @@
+// A blocking exchange over the coroutine client.
+
+#include "bramleylock/Http/SyncFetch.h"
+
+namespace bramleylock::http {
+
+static auto
+FetchInto(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
+          std::error_code& aError, Reply& aReply) -> awaitable<void>
+{
+  aReply = co_await Fetch(aServer, std::move(aRequest), aTimeout, aError);
+}
+
+auto
+SyncFetch(const std::string& aServer, Request aRequest, Milliseconds aTimeout,
+          std::error_code& aError) -> Reply
+{
+  const auto endpoint = ParseTcpEndpoint(aServer, aError);
+  Reply reply;
+  if (aError) {
+    return reply;
+  }
+  asio::io_context context(1);
+  Spawn(context, "fetch",
+        FetchInto(endpoint, std::move(aRequest), aTimeout, aError, reply));
+  context.run();
+  return reply;
+}
+
+} // namespace bramleylock::http
--- /dev/null
+++ b/lib/Kernel/AdminApi.cpp
@@ -0,0 +1,237 @@
+// Routes of the administration API.
+
+#include "bramleylock/Kernel/AdminApi.h"
+
+#include "bramleylock/Support/Random.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleylock::kernel {
+
+using nlohmann::json;
+
+static auto
+ReplyJson(unsigned aStatus, const json& aBody) -> http::Reply
+{
+  http::Reply reply;
+  reply.status = aStatus;
+  reply.body = aBody.dump() + "\n";
+  return reply;
+}
+
+static auto
+ReplyError(unsigned aStatus, const std::string& aError,
+           const std::string& aDetail) -> http::Reply
+{
+  return ReplyJson(aStatus, { { "error", aError }, { "detail", aDetail } });
+}
+
+static auto
+ParseAddress(const std::string& aAddress) -> Tcp::endpoint
+{
+  std::error_code error;
+  const auto endpoint = ParseTcpEndpoint(aAddress, error);
+  assert(!error);
+  return endpoint;
+}
+
+AdminApi::AdminApi(asio::io_context& aContext, const std::string& aAddress,
+                   std::string aToken, AdminView aView)
+  : m_token(std::move(aToken))
+  , m_view(std::move(aView))
+  , m_server(aContext, ParseAddress(aAddress),
+             [this](const http::Request& aRequest) {
+               return Answer(aRequest);
+             })
+{
+  m_server.Start();
+}
+
+auto
+AdminApi::Address() const -> std::string
+{
+  const auto endpoint = m_server.Endpoint();
+  return FormatEndpoint(endpoint.address(), endpoint.port());
+}
+
+auto
+AdminApi::Authorized(const http::Request& aRequest) const -> bool
+{
+  const auto header = aRequest.headers.find("authorization");
+  return header != aRequest.headers.end() &&
+         EqualSecrets(header->second, "Bearer " + m_token);
+}
+
+auto
+AdminApi::Answer(const http::Request& aRequest) -> awaitable<http::Reply>
+{
+  struct Row
+  {
+    const char* method;
+    const char* path;
+    bool open;
+    Route route;
+  };
+  static const std::array<Row, 8> kRoutes{ {
+    { "GET", "/healthz", true, &AdminApi::GetHealth },
+    { "GET", "/status", false, &AdminApi::GetStatus },
+    { "GET", "/targets", false, &AdminApi::GetTargets },
+    { "GET", "/counters", false, &AdminApi::GetCounters },
+    { "GET", "/metrics", false, &AdminApi::GetMetrics },
+    { "GET", "/lists", false, &AdminApi::GetLists },
+    { "PUT", "/lists", false, &AdminApi::PutLists },
+    { "POST", "/drain", false, &AdminApi::PostDrain },
+  } };
+  const auto path = http::PathOf(aRequest.target);
+  bool known = false;
+  for (const auto& row : kRoutes) {
+    if (path != row.path) {
+      continue;
+    }
+    known = true;
+    if (aRequest.method != row.method) {
+      continue;
+    }
+    if (!row.open && !Authorized(aRequest)) {
+      m_view.metrics.Add(Counter::AdminUnauthorized);
+      co_return ReplyError(401, "unauthorized",
+                           "send 'Authorization: Bearer TOKEN'");
+    }
+    co_return co_await (this->*row.route)(aRequest);
+  }
+  co_return known ? ReplyError(405, "method", "not allowed on " + path)
+                  : ReplyError(404, "path", "there is no " + path);
+}
+
+auto
+AdminApi::GetHealth(const http::Request&) -> awaitable<http::Reply>
+{
+  const bool ready = m_view.lists.Revision() > 0;
+  const bool draining = m_view.dispatcher.Draining();
+  co_return ReplyJson(ready && !draining ? 200 : 503,
+                      { { "ready", ready }, { "draining", draining } });
+}
+
+auto
+AdminApi::GetStatus(const http::Request&) -> awaitable<http::Reply>
+{
+  const auto& self = m_view.members.Self();
+  json members = json::array();
+  for (const auto& member : m_view.members.All()) {
+    members.push_back(
+      { { "vm", member.vm },
+        { "failure_domain", member.failureDomain },
+        { "address", member.address },
+        { "state", NameOf(peer::kMemberStateNames, member.state) },
+        { "lists_revision", member.latest.listsRevision },
+        { "draining", member.latest.draining } });
+  }
+  co_return ReplyJson(200,
+                      { { "vm", self.vm },
+                        { "failure_domain", self.failureDomain },
+                        { "peer_address", self.address },
+                        { "incarnation", self.incarnation },
+                        { "lists_revision", m_view.lists.Revision() },
+                        { "draining", m_view.dispatcher.Draining() },
+                        { "flows", m_view.dispatcher.Flows().Size() },
+                        { "requests", m_view.dispatcher.Flows().Active() },
+                        { "waiting", m_view.admission.Waiting() },
+                        { "peer_bytes_sent", m_view.hub.BytesSent() },
+                        { "peer_bytes_received", m_view.hub.BytesReceived() },
+                        { "members", members } });
+}
+
+auto
+AdminApi::GetTargets(const http::Request&) -> awaitable<http::Reply>
+{
+  json rows = json::array();
+  const auto now = Clock::now();
+  for (const auto& [address, target] : m_view.targets.All()) {
+    rows.push_back({ { "address", address },
+                     { "service", target->service },
+                     { "failure_domain", target->failureDomain },
+                     { "leaving", target->leaving },
+                     { "slots", target->slots },
+                     { "in_flight", target->inFlight },
+                     { "peers_in_flight", target->peersInFlight },
+                     { "ejected", target->ejectedUntil > now } });
+  }
+  co_return ReplyJson(200, rows);
+}
+
+auto
+AdminApi::GetCounters(const http::Request&) -> awaitable<http::Reply>
+{
+  co_return ReplyJson(200, m_view.metrics.NonZero());
+}
+
+auto
+AdminApi::GetMetrics(const http::Request&) -> awaitable<http::Reply>
+{
+  const auto& flows = m_view.dispatcher.Flows();
+  m_view.metrics.SetGauge("flows_open", static_cast<double>(flows.Size()));
+  m_view.metrics.SetGauge("requests_in_flight",
+                          static_cast<double>(flows.Active()));
+  m_view.metrics.SetGauge("requests_waiting",
+                          static_cast<double>(m_view.admission.Waiting()));
+  m_view.metrics.SetGauge("lists_revision",
+                          static_cast<double>(m_view.lists.Revision()));
+  http::Reply reply;
+  reply.contentType = "text/plain; version=0.0.4";
+  reply.body = m_view.metrics.Exposition();
+  co_return reply;
+}
+
+auto
+AdminApi::GetLists(const http::Request&) -> awaitable<http::Reply>
+{
+  if (m_view.lists.Revision() == 0) {
+    co_return ReplyError(503, "not-ready", "no lists are in force yet");
+  }
+  co_return ReplyJson(200, { { "revision", m_view.lists.Revision() },
+                             { "lists", json::parse(m_view.lists.Document()) } });
+}
+
+auto
+AdminApi::PutLists(const http::Request& aRequest) -> awaitable<http::Reply>
+{
+  std::error_code error;
+  std::string detail;
+  auto lists = lists::ParseLists(aRequest.body, error, detail);
+  if (error) {
+    co_return ReplyError(422, error.message(), detail);
+  }
+  const auto expected =
+    http::QueryOf(aRequest.target, "expected",
+                  std::to_string(m_view.lists.Revision()));
+  const auto edit = SecretIdentifier();
+  lists.edits.push_back(edit);
+  if (lists.edits.size() > lists::kEditsKept) {
+    lists.edits.erase(lists.edits.begin());
+  }
+  const auto document = lists::FormatLists(lists);
+  const auto revision = co_await m_view.store.CompareAndSwap(
+    lists::kListsKey, std::strtoull(expected.c_str(), nullptr, 10), document,
+    error);
+  if (error == lists::StoreError::Conflict) {
+    co_return ReplyError(409, error.message(),
+                         "the lists changed after revision " + expected +
+                           "; read them and edit again");
+  }
+  if (error) {
+    co_return ReplyError(503, error.message(),
+                         "read the lists to see whether edit " + edit +
+                           " took effect");
+  }
+  m_view.lists.Install(revision, document);
+  co_return ReplyJson(200, { { "revision", revision }, { "edit", edit } });
+}
+
+auto
+AdminApi::PostDrain(const http::Request&) -> awaitable<http::Reply>
+{
+  m_view.drain();
+  co_return ReplyJson(202, { { "draining", true } });
+}
+
+} // namespace bramleylock::kernel
--- /dev/null
+++ b/lib/Kernel/Balancer.cpp
@@ -0,0 +1,264 @@
+// Wires the layers together.
+
+#include "bramleylock/Kernel/Balancer.h"
+
+#include "bramleylock/Flow/Dispatcher.h"
+#include "bramleylock/Kernel/AdminApi.h"
+#include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/PlatformWatcher.h"
+#include "bramleylock/Support/Log.h"
+#include "bramleylock/Support/Random.h"
+
+#include <fmt/format.h>
+
+namespace bramleylock::kernel {
+
+/// How long a stopping balancer stays after its last request, so that peers
+/// hear that it leaves.
+static constexpr Milliseconds kFarewell{ 300 };
+
+static constexpr Milliseconds kCapacityEvery{ 500 };
+
+struct Balancer::Parts
+{
+  Parts(asio::io_context& aContext, Settings aSettings)
+    : context(aContext)
+    , settings(std::move(aSettings))
+    , lists(metrics)
+  {
+  }
+
+  auto OpenSecrets(std::error_code& aError, std::string& aDetail) -> void;
+  auto Build(std::error_code& aError, std::string& aDetail) -> void;
+  auto FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void;
+  auto TakePeersInFlight() -> void;
+  auto UpdateCapacity() -> void;
+  auto CapacityLoop() -> awaitable<void>;
+  auto DrainLoop() -> awaitable<void>;
+
+  asio::io_context& context;
+  Settings settings;
+  Metrics metrics;
+  wire::KeyRing keys;
+  lists::ListKeeper lists;
+  peer::ClusterKey clusterKey{};
+  std::string adminToken;
+  std::unique_ptr<CallerEntry> entry;
+  std::unique_ptr<lists::PlatformStore> store;
+  std::unique_ptr<admission::AdmissionPolicy> admission;
+  std::unique_ptr<target::TargetTable> targets;
+  std::unique_ptr<peer::PeerHub> hub;
+  std::unique_ptr<peer::Membership> members;
+  std::unique_ptr<flow::Environment> environment;
+  std::unique_ptr<flow::Dispatcher> dispatcher;
+  std::unique_ptr<PlatformWatcher> watcher;
+  std::unique_ptr<AdminApi> admin;
+  bool draining = false;
+};
+
+Balancer::Balancer(asio::io_context& aContext, Settings aSettings)
+  : m_parts(std::make_unique<Parts>(aContext, std::move(aSettings)))
+{
+}
+
+Balancer::~Balancer() = default;
+
+auto
+Balancer::Parts::OpenSecrets(std::error_code& aError, std::string& aDetail)
+  -> void
+{
+  const auto key = ReadSecretFile(settings.clusterKeyFile, aError);
+  if (aError || !wire::KeyFromHex(key, clusterKey)) {
+    aError = SettingsError::Invalid;
+    aDetail = settings.clusterKeyFile +
+              ": expected a line of 64 hexadecimal digits, such as "
+              "'openssl rand -hex 32' prints";
+    return;
+  }
+  adminToken = ReadSecretFile(settings.adminTokenFile, aError);
+  if (aError) {
+    aDetail = settings.adminTokenFile + ": expected a line with the token";
+  }
+}
+
+auto
+Balancer::Parts::Build(std::error_code& aError, std::string& aDetail) -> void
+{
+  const auto seed = settings.seed != 0
+                      ? static_cast<std::uint64_t>(settings.seed)
+                      : SecretNumber();
+  entry = CallerEntryRegistry::Instance().Create(settings.callerEntry, context);
+  store = lists::StoreRegistry::Instance().Create(
+    settings.platformStore, context, settings.storeAddress, metrics);
+  admission = admission::AdmissionRegistry::Instance().Create(
+    settings.admissionPolicy, context);
+  targets = std::make_unique<target::TargetTable>(
+    settings.failureDomain,
+    target::TransportRegistry::Instance().Create(settings.targetTransport,
+                                                 context),
+    target::ChoiceRegistry::Instance().Create(settings.targetChoice), metrics,
+    seed);
+  const auto peerAddress = ParseTcpEndpoint(settings.peerAddress, aError);
+  try {
+    hub = std::make_unique<peer::PeerHub>(context, peerAddress, clusterKey,
+                                          metrics);
+  } catch (const boost::system::system_error& failure) {
+    aError = failure.code();
+    aDetail = "listen.peers = " + settings.peerAddress;
+    return;
+  }
+  const wire::Hello self{ settings.vmName, settings.failureDomain,
+                          hub->Address(), NewIncarnation() };
+  members = std::make_unique<peer::Membership>(context, *hub, self);
+  const auto send = [this](const Udp::endpoint& aCaller,
+                           const std::string& aData) {
+    entry->Send(aCaller, aData);
+  };
+  environment = std::make_unique<flow::Environment>(
+    flow::Environment{ context, metrics, keys, lists, *hub, *members, *targets,
+                       *admission, send });
+  dispatcher = std::make_unique<flow::Dispatcher>(
+    *environment, std::chrono::seconds(settings.idleFlowSeconds));
+  watcher = std::make_unique<PlatformWatcher>(context, *store, lists, keys,
+                                              *hub, *members, *targets);
+  hub->Start(self);
+}
+
+auto
+Balancer::Parts::FillHeartbeat(wire::Heartbeat& aHeartbeat) const -> void
+{
+  aHeartbeat.listsRevision = lists.Revision();
+  aHeartbeat.newestKey = watcher->NewestKey();
+  aHeartbeat.draining = draining;
+  for (const auto& [address, target] : targets->All()) {
+    if (target->inFlight > 0) {
+      aHeartbeat.inFlight.emplace_back(address, target->inFlight);
+    }
+  }
+}
+
+auto
+Balancer::Parts::TakePeersInFlight() -> void
+{
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& member : members->Alive()) {
+    for (const auto& [address, count] : member.latest.inFlight) {
+      counts[address] += count;
+    }
+  }
+  targets->SetPeersInFlight(counts);
+}
+
+/// Splits every service's slots evenly over the balancers that are alive.
+auto
+Balancer::Parts::UpdateCapacity() -> void
+{
+  const auto current = lists.Current();
+  if (!current) {
+    return;
+  }
+  const auto balancers = static_cast<double>(members->Alive().size() + 1);
+  for (const auto& [name, service] : current->services) {
+    targets->SetSlots(name, service.slots);
+    admission->SetCapacity(name, targets->SlotsOf(name) / balancers);
+  }
+}
+
+auto
+Balancer::Parts::CapacityLoop() -> awaitable<void>
+{
+  for (;;) {
+    UpdateCapacity();
+    co_await Sleep(kCapacityEvery);
+  }
+}
+
+auto
+Balancer::Start(std::error_code& aError, std::string& aDetail) -> void
+{
+  auto& parts = *m_parts;
+  parts.OpenSecrets(aError, aDetail);
+  if (aError) {
+    return;
+  }
+  parts.Build(aError, aDetail);
+  if (aError) {
+    return;
+  }
+  const auto callers = ParseUdpEndpoint(parts.settings.callerAddress, aError);
+  parts.entry->Start(
+    callers, static_cast<int>(parts.settings.receiveBufferBytes),
+    [&parts](const char* aData, std::size_t aSize,
+             const Udp::endpoint& aCaller) {
+      parts.dispatcher->OnDatagram(aData, aSize, aCaller);
+    },
+    aError);
+  if (aError) {
+    aDetail = "listen.callers = " + parts.settings.callerAddress;
+    return;
+  }
+  AdminView view{ parts.metrics,    parts.lists,       *parts.members,
+                  *parts.targets,   *parts.dispatcher, *parts.store,
+                  *parts.admission, *parts.hub,        [this] { Drain(); } };
+  try {
+    parts.admin = std::make_unique<AdminApi>(
+      parts.context, parts.settings.adminAddress, parts.adminToken, view);
+  } catch (const boost::system::system_error& failure) {
+    aError = failure.code();
+    aDetail = "listen.administration = " + parts.settings.adminAddress;
+    return;
+  }
+  parts.dispatcher->Start();
+  parts.watcher->Start();
+  parts.members->OnHeartbeat([&parts](const peer::Member& aMember) {
+    parts.watcher->OnHeartbeat(aMember);
+    parts.TakePeersInFlight();
+  });
+  parts.members->Start([&parts](wire::Heartbeat& aHeartbeat) {
+    parts.FillHeartbeat(aHeartbeat);
+  });
+  parts.lists.OnInstall([&parts] {
+    parts.UpdateCapacity();
+    parts.members->Announce();
+  });
+  Spawn(parts.context, "capacity", parts.CapacityLoop());
+}
+
+auto
+Balancer::Drain() -> void
+{
+  if (m_parts->draining) {
+    return;
+  }
+  m_parts->draining = true;
+  LogInfo("drain-started", {});
+  Spawn(m_parts->context, "drain", m_parts->DrainLoop());
+}
+
+auto
+Balancer::Parts::DrainLoop() -> awaitable<void>
+{
+  dispatcher->Drain();
+  members->Announce();
+  const auto limit =
+    Clock::now() + std::chrono::seconds(settings.drainSeconds);
+  while (dispatcher->Flows().Active() > 0 && Clock::now() < limit) {
+    co_await Sleep(Milliseconds(20));
+  }
+  co_await Sleep(kFarewell);
+  LogInfo("drain-finished",
+          { { "cut_requests",
+              std::to_string(dispatcher->Flows().Active()) } });
+  context.stop();
+}
+
+auto
+Balancer::ReadyLine() const -> std::string
+{
+  const auto& parts = *m_parts;
+  return fmt::format("ready vm={} callers={} peers={} administration={}",
+                     parts.settings.vmName, parts.entry->Address(),
+                     parts.hub->Address(), parts.admin->Address());
+}
+
+} // namespace bramleylock::kernel
--- /dev/null
+++ b/lib/Peer/SecureLink.cpp
@@ -0,0 +1,290 @@
+// The peer handshake and sealed frames, on libsodium.
+//
+// Each end sends an ephemeral public key with a code keyed by the cluster key.
+// The session keys mix the key exchange with the cluster key, so a recorded
+// handshake is of no use to anyone who cannot finish it. Frames are a 4-byte
+// big-endian length and a crypto_secretstream message.
+
+#include "bramleylock/Peer/SecureLink.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <sodium.h>
+
+namespace bramleylock::peer {
+
+/// The largest sealed frame: the lists of a megabyte and their envelope.
+static constexpr std::size_t kFrameLimitBytes = 2U << 20;
+
+static constexpr std::size_t kLengthBytes = 4;
+static constexpr std::size_t kHelloMacBytes = 16;
+static constexpr unsigned char kLinkVersion = 1;
+
+namespace {
+
+struct Greeting
+{
+  unsigned char version = kLinkVersion;
+  std::array<unsigned char, crypto_kx_PUBLICKEYBYTES> publicKey{};
+  std::array<unsigned char, kHelloMacBytes> mac{};
+  std::array<unsigned char, crypto_secretstream_xchacha20poly1305_HEADERBYTES>
+    streamHeader{};
+};
+
+using SessionKey = std::array<unsigned char, crypto_kx_SESSIONKEYBYTES>;
+
+} // namespace
+
+struct SecureLink::State
+{
+  explicit State(Tcp::socket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  Tcp::socket socket;
+  crypto_secretstream_xchacha20poly1305_state sending{};
+  crypto_secretstream_xchacha20poly1305_state receiving{};
+  std::uint64_t bytesSent = 0;
+  std::uint64_t bytesReceived = 0;
+};
+
+SecureLink::SecureLink(Tcp::socket aSocket)
+  : m_state(std::make_unique<State>(std::move(aSocket)))
+{
+}
+
+SecureLink::~SecureLink() = default;
+
+/// The code that proves the cluster key. It covers the public key, the stream
+/// header, the role and, for the accepting end, the dialer's public key.
+static auto
+GreetingMac(const ClusterKey& aKey, const Greeting& aGreeting, bool aDialer,
+            const Greeting* aAnswered)
+{
+  std::array<unsigned char, kHelloMacBytes> mac{};
+  crypto_generichash_state state;
+  const unsigned char role = aDialer ? 'd' : 'a';
+  crypto_generichash_init(&state, aKey.data(), aKey.size(), mac.size());
+  crypto_generichash_update(&state, &role, 1);
+  crypto_generichash_update(&state, &aGreeting.version, 1);
+  crypto_generichash_update(&state, aGreeting.publicKey.data(),
+                            aGreeting.publicKey.size());
+  crypto_generichash_update(&state, aGreeting.streamHeader.data(),
+                            aGreeting.streamHeader.size());
+  if (aAnswered != nullptr) {
+    crypto_generichash_update(&state, aAnswered->publicKey.data(),
+                              aAnswered->publicKey.size());
+  }
+  crypto_generichash_final(&state, mac.data(), mac.size());
+  return mac;
+}
+
+static auto
+MixClusterKey(const ClusterKey& aKey, const SessionKey& aSession) -> SessionKey
+{
+  SessionKey mixed{};
+  crypto_generichash(mixed.data(), mixed.size(), aSession.data(),
+                     aSession.size(), aKey.data(), aKey.size());
+  return mixed;
+}
+
+static auto
+GreetingBuffers(Greeting& aGreeting)
+{
+  return std::array<asio::mutable_buffer, 4>{
+    asio::buffer(&aGreeting.version, 1), asio::buffer(aGreeting.publicKey),
+    asio::buffer(aGreeting.mac), asio::buffer(aGreeting.streamHeader)
+  };
+}
+
+static constexpr std::size_t kGreetingBytes =
+  1 + crypto_kx_PUBLICKEYBYTES + kHelloMacBytes +
+  crypto_secretstream_xchacha20poly1305_HEADERBYTES;
+
+static auto
+CheckGreeting(const ClusterKey& aKey, const Greeting& aTheirs, bool aFromDialer,
+              const Greeting* aAnswered) -> bool
+{
+  const auto mac = GreetingMac(aKey, aTheirs, aFromDialer, aAnswered);
+  return aTheirs.version == kLinkVersion &&
+         sodium_memcmp(mac.data(), aTheirs.mac.data(), mac.size()) == 0;
+}
+
+auto
+SecureLink::Handshake(const ClusterKey& aKey, bool aDialer,
+                      std::error_code& aError) -> awaitable<void>
+{
+  Greeting mine;
+  Greeting theirs;
+  std::array<unsigned char, crypto_kx_SECRETKEYBYTES> secret{};
+  crypto_kx_keypair(mine.publicKey.data(), secret.data());
+  randombytes_buf(mine.streamHeader.data(), mine.streamHeader.size());
+  auto& socket = m_state->socket;
+  boost::system::error_code failure;
+  socket.set_option(Tcp::no_delay(true), failure);
+  auto mineBuffers = GreetingBuffers(mine);
+  auto theirBuffers = GreetingBuffers(theirs);
+  if (!aDialer) {
+    co_await asio::async_read(socket, theirBuffers, Into(failure));
+    if (failure || !CheckGreeting(aKey, theirs, true, nullptr)) {
+      aError = failure ? LinkError::Lost : LinkError::Authentication;
+      co_return;
+    }
+  }
+  mine.mac = GreetingMac(aKey, mine, aDialer, aDialer ? nullptr : &theirs);
+  co_await asio::async_write(socket, mineBuffers, Into(failure));
+  if (failure) {
+    aError = LinkError::Lost;
+    co_return;
+  }
+  if (aDialer) {
+    co_await asio::async_read(socket, theirBuffers, Into(failure));
+    if (failure || !CheckGreeting(aKey, theirs, false, &mine)) {
+      // An end that rejects our greeting closes without an answer.
+      aError = LinkError::Authentication;
+      co_return;
+    }
+  }
+  SessionKey receive{};
+  SessionKey send{};
+  const auto derive =
+    aDialer ? crypto_kx_client_session_keys : crypto_kx_server_session_keys;
+  if (derive(receive.data(), send.data(), mine.publicKey.data(), secret.data(),
+             theirs.publicKey.data()) != 0) {
+    aError = LinkError::Authentication;
+    co_return;
+  }
+  // Both stream states start from the header that the sender chose, which the
+  // initialiser for the receiving side takes for either direction.
+  crypto_secretstream_xchacha20poly1305_init_pull(
+    &m_state->sending, mine.streamHeader.data(),
+    MixClusterKey(aKey, send).data());
+  crypto_secretstream_xchacha20poly1305_init_pull(
+    &m_state->receiving, theirs.streamHeader.data(),
+    MixClusterKey(aKey, receive).data());
+  m_state->bytesSent += kGreetingBytes;
+  m_state->bytesReceived += kGreetingBytes;
+  aError.clear();
+}
+
+static auto
+PackEnvelope(const Envelope& aMessage) -> std::string
+{
+  msgpack::sbuffer buffer(aMessage.body.size() + 16);
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack(static_cast<std::uint32_t>(aMessage.type));
+  buffer.write(aMessage.body.data(), aMessage.body.size());
+  return { buffer.data(), buffer.size() };
+}
+
+static auto
+UnpackEnvelope(const std::string& aText, std::error_code& aError) -> Envelope
+{
+  Envelope message;
+  aError = LinkError::Malformed;
+  try {
+    std::size_t offset = 0;
+    const auto handle = msgpack::unpack(aText.data(), aText.size(), offset);
+    const auto type = handle.get().as<std::uint32_t>();
+    if (type >= wire::kMessageTypeNames.size()) {
+      return message;
+    }
+    message.type = static_cast<wire::MessageType>(type);
+    message.body = aText.substr(offset);
+  } catch (const std::exception&) {
+    return message;
+  }
+  aError.clear();
+  return message;
+}
+
+auto
+SecureLink::Write(const Envelope& aMessage, std::error_code& aError)
+  -> awaitable<void>
+{
+  const auto plain = PackEnvelope(aMessage);
+  const auto sealed =
+    plain.size() + crypto_secretstream_xchacha20poly1305_ABYTES;
+  if (sealed > kFrameLimitBytes) {
+    aError = LinkError::Oversized;
+    co_return;
+  }
+  std::string frame(kLengthBytes + sealed, '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    frame[i] = static_cast<char>(sealed >> (8 * (kLengthBytes - 1 - i)));
+  }
+  crypto_secretstream_xchacha20poly1305_push(
+    &m_state->sending,
+    reinterpret_cast<unsigned char*>(frame.data() + kLengthBytes), nullptr,
+    reinterpret_cast<const unsigned char*>(plain.data()), plain.size(), nullptr,
+    0, 0);
+  boost::system::error_code failure;
+  co_await asio::async_write(m_state->socket, asio::buffer(frame),
+                             Into(failure));
+  m_state->bytesSent += frame.size();
+  aError = failure ? make_error_code(LinkError::Lost) : std::error_code{};
+}
+
+auto
+SecureLink::Read(std::error_code& aError) -> awaitable<Envelope>
+{
+  std::array<unsigned char, kLengthBytes> length{};
+  boost::system::error_code failure;
+  co_await asio::async_read(m_state->socket, asio::buffer(length),
+                            Into(failure));
+  if (failure) {
+    aError = LinkError::Lost;
+    co_return Envelope{};
+  }
+  std::size_t size = 0;
+  for (const auto byte : length) {
+    size = size << 8 | byte;
+  }
+  if (size > kFrameLimitBytes) {
+    aError = LinkError::Oversized;
+    co_return Envelope{};
+  }
+  if (size < crypto_secretstream_xchacha20poly1305_ABYTES) {
+    aError = LinkError::Malformed;
+    co_return Envelope{};
+  }
+  std::string frame(size, '\0');
+  co_await asio::async_read(m_state->socket, asio::buffer(frame),
+                            Into(failure));
+  if (failure) {
+    aError = LinkError::Lost;
+    co_return Envelope{};
+  }
+  m_state->bytesReceived += kLengthBytes + size;
+  std::string plain(size - crypto_secretstream_xchacha20poly1305_ABYTES, '\0');
+  if (crypto_secretstream_xchacha20poly1305_pull(
+        &m_state->receiving, reinterpret_cast<unsigned char*>(plain.data()),
+        nullptr, nullptr, reinterpret_cast<const unsigned char*>(frame.data()),
+        size, nullptr, 0) != 0) {
+    aError = LinkError::Authentication;
+    co_return Envelope{};
+  }
+  co_return UnpackEnvelope(plain, aError);
+}
+
+auto
+SecureLink::Close() -> void
+{
+  boost::system::error_code ignored;
+  m_state->socket.close(ignored);
+}
+
+auto
+SecureLink::BytesSent() const -> std::uint64_t
+{
+  return m_state->bytesSent;
+}
+
+auto
+SecureLink::BytesReceived() const -> std::uint64_t
+{
+  return m_state->bytesReceived;
+}
+
+} // namespace bramleylock::peer
--- /dev/null
+++ b/lib/Target/HttpTransport.cpp
@@ -0,0 +1,195 @@
+// HTTP/1.1 towards targets, with streamed answers.
+
+#include "bramleylock/Target/TargetTransport.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace bramleylock::target {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr std::uint64_t kAnswerLimitBytes = 1ULL << 40;
+
+template<typename Number>
+static auto
+ParseNumber(beast::string_view aText, Number aDefault, int aBase = 10) -> Number
+{
+  Number number = aDefault;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number, aBase);
+  return number;
+}
+
+namespace {
+
+class HttpConnection : public TargetConnection
+{
+public:
+  explicit HttpConnection(beast::tcp_stream aStream)
+    : m_stream(std::move(aStream))
+  {
+  }
+
+  auto Send(const TargetCall& aCall, std::error_code& aError)
+    -> awaitable<void> override
+  {
+    http::request<http::string_body> message;
+    message.method(http::verb::post);
+    message.target("/work/" + aCall.work);
+    message.version(11);
+    message.set(http::field::host, "target");
+    message.set("X-Request-Id", aCall.requestId);
+    message.set("X-Plan", aCall.plan);
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+      aCall.deadline - Clock::now());
+    message.set("X-Deadline-Ms", std::to_string(left.count()));
+    if (aCall.offset > 0) {
+      message.set(http::field::range,
+                  "bytes=" + std::to_string(aCall.offset) + "-");
+    }
+    message.body() = aCall.body;
+    message.prepare_payload();
+    m_parser.emplace();
+    m_parser->body_limit(kAnswerLimitBytes);
+    m_stream.expires_at(aCall.deadline);
+    boost::system::error_code failure;
+    co_await http::async_write(m_stream, message, Into(failure));
+    aError = Translate(failure);
+  }
+
+  auto ReadHead(std::error_code& aError) -> awaitable<TargetHead> override
+  {
+    boost::system::error_code failure;
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser,
+                                     Into(failure));
+    TargetHead head;
+    aError = Translate(failure);
+    if (aError) {
+      co_return head;
+    }
+    const auto& message = m_parser->get();
+    head.status = message.result_int();
+    head.notRun = head.status == 503;
+    head.draining = message["X-Draining"] == "1";
+    head.retryAfterMs =
+      ParseNumber<std::uint32_t>(message["X-Retry-After-Ms"], 0);
+    const auto etag = message[http::field::etag];
+    head.tag = std::hash<std::string_view>()({ etag.data(), etag.size() });
+    if (head.status == 206) {
+      // "bytes FIRST-LAST/LENGTH"
+      const auto range = message[http::field::content_range];
+      const auto space = range.find(' ');
+      const auto slash = range.find('/');
+      if (space == range.npos || slash == range.npos) {
+        aError = TargetError::Malformed;
+        co_return head;
+      }
+      head.offset = ParseNumber<std::uint64_t>(range.substr(space + 1), 0);
+      head.length = ParseNumber<std::uint64_t>(range.substr(slash + 1), 0);
+      head.status = 200;
+    } else if (m_parser->content_length()) {
+      head.length = *m_parser->content_length();
+    }
+    co_return head;
+  }
+
+  auto ReadSome(char* aData, std::size_t aSize, std::error_code& aError)
+    -> awaitable<std::size_t> override
+  {
+    aError.clear();
+    std::size_t got = 0;
+    while (got == 0 && !m_parser->is_done()) {
+      auto& body = m_parser->get().body();
+      body.data = aData;
+      body.size = aSize;
+      body.more = true;
+      boost::system::error_code failure;
+      co_await http::async_read_some(m_stream, m_buffer, *m_parser,
+                                     Into(failure));
+      if (failure == http::error::need_buffer) {
+        failure = {};
+      }
+      aError = Translate(failure);
+      if (aError) {
+        co_return 0;
+      }
+      got = aSize - body.size;
+    }
+    if (m_parser->is_done()) {
+      lastProven = Clock::now();
+    }
+    co_return got;
+  }
+
+  auto Reusable() const -> bool override
+  {
+    return m_parser && m_parser->is_done() && m_parser->keep_alive() &&
+           m_stream.socket().is_open();
+  }
+
+  auto Close() -> void override { m_stream.close(); }
+
+private:
+  static auto Translate(const boost::system::error_code& aFailure)
+    -> std::error_code
+  {
+    if (!aFailure) {
+      return {};
+    }
+    if (aFailure == beast::error::timeout) {
+      return TargetError::Timeout;
+    }
+    const bool http = aFailure.category() ==
+                      http::make_error_code(http::error::bad_version).category();
+    const bool ended = aFailure == http::error::end_of_stream ||
+                       aFailure == http::error::partial_message;
+    return http && !ended ? TargetError::Malformed : TargetError::Lost;
+  }
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
+};
+
+class HttpTransport : public TargetTransport
+{
+public:
+  explicit HttpTransport(asio::io_context& aContext)
+    : m_context(aContext)
+  {
+  }
+
+  auto Connect(std::string aAddress, Milliseconds aTimeout,
+               std::error_code& aError)
+    -> awaitable<std::unique_ptr<TargetConnection>> override
+  {
+    const auto endpoint = ParseTcpEndpoint(aAddress, aError);
+    if (aError) {
+      co_return nullptr;
+    }
+    beast::tcp_stream stream(m_context);
+    stream.expires_after(aTimeout);
+    boost::system::error_code failure;
+    co_await stream.async_connect(endpoint, Into(failure));
+    if (failure) {
+      aError = TargetError::Connect;
+      co_return nullptr;
+    }
+    stream.socket().set_option(Tcp::no_delay(true), failure);
+    auto connection = std::make_unique<HttpConnection>(std::move(stream));
+    connection->lastProven = Clock::now();
+    co_return connection;
+  }
+
+private:
+  asio::io_context& m_context;
+};
+
+const Registration<TransportRegistry, HttpTransport> kRegistration("http1");
+
+} // namespace
+
+} // namespace bramleylock::target
--- /dev/null
+++ b/measure/Cluster.h
@@ -0,0 +1,157 @@
+// Real processes of one deployment on loopback.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "bramleylock/Support/Asio.h"
+#include "measure/Deployment.h"
+
+namespace bramleylock::measure {
+
+/// One process that the harness started.
+class Process
+{
+public:
+  /// Starts aProgram and waits for its line "ready KEY=VALUE ...". Throws
+  /// std::runtime_error when the process ends first.
+  Process(const std::string& aProgram, const std::vector<std::string>& aArguments,
+          const std::string& aLogFile);
+  ~Process();
+  Process(const Process&) = delete;
+  auto operator=(const Process&) -> Process& = delete;
+
+  /// A value of the ready line.
+  auto Value(const std::string& aKey) const -> std::string;
+
+  /// Sends a signal.
+  auto Signal(int aSignal) -> void;
+
+  auto Running() -> bool;
+
+  /// Waits for the process to end; false after aLimit.
+  auto Wait(Milliseconds aLimit) -> bool;
+
+  auto Id() const -> int;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+struct BalancerProcess
+{
+  std::string name;
+  std::string failureDomain;
+  std::unique_ptr<Process> process;
+  bool listed = true;
+  bool sprayed = true;
+  double weight = 1;
+};
+
+struct TargetProcess
+{
+  std::string name;
+  std::string service;
+  std::string failureDomain;
+  std::unique_ptr<Process> process;
+  bool listed = true;
+  bool leaving = false;
+};
+
+/// How often a request ran, by the targets' journals.
+struct RunCount
+{
+  int runs = 0;
+  std::set<std::string> services;
+};
+
+struct ClusterOptions
+{
+  std::uint64_t seed = 1;
+  /// Extra lines of every balancer's settings, by section.
+  std::map<std::string, std::string> settings;
+  /// Balancers to start; 0 takes the deployment's number.
+  int balancers = 0;
+  /// Hosts to start for each service; 0 takes the deployment's numbers.
+  int hosts = 0;
+};
+
+/// Starts and stops a deployment, and injects faults into it. Every method
+/// that talks to a process blocks.
+class Cluster
+{
+public:
+  Cluster(const Deployment& aDeployment, ClusterOptions aOptions);
+  ~Cluster();
+
+  /// Starts everything and waits until each balancer has the lists.
+  auto Start() -> void;
+
+  /// "ip:port" that callers send to.
+  auto CallerAddress() const -> std::string;
+
+  auto Balancers() -> std::vector<BalancerProcess>&;
+  auto Targets() -> std::vector<TargetProcess>&;
+
+  /// Starts one more balancer, not yet listed.
+  auto AddBalancer(const std::string& aFailureDomain) -> BalancerProcess&;
+  auto AddTarget(const std::string& aService,
+                 const std::string& aFailureDomain) -> TargetProcess&;
+
+  /// Tells the platform's VM list and the fabric what is there now.
+  auto Publish() -> void;
+
+  auto WaitReady(BalancerProcess& aBalancer) -> void;
+
+  /// Sends a control document to a stand-in at "ip:port".
+  auto Control(const std::string& aAddress, const std::string& aPath,
+               const nlohmann::json& aBody) -> nlohmann::json;
+
+  /// Calls a balancer's administration API.
+  auto Admin(BalancerProcess& aBalancer, const std::string& aMethod,
+             const std::string& aTarget, const std::string& aBody = {})
+    -> nlohmann::json;
+
+  auto StoreAddress() const -> std::string;
+  auto FabricControl() const -> std::string;
+
+  /// Runs by request id over all targets, also stopped ones.
+  auto Runs() -> std::map<std::string, RunCount>;
+
+  /// Runs by target name.
+  auto RunsByTarget(const std::string& aService) -> std::map<std::string, int>;
+
+  /// Keeps the journal of a target that is about to stop.
+  auto SaveJournal(TargetProcess& aTarget) -> void;
+
+  /// Sum of a counter over the running balancers.
+  auto CounterSum(const std::string& aName) -> std::uint64_t;
+
+  auto Directory() const -> std::string;
+
+private:
+  auto WriteFile(const std::string& aName, const std::string& aText)
+    -> std::string;
+  auto StartBalancer(const std::string& aName, const std::string& aDomain)
+    -> std::unique_ptr<Process>;
+  auto Journal(TargetProcess& aTarget) -> nlohmann::json;
+
+  const Deployment& m_deployment;
+  ClusterOptions m_options;
+  std::string m_directory;
+  std::string m_programs;
+  std::unique_ptr<Process> m_store;
+  std::unique_ptr<Process> m_fabric;
+  std::vector<BalancerProcess> m_balancers;
+  std::vector<TargetProcess> m_targets;
+  std::map<std::string, nlohmann::json> m_savedJournals;
+  int m_nextName = 1;
+};
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/Load.cpp
@@ -0,0 +1,234 @@
+// Open-loop callers. A request counts as a broken flow when it got neither a
+// whole answer nor a refusal.
+
+#include "measure/Load.h"
+
+#include "standins/Content.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace bramleylock::measure {
+
+using caller::CallOutcome;
+
+struct Load::State
+{
+  State(const std::string& aServer, std::uint64_t aSeed)
+    : context(1)
+    , client(context, Endpoint(aServer))
+    , random(aSeed)
+    , seed(aSeed)
+  {
+  }
+
+  static auto Endpoint(const std::string& aServer) -> Udp::endpoint
+  {
+    std::error_code error;
+    return ParseUdpEndpoint(aServer, error);
+  }
+
+  auto Generate(LoadSpec aSpec) -> awaitable<void>;
+  auto One(LoadShape aShape, std::string aLabel, std::string aId,
+           std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>;
+  auto Finished() -> void;
+
+  asio::io_context context;
+  caller::Client client;
+  Random random;
+  std::uint64_t seed;
+  std::vector<LoadSpec> specs;
+  std::map<std::string, std::vector<Record>> records;
+  Clock::time_point started{};
+  std::size_t open = 0;
+  std::uint64_t nextId = 0;
+  std::thread thread;
+};
+
+Load::Load(const std::string& aServer, std::uint64_t aSeed)
+  : m_state(std::make_unique<State>(aServer, aSeed))
+{
+}
+
+Load::~Load()
+{
+  Join();
+}
+
+auto
+Load::Add(LoadSpec aSpec) -> void
+{
+  m_state->specs.push_back(std::move(aSpec));
+}
+
+auto
+Load::Start() -> void
+{
+  m_state->started = Clock::now();
+  for (const auto& spec : m_state->specs) {
+    ++m_state->open;
+    Spawn(m_state->context, "generate", m_state->Generate(spec));
+  }
+  m_state->thread = std::thread([this] { m_state->context.run(); });
+}
+
+auto
+Load::Join() -> void
+{
+  if (m_state->thread.joinable()) {
+    m_state->thread.join();
+  }
+}
+
+auto
+Load::Elapsed() const -> double
+{
+  return std::chrono::duration<double>(Clock::now() - m_state->started).count();
+}
+
+auto
+Load::Records() const -> const std::map<std::string, std::vector<Record>>&
+{
+  return m_state->records;
+}
+
+auto
+Load::State::Finished() -> void
+{
+  if (--open == 0) {
+    client.Close();
+    context.stop();
+  }
+}
+
+auto
+Load::State::Generate(LoadSpec aSpec) -> awaitable<void>
+{
+  const auto at = [this](double aSeconds) {
+    return started + std::chrono::duration_cast<Clock::duration>(
+                       std::chrono::duration<double>(aSeconds));
+  };
+  std::exponential_distribution<> gap(aSpec.perSecond);
+  std::shared_ptr<caller::Flow> flow;
+  int inFlow = 0;
+  double next = aSpec.from;
+  while (next < aSpec.until) {
+    const auto wait = at(next) - Clock::now();
+    if (wait > Clock::duration::zero()) {
+      co_await Sleep(wait);
+    }
+    if (!flow || inFlow == aSpec.requestsPerFlow) {
+      flow = std::make_shared<caller::Flow>(client, aSpec.shape.service,
+                                            CredentialOf(aSpec.shape.plan));
+      inFlow = 0;
+    }
+    ++inFlow;
+    ++open;
+    const auto id = fmt::format("{}-{}", seed, nextId++);
+    Spawn(context, "call", One(aSpec.shape, aSpec.label, id, flow));
+    next += gap(random);
+  }
+  flow.reset();
+  Finished();
+}
+
+auto
+Load::State::One(LoadShape aShape, std::string aLabel, std::string aId,
+                 std::shared_ptr<caller::Flow> aFlow) -> awaitable<void>
+{
+  Record record;
+  record.id = aId;
+  record.service = aShape.service;
+  record.startedAt =
+    std::chrono::duration<double>(Clock::now() - started).count();
+  caller::CallOptions options;
+  options.work = aShape.work;
+  options.payload =
+    fmt::format("id={} ms={} bytes={}", aId, aShape.workMs, aShape.answerBytes);
+  options.deadline = Milliseconds(aShape.deadlineMs);
+  const auto result = co_await aFlow->Call(std::move(options));
+  record.outcome = result.outcome;
+  record.reason = result.reason;
+  record.retryAfterMs = result.retryAfterMs;
+  record.latencyMs =
+    std::chrono::duration<double, std::milli>(result.latency).count();
+  record.atMostOnce = aShape.work == "confirm" || aShape.work == "booking";
+  record.wrongAnswer =
+    result.outcome == CallOutcome::Answered &&
+    (result.status != 200 ||
+     result.body != standin::MakeContent(aId, 0, aShape.answerBytes));
+  records[aLabel].push_back(std::move(record));
+  aFlow.reset();
+  Finished();
+}
+
+static auto
+CheckOne(const Record& aRecord, const RunCount& aCount, Checks& aChecks) -> void
+{
+  const int runs = aCount.runs;
+  for (const auto& service : aCount.services) {
+    aChecks.wrongService += service == aRecord.service ? 0 : 1;
+  }
+  ++aChecks.requests;
+  aChecks.wrongAnswer += aRecord.wrongAnswer ? 1 : 0;
+  if (aRecord.atMostOnce && runs > 1) {
+    ++aChecks.doubleRuns;
+  }
+  switch (aRecord.outcome) {
+    case CallOutcome::Answered:
+      ++aChecks.answered;
+      // A request answered without a run got somebody else's answer.
+      aChecks.wrongAnswer += runs == 0 ? 1 : 0;
+      return;
+    case CallOutcome::Refused:
+      ++aChecks.refused;
+      return;
+    case CallOutcome::NotRun:
+      ++aChecks.refused;
+      aChecks.falseNotRun += runs > 0 ? 1 : 0;
+      return;
+    case CallOutcome::Unknown:
+      ++aChecks.unknown;
+      ++aChecks.brokenFlows;
+      return;
+  }
+}
+
+auto
+CheckRecords(const std::map<std::string, std::vector<Record>>& aRecords,
+             Cluster& aCluster) -> Checks
+{
+  Checks checks;
+  const auto runs = aCluster.Runs();
+  for (const auto& [label, records] : aRecords) {
+    for (const auto& record : records) {
+      const auto found = runs.find(record.id);
+      CheckOne(record, found == runs.end() ? RunCount{} : found->second, checks);
+    }
+  }
+  return checks;
+}
+
+auto
+LatencyAt(const std::vector<Record>& aRecords, double aPart) -> double
+{
+  std::vector<double> latencies;
+  for (const auto& record : aRecords) {
+    if (record.outcome == CallOutcome::Answered) {
+      latencies.push_back(record.latencyMs);
+    }
+  }
+  if (latencies.empty()) {
+    return 0;
+  }
+  const auto index = static_cast<std::size_t>(
+    aPart * static_cast<double>(latencies.size() - 1));
+  std::nth_element(latencies.begin(),
+                   latencies.begin() + static_cast<std::ptrdiff_t>(index),
+                   latencies.end());
+  return latencies[index];
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/main.cpp
@@ -0,0 +1,103 @@
+// bramleylock-measure: runs one scenario on real processes.
+
+#include "measure/Scenario.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <iostream>
+
+using namespace bramleylock;
+using namespace bramleylock::measure;
+
+namespace {
+
+enum ExitCode
+{
+  Held = 0,
+  Broken = 1,
+  Usage = 2
+};
+
+} // namespace
+
+static auto
+ListScenarios() -> int
+{
+  auto& registry = ScenarioRegistry::Instance();
+  for (const auto& name : registry.Names()) {
+    fmt::print("{}  {}\n", name, registry.Create(name)->Summary());
+  }
+  return Held;
+}
+
+static auto
+RunScenario(const cxxopts::ParseResult& aArguments) -> int
+{
+  const auto name = aArguments["scenario"].as<std::string>();
+  const auto scenario = ScenarioRegistry::Instance().Create(name);
+  if (!scenario) {
+    fmt::print(stderr, "bramleylock-measure: no scenario {}; see --list\n",
+               name);
+    return Usage;
+  }
+  ScenarioOptions options;
+  options.seed = aArguments["seed"].as<std::uint64_t>();
+  options.seconds = aArguments["seconds"].as<double>();
+  options.nodes = aArguments["nodes"].as<int>();
+  options.deployment =
+    FindDeployment(aArguments["deployment"].as<std::string>());
+  if (options.deployment == nullptr) {
+    fmt::print(stderr, "bramleylock-measure: --deployment is cooperative or "
+                       "ticketworks\n");
+    return Usage;
+  }
+  Report report;
+  report.Add("scenario", name);
+  report.Add("deployment", options.deployment->name);
+  report.Add("seed", options.seed);
+  scenario->Run(options, report);
+  report.Print(aArguments.count("json") != 0);
+  return report.Held() ? Held : Broken;
+}
+
+auto
+main(int argc, char** argv) -> int
+{
+  cxxopts::Options options("bramleylock-measure",
+                           "Runs one scenario on real processes.");
+  options.add_options()("scenario", "scenario", cxxopts::value<std::string>())(
+    "list", "list the scenarios")(
+    "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    "seconds", "length of the load; 0 for the scenario's own",
+    cxxopts::value<double>()->default_value("0"))(
+    "nodes", "daemons, for scenarios that scale",
+    cxxopts::value<int>()->default_value("0"))(
+    "deployment", "cooperative or ticketworks",
+    cxxopts::value<std::string>()->default_value("cooperative"))(
+    "json", "print JSON")("help", "print this help");
+  options.parse_positional({ "scenario" });
+  options.positional_help("SCENARIO");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (sodium_init() < 0 || parsed.count("help") != 0) {
+      std::cout << options.help();
+      return Held;
+    }
+    if (parsed.count("list") != 0) {
+      return ListScenarios();
+    }
+    if (parsed.count("scenario") == 0) {
+      std::cerr << options.help();
+      return Usage;
+    }
+    return RunScenario(parsed);
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "bramleylock-measure: " << failure.what() << "\n";
+    return Usage;
+  } catch (const std::exception& failure) {
+    std::cerr << "bramleylock-measure: " << failure.what() << "\n";
+    return Broken;
+  }
+}
--- /dev/null
+++ b/standins/Proxy.cpp
@@ -0,0 +1,200 @@
+// A TCP proxy in front of one listener. It can cut or freeze connections by
+// the address that they come from, and delay what it carries.
+
+#include "standins/Standin.h"
+
+#include "bramleylock/Http/Http.h"
+
+#include <boost/asio/write.hpp>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <set>
+
+namespace bramleylock::standin {
+
+using nlohmann::json;
+
+namespace {
+
+/// What /control/fault sets. Sources are prefixes of IP addresses.
+struct Cuts
+{
+  /// Connections from these are reset and refused.
+  std::vector<std::string> cut;
+  /// Connections from these stay open and carry nothing.
+  std::vector<std::string> frozen;
+  int delayMs = 0;
+};
+
+auto
+Matches(const std::vector<std::string>& aPrefixes, const std::string& aSource)
+  -> bool
+{
+  for (const auto& prefix : aPrefixes) {
+    if (aSource.starts_with(prefix)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+struct Pair
+{
+  Pair(Tcp::socket aNear, Tcp::socket aFar, std::string aSource)
+    : near(std::move(aNear))
+    , far(std::move(aFar))
+    , source(std::move(aSource))
+  {
+  }
+  Tcp::socket near;
+  Tcp::socket far;
+  std::string source;
+
+  auto Close() -> void
+  {
+    boost::system::error_code ignored;
+    near.close(ignored);
+    far.close(ignored);
+  }
+};
+
+class Proxy
+{
+public:
+  Proxy(asio::io_context& aContext, const Tcp::endpoint& aListen,
+        const Tcp::endpoint& aTo, const Tcp::endpoint& aControl)
+    : m_context(aContext)
+    , m_acceptor(aContext, aListen)
+    , m_to(aTo)
+    , m_server(aContext, aControl, [this](const http::Request& aRequest) {
+      return Control(aRequest);
+    })
+  {
+    m_server.Start();
+    Spawn(m_context, "proxy", AcceptLoop());
+  }
+
+  auto ReadyLine() const -> std::string
+  {
+    const auto listen = m_acceptor.local_endpoint();
+    const auto control = m_server.Endpoint();
+    return "ready proxy=" + FormatEndpoint(listen.address(), listen.port()) +
+           " control=" + FormatEndpoint(control.address(), control.port());
+  }
+
+private:
+  auto AcceptLoop() -> awaitable<void>
+  {
+    for (;;) {
+      boost::system::error_code failure;
+      auto socket = co_await m_acceptor.async_accept(Into(failure));
+      if (!failure) {
+        Spawn(m_context, "proxy-connection", Serve(std::move(socket)));
+      }
+    }
+  }
+
+  auto Serve(Tcp::socket aNear) -> awaitable<void>
+  {
+    boost::system::error_code failure;
+    const auto source = aNear.remote_endpoint(failure).address().to_string();
+    if (failure || Matches(m_cuts.cut, source)) {
+      co_return;
+    }
+    Tcp::socket far(m_context);
+    co_await far.async_connect(m_to, Into(failure));
+    if (failure) {
+      co_return;
+    }
+    auto pair =
+      std::make_shared<Pair>(std::move(aNear), std::move(far), source);
+    m_pairs.insert(pair);
+    Spawn(m_context, "proxy-back", Copy(pair, pair->far, pair->near));
+    co_await Copy(pair, pair->near, pair->far);
+    m_pairs.erase(pair);
+  }
+
+  auto Copy(std::shared_ptr<Pair> aPair, Tcp::socket& aFrom, Tcp::socket& aTo)
+    -> awaitable<void>
+  {
+    std::array<char, 16384> buffer;
+    boost::system::error_code failure;
+    while (!failure) {
+      const auto size = co_await aFrom.async_read_some(asio::buffer(buffer),
+                                                       Into(failure));
+      if (failure) {
+        break;
+      }
+      while (Matches(m_cuts.frozen, aPair->source) && aFrom.is_open()) {
+        co_await Sleep(Milliseconds(20));
+      }
+      if (m_cuts.delayMs > 0) {
+        co_await Sleep(Milliseconds(m_cuts.delayMs));
+      }
+      co_await asio::async_write(aTo, asio::buffer(buffer.data(), size),
+                                 Into(failure));
+    }
+    aPair->Close();
+  }
+
+  auto Control(const http::Request& aRequest) -> awaitable<http::Reply>
+  {
+    const auto body = json::parse(aRequest.body, nullptr, false);
+    http::Reply reply;
+    if (http::PathOf(aRequest.target) != "/control/fault" ||
+        !body.is_object()) {
+      reply.status = 404;
+      co_return reply;
+    }
+    m_cuts = { body.value("cut", std::vector<std::string>()),
+               body.value("frozen", std::vector<std::string>()),
+               body.value("delay_ms", 0) };
+    for (const auto& pair : m_pairs) {
+      if (Matches(m_cuts.cut, pair->source)) {
+        pair->Close();
+      }
+    }
+    co_return reply;
+  }
+
+  asio::io_context& m_context;
+  Tcp::acceptor m_acceptor;
+  Tcp::endpoint m_to;
+  Cuts m_cuts;
+  std::set<std::shared_ptr<Pair>> m_pairs;
+  http::Server m_server;
+};
+
+} // namespace
+
+auto
+RunProxy(int argc, char** argv) -> int
+{
+  cxxopts::Options options("bramleylock-standin proxy");
+  options.add_options()(
+    "listen", "ip:port",
+    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+    "to", "ip:port behind the proxy", cxxopts::value<std::string>())(
+    "control", "ip:port for control",
+    cxxopts::value<std::string>()->default_value("127.0.0.1:0"))("help",
+                                                                 "help");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  std::error_code error;
+  const auto listen =
+    ParseTcpEndpoint(parsed["listen"].as<std::string>(), error);
+  const auto to = ParseTcpEndpoint(parsed["to"].as<std::string>(), error);
+  const auto control =
+    ParseTcpEndpoint(parsed["control"].as<std::string>(), error);
+  asio::io_context context(1);
+  Proxy proxy(context, listen, to, control);
+  std::cout << proxy.ReadyLine() << std::endl;
+  return RunUntilSignal(&context);
+}
+
+} // namespace bramleylock::standin
--- /dev/null
+++ b/tools/bramleylockd/main.cpp
@@ -0,0 +1,116 @@
+// bramleylockd: the balancer.
+
+#include "bramleylock/Kernel/Balancer.h"
+#include "bramleylock/Support/Log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+/// Exit codes, listed in --help.
+enum ExitCode
+{
+  Success = 0,
+  Usage = 2,
+  BadSettings = 3,
+  CannotStart = 4
+};
+
+} // namespace
+
+static constexpr const char* kHelpTail = R"(
+Examples:
+  bramleylockd --print-defaults > balancer.toml
+  bramleylockd --config balancer.toml --check
+  bramleylockd --config balancer.toml
+
+SIGTERM and SIGINT are planned stops: requests in flight end first.
+Exit codes: 0 stopped as planned, 2 wrong command line, 3 invalid settings,
+4 cannot start.
+)";
+
+static auto
+Run(const bramleylock::kernel::Settings& aSettings) -> int
+{
+  using namespace bramleylock;
+  ConfigureLog({ *ValueOf(kLogLevelNames, aSettings.logLevel),
+                 aSettings.logFormat == "json", aSettings.vmName });
+  asio::io_context context(1);
+  kernel::Balancer balancer(context, aSettings);
+  std::error_code error;
+  std::string detail;
+  balancer.Start(error, detail);
+  if (error) {
+    LogError("cannot-start",
+             { { "why", error.message() }, { "detail", detail } });
+    return CannotStart;
+  }
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait(
+    [&balancer](const boost::system::error_code& aError, int) {
+      if (!aError) {
+        balancer.Drain();
+      }
+    });
+  std::cout << balancer.ReadyLine() << std::endl;
+  context.run();
+  return Success;
+}
+
+auto
+main(int argc, char** argv) -> int
+{
+  using namespace bramleylock;
+  cxxopts::Options options("bramleylockd", "The bramleylock balancer.");
+  options.add_options()("config", "settings file", cxxopts::value<std::string>())(
+    "check", "validate the settings and exit")(
+    "print-defaults", "print every setting with its default")(
+    "version", "print the version")("help", "print this help");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help() << kHelpTail;
+      return Success;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "bramleylockd " BRAMLEYLOCK_VERSION "\n";
+      return Success;
+    }
+    if (parsed.count("print-defaults") != 0) {
+      std::cout << kernel::DefaultSettingsText();
+      return Success;
+    }
+    if (parsed.count("config") == 0) {
+      std::cerr << "bramleylockd: --config FILE is required; see --help\n";
+      return Usage;
+    }
+    std::error_code error;
+    std::vector<std::string> problems;
+    const auto settings = kernel::LoadSettings(
+      parsed["config"].as<std::string>(), error, problems);
+    for (const auto& problem : problems) {
+      std::cerr << problem << "\n";
+    }
+    if (error) {
+      return BadSettings;
+    }
+    if (parsed.count("check") != 0) {
+      std::cout << "settings are valid\n";
+      return Success;
+    }
+    if (sodium_init() < 0) {
+      std::cerr << "bramleylockd: libsodium cannot start\n";
+      return CannotStart;
+    }
+    return Run(settings);
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "bramleylockd: " << failure.what() << "; see --help\n";
+    return Usage;
+  }
+}
