--- a/include/bramleylock/Flow/PauseWatch.h
+++ b/include/bramleylock/Flow/PauseWatch.h
@@ -8,14 +8,19 @@
 
 /// A stopped process does not feel its pause: its clock jumps, and what is
 /// queued for it looks as if it came just now, though its deadline may have
-/// passed.
+/// passed. A suspended machine's steady clock stands still, so the time since
+/// boot is compared.
 class PauseWatch
 {
 public:
   PauseWatch(asio::io_context& aContext, Metrics& aMetrics);
 
+  /// Ticks by itself from now on.
   auto Start() -> void;
 
+  /// Compares the time with that of the last tick; true after a pause.
+  auto Tick() -> bool;
+
   /// Whether what is read now may have waited through a pause.
   auto MayBeStale() const -> bool;
 
@@ -24,8 +29,8 @@
 
   asio::io_context& m_context;
   Metrics& m_metrics;
-  Clock::time_point m_lastTick = Clock::now();
-  Clock::time_point m_staleUntil{};
+  std::chrono::nanoseconds m_lastTick;
+  std::chrono::nanoseconds m_staleUntil{};
 };
 
 } // namespace bramleylock::flow
--- /dev/null
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -0,0 +1,62 @@
+// Which target a new flow goes to, and when none can serve it. Nothing here
+// knows sockets or clocks.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bramleylock/Forward/RouteTable.h"
+#include "bramleylock/Support/Random.h"
+#include "bramleylock/Support/Registry.h"
+
+namespace bramleylock::forward {
+
+/// One target as the choice sees it.
+struct Candidate
+{
+  std::uint32_t slots = 1;
+  std::uint32_t inFlight = 0;
+  std::uint32_t peersInFlight = 0;
+  bool sameDomain = true;
+  /// Still slow after its start.
+  bool cold = false;
+  /// Flows were opened to it and none was answered for too long.
+  bool silent = false;
+};
+
+enum class RefusalReason
+{
+  None,
+  NoTarget,
+  /// Every target has as much as it can hold.
+  Full
+};
+
+inline constexpr std::array<NameRow<RefusalReason>, 3> kRefusalReasonNames{ {
+  { RefusalReason::None, "none" },
+  { RefusalReason::NoTarget, "no-target" },
+  { RefusalReason::Full, "full" },
+} };
+
+/// The index of the chosen candidate, or why there is none.
+struct FlowDecision
+{
+  std::optional<std::size_t> chosen;
+  RefusalReason refusal = RefusalReason::None;
+};
+
+/// Chooses among the targets of one service.
+class FlowChoice
+{
+public:
+  virtual ~FlowChoice() = default;
+
+  virtual auto Choose(const std::vector<Candidate>& aCandidates,
+                      RequestKind aKind, Random& aRandom) -> FlowDecision = 0;
+};
+
+using FlowChoiceRegistry = Registry<FlowChoice>;
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -0,0 +1,68 @@
+// The flows whose packets this balancer has seen lately. Packets name their
+// target themselves, so that a flow missing here is still forwarded; the table
+// counts what is in flight and keeps the copies of a first packet together.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "bramleylock/Forward/TargetDirectory.h"
+
+namespace bramleylock::forward {
+
+struct TrackedFlow
+{
+  FlowId id;
+  /// Never null.
+  DirectoryEntry* target = nullptr;
+  Clock::time_point openedAt{};
+  Clock::time_point lastPacketAt{};
+  /// The highest of the target's bytes that the client has acknowledged.
+  std::uint32_t acknowledged = 0;
+  /// Whether the client has shown which target answered.
+  bool confirmed = false;
+  /// Counted in the target's evidence.
+  bool counted = false;
+};
+
+/// Bounded; the flow that was quiet for longest goes first.
+class FlowTable
+{
+public:
+  explicit FlowTable(std::size_t aCapacity);
+
+  auto Find(const FlowId& aFlow) -> TrackedFlow*;
+
+  /// Starts tracking a flow that goes to aTarget, or turns it over to it.
+  auto Open(const FlowId& aFlow, DirectoryEntry& aTarget,
+            Clock::time_point aNow) -> TrackedFlow&;
+
+  /// Notes a packet of aFlow.
+  auto Touch(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+
+  /// The flow's request is over; its target no longer counts it.
+  auto Finish(TrackedFlow& aFlow) -> void;
+
+  /// Flows quiet for aQuiet no longer count as in flight; those quiet for
+  /// aForget are dropped.
+  auto Expire(Clock::duration aQuiet, Clock::duration aForget,
+              Clock::time_point aNow) -> void;
+
+  /// Drops the flows to targets that are about to be forgotten.
+  auto DropTargetsGoneBefore(Clock::time_point aLimit) -> void;
+
+  auto Size() const -> std::size_t;
+
+private:
+  using Place = std::list<TrackedFlow>::iterator;
+
+  auto Drop(Place aPlace) -> void;
+
+  std::size_t m_capacity;
+  /// The longest quiet flow first.
+  std::list<TrackedFlow> m_flows;
+  std::unordered_map<FlowId, Place, FlowIdHash> m_byId;
+};
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -0,0 +1,107 @@
+// The routes in force: which services the flows to an address may go to.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "bramleylock/Forward/Packet.h"
+#include "bramleylock/Support/Asio.h"
+#include "bramleylock/Support/Names.h"
+
+namespace bramleylock::forward {
+
+/// What the requests inside the flows of a route may suffer.
+enum class RequestKind
+{
+  Idempotent,
+  AtMostOnce,
+  Download
+};
+
+inline constexpr std::array<NameRow<RequestKind>, 3> kRequestKindNames{ {
+  { RequestKind::Idempotent, "idempotent" },
+  { RequestKind::AtMostOnce, "at-most-once" },
+  { RequestKind::Download, "download" },
+} };
+
+/// One of the services of a route, and its part of the new flows.
+struct RouteShare
+{
+  std::string service;
+  std::uint32_t weight = 1;
+  MSGPACK_DEFINE_ARRAY(service, weight)
+};
+
+struct Route
+{
+  std::string name;
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+  std::vector<RouteShare> shares;
+  std::uint8_t kind = 0;
+  /// 0 is the most urgent.
+  std::uint32_t urgency = 0;
+  std::uint32_t timeoutMs = 0;
+  MSGPACK_DEFINE_ARRAY(name, ip, port, shares, kind, urgency, timeoutMs)
+
+  auto At() const -> Address { return { ip, port }; }
+  auto Kind() const -> RequestKind { return static_cast<RequestKind>(kind); }
+};
+
+/// One version of the operators' configuration.
+struct RouteSet
+{
+  std::uint64_t version = 0;
+  /// The store's revision of it.
+  std::uint64_t revision = 0;
+  std::uint32_t idleTimeoutMs = 0;
+  std::vector<Route> routes;
+  MSGPACK_DEFINE_ARRAY(version, revision, idleTimeoutMs, routes)
+};
+
+enum class RouteState
+{
+  InForce,
+  /// An earlier version had it.
+  Removed,
+  Unknown
+};
+
+/// Looks routes up by address. A version is only ever replaced by a higher one.
+class RouteTable
+{
+public:
+  /// Takes a version; false when a version at least as high is in force.
+  auto Install(RouteSet aSet, Clock::time_point aNow) -> bool;
+
+  auto StateOf(const Address& aService) const -> RouteState;
+
+  /// The route in force at aService, or null.
+  auto Find(const Address& aService) const -> const Route*;
+
+  /// The service for a new flow: the same for every copy of its first packet
+  /// on every balancer that holds this version.
+  auto ServiceFor(const Route& aRoute, const FlowId& aFlow) const
+    -> const std::string&;
+
+  /// Whether the route at aService allows aTargetService now or did in a
+  /// version that was in force here: open flows stay where they are.
+  auto Allows(const Address& aService, const std::string& aTargetService) const
+    -> bool;
+
+  auto Current() const -> const RouteSet&;
+  auto InForceSince() const -> Clock::time_point;
+
+private:
+  RouteSet m_set;
+  Clock::time_point m_since{};
+  std::map<Address, std::size_t> m_byAddress;
+  std::map<Address, std::set<std::string>> m_allowed;
+};
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -0,0 +1,95 @@
+// The routes and targets in force on one balancer, and how readings and peers'
+// news change them.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bramleylock/Forward/StateSource.h"
+
+namespace bramleylock::forward {
+
+/// What one balancer tells another of its routes and targets.
+struct RoutingNews
+{
+  /// The news are complete from aBase on: whoever has less lacks something.
+  std::uint64_t base = 0;
+  std::uint64_t revision = 0;
+  /// Version of the routes in force at the sender.
+  std::uint64_t routesVersion = 0;
+  /// How old the sender's reading of the store is.
+  std::uint32_t ageMs = 0;
+  /// The routes, or nothing.
+  std::vector<RouteSet> routes;
+  std::vector<TargetRecord> targets;
+  std::vector<RemovedTarget> removed;
+  /// Ready targets whose entries were not renewed lately.
+  std::vector<std::string> unrenewed;
+  MSGPACK_DEFINE_ARRAY(base, revision, routesVersion, ageMs, routes, targets,
+                       removed, unrenewed)
+};
+
+/// Asks a peer for everything that it has beyond this.
+struct RoutingRequest
+{
+  std::uint64_t revision = 0;
+  std::uint64_t routesVersion = 0;
+  MSGPACK_DEFINE_ARRAY(revision, routesVersion)
+};
+
+/// Applies readings and news to the route table and the directory, and tells
+/// what changed.
+class RoutingState
+{
+public:
+  /// aRenewal is how often targets renew their entries.
+  RoutingState(RouteTable& aRoutes, TargetDirectory& aTargets,
+               Metrics& aMetrics, Milliseconds aRenewal);
+
+  /// Takes a reading that began at aReadAt; aWhole when it is all that exists.
+  /// aStoreTroubled says that the store failed shortly before. Returns the news
+  /// for the peers.
+  auto TakeReading(StateReading aReading, bool aWhole, bool aStoreTroubled,
+                   Clock::time_point aReadAt, Clock::time_point aNow)
+    -> RoutingNews;
+
+  /// Takes a peer's news; false when they build on something that is not here,
+  /// so that the peer has to be asked for all.
+  auto TakeNews(const RoutingNews& aNews, Clock::time_point aNow) -> bool;
+
+  /// All that is held, for a peer that lacks it.
+  auto Answer(const RoutingRequest& aRequest, Clock::time_point aNow)
+    -> RoutingNews;
+
+  /// Routes and targets are known.
+  auto Complete() const -> bool;
+
+  /// When the reading began that this state is as new as; the epoch when there
+  /// is none.
+  auto ReadAt() const -> Clock::time_point;
+  auto Revision() const -> std::uint64_t;
+
+private:
+  auto InstallRoutes(const RouteSet& aRoutes, const char* aFrom,
+                     Clock::time_point aNow) -> bool;
+  auto ApplyTarget(const TargetRecord& aRecord, const char* aFrom,
+                   Clock::time_point aNow) -> bool;
+  auto RemoveTarget(const RemovedTarget& aRemoved, const char* aFrom,
+                    Clock::time_point aNow) -> bool;
+  auto MissingFrom(const std::vector<TargetRecord>& aShown,
+                   std::uint64_t aRevision, bool aMayReturn)
+    -> std::vector<RemovedTarget>;
+  auto Unrenewed(Clock::time_point aNow) -> std::vector<std::string>;
+  auto Advance(std::uint64_t aRevision, Clock::time_point aReadAt) -> void;
+
+  RouteTable& m_routes;
+  TargetDirectory& m_targets;
+  Metrics& m_metrics;
+  Milliseconds m_renewal;
+  std::uint64_t m_revision = 0;
+  Clock::time_point m_readAt{};
+};
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -0,0 +1,149 @@
+// Every target that a balancer may have to reach: those that take new flows,
+// those that only keep the flows they have, and those that left.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "bramleylock/Forward/Packet.h"
+#include "bramleylock/Forward/RouteTable.h"
+#include "bramleylock/Support/Asio.h"
+
+namespace bramleylock::forward {
+
+enum class TargetState
+{
+  Ready,
+  /// Keeps its flows and takes no new ones.
+  Draining,
+  /// Its entry is gone; it may still serve the flows that it has.
+  Departed,
+  /// A later incarnation of it, or another target at its address, runs.
+  Dead
+};
+
+inline constexpr std::array<NameRow<TargetState>, 4> kTargetStateNames{ {
+  { TargetState::Ready, "ready" },
+  { TargetState::Draining, "draining" },
+  { TargetState::Departed, "departed" },
+  { TargetState::Dead, "dead" },
+} };
+
+/// What the platform's list says of a target.
+struct TargetRecord
+{
+  std::string id;
+  /// Milliseconds since the Unix epoch at which it started.
+  std::uint64_t incarnation = 0;
+  std::string service;
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+  std::string failureDomain;
+  std::uint32_t slots = 0;
+  /// A TargetState.
+  std::uint8_t state = 0;
+  /// How much longer it is slow after its start.
+  std::uint32_t coldMs = 0;
+  /// The store's revision of this record.
+  std::uint64_t revision = 0;
+  MSGPACK_DEFINE_ARRAY(id, incarnation, service, ip, port, failureDomain, slots,
+                       state, coldMs, revision)
+
+  auto At() const -> Address { return { ip, port }; }
+  auto State() const -> TargetState { return static_cast<TargetState>(state); }
+};
+
+/// What the packets of this balancer's clients showed of a target.
+struct TargetEvidence
+{
+  /// Flows that were opened here and have not ended.
+  std::uint32_t inFlight = 0;
+  /// The same at the other balancers, as far as they told.
+  std::uint32_t peersInFlight = 0;
+  /// When the first flow was opened that no later answer followed; the epoch
+  /// when there is none.
+  Clock::time_point unansweredSince{};
+  /// When a client last showed that the target answers.
+  Clock::time_point answeredAt{};
+};
+
+struct DirectoryEntry
+{
+  TargetRecord record;
+  TargetTag tag = 0;
+  TargetPrefix prefix{};
+  Clock::time_point warmAt{};
+  Clock::time_point departedAt{};
+  /// Set while the entry is gone and may have lapsed with the store: until then
+  /// it takes flows like a listed one.
+  Clock::time_point lapseEnds{};
+  /// When its entry last changed in the store.
+  Clock::time_point heardAt{};
+  TargetEvidence evidence;
+
+  auto TakesFlows(Clock::time_point aNow) const -> bool;
+};
+
+/// The tag of an incarnation; never 0.
+auto TagOf(const std::string& aTargetId, std::uint64_t aIncarnation)
+  -> TargetTag;
+
+/// Entries merge by the store's revisions, so that news may come in any order,
+/// from the store and from peers, more than once.
+class TargetDirectory
+{
+public:
+  explicit TargetDirectory(const PacketCodec& aCodec);
+
+  /// Takes a record; true when it changed more than the time it was heard.
+  auto Apply(const TargetRecord& aRecord, Clock::time_point aNow) -> bool;
+
+  /// Takes the end of an entry at aRevision. With a aLapse above zero the
+  /// entry may be back: it serves on for that long.
+  auto Remove(const std::string& aId, std::uint64_t aRevision,
+              Milliseconds aLapse, Clock::time_point aNow) -> bool;
+
+  /// Forgets targets that left longer than aKeep ago.
+  auto Expire(Clock::duration aKeep, Clock::time_point aNow) -> void;
+
+  /// The incarnation that aTag names among the services that aRoutes allows at
+  /// aService, or null.
+  auto Lookup(TargetTag aTag, const Address& aService,
+              const RouteTable& aRoutes) -> DirectoryEntry*;
+
+  /// The targets of a service that take new flows.
+  auto Candidates(const std::string& aService, Clock::time_point aNow)
+    -> std::vector<DirectoryEntry*>;
+
+  auto Find(const std::string& aId) -> DirectoryEntry*;
+
+  /// All incarnations, the latest of each id first.
+  auto All() -> std::vector<DirectoryEntry*>;
+
+  /// Records for a peer, with the states in force here.
+  auto Records(Clock::time_point aNow) -> std::vector<TargetRecord>;
+
+  auto Size() const -> std::size_t;
+
+private:
+  using Key = std::pair<std::string, std::uint64_t>;
+
+  auto Latest(const std::string& aId) -> DirectoryEntry*;
+  auto MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow) -> void;
+  auto RetireAddress(const DirectoryEntry& aNewcomer, Clock::time_point aNow)
+    -> void;
+
+  const PacketCodec& m_codec;
+  std::map<Key, DirectoryEntry> m_entries;
+  std::unordered_multimap<TargetTag, DirectoryEntry*> m_byTag;
+  std::map<std::string, std::vector<DirectoryEntry*>> m_byService;
+  /// Revisions of entries that ended, by id.
+  std::map<std::string, std::uint64_t> m_removed;
+};
+
+} // namespace bramleylock::forward
--- a/include/bramleylock/Kernel/Balancer.h
+++ b/include/bramleylock/Kernel/Balancer.h
@@ -1,34 +1,27 @@
-// One balancer: its parts, their start and their stop.
+// A balancer of the request path: its parts, their start and their stop.
 #pragma once
 
 #include <memory>
 #include <string>
 
-#include "bramleylock/Kernel/Settings.h"
-#include "bramleylock/Support/Asio.h"
+#include "bramleylock/Kernel/DataPath.h"
 
 namespace bramleylock::kernel {
 
-/// Owns everything that runs in bramleylockd.
-class Balancer
+/// Runs the requests of callers: it owns their flows and calls the targets.
+class Balancer : public DataPath
 {
 public:
-  /// aSettings are valid.
-  Balancer(asio::io_context& aContext, Settings aSettings);
-  ~Balancer();
-  Balancer(const Balancer&) = delete;
-  auto operator=(const Balancer&) -> Balancer& = delete;
-
-  /// Binds all addresses and starts the tasks; on failure aError is set and
-  /// aDetail says what could not be done.
-  auto Start(std::error_code& aError, std::string& aDetail) -> void;
-
-  /// Begins a planned stop: no new flows, requests in flight end, then the
-  /// io_context stops. Later calls do nothing.
-  auto Drain() -> void;
-
-  /// One line with the addresses in use, for scripts.
-  auto ReadyLine() const -> std::string;
+  Balancer(asio::io_context& aContext, const Settings& aSettings);
+  ~Balancer() override;
+
+  auto Start(std::error_code& aError, std::string& aDetail) -> void override;
+
+  /// No new flows; requests in flight end, then the io_context stops.
+  auto Drain() -> void override;
+
+  auto Reload(const Settings& aSettings) -> void override;
+  auto ReadyLine() const -> std::string override;
 
 private:
   struct Parts;
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -30,6 +30,15 @@
   std::string adminKeyFile;
   /// "loopback" or "anywhere".
   std::string adminPlainHttp;
+  /// "requests" or "forward".
+  std::string dataPath;
+  std::string packetAddress;
+  std::string statusAddress;
+  /// Empty when metrics have no address of their own.
+  std::string metricsAddress;
+  std::string packetCodec;
+  std::string stateSource;
+  std::string flowChoice;
   std::string callerEntry;
   std::string targetTransport;
   std::string platformStore;
@@ -42,6 +51,10 @@
   std::int64_t drainSeconds = 0;
   std::int64_t receiveBufferBytes = 0;
   std::int64_t seed = 0;
+  std::int64_t renewalMs = 0;
+  std::int64_t longestFlowSeconds = 0;
+  std::int64_t stopMs = 0;
+  std::int64_t logRecordsPerSecond = 0;
 };
 
 enum class SettingsError
--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -111,6 +111,26 @@
   MemberDamped,
   MemberSyncs,
   DomainsLost,
+  FlowRefusedNoRoute,
+  FlowRefusedNoTarget,
+  FlowRefusedFull,
+  FlowRouteRemoved,
+  FlowTargetDead,
+  FlowCopies,
+  FlowMoved,
+  PacketTagUnknown,
+  PacketRouteUnknown,
+  PacketSendFailed,
+  RoutesInstalled,
+  RoutesOlder,
+  RoutesUnreadable,
+  TargetEntryUnreadable,
+  StateReadings,
+  StateReadFailed,
+  StateHistoryGone,
+  StateAsked,
+  StateFromPeer,
+  TargetsLapsed,
   Count
 };
 
@@ -213,6 +233,26 @@
   { Counter::MemberDamped, "member_damped" },
   { Counter::MemberSyncs, "member_syncs" },
   { Counter::DomainsLost, "domains_lost" },
+  { Counter::FlowRefusedNoRoute, "flow_refused_no_route" },
+  { Counter::FlowRefusedNoTarget, "flow_refused_no_target" },
+  { Counter::FlowRefusedFull, "flow_refused_full" },
+  { Counter::FlowRouteRemoved, "flow_route_removed" },
+  { Counter::FlowTargetDead, "flow_target_dead" },
+  { Counter::FlowCopies, "flow_copies" },
+  { Counter::FlowMoved, "flow_moved" },
+  { Counter::PacketTagUnknown, "packet_tag_unknown" },
+  { Counter::PacketRouteUnknown, "packet_route_unknown" },
+  { Counter::PacketSendFailed, "packet_send_failed" },
+  { Counter::RoutesInstalled, "routes_installed" },
+  { Counter::RoutesOlder, "routes_older" },
+  { Counter::RoutesUnreadable, "routes_unreadable" },
+  { Counter::TargetEntryUnreadable, "target_entry_unreadable" },
+  { Counter::StateReadings, "state_readings" },
+  { Counter::StateReadFailed, "state_read_failed" },
+  { Counter::StateHistoryGone, "state_history_gone" },
+  { Counter::StateAsked, "state_asked" },
+  { Counter::StateFromPeer, "state_from_peer" },
+  { Counter::TargetsLapsed, "targets_lapsed" },
 } };
 
 /// Every latency that a balancer observes. Each is one series of /metrics, so
@@ -229,7 +269,10 @@
   QueueWaitBulk,
   TargetUrgent,
   TargetNormal,
-  TargetBulk
+  TargetBulk,
+  FlowOpening,
+  StoreCall,
+  StateInForce
 };
 
 /// The metric that a latency belongs to, and the labels of its series.
@@ -240,7 +283,7 @@
   std::string_view labels;
 };
 
-inline constexpr std::array<LatencyRow, 11> kLatencyRows{ {
+inline constexpr std::array<LatencyRow, 14> kLatencyRows{ {
   { Latency::AnsweredUrgent, "request_seconds",
     R"(outcome="answered",urgency="urgent")" },
   { Latency::AnsweredNormal, "request_seconds",
@@ -255,6 +298,9 @@
   { Latency::TargetUrgent, "target_seconds", R"(urgency="urgent")" },
   { Latency::TargetNormal, "target_seconds", R"(urgency="normal")" },
   { Latency::TargetBulk, "target_seconds", R"(urgency="bulk")" },
+  { Latency::FlowOpening, "flow_opening_seconds", "" },
+  { Latency::StoreCall, "store_call_seconds", "" },
+  { Latency::StateInForce, "state_in_force_seconds", "" },
 } };
 
 /// A summary of observed latencies in seconds.
--- a/include/bramleylock/Support/Log.h
+++ b/include/bramleylock/Support/Log.h
@@ -1,7 +1,8 @@
-// Structured logs on standard error.
+// Structured logs, a record a line; bounded, and never waiting for a reader.
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -35,12 +36,26 @@
   LogLevel lowest = LogLevel::Info;
   bool json = false;
   std::string vm;
+  /// File descriptor: standard output for daemons, standard error for tools
+  /// that print results.
+  int descriptor = 2;
+  /// Records of one event that are written in one second.
+  int recordsPerSecond = 20;
 };
 
 auto ConfigureLog(LogOptions aOptions) -> void;
 
-/// Writes one record. More than 20 records of one event in a second are
-/// dropped and counted in the next record of that event.
+/// Whether a record of aEvent would be written now, for callers whose fields
+/// cost time to make. A record that would not is counted as dropped.
+auto WouldLog(LogLevel aLevel, std::string_view aEvent) -> bool;
+
+/// Records that were dropped since the start: those over the budget of their
+/// event, and those that nobody read.
+auto LogRecordsDropped() -> std::uint64_t;
+
+/// Writes one record. Records over the budget of their event, and those that
+/// the reader of the descriptor has no room for, are dropped and counted in
+/// the next record of that event.
 auto Log(LogLevel aLevel, std::string_view aEvent,
          std::initializer_list<LogField> aFields) -> void;
 
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -36,10 +36,13 @@
   Vms,
   VmsRequest,
   AllowanceRequest,
-  AllowanceGrant
+  AllowanceGrant,
+  Routing,
+  RoutingRequest,
+  FlowLoad
 };
 
-inline constexpr std::array<NameRow<MessageType>, 21> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 24> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -61,6 +64,9 @@
   { MessageType::VmsRequest, "vms-request" },
   { MessageType::AllowanceRequest, "allowance-request" },
   { MessageType::AllowanceGrant, "allowance-grant" },
+  { MessageType::Routing, "routing" },
+  { MessageType::RoutingRequest, "routing-request" },
+  { MessageType::FlowLoad, "flow-load" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
--- a/lib/Flow/PauseWatch.cpp
+++ b/lib/Flow/PauseWatch.cpp
@@ -4,6 +4,8 @@
 
 #include "bramleylock/Support/Log.h"
 
+#include <ctime>
+
 namespace bramleylock::flow {
 
 static constexpr Milliseconds kTick{ 50 };
@@ -14,36 +16,57 @@
 /// How long after a pause packets may have waited in the socket's buffer.
 static constexpr Milliseconds kStale{ 300 };
 
+/// Time since boot, suspension included.
+static auto BootTime() -> std::chrono::nanoseconds
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
+}
+
 PauseWatch::PauseWatch(asio::io_context& aContext, Metrics& aMetrics)
   : m_context(aContext)
   , m_metrics(aMetrics)
+  , m_lastTick(BootTime())
 {
 }
 
 auto PauseWatch::Start() -> void
 {
-  m_lastTick = Clock::now();
+  m_lastTick = BootTime();
   Spawn(m_context, "watch-pauses", TickLoop());
 }
 
+auto PauseWatch::Tick() -> bool
+{
+  const auto now = BootTime();
+  const auto pause = now - m_lastTick;
+  m_lastTick = now;
+  if (pause <= kPause) {
+    return false;
+  }
+  m_metrics.Add(Counter::PauseNoticed);
+  LogWarning("pause-noticed",
+             { { "pause_ms",
+                 std::to_string(
+                   std::chrono::duration_cast<Milliseconds>(pause).count()) } });
+  m_staleUntil = now + kStale;
+  return true;
+}
+
 auto PauseWatch::TickLoop() -> awaitable<void>
 {
   for (;;) {
     co_await Sleep(kTick);
-    const auto now = Clock::now();
-    if (now - m_lastTick > kPause) {
-      m_metrics.Add(Counter::PauseNoticed);
-      LogWarning("pause-noticed", {});
-      m_staleUntil = now + kStale;
-    }
-    m_lastTick = now;
+    Tick();
   }
 }
 
 auto PauseWatch::MayBeStale() const -> bool
 {
   // Packets may be read before the late tick.
-  const auto now = Clock::now();
+  const auto now = BootTime();
   return now < m_staleUntil || now - m_lastTick > kPause;
 }
 
--- /dev/null
+++ b/lib/Forward/FlowChoice.cpp
@@ -0,0 +1,114 @@
+// Ways of choosing a target for a new flow.
+
+#include "bramleylock/Forward/FlowChoice.h"
+
+#include <algorithm>
+
+namespace bramleylock::forward {
+
+/// A cold target works this much longer on a request (the platform's hosts
+/// take 1.6 times as long in their first seconds).
+static constexpr double kColdFactor = 1.6;
+
+/// Cost of leaving the failure domain, in mean service times: it takes two
+/// milliseconds more, and bytes between domains are paid for.
+static constexpr double kOtherDomainCost = 0.5;
+
+/// Flows that a target holds beyond its slots before it answers no more.
+static constexpr std::uint32_t kQueuedFlows = 8;
+
+/// Above this share of silent targets the fault is taken to be on this side,
+/// and silence says nothing about any of them.
+static constexpr double kSilentShare = 0.5;
+
+namespace {
+
+auto SilenceCounts(const std::vector<Candidate>& aCandidates) -> bool
+{
+  const auto silent = std::count_if(
+    aCandidates.begin(), aCandidates.end(),
+    [](const Candidate& aCandidate) { return aCandidate.silent; });
+  return static_cast<double>(silent) <=
+         kSilentShare * static_cast<double>(aCandidates.size());
+}
+
+/// Expected time until one more request is done, in mean service times of a
+/// warm target, and the cost of going there.
+auto CostOf(const Candidate& aCandidate) -> double
+{
+  const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
+  const double flows = aCandidate.inFlight + aCandidate.peersInFlight;
+  const double work = aCandidate.cold ? kColdFactor : 1.0;
+  const double wait = std::max(0.0, flows + 1 - slots) / slots * work;
+  const double load = flows / slots;
+  // Among targets with a free slot the emptier one is safer, as some flows of
+  // other balancers are not known here yet.
+  return wait + work + 0.25 * load +
+         (aCandidate.sameDomain ? 0 : kOtherDomainCost);
+}
+
+/// The least cost; equal ones by chance.
+class LeastWait : public FlowChoice
+{
+public:
+  auto Choose(const std::vector<Candidate>& aCandidates, RequestKind,
+              Random& aRandom) -> FlowDecision override
+  {
+    if (aCandidates.empty()) {
+      return { std::nullopt, RefusalReason::NoTarget };
+    }
+    const bool silenceCounts = SilenceCounts(aCandidates);
+    FlowDecision decision{ std::nullopt, RefusalReason::Full };
+    double least = 0;
+    std::uint64_t ties = 0;
+    for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+      const auto& candidate = aCandidates[index];
+      const auto flows = candidate.inFlight + candidate.peersInFlight;
+      if ((silenceCounts && candidate.silent) ||
+          flows >= candidate.slots + kQueuedFlows) {
+        continue;
+      }
+      const auto cost = CostOf(candidate);
+      if (decision.chosen && cost > least) {
+        continue;
+      }
+      ties = decision.chosen && cost == least ? ties + 1 : 1;
+      if (ties == 1 || aRandom() % ties == 0) {
+        decision = { index, RefusalReason::None };
+      }
+      least = cost;
+    }
+    return decision;
+  }
+};
+
+/// Any target that is not silent, those of the own failure domain first; the
+/// baseline that others are measured against.
+class RandomTarget : public FlowChoice
+{
+public:
+  auto Choose(const std::vector<Candidate>& aCandidates, RequestKind,
+              Random& aRandom) -> FlowDecision override
+  {
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> far;
+    for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+      const auto& candidate = aCandidates[index];
+      if (!candidate.silent) {
+        (candidate.sameDomain ? near : far).push_back(index);
+      }
+    }
+    const auto& from = near.empty() ? far : near;
+    if (from.empty()) {
+      return { std::nullopt, RefusalReason::NoTarget };
+    }
+    return { from[aRandom() % from.size()], RefusalReason::None };
+  }
+};
+
+const Registration<FlowChoiceRegistry, LeastWait> kLeastWait("least-wait");
+const Registration<FlowChoiceRegistry, RandomTarget> kRandom("random");
+
+} // namespace
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/lib/Forward/RouteTable.cpp
@@ -0,0 +1,83 @@
+// Versions of the routes, and what earlier versions allowed.
+
+#include "bramleylock/Forward/RouteTable.h"
+
+#include <cassert>
+#include <numeric>
+
+namespace bramleylock::forward {
+
+auto RouteTable::Install(RouteSet aSet, Clock::time_point aNow) -> bool
+{
+  if (aSet.version <= m_set.version) {
+    return false;
+  }
+  m_set = std::move(aSet);
+  m_since = aNow;
+  m_byAddress.clear();
+  for (std::size_t index = 0; index < m_set.routes.size(); ++index) {
+    const auto& route = m_set.routes[index];
+    m_byAddress[route.At()] = index;
+    for (const auto& share : route.shares) {
+      m_allowed[route.At()].insert(share.service);
+    }
+  }
+  return true;
+}
+
+auto RouteTable::StateOf(const Address& aService) const -> RouteState
+{
+  if (m_byAddress.contains(aService)) {
+    return RouteState::InForce;
+  }
+  return m_allowed.contains(aService) ? RouteState::Removed
+                                      : RouteState::Unknown;
+}
+
+auto RouteTable::Find(const Address& aService) const -> const Route*
+{
+  const auto found = m_byAddress.find(aService);
+  return found == m_byAddress.end() ? nullptr : &m_set.routes[found->second];
+}
+
+auto RouteTable::ServiceFor(const Route& aRoute, const FlowId& aFlow) const
+  -> const std::string&
+{
+  assert(!aRoute.shares.empty());
+  const auto total =
+    std::accumulate(aRoute.shares.begin(), aRoute.shares.end(),
+                    std::uint64_t{ 0 },
+                    [](std::uint64_t aSum, const RouteShare& aShare) {
+                      return aSum + aShare.weight;
+                    });
+  if (total == 0) {
+    return aRoute.shares.front().service;
+  }
+  auto place = FlowIdHash{}(aFlow) % total;
+  for (const auto& share : aRoute.shares) {
+    if (place < share.weight) {
+      return share.service;
+    }
+    place -= share.weight;
+  }
+  return aRoute.shares.back().service;
+}
+
+auto RouteTable::Allows(const Address& aService,
+                        const std::string& aTargetService) const -> bool
+{
+  const auto found = m_allowed.find(aService);
+  return found != m_allowed.end() && found->second.contains(aTargetService);
+}
+
+auto RouteTable::Current() const -> const RouteSet&
+{
+  return m_set;
+}
+
+auto RouteTable::InForceSince() const -> Clock::time_point
+{
+  return m_since;
+}
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/lib/Forward/RoutingState.cpp
@@ -0,0 +1,241 @@
+// Merging by revision: nothing that is in force is replaced by something older.
+
+#include "bramleylock/Forward/RoutingState.h"
+
+#include "bramleylock/Forward/Forwarder.h"
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace bramleylock::forward {
+
+/// How long an entry that may have lapsed in an outage serves on: the platform
+/// says that living targets are listed again two seconds after it, and a
+/// reading may be half a second behind.
+static constexpr Milliseconds kLapse{ 2500 };
+
+/// An entry that missed this many renewals is not a sign of life.
+static constexpr int kMissedRenewals = 2;
+
+RoutingState::RoutingState(RouteTable& aRoutes, TargetDirectory& aTargets,
+                           Metrics& aMetrics, Milliseconds aRenewal)
+  : m_routes(aRoutes)
+  , m_targets(aTargets)
+  , m_metrics(aMetrics)
+  , m_renewal(aRenewal)
+{
+}
+
+auto RoutingState::Complete() const -> bool
+{
+  return m_readAt != Clock::time_point{} && m_routes.Current().version != 0;
+}
+
+auto RoutingState::ReadAt() const -> Clock::time_point
+{
+  return m_readAt;
+}
+
+auto RoutingState::Revision() const -> std::uint64_t
+{
+  return m_revision;
+}
+
+auto RoutingState::Advance(std::uint64_t aRevision, Clock::time_point aReadAt)
+  -> void
+{
+  m_revision = std::max(m_revision, aRevision);
+  m_readAt = std::max(m_readAt, aReadAt);
+  m_metrics.SetGauge("state_revision", static_cast<double>(m_revision));
+}
+
+auto RoutingState::InstallRoutes(const RouteSet& aRoutes, const char* aFrom,
+                                 Clock::time_point aNow) -> bool
+{
+  const auto before = m_routes.Current().version;
+  if (!m_routes.Install(aRoutes, aNow)) {
+    if (aRoutes.version < before) {
+      m_metrics.Add(Counter::RoutesOlder);
+      LogWarning("routes-older",
+                 { { "from", aFrom },
+                   { "version", std::to_string(aRoutes.version) },
+                   { "in_force", std::to_string(before) },
+                   { "revision", std::to_string(aRoutes.revision) } });
+    }
+    return false;
+  }
+  m_metrics.Add(Counter::RoutesInstalled);
+  m_metrics.SetGauge("routes_version", static_cast<double>(aRoutes.version));
+  LogInfo("routes-installed",
+          { { "from", aFrom },
+            { "version", std::to_string(aRoutes.version) },
+            { "before", std::to_string(before) },
+            { "revision", std::to_string(aRoutes.revision) },
+            { "routes", std::to_string(aRoutes.routes.size()) } });
+  return true;
+}
+
+auto RoutingState::ApplyTarget(const TargetRecord& aRecord, const char* aFrom,
+                               Clock::time_point aNow) -> bool
+{
+  if (!m_targets.Apply(aRecord, aNow)) {
+    return false;
+  }
+  LogInfo("target-changed",
+          { { "from", aFrom },
+            { "target", aRecord.id },
+            { "incarnation", std::to_string(aRecord.incarnation) },
+            { "service", aRecord.service },
+            { "address", FormatAddress(aRecord.At()) },
+            { "state",
+              std::string(NameOf(kTargetStateNames, aRecord.State())) },
+            { "cold_ms", std::to_string(aRecord.coldMs) },
+            { "revision", std::to_string(aRecord.revision) } });
+  return true;
+}
+
+auto RoutingState::RemoveTarget(const RemovedTarget& aRemoved,
+                                const char* aFrom, Clock::time_point aNow)
+  -> bool
+{
+  const auto lapse = aRemoved.mayReturn ? kLapse : Milliseconds(0);
+  if (!m_targets.Remove(aRemoved.id, aRemoved.revision, lapse, aNow)) {
+    return false;
+  }
+  if (aRemoved.mayReturn) {
+    m_metrics.Add(Counter::TargetsLapsed);
+  }
+  LogInfo("target-departed",
+          { { "from", aFrom },
+            { "target", aRemoved.id },
+            { "may_return", aRemoved.mayReturn ? "true" : "false" },
+            { "revision", std::to_string(aRemoved.revision) } });
+  return true;
+}
+
+/// What a whole account of aRevision no longer shows. Entries that are newer
+/// came with later news and stay.
+auto RoutingState::MissingFrom(const std::vector<TargetRecord>& aShown,
+                               std::uint64_t aRevision, bool aMayReturn)
+  -> std::vector<RemovedTarget>
+{
+  std::set<std::string_view> shown;
+  for (const auto& record : aShown) {
+    shown.insert(record.id);
+  }
+  std::vector<RemovedTarget> missing;
+  for (const auto* entry : m_targets.All()) {
+    const auto& record = entry->record;
+    if (record.State() < TargetState::Departed &&
+        record.revision < aRevision && !shown.contains(record.id)) {
+      missing.push_back({ record.id, aRevision, aMayReturn });
+    }
+  }
+  return missing;
+}
+
+auto RoutingState::Unrenewed(Clock::time_point aNow) -> std::vector<std::string>
+{
+  std::vector<std::string> ids;
+  for (const auto* entry : m_targets.All()) {
+    if (entry->record.State() == TargetState::Ready &&
+        aNow - entry->heardAt > kMissedRenewals * m_renewal) {
+      ids.push_back(entry->record.id);
+    }
+  }
+  return ids;
+}
+
+auto RoutingState::TakeReading(StateReading aReading, bool aWhole,
+                               bool aStoreTroubled, Clock::time_point aReadAt,
+                               Clock::time_point aNow) -> RoutingNews
+{
+  RoutingNews news;
+  news.base = aWhole ? 0 : m_revision;
+  news.revision = aReading.revision;
+  if (aReading.routes && InstallRoutes(*aReading.routes, "store", aNow)) {
+    news.routes.push_back(*aReading.routes);
+  }
+  for (const auto& record : aReading.targets) {
+    if (ApplyTarget(record, "store", aNow) || aWhole) {
+      news.targets.push_back(record);
+    } else if (auto* entry = m_targets.Find(record.id)) {
+      // Nothing but the time of its renewal has changed; that was at most a
+      // renewal ago.
+      Forwarder::TakeSignOfLife(*entry, aReadAt - m_renewal);
+    }
+  }
+  if (aWhole) {
+    const auto missing =
+      MissingFrom(aReading.targets, aReading.revision, aStoreTroubled);
+    aReading.removed.insert(aReading.removed.end(), missing.begin(),
+                            missing.end());
+  }
+  for (auto& removed : aReading.removed) {
+    removed.mayReturn = removed.mayReturn || aStoreTroubled;
+    if (RemoveTarget(removed, "store", aNow) || aWhole) {
+      news.removed.push_back(removed);
+    }
+  }
+  Advance(aReading.revision, aReadAt);
+  news.routesVersion = m_routes.Current().version;
+  news.unrenewed = Unrenewed(aNow);
+  return news;
+}
+
+auto RoutingState::TakeNews(const RoutingNews& aNews, Clock::time_point aNow)
+  -> bool
+{
+  for (const auto& routes : aNews.routes) {
+    InstallRoutes(routes, "peer", aNow);
+  }
+  for (const auto& record : aNews.targets) {
+    ApplyTarget(record, "peer", aNow);
+  }
+  for (const auto& removed : aNews.removed) {
+    RemoveTarget(removed, "peer", aNow);
+  }
+  if (aNews.base == 0) {
+    for (const auto& missing :
+         MissingFrom(aNews.targets, aNews.revision, false)) {
+      RemoveTarget(missing, "peer", aNow);
+    }
+  }
+  if (aNews.base > m_revision ||
+      aNews.routesVersion > m_routes.Current().version) {
+    return false;
+  }
+  const auto readAt = aNow - Milliseconds(aNews.ageMs);
+  const auto renewed = readAt - kMissedRenewals * m_renewal;
+  for (auto* entry : m_targets.All()) {
+    const auto& id = entry->record.id;
+    if (entry->record.State() == TargetState::Ready &&
+        std::find(aNews.unrenewed.begin(), aNews.unrenewed.end(), id) ==
+          aNews.unrenewed.end()) {
+      entry->heardAt = std::max(entry->heardAt, renewed);
+      Forwarder::TakeSignOfLife(*entry, renewed);
+    }
+  }
+  Advance(aNews.revision, readAt);
+  return true;
+}
+
+auto RoutingState::Answer(const RoutingRequest& aRequest,
+                          Clock::time_point aNow) -> RoutingNews
+{
+  RoutingNews news;
+  news.revision = m_revision;
+  news.routesVersion = m_routes.Current().version;
+  news.ageMs = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<Milliseconds>(aNow - m_readAt).count());
+  if (aRequest.routesVersion < news.routesVersion) {
+    news.routes.push_back(m_routes.Current());
+  }
+  news.targets = m_targets.Records(aNow);
+  news.unrenewed = Unrenewed(aNow);
+  return news;
+}
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/lib/Forward/StateReader.cpp
@@ -0,0 +1,225 @@
+// Paced readings of the store, by rank, and the news between peers.
+
+#include "bramleylock/Forward/StateReader.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+
+namespace bramleylock::forward {
+
+/// Pace of the first reader. Targets may get new flows for 3 s after they began
+/// to drain, which has to hold when a reader dies just before its turn: a pace,
+/// two ranks and the calls stay under 2 s.
+static constexpr Milliseconds kPace{ 1000 };
+
+/// How much later each further rank reads; a reading takes some milliseconds,
+/// and up to 250 in a store that is fifty times slower than usual.
+static constexpr Milliseconds kRankStep{ 250 };
+static constexpr std::size_t kRanksApart = 6;
+
+/// A watch that finds nothing returns after this time; entries are renewed far
+/// more often.
+static constexpr Milliseconds kWait{ 500 };
+
+/// Pauses after failed calls, doubled up to the longest.
+static constexpr Milliseconds kRetry{ 250 };
+static constexpr Milliseconds kLongestRetry{ 1000 };
+
+/// For this long after a failed call, entries that are missing may have lapsed
+/// in the outage.
+static constexpr Milliseconds kTroubleKept{ 4000 };
+
+/// State older than this is asked for from any peer, of other domains too.
+static constexpr Milliseconds kStale{ 2500 };
+static constexpr Milliseconds kAskEvery{ 500 };
+
+auto ReadAfter(std::size_t aRank) -> Milliseconds
+{
+  return kPace + kRankStep * static_cast<int>(std::min(aRank, kRanksApart));
+}
+
+StateReader::StateReader(asio::io_context& aContext, StateSource& aSource,
+                         RoutingState& aState, peer::PeerLinks& aLinks,
+                         peer::Membership& aMembers, Metrics& aMetrics)
+  : m_context(aContext)
+  , m_source(aSource)
+  , m_state(aState)
+  , m_links(aLinks)
+  , m_members(aMembers)
+  , m_metrics(aMetrics)
+  , m_random(SecretNumber())
+  , m_wake(aContext)
+{
+}
+
+auto StateReader::Start() -> void
+{
+  m_links.On(wire::MessageType::Routing,
+             [this](const wire::Hello& aSender, const std::string& aBody) {
+               if (const auto news = wire::UnpackBody<RoutingNews>(aBody)) {
+                 TakeNews(aSender, *news);
+               }
+             });
+  m_links.On(wire::MessageType::RoutingRequest,
+             [this](const wire::Hello& aSender, const std::string& aBody) {
+               const auto request = wire::UnpackBody<RoutingRequest>(aBody);
+               if (request && m_state.Complete()) {
+                 m_links.SendMessage(aSender.address,
+                                     wire::MessageType::Routing,
+                                     m_state.Answer(*request, Clock::now()));
+               }
+             });
+  Spawn(m_context, "read-state", ReadLoop());
+}
+
+auto StateReader::Hurry() -> void
+{
+  m_hurried = true;
+  m_wake.Notify();
+}
+
+auto StateReader::Rank() const -> std::size_t
+{
+  std::vector<std::string> addresses{ m_members.Self().address };
+  for (const auto& member : m_members.AliveInDomain()) {
+    addresses.push_back(member.address);
+  }
+  const auto order = peer::RendezvousOrder("state-reader", addresses);
+  const auto self =
+    std::find(order.begin(), order.end(), m_members.Self().address);
+  return static_cast<std::size_t>(self - order.begin());
+}
+
+auto StateReader::NextReading() -> Clock::time_point
+{
+  if (m_hurried || !m_state.Complete()) {
+    return m_retryAt;
+  }
+  const auto rank = Rank();
+  if (rank != m_lastRank) {
+    m_lastRank = rank;
+    LogInfo("reader-rank",
+            { { "rank", std::to_string(rank) },
+              { "reads_after_ms", std::to_string(ReadAfter(rank).count()) } });
+  }
+  return std::max(m_retryAt, m_state.ReadAt() + ReadAfter(rank));
+}
+
+auto StateReader::ReadLoop() -> awaitable<void>
+{
+  for (;;) {
+    const auto due = NextReading();
+    const auto now = Clock::now();
+    if (now >= due) {
+      m_hurried = false;
+      co_await ReadOnce();
+      continue;
+    }
+    if (now - m_state.ReadAt() > kStale) {
+      AskSomebody(now);
+    }
+    co_await m_wake.WaitUntil(std::min(due, now + kAskEvery));
+  }
+}
+
+auto StateReader::ReadOnce() -> awaitable<bool>
+{
+  const auto began = Clock::now();
+  const bool whole = m_needWhole;
+  std::error_code error;
+  StateReading reading;
+  if (whole) {
+    reading = co_await m_source.ReadAll(error);
+  } else {
+    reading =
+      co_await m_source.ReadChanges(m_state.Revision(), kWait, error);
+  }
+  const auto now = Clock::now();
+  m_metrics.Add(Counter::StateReadings);
+  if (error == make_error_code(SourceError::HistoryGone)) {
+    m_metrics.Add(Counter::StateHistoryGone);
+    LogInfo("state-history-gone",
+            { { "revision", std::to_string(m_state.Revision()) } });
+    m_needWhole = true;
+    co_return false;
+  }
+  if (error) {
+    NoteFailure(error, now);
+    co_return false;
+  }
+  m_needWhole = false;
+  const bool troubled =
+    m_failedAt != Clock::time_point{} && now - m_failedAt < kTroubleKept;
+  NoteSuccess(now);
+  // The answer to a watch shows the store as it was when it was sent.
+  TellDomain(m_state.TakeReading(std::move(reading), whole, troubled,
+                                 whole ? began : now, now));
+  co_return true;
+}
+
+auto StateReader::NoteFailure(const std::error_code& aError,
+                              Clock::time_point aNow) -> void
+{
+  m_metrics.Add(Counter::StateReadFailed);
+  if (m_failures == 0) {
+    LogWarning("store-lost",
+               { { "why", aError.message() },
+                 { "revision", std::to_string(m_state.Revision()) } });
+  }
+  m_failedAt = aNow;
+  const auto pause = kRetry * (1 << std::min(m_failures, 4));
+  ++m_failures;
+  // Spread, so that balancers that failed together do not return together.
+  const auto jitter = Milliseconds(m_random() % kRetry.count());
+  m_retryAt = aNow + std::min<Milliseconds>(pause, kLongestRetry) + jitter;
+}
+
+auto StateReader::NoteSuccess(Clock::time_point) -> void
+{
+  if (m_failures > 0) {
+    LogInfo("store-regained",
+            { { "failed_calls", std::to_string(m_failures) } });
+  }
+  m_failures = 0;
+  m_retryAt = {};
+}
+
+auto StateReader::TellDomain(const RoutingNews& aNews) -> void
+{
+  const auto body = wire::PackBody(aNews);
+  for (const auto& member : m_members.AliveInDomain()) {
+    m_links.Send(member.address, wire::MessageType::Routing, body);
+  }
+}
+
+auto StateReader::AskSomebody(Clock::time_point aNow) -> void
+{
+  if (aNow - m_askedAt < kAskEvery) {
+    return;
+  }
+  m_askedAt = aNow;
+  const auto alive = m_members.Alive();
+  if (alive.empty()) {
+    return;
+  }
+  m_metrics.Add(Counter::StateAsked);
+  const auto& asked = alive[m_random() % alive.size()];
+  m_links.SendMessage(asked.address, wire::MessageType::RoutingRequest,
+                      RoutingRequest{ m_state.Revision(), 0 });
+}
+
+auto StateReader::TakeNews(const wire::Hello& aSender, const RoutingNews& aNews)
+  -> void
+{
+  m_metrics.Add(Counter::StateFromPeer);
+  if (!m_state.TakeNews(aNews, Clock::now())) {
+    m_links.SendMessage(aSender.address, wire::MessageType::RoutingRequest,
+                        RoutingRequest{ m_state.Revision(), 0 });
+    return;
+  }
+  m_needWhole = false;
+  m_wake.Notify();
+}
+
+} // namespace bramleylock::forward
--- /dev/null
+++ b/lib/Forward/TargetDirectory.cpp
@@ -0,0 +1,254 @@
+// Merging of target records, and the lookup of tags.
+
+#include "bramleylock/Forward/TargetDirectory.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace bramleylock::forward {
+
+auto DirectoryEntry::TakesFlows(Clock::time_point aNow) const -> bool
+{
+  if (record.State() == TargetState::Ready) {
+    return true;
+  }
+  return record.State() == TargetState::Departed && aNow < lapseEnds;
+}
+
+auto TagOf(const std::string& aTargetId, std::uint64_t aIncarnation)
+  -> TargetTag
+{
+  // The key is no secret: whoever guesses a tag reaches only a target of the
+  // service that the packet's route allows anyway.
+  static constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> kKey{};
+  const auto text = aTargetId + "/" + std::to_string(aIncarnation);
+  std::array<unsigned char, crypto_shorthash_BYTES> bytes{};
+  crypto_shorthash(bytes.data(),
+                   reinterpret_cast<const unsigned char*>(text.data()),
+                   text.size(), kKey.data());
+  TargetTag tag = 0;
+  std::memcpy(&tag, bytes.data(), sizeof tag);
+  return tag == 0 ? 1 : tag;
+}
+
+TargetDirectory::TargetDirectory(const PacketCodec& aCodec)
+  : m_codec(aCodec)
+{
+}
+
+auto TargetDirectory::Latest(const std::string& aId) -> DirectoryEntry*
+{
+  const auto next = m_entries.upper_bound({ aId, ~std::uint64_t{ 0 } });
+  if (next == m_entries.begin()) {
+    return nullptr;
+  }
+  const auto last = std::prev(next);
+  return last->first.first == aId ? &last->second : nullptr;
+}
+
+auto TargetDirectory::Find(const std::string& aId) -> DirectoryEntry*
+{
+  return Latest(aId);
+}
+
+auto TargetDirectory::MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow)
+  -> void
+{
+  if (aEntry.record.State() == TargetState::Dead) {
+    return;
+  }
+  if (aEntry.record.State() != TargetState::Departed) {
+    aEntry.departedAt = aNow;
+  }
+  aEntry.record.state = static_cast<std::uint8_t>(TargetState::Dead);
+  aEntry.lapseEnds = {};
+}
+
+/// Whoever had the address of a newcomer has ended: addresses are assigned
+/// again only after that.
+auto TargetDirectory::RetireAddress(const DirectoryEntry& aNewcomer,
+                                    Clock::time_point aNow) -> void
+{
+  for (auto& [key, entry] : m_entries) {
+    if (&entry != &aNewcomer && entry.record.At() == aNewcomer.record.At() &&
+        entry.record.incarnation < aNewcomer.record.incarnation) {
+      MarkDead(entry, aNow);
+    }
+  }
+}
+
+auto TargetDirectory::Apply(const TargetRecord& aRecord, Clock::time_point aNow)
+  -> bool
+{
+  const auto prefix = m_codec.PrefixOf(aRecord.id);
+  const auto removed = m_removed.find(aRecord.id);
+  const bool old =
+    removed != m_removed.end() && aRecord.revision <= removed->second;
+  if (!prefix || (old && aRecord.State() < TargetState::Departed)) {
+    return false;
+  }
+  auto* latest = Latest(aRecord.id);
+  if (latest != nullptr && latest->record.incarnation > aRecord.incarnation) {
+    return false;
+  }
+  auto [place, isNew] =
+    m_entries.try_emplace({ aRecord.id, aRecord.incarnation });
+  auto& entry = place->second;
+  if (!isNew && entry.record.revision >= aRecord.revision) {
+    return false;
+  }
+  if (isNew) {
+    if (latest != nullptr) {
+      MarkDead(*latest, aNow);
+    }
+    entry.tag = TagOf(aRecord.id, aRecord.incarnation);
+    entry.prefix = *prefix;
+    m_byTag.emplace(entry.tag, &entry);
+    m_byService[aRecord.service].push_back(&entry);
+    if (aRecord.State() >= TargetState::Departed) {
+      entry.departedAt = aNow;
+    }
+  } else if (entry.record.service != aRecord.service) {
+    std::erase(m_byService[entry.record.service], &entry);
+    m_byService[aRecord.service].push_back(&entry);
+  }
+  const bool changed = isNew || entry.record.state != aRecord.state ||
+                       entry.record.At() != aRecord.At() ||
+                       entry.record.service != aRecord.service ||
+                       entry.record.slots != aRecord.slots;
+  entry.record = aRecord;
+  entry.heardAt = aNow;
+  entry.lapseEnds = {};
+  entry.warmAt = aNow + Milliseconds(aRecord.coldMs);
+  if (isNew && aRecord.State() < TargetState::Departed) {
+    RetireAddress(entry, aNow);
+  }
+  return changed;
+}
+
+auto TargetDirectory::Remove(const std::string& aId, std::uint64_t aRevision,
+                             Milliseconds aLapse, Clock::time_point aNow)
+  -> bool
+{
+  auto& removed = m_removed[aId];
+  removed = std::max(removed, aRevision);
+  auto* entry = Latest(aId);
+  if (entry == nullptr || entry->record.revision >= aRevision ||
+      entry->record.State() >= TargetState::Departed) {
+    return false;
+  }
+  // An entry that was draining is gone for good.
+  if (entry->record.State() == TargetState::Ready && aLapse.count() > 0) {
+    entry->lapseEnds = aNow + aLapse;
+  }
+  entry->record.state = static_cast<std::uint8_t>(TargetState::Departed);
+  entry->record.revision = aRevision;
+  entry->departedAt = aNow;
+  return true;
+}
+
+auto TargetDirectory::Expire(Clock::duration aKeep, Clock::time_point aNow)
+  -> void
+{
+  for (auto place = m_entries.begin(); place != m_entries.end();) {
+    auto& entry = place->second;
+    const bool gone = entry.record.State() >= TargetState::Departed &&
+                      aNow - entry.departedAt > aKeep;
+    if (!gone) {
+      ++place;
+      continue;
+    }
+    const auto range = m_byTag.equal_range(entry.tag);
+    for (auto row = range.first; row != range.second; ++row) {
+      if (row->second == &entry) {
+        m_byTag.erase(row);
+        break;
+      }
+    }
+    std::erase(m_byService[entry.record.service], &entry);
+    m_removed.erase(place->first.first);
+    place = m_entries.erase(place);
+  }
+}
+
+auto TargetDirectory::Lookup(TargetTag aTag, const Address& aService,
+                             const RouteTable& aRoutes) -> DirectoryEntry*
+{
+  const auto range = m_byTag.equal_range(aTag);
+  DirectoryEntry* found = nullptr;
+  for (auto row = range.first; row != range.second; ++row) {
+    auto* entry = row->second;
+    if (!aRoutes.Allows(aService, entry->record.service)) {
+      continue;
+    }
+    // Of two targets with one tag only the first by id is given flows, see
+    // Candidates; the other has none.
+    if (found == nullptr || entry->record.id < found->record.id) {
+      found = entry;
+    }
+  }
+  return found;
+}
+
+auto TargetDirectory::Candidates(const std::string& aService,
+                                 Clock::time_point aNow)
+  -> std::vector<DirectoryEntry*>
+{
+  std::vector<DirectoryEntry*> candidates;
+  const auto found = m_byService.find(aService);
+  if (found == m_byService.end()) {
+    return candidates;
+  }
+  for (auto* entry : found->second) {
+    if (!entry->TakesFlows(aNow)) {
+      continue;
+    }
+    const auto range = m_byTag.equal_range(entry->tag);
+    const bool hidden =
+      std::any_of(range.first, range.second, [entry](const auto& aRow) {
+        return aRow.second != entry &&
+               aRow.second->record.service == entry->record.service &&
+               aRow.second->record.id < entry->record.id;
+      });
+    if (!hidden) {
+      candidates.push_back(entry);
+    }
+  }
+  return candidates;
+}
+
+auto TargetDirectory::All() -> std::vector<DirectoryEntry*>
+{
+  std::vector<DirectoryEntry*> all;
+  for (auto& [key, entry] : m_entries) {
+    all.push_back(&entry);
+  }
+  return all;
+}
+
+auto TargetDirectory::Records(Clock::time_point aNow)
+  -> std::vector<TargetRecord>
+{
+  std::vector<TargetRecord> records;
+  for (const auto& [key, entry] : m_entries) {
+    auto record = entry.record;
+    const auto cold =
+      std::chrono::duration_cast<Milliseconds>(entry.warmAt - aNow).count();
+    record.coldMs = static_cast<std::uint32_t>(std::max<long>(0, cold));
+    if (aNow < entry.lapseEnds) {
+      // The receiver has to judge the entry by its own reading.
+      record.state = static_cast<std::uint8_t>(TargetState::Departed);
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+auto TargetDirectory::Size() const -> std::size_t
+{
+  return m_entries.size();
+}
+
+} // namespace bramleylock::forward
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -36,9 +36,9 @@
 
 struct Balancer::Parts
 {
-  Parts(asio::io_context& aContext, Settings aSettings)
+  Parts(asio::io_context& aContext, const Settings& aSettings)
     : context(aContext)
-    , settings(std::move(aSettings))
+    , settings(aSettings)
     , lists(metrics)
     , planLimits(
         admission::SharingRegistry::Instance().Create(settings.planLimits))
@@ -83,8 +83,8 @@
   bool draining = false;
 };
 
-Balancer::Balancer(asio::io_context& aContext, Settings aSettings)
-  : m_parts(std::make_unique<Parts>(aContext, std::move(aSettings)))
+Balancer::Balancer(asio::io_context& aContext, const Settings& aSettings)
+  : m_parts(std::make_unique<Parts>(aContext, aSettings))
 {
 }
 
@@ -359,6 +359,12 @@
   context.stop();
 }
 
+auto Balancer::Reload(const Settings& aSettings) -> void
+{
+  m_parts->settings.drainSeconds = aSettings.drainSeconds;
+  m_parts->members->SetHints(SeedHints(aSettings.peerSeeds));
+}
+
 auto Balancer::ReadyLine() const -> std::string
 {
   const auto& parts = *m_parts;
@@ -367,4 +373,6 @@
                      parts.hub->Address(), parts.admin->Address());
 }
 
+static const Registration<DataPathRegistry, Balancer> kRegistration("requests");
+
 } // namespace bramleylock::kernel
--- /dev/null
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -0,0 +1,306 @@
+// Wires the forwarding path together.
+
+#include "bramleylock/Kernel/ForwardingBalancer.h"
+
+#include "bramleylock/Flow/PauseWatch.h"
+#include "bramleylock/Forward/Forwarder.h"
+#include "bramleylock/Forward/StateReader.h"
+#include "bramleylock/Http/Http.h"
+#include "bramleylock/Kernel/PacketPort.h"
+#include "bramleylock/Peer/PeerHub.h"
+#include "bramleylock/Wire/Token.h"
+#include "bramleylock/Support/Log.h"
+
+#include <fmt/format.h>
+
+#include <sstream>
+
+namespace bramleylock::kernel {
+
+/// How often flows and targets are aged.
+static constexpr Milliseconds kAgeEvery{ 250 };
+
+/// Pause between tries to get the cluster's secret.
+static constexpr Milliseconds kSecretRetry{ 300 };
+
+/// How long a stopping balancer forwards at least: the platform asks for
+/// readiness every 500 ms and takes the second miss.
+static constexpr Milliseconds kLeastDrain{ 1500 };
+
+/// Without a packet for this long after that, nobody sends any more.
+static constexpr Milliseconds kDrainQuiet{ 300 };
+
+struct ForwardingBalancer::Parts
+{
+  Parts(asio::io_context& aContext, const Settings& aSettings);
+
+  auto Handle(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto Ready() const -> bool;
+  auto Join() -> awaitable<void>;
+  auto OpenHub(const std::string& aSecret) -> bool;
+  auto AgeLoop() -> awaitable<void>;
+  auto DrainLoop() -> awaitable<void>;
+  auto UpdateGauges() -> void;
+
+  asio::io_context& context;
+  Settings settings;
+  Metrics metrics;
+  std::unique_ptr<forward::PacketCodec> codec;
+  std::unique_ptr<forward::StateSource> source;
+  std::unique_ptr<forward::FlowChoice> choice;
+  forward::RouteTable routes;
+  forward::TargetDirectory targets;
+  forward::RoutingState state;
+  PacketPort port;
+  forward::Forwarder forwarder;
+  flow::PauseWatch pauses;
+  std::unique_ptr<http::Server> status;
+  std::unique_ptr<http::Server> metricsServer;
+  std::unique_ptr<peer::PeerHub> hub;
+  std::unique_ptr<peer::Membership> members;
+  std::unique_ptr<forward::StateReader> reader;
+  bool draining = false;
+  bool toldReady = false;
+};
+
+ForwardingBalancer::Parts::Parts(asio::io_context& aContext,
+                                 const Settings& aSettings)
+  : context(aContext)
+  , settings(aSettings)
+  , codec(
+      forward::PacketCodecRegistry::Instance().Create(settings.packetCodec))
+  , source(forward::StateSourceRegistry::Instance().Create(
+      settings.stateSource, context, settings.storeAddress, metrics))
+  , choice(forward::FlowChoiceRegistry::Instance().Create(settings.flowChoice))
+  , targets(*codec)
+  , state(routes, targets, metrics, Milliseconds(settings.renewalMs))
+  , port(context, metrics)
+  , forwarder(*codec, routes, targets, *choice, port, metrics,
+              { settings.failureDomain,
+                std::chrono::seconds(settings.longestFlowSeconds),
+                settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
+                                   : SecretNumber() })
+  , pauses(context, metrics)
+{
+}
+
+ForwardingBalancer::ForwardingBalancer(asio::io_context& aContext,
+                                       const Settings& aSettings)
+  : m_parts(std::make_unique<Parts>(aContext, aSettings))
+{
+}
+
+ForwardingBalancer::~ForwardingBalancer() = default;
+
+auto ForwardingBalancer::Parts::Ready() const -> bool
+{
+  return !draining && state.Complete();
+}
+
+auto ForwardingBalancer::Parts::UpdateGauges() -> void
+{
+  const auto now = Clock::now();
+  metrics.SetGauge("flows_tracked",
+                   static_cast<double>(forwarder.Flows().Size()));
+  metrics.SetGauge("targets_known", static_cast<double>(targets.Size()));
+  metrics.SetGauge("state_age_seconds", InSeconds(now - state.ReadAt()));
+  metrics.SetGauge("routes_age_seconds",
+                   InSeconds(now - routes.InForceSince()));
+  metrics.SetGauge("log_records_dropped",
+                   static_cast<double>(LogRecordsDropped()));
+}
+
+auto ForwardingBalancer::Parts::Handle(const http::Request& aRequest)
+  -> awaitable<http::Reply>
+{
+  http::Reply reply;
+  if (http::PathOf(aRequest.target) == "/metrics") {
+    UpdateGauges();
+    reply.contentType = "text/plain; version=0.0.4";
+    reply.body = metrics.Exposition();
+    co_return reply;
+  }
+  const bool ready = Ready();
+  reply.status = ready ? 200 : 503;
+  reply.body = ready ? R"({"ready":true})" : R"({"ready":false})";
+  if (ready != toldReady) {
+    toldReady = ready;
+    LogInfo("readiness", { { "ready", ready ? "true" : "false" },
+                           { "routes", std::to_string(
+                                         routes.Current().version) },
+                           { "targets", std::to_string(targets.Size()) } });
+  }
+  co_return reply;
+}
+
+auto ForwardingBalancer::Parts::OpenHub(const std::string& aSecret) -> bool
+{
+  peer::ClusterKey key{};
+  if (!wire::KeyFromHex(aSecret, key)) {
+    LogError("cluster-secret-malformed", {});
+    return false;
+  }
+  std::error_code error;
+  const auto address = ParseTcpEndpoint(settings.peerAddress, error);
+  try {
+    hub = std::make_unique<peer::PeerHub>(context, address, key, metrics);
+  } catch (const boost::system::system_error& failure) {
+    LogError("cannot-listen", { { "address", settings.peerAddress },
+                                { "why", failure.what() } });
+    return false;
+  }
+  hub->SetAdvertised(settings.peerAdvertised);
+  const wire::Hello self{ settings.vmName, settings.failureDomain,
+                          hub->Address(), NewIncarnation() };
+  members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
+  reader = std::make_unique<forward::StateReader>(context, *source, state, *hub,
+                                                  *members, metrics);
+  hub->Start(self);
+  return true;
+}
+
+static auto Hints(const std::string& aSeeds) -> std::vector<peer::MemberHint>
+{
+  std::vector<peer::MemberHint> hints;
+  std::istringstream words(aSeeds);
+  std::string address;
+  while (words >> address) {
+    hints.push_back({ address, {}, address });
+  }
+  return hints;
+}
+
+/// Peers are spoken to under a secret that stands in the platform's store, so
+/// nothing starts before the store has answered once.
+auto ForwardingBalancer::Parts::Join() -> awaitable<void>
+{
+  for (;;) {
+    std::error_code error;
+    const auto secret = co_await source->ClusterSecret(error);
+    if (!error && OpenHub(secret)) {
+      break;
+    }
+    if (error) {
+      LogWarning("cluster-secret-unavailable",
+                 { { "why", error.message() } });
+    }
+    co_await Sleep(kSecretRetry);
+  }
+  members->SetHints(Hints(settings.peerSeeds));
+  members->Start([this](wire::Heartbeat& aHeartbeat) {
+    aHeartbeat.draining = draining;
+  });
+  reader->Start();
+}
+
+auto ForwardingBalancer::Parts::AgeLoop() -> awaitable<void>
+{
+  for (;;) {
+    co_await Sleep(kAgeEvery);
+    forwarder.Expire(Clock::now());
+    if (pauses.Tick() && reader) {
+      reader->Hurry();
+    }
+  }
+}
+
+auto ForwardingBalancer::Start(std::error_code& aError, std::string& aDetail)
+  -> void
+{
+  auto& parts = *m_parts;
+  const auto& settings = parts.settings;
+  const auto packets = ParseUdpEndpoint(settings.packetAddress, aError);
+  parts.port.Start(
+    packets, static_cast<int>(settings.receiveBufferBytes),
+    [&parts](char* aData, std::size_t aSize, Clock::time_point aNow) {
+      parts.forwarder.OnDatagram(aData, aSize, aNow);
+    },
+    aError);
+  if (aError) {
+    aDetail = "listen.packets = " + settings.packetAddress;
+    return;
+  }
+  const auto handle = [&parts](const http::Request& aRequest) {
+    return parts.Handle(aRequest);
+  };
+  const auto serve = [&](const std::string& aAddress) {
+    const auto address = ParseTcpEndpoint(aAddress, aError);
+    auto server =
+      std::make_unique<http::Server>(parts.context, address, handle);
+    server->Start();
+    return server;
+  };
+  try {
+    aDetail = "listen.status = " + settings.statusAddress;
+    parts.status = serve(settings.statusAddress);
+    if (!settings.metricsAddress.empty()) {
+      aDetail = "listen.metrics = " + settings.metricsAddress;
+      parts.metricsServer = serve(settings.metricsAddress);
+    }
+  } catch (const boost::system::system_error& failure) {
+    aError = failure.code();
+    return;
+  }
+  LogInfo("started",
+          { { "version", BRAMLEYLOCK_VERSION },
+            { "failure_domain", settings.failureDomain },
+            { "packets", parts.port.Address() },
+            { "peers", settings.peerAddress },
+            { "store", settings.storeAddress } });
+  Spawn(parts.context, "join", parts.Join());
+  Spawn(parts.context, "age", parts.AgeLoop());
+}
+
+auto ForwardingBalancer::Drain() -> void
+{
+  if (m_parts->draining) {
+    return;
+  }
+  m_parts->draining = true;
+  LogInfo("drain-started", { { "flows", std::to_string(
+                                          m_parts->forwarder.Flows().Size()) } });
+  Spawn(m_parts->context, "drain", m_parts->DrainLoop());
+}
+
+auto ForwardingBalancer::Parts::DrainLoop() -> awaitable<void>
+{
+  const auto began = Clock::now();
+  const auto limit = began + Milliseconds(settings.stopMs);
+  if (members) {
+    members->Leave();
+  }
+  co_await Sleep(std::min(kLeastDrain, Milliseconds(settings.stopMs)));
+  while (Clock::now() < limit &&
+         Clock::now() - port.LastPacketAt() < kDrainQuiet) {
+    co_await Sleep(kDrainQuiet / 4);
+  }
+  LogInfo("stopped", { { "forwarded_ms_ago",
+                         std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                          Clock::now() - port.LastPacketAt())
+                                          .count()) } });
+  context.stop();
+}
+
+auto ForwardingBalancer::Reload(const Settings& aSettings) -> void
+{
+  // Addresses stay as they are bound; the rest is what a running process can
+  // take.
+  m_parts->settings.peerSeeds = aSettings.peerSeeds;
+  m_parts->settings.stopMs = aSettings.stopMs;
+  if (m_parts->members) {
+    m_parts->members->SetHints(Hints(aSettings.peerSeeds));
+  }
+}
+
+auto ForwardingBalancer::ReadyLine() const -> std::string
+{
+  const auto endpoint = m_parts->status->Endpoint();
+  return fmt::format("ready vm={} packets={} status={}",
+                     m_parts->settings.vmName, m_parts->port.Address(),
+                     FormatEndpoint(endpoint.address(), endpoint.port()));
+}
+
+static const Registration<DataPathRegistry, ForwardingBalancer> kRegistration(
+  "forward");
+
+} // namespace bramleylock::kernel
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -43,12 +43,12 @@
   {
     const auto node = m_table.at_path(aRow.key);
     if (!node) {
-      if (aRow.byDefault == nullptr) {
+      if (aRow.byDefault == nullptr && Needed(aRow, aSettings)) {
         m_problems.push_back(
           fmt::format("{}: {}: missing; {}", m_name, aRow.key, Allowed(aRow)));
         return;
       }
-      aSettings.*aRow.member = aRow.byDefault;
+      aSettings.*aRow.member = aRow.byDefault == nullptr ? "" : aRow.byDefault;
       return;
     }
     const auto text = node.value<std::string>();
@@ -140,6 +140,11 @@
     return fmt::format("allowed: {}", fmt::join(aRow.choices(), ", "));
   }
 
+  static auto Needed(const TextRow& aRow, const Settings& aSettings) -> bool
+  {
+    return aRow.dataPath == nullptr || aSettings.dataPath == aRow.dataPath;
+  }
+
   static auto Acceptable(const TextRow& aRow, const std::string& aText) -> bool
   {
     std::error_code error;
@@ -273,7 +278,10 @@
         ? std::string()
         : fmt::format(" ({})", fmt::join(row.choices(), ", "));
     add(row.key, row.help + choices,
-        row.byDefault == nullptr ? "\"\"  # required"
+        row.byDefault == nullptr
+          ? (row.dataPath == nullptr
+               ? std::string("\"\"  # required")
+               : fmt::format("\"\"  # required for {}", row.dataPath))
                                  : fmt::format("\"{}\"", row.byDefault));
   }
   for (const auto& row : NumberRows()) {
--- a/lib/Kernel/SettingsSchema.cpp
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -4,7 +4,11 @@
 
 #include "bramleylock/Admission/AdmissionPolicy.h"
 #include "bramleylock/Admission/AllowanceSharing.h"
+#include "bramleylock/Forward/FlowChoice.h"
+#include "bramleylock/Forward/Packet.h"
+#include "bramleylock/Forward/StateSource.h"
 #include "bramleylock/Kernel/CallerEntry.h"
+#include "bramleylock/Kernel/DataPath.h"
 #include "bramleylock/Lists/PlatformStore.h"
 #include "bramleylock/Target/TargetChoice.h"
 #include "bramleylock/Target/TargetTransport.h"
@@ -28,6 +32,10 @@
   return { "loopback", "anywhere" };
 }
 
+/// Names of the data paths, for settings that one of them needs.
+constexpr const char* kRequests = "requests";
+constexpr const char* kForward = "forward";
+
 template<typename AnyRegistry>
 auto NamesOf() -> std::vector<std::string>
 {
@@ -36,15 +44,37 @@
 
 } // namespace
 
-auto TextRows() -> const std::array<TextRow, 21>&
+auto TextRows() -> const std::array<TextRow, 28>&
 {
-  static const std::array<TextRow, 21> kRows{ {
+  static const std::array<TextRow, 28> kRows{ {
+    // First, as it decides which others are needed.
+    { "plugins.data_path", &Settings::dataPath, TextKind::Choice, "requests",
+      NamesOf<DataPathRegistry>,
+      "whether requests are run or flows forwarded" },
+    { "listen.packets", &Settings::packetAddress, TextKind::TcpAddress, nullptr,
+      nullptr, "ip:port for the packets of forwarded flows", kForward },
+    { "listen.status", &Settings::statusAddress, TextKind::TcpAddress, nullptr,
+      nullptr, "ip:port that answers whether packets may be sent here",
+      kForward },
+    { "listen.metrics", &Settings::metricsAddress, TextKind::OptionalTcpAddress,
+      "", nullptr,
+      "ip:port of /metrics on the forwarding path; empty for listen.status "
+      "alone" },
+    { "plugins.packet_codec", &Settings::packetCodec, TextKind::Choice, nullptr,
+      NamesOf<forward::PacketCodecRegistry>, "header of forwarded packets",
+      kForward },
+    { "plugins.state_source", &Settings::stateSource, TextKind::Choice, nullptr,
+      NamesOf<forward::StateSourceRegistry>,
+      "where routes and targets are read", kForward },
+    { "plugins.flow_choice", &Settings::flowChoice, TextKind::Choice,
+      "least-wait", NamesOf<forward::FlowChoiceRegistry>,
+      "how the target of a flow is chosen" },
     { "vm.name", &Settings::vmName, TextKind::Name, nullptr, nullptr,
       "name of this VM in logs and status" },
     { "vm.failure_domain", &Settings::failureDomain, TextKind::Name, nullptr,
       nullptr, "failure domain that this VM stands in" },
     { "listen.callers", &Settings::callerAddress, TextKind::TcpAddress, nullptr,
-      nullptr, "ip:port for callers' datagrams" },
+      nullptr, "ip:port for callers' datagrams", kRequests },
     { "listen.peers", &Settings::peerAddress, TextKind::TcpAddress, nullptr,
       nullptr, "ip:port for the other balancers" },
     { "listen.peers_advertised", &Settings::peerAdvertised,
@@ -54,14 +84,14 @@
     { "peers.seeds", &Settings::peerSeeds, TextKind::TcpAddresses, "", nullptr,
       "peers to ask for lists and keys while the platform does not answer" },
     { "listen.administration", &Settings::adminAddress, TextKind::TcpAddress,
-      nullptr, nullptr, "ip:port of the administration API" },
+      nullptr, nullptr, "ip:port of the administration API", kRequests },
     { "platform.address", &Settings::storeAddress, TextKind::TcpAddress,
       nullptr, nullptr, "ip:port of the platform's key-value service" },
     { "secrets.cluster_key_file", &Settings::clusterKeyFile, TextKind::File,
-      nullptr, nullptr, "file with the 64 hexadecimal digits of the peer key" },
+      nullptr, nullptr, "file with the 64 hexadecimal digits of the peer key", kRequests },
     { "secrets.administration_token_file", &Settings::adminTokenFile,
       TextKind::File, nullptr, nullptr,
-      "file with the bearer token of the administration API" },
+      "file with the bearer token of the administration API", kRequests },
     { "administration.certificate_file", &Settings::adminCertificateFile,
       TextKind::OptionalFile, "", nullptr,
       "certificate chain in PEM, for TLS on listen.administration; empty for "
@@ -93,15 +123,23 @@
   return kRows;
 }
 
-auto NumberRows() -> const std::array<NumberRow, 4>&
+auto NumberRows() -> const std::array<NumberRow, 8>&
 {
-  static const std::array<NumberRow, 4> kRows{ {
+  static const std::array<NumberRow, 8> kRows{ {
     { "flows.idle_seconds", &Settings::idleFlowSeconds, 600, 1, 86400, "s",
       "a flow without requests is forgotten after this time" },
     { "flows.drain_seconds", &Settings::drainSeconds, 60, 1, 3600, "s",
       "longest time that a planned stop waits for requests in flight" },
     { "listen.receive_buffer_bytes", &Settings::receiveBufferBytes, 8388608,
       65536, 1073741824, "bytes", "socket buffer for callers' datagrams" },
+    { "forward.renewal_ms", &Settings::renewalMs, 1200, 100, 60000, "ms",
+      "how often targets renew their entries" },
+    { "forward.longest_flow_seconds", &Settings::longestFlowSeconds, 60, 1,
+      86400, "s", "an older flow may be forgotten" },
+    { "forward.stop_ms", &Settings::stopMs, 4000, 0, 600000, "ms",
+      "longest time that a planned stop goes on forwarding" },
+    { "log.records_per_second", &Settings::logRecordsPerSecond, 20, 1, 100000,
+      "1/s", "records of one event that are written in one second" },
     { "vm.seed", &Settings::seed, 0, 0, 9223372036854775807, "",
       "seed of choices between targets; 0 takes one from the system" },
   } };
--- a/lib/Kernel/SettingsSchema.h
+++ b/lib/Kernel/SettingsSchema.h
@@ -29,6 +29,8 @@
   const char* byDefault;
   std::vector<std::string> (*choices)();
   const char* help;
+  /// The data path that needs it, where only one does.
+  const char* dataPath = nullptr;
 };
 
 struct NumberRow
@@ -42,8 +44,8 @@
   const char* help;
 };
 
-auto TextRows() -> const std::array<TextRow, 21>&;
+auto TextRows() -> const std::array<TextRow, 28>&;
 
-auto NumberRows() -> const std::array<NumberRow, 4>&;
+auto NumberRows() -> const std::array<NumberRow, 8>&;
 
 } // namespace bramleylock::kernel
--- a/lib/Support/Counters.cpp
+++ b/lib/Support/Counters.cpp
@@ -90,14 +90,18 @@
       previous = row.metric;
     }
     const auto summary = aMetrics.Summary(row.latency);
+    const std::string_view comma = row.labels.empty() ? "" : ",";
     if (summary.count > 0) {
-      text += fmt::format("bramleylock_{0}{{{1},quantile=\"0.5\"}} {2}\n"
-                          "bramleylock_{0}{{{1},quantile=\"0.99\"}} {3}\n",
-                          row.metric, row.labels, summary.median, summary.p99);
+      text += fmt::format("bramleylock_{0}{{{1}{4}quantile=\"0.5\"}} {2}\n"
+                          "bramleylock_{0}{{{1}{4}quantile=\"0.99\"}} {3}\n",
+                          row.metric, row.labels, summary.median, summary.p99,
+                          comma);
     }
-    text += fmt::format("bramleylock_{0}_sum{{{1}}} {2}\n"
-                        "bramleylock_{0}_count{{{1}}} {3}\n",
-                        row.metric, row.labels, summary.sum, summary.count);
+    const auto labels =
+      row.labels.empty() ? std::string() : fmt::format("{{{}}}", row.labels);
+    text += fmt::format("bramleylock_{0}_sum{1} {2}\n"
+                        "bramleylock_{0}_count{1} {3}\n",
+                        row.metric, labels, summary.sum, summary.count);
   }
   return text;
 }
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -6,15 +6,15 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <map>
 
 namespace bramleylock {
 
-/// Records of one event that are written in one second before dropping starts.
-static constexpr int kRecordsPerSecond = 20;
-
 namespace {
 
 struct EventRate
@@ -24,40 +24,94 @@
   int dropped = 0;
 };
 
+struct LogState
+{
+  LogOptions options;
+  std::map<std::string, EventRate, std::less<>> rates;
+  std::uint64_t dropped = 0;
+};
+
 } // namespace
 
-static auto Options() -> LogOptions&
+static auto State() -> LogState&
 {
-  static LogOptions options;
-  return options;
+  static LogState state;
+  return state;
+}
+
+static auto Options() -> const LogOptions&
+{
+  return State().options;
 }
 
 auto ConfigureLog(LogOptions aOptions) -> void
 {
-  Options() = std::move(aOptions);
+  State().options = std::move(aOptions);
 }
 
-/// Whether a record may be written now; aDropped gets how many were not.
-static auto TakeAllowance(std::string_view aEvent, std::int64_t aSecond,
-                          int& aDropped) -> bool
+auto LogRecordsDropped() -> std::uint64_t
 {
-  static std::map<std::string, EventRate, std::less<>> rates;
+  return State().dropped;
+}
+
+static auto RateOf(std::string_view aEvent) -> EventRate&
+{
+  auto& rates = State().rates;
   auto found = rates.find(aEvent);
   if (found == rates.end()) {
     found = rates.emplace(std::string(aEvent), EventRate{}).first;
   }
-  auto& rate = found->second;
-  if (rate.second != aSecond) {
-    rate.second = aSecond;
-    rate.written = 0;
+  return found->second;
+}
+
+static auto NoteDropped(EventRate& aRate) -> void
+{
+  ++aRate.dropped;
+  ++State().dropped;
+}
+
+/// Whether the budget of this second has room for one more record.
+static auto HasAllowance(EventRate& aRate, std::int64_t aSecond) -> bool
+{
+  if (aRate.second != aSecond) {
+    aRate.second = aSecond;
+    aRate.written = 0;
+  }
+  return aRate.written < Options().recordsPerSecond;
+}
+
+static auto SecondOf(std::chrono::system_clock::time_point aTime)
+  -> std::chrono::seconds
+{
+  return std::chrono::time_point_cast<std::chrono::seconds>(aTime)
+    .time_since_epoch();
+}
+
+auto WouldLog(LogLevel aLevel, std::string_view aEvent) -> bool
+{
+  if (aLevel < Options().lowest) {
+    return false;
   }
-  if (rate.written >= kRecordsPerSecond) {
-    ++rate.dropped;
+  auto& rate = RateOf(aEvent);
+  const auto now = SecondOf(std::chrono::system_clock::now());
+  if (HasAllowance(rate, now.count())) {
+    return true;
+  }
+  NoteDropped(rate);
+  return false;
+}
+
+/// Writes a line if the reader has room for it. A pipe that polls writable
+/// takes PIPE_BUF bytes without blocking.
+static auto WriteLine(const std::string& aLine) -> bool
+{
+  pollfd descriptor{ Options().descriptor, POLLOUT, 0 };
+  if (aLine.size() > PIPE_BUF || ::poll(&descriptor, 1, 0) != 1 ||
+      (descriptor.revents & POLLOUT) == 0) {
     return false;
   }
-  ++rate.written;
-  aDropped = std::exchange(rate.dropped, 0);
-  return true;
+  return ::write(Options().descriptor, aLine.data(), aLine.size()) ==
+         static_cast<ssize_t>(aLine.size());
 }
 
 static auto FormatJson(LogLevel aLevel, std::string_view aEvent,
@@ -103,21 +157,27 @@
     return;
   }
   const auto now = std::chrono::system_clock::now();
-  const auto seconds =
-    std::chrono::time_point_cast<std::chrono::seconds>(now).time_since_epoch();
-  int dropped = 0;
-  if (!TakeAllowance(aEvent, seconds.count(), dropped)) {
+  const auto seconds = SecondOf(now);
+  auto& rate = RateOf(aEvent);
+  if (!HasAllowance(rate, seconds.count())) {
+    NoteDropped(rate);
     return;
   }
+  ++rate.written;
   const auto millis =
     std::chrono::time_point_cast<std::chrono::milliseconds>(now);
   const auto time =
     fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds.count()),
                 millis.time_since_epoch().count() % 1000);
-  const auto line = Options().json
-                      ? FormatJson(aLevel, aEvent, time, aFields, dropped)
-                      : FormatText(aLevel, aEvent, time, aFields, dropped);
-  fmt::print(stderr, "{}\n", line);
+  const auto line =
+    Options().json
+      ? FormatJson(aLevel, aEvent, time, aFields, rate.dropped)
+      : FormatText(aLevel, aEvent, time, aFields, rate.dropped);
+  if (WriteLine(line + "\n")) {
+    rate.dropped = 0;
+  } else {
+    NoteDropped(rate);
+  }
 }
 
 } // namespace bramleylock
--- a/tools/bramleylockd/main.cpp
+++ b/tools/bramleylockd/main.cpp
@@ -1,6 +1,6 @@
 // bramleylockd: the balancer.
 
-#include "bramleylock/Kernel/Balancer.h"
+#include "bramleylock/Kernel/DataPath.h"
 #include "bramleylock/Support/Log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -30,18 +32,67 @@
   bramleylockd --config balancer.toml --check
   bramleylockd --config balancer.toml
 
-SIGTERM and SIGINT are planned stops: requests in flight end first.
+SIGTERM and SIGINT are planned stops: requests in flight end first. SIGHUP
+reads the settings again. Logs go to standard output.
 Exit codes: 0 stopped as planned, 2 wrong command line, 3 invalid settings,
 4 cannot start.
 )";
 
-static auto Run(const bramleylock::kernel::Settings& aSettings) -> int
+static auto ApplyLogSettings(const bramleylock::kernel::Settings& aSettings)
+  -> void
 {
   using namespace bramleylock;
   ConfigureLog({ *ValueOf(kLogLevelNames, aSettings.logLevel),
-                 aSettings.logFormat == "json", aSettings.vmName });
+                 aSettings.logFormat == "json", aSettings.vmName,
+                 STDOUT_FILENO,
+                 static_cast<int>(aSettings.logRecordsPerSecond) });
+}
+
+/// Reads the settings again. Invalid ones leave those in force as they are.
+static auto Reload(const std::string& aFile,
+                   bramleylock::kernel::DataPath& aBalancer) -> void
+{
+  using namespace bramleylock;
+  std::error_code error;
+  std::vector<std::string> problems;
+  const auto settings = kernel::LoadSettings(aFile, error, problems);
+  if (error) {
+    for (const auto& problem : problems) {
+      LogError("reload-refused", { { "problem", problem } });
+    }
+    return;
+  }
+  ApplyLogSettings(settings);
+  aBalancer.Reload(settings);
+  LogInfo("reloaded", { { "file", aFile } });
+}
+
+static auto ReloadOnHangup(bramleylock::asio::signal_set& aHangups,
+                           const std::string& aFile,
+                           bramleylock::kernel::DataPath& aBalancer) -> void
+{
+  aHangups.async_wait(
+    [&aHangups, &aFile, &aBalancer](const boost::system::error_code& aError,
+                                    int) {
+      if (!aError) {
+        Reload(aFile, aBalancer);
+        ReloadOnHangup(aHangups, aFile, aBalancer);
+      }
+    });
+}
+
+static auto Run(const bramleylock::kernel::Settings& aSettings,
+                const std::string& aFile) -> int
+{
+  using namespace bramleylock;
+  ApplyLogSettings(aSettings);
   asio::io_context context(1);
-  kernel::Balancer balancer(context, aSettings);
+  // Before anything else starts, so that no signal ends the process.
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  asio::signal_set hangups(context, SIGHUP);
+  const auto made = kernel::DataPathRegistry::Instance().Create(
+    aSettings.dataPath, context, aSettings);
+  auto& balancer = *made;
   std::error_code error;
   std::string detail;
   balancer.Start(error, detail);
@@ -50,7 +101,7 @@
              { { "why", error.message() }, { "detail", detail } });
     return CannotStart;
   }
-  asio::signal_set signals(context, SIGTERM, SIGINT);
+  ReloadOnHangup(hangups, aFile, balancer);
   signals.async_wait([&balancer](const boost::system::error_code& aError, int) {
     if (!aError) {
       balancer.Drain();
@@ -106,7 +157,7 @@
       std::cerr << "bramleylockd: libsodium cannot start\n";
       return CannotStart;
     }
-    return Run(settings);
+    return Run(settings, parsed["config"].as<std::string>());
   } catch (const cxxopts::exceptions::exception& failure) {
     std::cerr << "bramleylockd: " << failure.what() << "; see --help\n";
     return Usage;
