Repeat unanswered first packets, share silence, keep to a share of the slots

First packets that came before the routes were known were refused.

Now a first packet without an answer is sent again after 60 ms, elsewhere when its target answers nobody; the balancer that notices tells the others and connects to the target until it accepts. First packets wait while routes are unknown or this balancer has used its share of the slots.

--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -18,7 +18,6 @@
 {
   std::uint32_t slots = 1;
   std::uint32_t inFlight = 0;
-  std::uint32_t peersInFlight = 0;
   bool sameDomain = true;
   /// Still slow after its start.
   bool cold = false;
@@ -30,16 +29,25 @@
 {
   None,
   NoTarget,
-  /// Every target has as much as it can hold.
-  Full
+  /// The targets have more than they can work on soon.
+  Busy
 };
 
 inline constexpr std::array<NameRow<RefusalReason>, 3> kRefusalReasonNames{ {
   { RefusalReason::None, "none" },
   { RefusalReason::NoTarget, "no-target" },
-  { RefusalReason::Full, "full" },
+  { RefusalReason::Busy, "busy" },
 } };
 
+/// What a choice is made from.
+struct ChoiceInput
+{
+  std::vector<Candidate> candidates;
+  RequestKind kind = RequestKind::Idempotent;
+  /// Balancers that share the targets, this one too.
+  std::size_t balancers = 1;
+};
+
 /// The index of the chosen candidate, or why there is none.
 struct FlowDecision
 {
@@ -53,8 +61,8 @@
 public:
   virtual ~FlowChoice() = default;
 
-  virtual auto Choose(const std::vector<Candidate>& aCandidates,
-                      RequestKind aKind, Random& aRandom) -> FlowDecision = 0;
+  virtual auto Choose(const ChoiceInput& aInput, Random& aRandom)
+    -> FlowDecision = 0;
 };
 
 using FlowChoiceRegistry = Registry<FlowChoice>;
--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <string>
 #include <unordered_map>
 
 #include "bramleylock/Forward/TargetDirectory.h"
@@ -24,6 +25,8 @@
   bool confirmed = false;
   /// Counted in the target's evidence.
   bool counted = false;
+  /// The first packet, until a target has answered it.
+  std::string opening;
 };
 
 /// Bounded; the flow that was quiet for longest goes first.
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -1,11 +1,16 @@
 // What is done with each packet of a client.
 #pragma once
 
+#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "bramleylock/Forward/FlowChoice.h"
 #include "bramleylock/Forward/FlowTable.h"
+#include "bramleylock/Forward/OpeningQueue.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Forward/TargetDirectory.h"
 #include "bramleylock/Support/Counters.h"
@@ -25,6 +30,9 @@
 
   virtual auto ToClient(const Address& aClient, std::string aPacket)
     -> void = 0;
+
+  /// Sends what was given.
+  virtual auto Flush() -> void = 0;
 };
 
 struct ForwarderOptions
@@ -44,30 +52,69 @@
             TargetDirectory& aTargets, FlowChoice& aChoice, PacketSink& aSink,
             Metrics& aMetrics, ForwarderOptions aOptions);
 
-  /// Takes one datagram; its tag may be written.
+  /// Takes one datagram; its tag may be written. What goes out for it waits
+  /// for the sink's Flush.
   auto OnDatagram(char* aData, std::size_t aSize, Clock::time_point aNow)
     -> void;
 
   /// Ages what is in flight and forgets targets that left long ago.
   auto Expire(Clock::time_point aNow) -> void;
 
-  /// Takes the word of a reader that aTarget's entry was renewed at aAt, which
-  /// clears it of silence that began before.
-  static auto TakeSignOfLife(DirectoryEntry& aTarget, Clock::time_point aAt)
-    -> void;
+  /// Tries first packets that wait, as after a change of routes or targets,
+  /// and flushes the sink.
+  auto ServeWaiting(Clock::time_point aNow) -> void;
+
+  /// Sends the first packets again that no target answered in time, and
+  /// flushes the sink; to be called when no packet waits to be read.
+  auto RepeatUnanswered(Clock::time_point aNow) -> void;
+
+  /// Sets who is told of a target that does not answer.
+  auto OnSilent(std::function<void(DirectoryEntry&)> aListener) -> void;
+
+  /// Sets how many balancers share the targets, this one too.
+  auto SetBalancers(std::size_t aCount) -> void;
 
   auto Flows() const -> const FlowTable&;
+  auto Waiting() const -> std::size_t;
 
 private:
+  /// A target, or why there is none now.
+  struct Placement
+  {
+    DirectoryEntry* target = nullptr;
+    RefusalReason refusal = RefusalReason::None;
+  };
+
+  struct UnansweredFlow
+  {
+    FlowId flow;
+    Clock::time_point sentAt{};
+    bool repeated = false;
+  };
+
   auto OnOpening(const Packet& aPacket, char* aData, std::size_t aSize,
                  Clock::time_point aNow) -> void;
   auto OnOpenFlow(const Packet& aPacket, char* aData, std::size_t aSize,
                   Clock::time_point aNow) -> void;
-  auto OnCopy(TrackedFlow& aFlow, const Packet& aPacket,
+  auto OnCopy(TrackedFlow& aFlow, const Packet& aPacket, const Route& aRoute,
               Clock::time_point aNow) -> DirectoryEntry*;
-  auto Choose(const Packet& aPacket, const Route& aRoute,
-              const DirectoryEntry* aAvoided, Clock::time_point aNow)
-    -> DirectoryEntry*;
+  auto Place(const Packet& aPacket, const Route& aRoute,
+             const DirectoryEntry* aAvoided, Clock::time_point aNow)
+    -> Placement;
+  auto LogOpened(const Packet& aPacket, const Route& aRoute,
+                 const DirectoryEntry& aTarget, std::size_t aCandidates,
+                 Clock::time_point aNow) -> void;
+  auto Wait(const Packet& aPacket, const char* aData, std::size_t aSize,
+            std::uint32_t aUrgency, Clock::time_point aNow) -> void;
+  auto WaitingLimit(const std::string& aService, Clock::time_point aNow)
+    -> std::size_t;
+  auto OpenAt(DirectoryEntry& aTarget, const Packet& aPacket, char* aData,
+              std::size_t aSize, Clock::time_point aNow) -> void;
+  auto ServeQueue(const std::string& aService, OpeningQueue& aQueue,
+                  std::vector<WaitingOpening>& aServed, Clock::time_point aNow)
+    -> void;
+  auto Repeat(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+  auto RefuseOld(Clock::time_point aNow) -> void;
   auto Confirm(TrackedFlow& aFlow, DirectoryEntry& aTarget,
                Clock::time_point aNow) -> void;
   auto TakeProgress(TrackedFlow& aFlow, DirectoryEntry& aTarget,
@@ -85,6 +132,13 @@
   ForwarderOptions m_options;
   FlowTable m_flows;
   Random m_random;
+  /// First packets that wait, by service; under no name those that came before
+  /// any route was known.
+  std::map<std::string, OpeningQueue> m_waiting;
+  std::size_t m_balancers = 1;
+  /// Flows whose first packet was sent, the oldest first.
+  std::deque<UnansweredFlow> m_unanswered;
+  std::function<void(DirectoryEntry&)> m_onSilent = [](DirectoryEntry&) {};
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -2,6 +2,7 @@
 // news change them.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -25,10 +26,8 @@
   std::vector<RouteSet> routes;
   std::vector<TargetRecord> targets;
   std::vector<RemovedTarget> removed;
-  /// Ready targets whose entries were not renewed lately.
-  std::vector<std::string> unrenewed;
   MSGPACK_DEFINE_ARRAY(base, revision, routesVersion, ageMs, routes, targets,
-                       removed, unrenewed)
+                       removed)
 };
 
 /// Asks a peer for everything that it has beyond this.
@@ -44,9 +43,8 @@
 class RoutingState
 {
 public:
-  /// aRenewal is how often targets renew their entries.
   RoutingState(RouteTable& aRoutes, TargetDirectory& aTargets,
-               Metrics& aMetrics, Milliseconds aRenewal);
+               Metrics& aMetrics);
 
   /// Takes a reading that began at aReadAt; aWhole when it is all that exists.
   /// aStoreTroubled says that the store failed shortly before. Returns the news
@@ -63,6 +61,9 @@
   auto Answer(const RoutingRequest& aRequest, Clock::time_point aNow)
     -> RoutingNews;
 
+  /// Sets who is told after each reading and news.
+  auto OnChange(std::function<void()> aListener) -> void;
+
   /// Routes and targets are known.
   auto Complete() const -> bool;
 
@@ -81,13 +82,12 @@
   auto MissingFrom(const std::vector<TargetRecord>& aShown,
                    std::uint64_t aRevision, bool aMayReturn)
     -> std::vector<RemovedTarget>;
-  auto Unrenewed(Clock::time_point aNow) -> std::vector<std::string>;
   auto Advance(std::uint64_t aRevision, Clock::time_point aReadAt) -> void;
 
   RouteTable& m_routes;
   TargetDirectory& m_targets;
   Metrics& m_metrics;
-  Milliseconds m_renewal;
+  std::function<void()> m_listener = [] {};
   std::uint64_t m_revision = 0;
   Clock::time_point m_readAt{};
 };
--- /dev/null
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -0,0 +1,54 @@
+// Finds out whether targets that did not answer are gone, and shares it.
+#pragma once
+
+#include <string>
+
+#include "bramleylock/Forward/TargetDirectory.h"
+#include "bramleylock/Peer/Membership.h"
+#include "bramleylock/Peer/PeerLinks.h"
+
+namespace bramleylock::forward {
+
+/// What one balancer tells the others of a target.
+struct SilenceNews
+{
+  TargetTag tag = 0;
+  bool silent = false;
+  MSGPACK_DEFINE_ARRAY(tag, silent)
+};
+
+/// The balancer that noticed the silence tells the others and connects to the
+/// target until it accepts, so that no client's flow is spent on finding out.
+class SilenceWatch
+{
+public:
+  SilenceWatch(asio::io_context& aContext, TargetDirectory& aTargets,
+               peer::PeerLinks& aLinks, peer::Membership& aMembers,
+               Metrics& aMetrics);
+
+  /// Starts handling messages.
+  auto Start() -> void;
+
+  /// Takes a target that this balancer found silent.
+  auto OnSilent(DirectoryEntry& aTarget) -> void;
+
+private:
+  auto ProbeLoop(TargetTag aTag) -> awaitable<void>;
+  auto Accepts(Address aAddress) -> awaitable<bool>;
+  auto Tell(const SilenceNews& aNews) -> void;
+  auto TakeNews(const std::string& aPeer, const SilenceNews& aNews) -> void;
+
+  asio::io_context& m_context;
+  TargetDirectory& m_targets;
+  peer::PeerLinks& m_links;
+  peer::Membership& m_members;
+  Metrics& m_metrics;
+};
+
+/// Marks aTarget silent from aNow on; false when it was already.
+auto MarkSilent(TargetEvidence& aEvidence, Clock::time_point aNow) -> bool;
+
+/// Whether aTarget is to be left alone for its silence.
+auto IsSilent(const TargetEvidence& aEvidence, Clock::time_point aNow) -> bool;
+
+} // namespace bramleylock::forward
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -16,9 +16,10 @@
 /// domain reads the store.
 auto ReadAfter(std::size_t aRank) -> Milliseconds;
 
-/// Balancers of a failure domain take turns by rank: the first reads at a fixed
-/// pace and tells the others; each further one reads only when that news is
-/// late by its rank. So nobody is elected, and nobody has to notice a failure.
+/// Balancers of a failure domain take turns by rank: the first holds a watch
+/// and tells the others at its every return, also when nothing changed; each
+/// further one reads only when that news is late by its rank. So nobody is
+/// elected, and nobody has to notice a failure.
 class StateReader
 {
 public:
@@ -57,7 +58,6 @@
   Clock::time_point m_failedAt{};
   Clock::time_point m_retryAt{};
   Clock::time_point m_askedAt{};
-  Clock::time_point m_turnLogged{};
   std::size_t m_lastRank = ~std::size_t{ 0 };
 };
 
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -63,11 +63,8 @@
 {
   /// Flows that were opened here and have not ended.
   std::uint32_t inFlight = 0;
-  /// The same at the other balancers, as far as they told.
-  std::uint32_t peersInFlight = 0;
-  /// When the first flow was opened that no later answer followed; the epoch
-  /// when there is none.
-  Clock::time_point unansweredSince{};
+  /// When it was found not to answer; the epoch while it does.
+  Clock::time_point silentSince{};
   /// When a client last showed that the target answers.
   Clock::time_point answeredAt{};
 };
@@ -122,6 +119,9 @@
 
   auto Find(const std::string& aId) -> DirectoryEntry*;
 
+  /// Some target with aTag, or null.
+  auto FindTag(TargetTag aTag) -> DirectoryEntry*;
+
   /// All incarnations, the latest of each id first.
   auto All() -> std::vector<DirectoryEntry*>;
 
--- a/include/bramleylock/Kernel/PacketPort.h
+++ b/include/bramleylock/Kernel/PacketPort.h
@@ -23,13 +23,16 @@
   PacketPort(asio::io_context& aContext, Metrics& aMetrics);
   ~PacketPort() override;
 
+  /// aOnIdle is called whenever no more datagrams wait.
   auto Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
-             Handler aHandler, std::error_code& aError) -> void;
+             Handler aHandler, std::function<void()> aOnIdle,
+             std::error_code& aError) -> void;
 
   auto ToTarget(const forward::DirectoryEntry& aTarget, const char* aData,
                 std::size_t aSize) -> void override;
   auto ToClient(const forward::Address& aClient, std::string aPacket)
     -> void override;
+  auto Flush() -> void override;
 
   /// When the last datagram came.
   auto LastPacketAt() const -> Clock::time_point;
@@ -41,12 +44,12 @@
 
   auto ReceiveLoop() -> awaitable<void>;
   auto ReceiveBatch() -> std::size_t;
-  auto Flush() -> void;
 
   asio::io_context& m_context;
   Metrics& m_metrics;
   Udp::socket m_socket;
   Handler m_handler;
+  std::function<void()> m_onIdle;
   std::unique_ptr<Buffers> m_buffers;
   std::uint16_t m_port = 0;
   Clock::time_point m_lastPacketAt{};
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -51,7 +51,6 @@
   std::int64_t drainSeconds = 0;
   std::int64_t receiveBufferBytes = 0;
   std::int64_t seed = 0;
-  std::int64_t renewalMs = 0;
   std::int64_t longestFlowSeconds = 0;
   std::int64_t stopMs = 0;
   std::int64_t logRecordsPerSecond = 0;
--- a/include/bramleylock/Support/Counters.h
+++ b/include/bramleylock/Support/Counters.h
@@ -113,11 +113,16 @@
   DomainsLost,
   FlowRefusedNoRoute,
   FlowRefusedNoTarget,
-  FlowRefusedFull,
+  FlowRefusedQueueFull,
+  FlowRefusedWaited,
+  FlowWaited,
   FlowRouteRemoved,
   FlowTargetDead,
   FlowCopies,
   FlowMoved,
+  FlowRepeated,
+  TargetSilentFound,
+  TargetProbes,
   PacketTagUnknown,
   PacketRouteUnknown,
   PacketSendFailed,
@@ -235,11 +240,16 @@
   { Counter::DomainsLost, "domains_lost" },
   { Counter::FlowRefusedNoRoute, "flow_refused_no_route" },
   { Counter::FlowRefusedNoTarget, "flow_refused_no_target" },
-  { Counter::FlowRefusedFull, "flow_refused_full" },
+  { Counter::FlowRefusedQueueFull, "flow_refused_queue_full" },
+  { Counter::FlowRefusedWaited, "flow_refused_waited" },
+  { Counter::FlowWaited, "flow_waited" },
   { Counter::FlowRouteRemoved, "flow_route_removed" },
   { Counter::FlowTargetDead, "flow_target_dead" },
   { Counter::FlowCopies, "flow_copies" },
   { Counter::FlowMoved, "flow_moved" },
+  { Counter::FlowRepeated, "flow_repeated" },
+  { Counter::TargetSilentFound, "target_silent_found" },
+  { Counter::TargetProbes, "target_probes" },
   { Counter::PacketTagUnknown, "packet_tag_unknown" },
   { Counter::PacketRouteUnknown, "packet_route_unknown" },
   { Counter::PacketSendFailed, "packet_send_failed" },
@@ -271,6 +281,7 @@
   TargetNormal,
   TargetBulk,
   FlowOpening,
+  FlowWait,
   StoreCall,
   StateInForce
 };
@@ -283,7 +294,7 @@
   std::string_view labels;
 };
 
-inline constexpr std::array<LatencyRow, 14> kLatencyRows{ {
+inline constexpr std::array<LatencyRow, 15> kLatencyRows{ {
   { Latency::AnsweredUrgent, "request_seconds",
     R"(outcome="answered",urgency="urgent")" },
   { Latency::AnsweredNormal, "request_seconds",
@@ -299,6 +310,7 @@
   { Latency::TargetNormal, "target_seconds", R"(urgency="normal")" },
   { Latency::TargetBulk, "target_seconds", R"(urgency="bulk")" },
   { Latency::FlowOpening, "flow_opening_seconds", "" },
+  { Latency::FlowWait, "flow_wait_seconds", "" },
   { Latency::StoreCall, "store_call_seconds", "" },
   { Latency::StateInForce, "state_in_force_seconds", "" },
 } };
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -39,7 +39,7 @@
   AllowanceGrant,
   Routing,
   RoutingRequest,
-  FlowLoad
+  TargetSilence
 };
 
 inline constexpr std::array<NameRow<MessageType>, 24> kMessageTypeNames{ {
@@ -66,7 +66,7 @@
   { MessageType::AllowanceGrant, "allowance-grant" },
   { MessageType::Routing, "routing" },
   { MessageType::RoutingRequest, "routing-request" },
-  { MessageType::FlowLoad, "flow-load" },
+  { MessageType::TargetSilence, "target-silence" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
--- a/lib/Forward/FlowChoice.cpp
+++ b/lib/Forward/FlowChoice.cpp
@@ -14,8 +14,16 @@
 /// milliseconds more, and bytes between domains are paid for.
 static constexpr double kOtherDomainCost = 0.5;
 
-/// Flows that a target holds beyond its slots before it answers no more.
-static constexpr std::uint32_t kQueuedFlows = 8;
+/// A target with this many flows for each slot makes the next one wait for a
+/// whole service time; it waits better here, where the order can still change
+/// and any target that gets free can take it.
+static constexpr std::uint32_t kFlowsPerSlot = 2;
+
+/// The same for all targets together, as this balancer's share of their slots.
+/// Beyond it the targets are crowded even if those that this balancer knows
+/// look free.
+static constexpr double kFlowsPerSharedSlot = 2;
+static constexpr double kLeastShare = 4;
 
 /// Above this share of silent targets the fault is taken to be on this side,
 /// and silence says nothing about any of them.
@@ -37,7 +45,7 @@
 auto CostOf(const Candidate& aCandidate) -> double
 {
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
-  const double flows = aCandidate.inFlight + aCandidate.peersInFlight;
+  const double flows = aCandidate.inFlight;
   const double work = aCandidate.cold ? kColdFactor : 1.0;
   const double wait = std::max(0.0, flows + 1 - slots) / slots * work;
   const double load = flows / slots;
@@ -47,25 +55,42 @@
          (aCandidate.sameDomain ? 0 : kOtherDomainCost);
 }
 
+/// Whether this balancer has as many flows in flight as its share allows.
+auto ShareIsUsed(const ChoiceInput& aInput, bool aSilenceCounts) -> bool
+{
+  double slots = 0;
+  double flows = 0;
+  for (const auto& candidate : aInput.candidates) {
+    if (!aSilenceCounts || !candidate.silent) {
+      slots += candidate.slots;
+      flows += candidate.inFlight;
+    }
+  }
+  const double share = slots / static_cast<double>(aInput.balancers);
+  return flows >= std::max(kLeastShare, kFlowsPerSharedSlot * share);
+}
+
 /// The least cost; equal ones by chance.
 class LeastWait : public FlowChoice
 {
 public:
-  auto Choose(const std::vector<Candidate>& aCandidates, RequestKind,
-              Random& aRandom) -> FlowDecision override
+  auto Choose(const ChoiceInput& aInput, Random& aRandom)
+    -> FlowDecision override
   {
-    if (aCandidates.empty()) {
+    if (aInput.candidates.empty()) {
       return { std::nullopt, RefusalReason::NoTarget };
     }
-    const bool silenceCounts = SilenceCounts(aCandidates);
-    FlowDecision decision{ std::nullopt, RefusalReason::Full };
+    const bool silenceCounts = SilenceCounts(aInput.candidates);
+    FlowDecision decision{ std::nullopt, RefusalReason::Busy };
+    if (ShareIsUsed(aInput, silenceCounts)) {
+      return decision;
+    }
     double least = 0;
     std::uint64_t ties = 0;
-    for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-      const auto& candidate = aCandidates[index];
-      const auto flows = candidate.inFlight + candidate.peersInFlight;
+    for (std::size_t index = 0; index < aInput.candidates.size(); ++index) {
+      const auto& candidate = aInput.candidates[index];
       if ((silenceCounts && candidate.silent) ||
-          flows >= candidate.slots + kQueuedFlows) {
+          candidate.inFlight >= candidate.slots * kFlowsPerSlot) {
         continue;
       }
       const auto cost = CostOf(candidate);
@@ -87,13 +112,13 @@
 class RandomTarget : public FlowChoice
 {
 public:
-  auto Choose(const std::vector<Candidate>& aCandidates, RequestKind,
-              Random& aRandom) -> FlowDecision override
+  auto Choose(const ChoiceInput& aInput, Random& aRandom)
+    -> FlowDecision override
   {
     std::vector<std::size_t> near;
     std::vector<std::size_t> far;
-    for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-      const auto& candidate = aCandidates[index];
+    for (std::size_t index = 0; index < aInput.candidates.size(); ++index) {
+      const auto& candidate = aInput.candidates[index];
       if (!candidate.silent) {
         (candidate.sameDomain ? near : far).push_back(index);
       }
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -2,10 +2,13 @@
 
 #include "bramleylock/Forward/Forwarder.h"
 
+#include "bramleylock/Forward/SilenceWatch.h"
 #include "bramleylock/Support/Log.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace bramleylock::forward {
 
 /// Flows tracked at a time: 98 million open flows on 12,000 nodes are 8,200
@@ -20,9 +23,18 @@
 /// The longest work of the platform's requests takes 400 ms.
 static constexpr Milliseconds kQuiet{ 800 };
 
-/// Silence that nothing confirms is forgotten after this time, so that a
-/// target cannot stay unused on old evidence alone.
-static constexpr Milliseconds kSilenceKept{ 4000 };
+/// A client gives up an attempt 1.4 s after its first packet; what has waited
+/// this long is refused, so that the client hears before it gives up by itself.
+static constexpr Milliseconds kLongestWait{ 1200 };
+
+/// First packets that may wait for each slot of a service, over all balancers:
+/// a slot serves 15 to 30 in the longest wait.
+static constexpr std::size_t kWaitingPerSlot = 16;
+static constexpr std::size_t kLeastWaiting = 8;
+
+/// First packets that may wait while no routes are known: a second of the
+/// traffic of a small machine.
+static constexpr std::size_t kWaitingForRoutes = 256;
 
 Forwarder::Forwarder(const PacketCodec& aCodec, RouteTable& aRoutes,
                      TargetDirectory& aTargets, FlowChoice& aChoice,
@@ -40,35 +52,6 @@
 {
 }
 
-static auto IsSilent(const TargetEvidence& aEvidence, Clock::time_point aNow)
-  -> bool
-{
-  if (aEvidence.unansweredSince == Clock::time_point{}) {
-    return false;
-  }
-  const auto silence = aNow - aEvidence.unansweredSince;
-  return silence > kAnswerLimit && silence < kSilenceKept;
-}
-
-static auto NoteOpened(DirectoryEntry& aTarget, Clock::time_point aNow) -> void
-{
-  auto& evidence = aTarget.evidence;
-  if (evidence.unansweredSince == Clock::time_point{} ||
-      aNow - evidence.unansweredSince >= kSilenceKept) {
-    evidence.unansweredSince = aNow;
-  }
-}
-
-auto Forwarder::TakeSignOfLife(DirectoryEntry& aTarget, Clock::time_point aAt)
-  -> void
-{
-  auto& evidence = aTarget.evidence;
-  if (evidence.unansweredSince != Clock::time_point{} &&
-      evidence.unansweredSince < aAt) {
-    evidence.unansweredSince = {};
-  }
-}
-
 /// The fields by which a flow is found in the clients' and targets' logs.
 static auto FlowText(const FlowId& aFlow) -> std::string
 {
@@ -93,8 +76,11 @@
   }
   if (packet->opens) {
     OnOpening(*packet, aData, aSize, aNow);
-  } else {
-    OnOpenFlow(*packet, aData, aSize, aNow);
+    return;
+  }
+  OnOpenFlow(*packet, aData, aSize, aNow);
+  if (packet->ends && !m_waiting.empty()) {
+    ServeWaiting(aNow);
   }
 }
 
@@ -113,89 +99,146 @@
   m_sink.ToClient(aPacket.flow.client, m_codec.MakeReset(aPacket));
 }
 
-auto Forwarder::Choose(const Packet& aPacket, const Route& aRoute,
-                       const DirectoryEntry* aAvoided, Clock::time_point aNow)
-  -> DirectoryEntry*
+auto Forwarder::LogOpened(const Packet& aPacket, const Route& aRoute,
+                          const DirectoryEntry& aTarget,
+                          std::size_t aCandidates, Clock::time_point aNow)
+  -> void
+{
+  if (!WouldLog(LogLevel::Info, "flow-opened")) {
+    return;
+  }
+  const auto& evidence = aTarget.evidence;
+  LogInfo("flow-opened",
+          { { "flow", FlowText(aPacket.flow) },
+            { "sequence", std::to_string(aPacket.sequence) },
+            { "copy", std::to_string(aPacket.acknowledgement) },
+            { "route", aRoute.name },
+            { "routes", std::to_string(m_routes.Current().version) },
+            { "target", aTarget.record.id },
+            { "address", FormatAddress(aTarget.record.At()) },
+            { "tag", fmt::format("{:08x}", aTarget.tag) },
+            { "target_revision", std::to_string(aTarget.record.revision) },
+            { "heard_ms", AgeText(aTarget.heardAt, aNow) },
+            { "in_flight", std::to_string(evidence.inFlight) },
+            { "candidates", std::to_string(aCandidates) } });
+}
+
+auto Forwarder::Place(const Packet& aPacket, const Route& aRoute,
+                      const DirectoryEntry* aAvoided, Clock::time_point aNow)
+  -> Placement
 {
   const auto& service = m_routes.ServiceFor(aRoute, aPacket.flow);
   auto entries = m_targets.Candidates(service, aNow);
   if (entries.size() > 1) {
     std::erase(entries, aAvoided);
   }
-  std::vector<Candidate> candidates;
-  candidates.reserve(entries.size());
+  ChoiceInput input{ {}, aRoute.Kind(), m_balancers };
+  input.candidates.reserve(entries.size());
   for (const auto* entry : entries) {
     const auto& evidence = entry->evidence;
-    candidates.push_back(
-      { entry->record.slots, evidence.inFlight, evidence.peersInFlight,
+    input.candidates.push_back(
+      { entry->record.slots, evidence.inFlight,
         entry->record.failureDomain == m_options.failureDomain,
         entry->warmAt > aNow, IsSilent(evidence, aNow) });
   }
-  const auto decision =
-    m_choice.Choose(candidates, aRoute.Kind(), m_random);
+  const auto decision = m_choice.Choose(input, m_random);
   if (!decision.chosen) {
-    Refuse(aPacket,
-           decision.refusal == RefusalReason::Full ? Counter::FlowRefusedFull
-                                                   : Counter::FlowRefusedNoTarget,
-           NameOf(kRefusalReasonNames, decision.refusal).data());
-    return nullptr;
+    return { nullptr, decision.refusal };
   }
   auto* chosen = entries[*decision.chosen];
-  if (WouldLog(LogLevel::Info, "flow-opened")) {
-    const auto& candidate = candidates[*decision.chosen];
-    LogInfo("flow-opened",
-            { { "flow", FlowText(aPacket.flow) },
-              { "sequence", std::to_string(aPacket.sequence) },
-              { "copy", std::to_string(aPacket.acknowledgement) },
-              { "route", aRoute.name },
-              { "routes", std::to_string(m_routes.Current().version) },
-              { "target", chosen->record.id },
-              { "address", FormatAddress(chosen->record.At()) },
-              { "tag", fmt::format("{:08x}", chosen->tag) },
-              { "target_revision", std::to_string(chosen->record.revision) },
-              { "heard_ms", AgeText(chosen->heardAt, aNow) },
-              { "in_flight", std::to_string(candidate.inFlight) },
-              { "peers_in_flight", std::to_string(candidate.peersInFlight) },
-              { "candidates", std::to_string(candidates.size()) } });
-  }
-  return chosen;
+  LogOpened(aPacket, aRoute, *chosen, entries.size(), aNow);
+  return { chosen, RefusalReason::None };
 }
 
 /// A further copy of a first packet goes where the first went, so that two
 /// targets do not both hold the flow; unless nothing came from there while the
 /// client waited.
 auto Forwarder::OnCopy(TrackedFlow& aFlow, const Packet& aPacket,
-                       Clock::time_point aNow) -> DirectoryEntry*
+                       const Route& aRoute, Clock::time_point aNow)
+  -> DirectoryEntry*
 {
   auto& target = *aFlow.target;
-  const auto& evidence = target.evidence;
-  const bool answers = evidence.answeredAt >= aFlow.openedAt;
+  const bool answers = target.evidence.answeredAt >= aFlow.openedAt;
   const bool mayServe = target.TakesFlows(aNow);
   if (mayServe && (answers || aNow - aFlow.openedAt < kAnswerLimit)) {
     m_metrics.Add(Counter::FlowCopies);
     return &target;
   }
-  const auto* route = m_routes.Find(aPacket.flow.service);
-  if (route == nullptr) {
-    return nullptr;
+  auto* other = Place(aPacket, aRoute, &target, aNow).target;
+  if (other == nullptr) {
+    return mayServe ? &target : nullptr;
   }
   m_metrics.Add(Counter::FlowMoved);
-  auto* other = Choose(aPacket, *route, &target, aNow);
-  if (other != nullptr) {
-    LogInfo("flow-moved",
-            { { "flow", FlowText(aPacket.flow) },
-              { "from", target.record.id },
-              { "to", other->record.id },
-              { "waited_ms", AgeText(aFlow.openedAt, aNow) },
-              { "state", std::string(NameOf(kTargetStateNames,
-                                            target.record.State())) } });
-  }
+  LogInfo("flow-moved",
+          { { "flow", FlowText(aPacket.flow) },
+            { "from", target.record.id },
+            { "to", other->record.id },
+            { "waited_ms", AgeText(aFlow.openedAt, aNow) },
+            { "state",
+              std::string(NameOf(kTargetStateNames, target.record.State())) } });
   return other;
 }
 
+auto Forwarder::WaitingLimit(const std::string& aService,
+                             Clock::time_point aNow) -> std::size_t
+{
+  std::size_t slots = 0;
+  for (const auto* entry : m_targets.Candidates(aService, aNow)) {
+    slots += entry->record.slots;
+  }
+  return std::max(kLeastWaiting, slots * kWaitingPerSlot / m_balancers);
+}
+
+/// Holds a first packet back until a target has room. The client waits for its
+/// answer up to 1.4 s; refusing it at once would have it come again into the
+/// same crowd.
+auto Forwarder::Wait(const Packet& aPacket, const char* aData,
+                     std::size_t aSize, std::uint32_t aUrgency,
+                     Clock::time_point aNow) -> void
+{
+  const auto* route = m_routes.Find(aPacket.flow.service);
+  const auto service =
+    route == nullptr ? std::string() : m_routes.ServiceFor(*route, aPacket.flow);
+  const auto limit =
+    route == nullptr ? kWaitingForRoutes : WaitingLimit(service, aNow);
+  auto& queue = m_waiting[service];
+  m_metrics.Add(Counter::FlowWaited);
+  if (WouldLog(LogLevel::Info, "flow-waits")) {
+    LogInfo("flow-waits", { { "flow", FlowText(aPacket.flow) },
+                            { "sequence", std::to_string(aPacket.sequence) },
+                            { "service", service },
+                            { "waiting", std::to_string(queue.Size()) },
+                            { "limit", std::to_string(limit) } });
+  }
+  const auto refused = queue.Push(
+    { aPacket, std::string(aData, aSize), aUrgency, aNow }, limit);
+  if (refused) {
+    Refuse(refused->packet, Counter::FlowRefusedQueueFull, "queue-full");
+  }
+}
+
+auto Forwarder::OpenAt(DirectoryEntry& aTarget, const Packet& aPacket,
+                       char* aData, std::size_t aSize, Clock::time_point aNow)
+  -> void
+{
+  const auto* known = m_flows.Find(aPacket.flow);
+  if (known == nullptr || known->confirmed || known->target != &aTarget) {
+    m_flows.Open(aPacket.flow, aTarget, aNow).opening.assign(aData, aSize);
+    m_metrics.Add(Counter::FlowsOpened);
+  }
+  m_unanswered.push_back({ aPacket.flow, aNow, false });
+  m_codec.SetTag(aData, aTarget.tag);
+  m_metrics.Add(Counter::PacketsForwarded);
+  m_sink.ToTarget(aTarget, aData, aSize);
+}
+
 auto Forwarder::OnOpening(const Packet& aPacket, char* aData,
                           std::size_t aSize, Clock::time_point aNow) -> void
 {
+  if (m_routes.Current().version == 0) {
+    Wait(aPacket, aData, aSize, 0, aNow);
+    return;
+  }
   // Whatever tag it brings is none of ours: the flow has no target yet.
   const auto* route = m_routes.Find(aPacket.flow.service);
   if (route == nullptr) {
@@ -203,21 +246,136 @@
     return;
   }
   auto* known = m_flows.Find(aPacket.flow);
-  DirectoryEntry* target =
-    known != nullptr && !known->confirmed
-      ? OnCopy(*known, aPacket, aNow)
-      : Choose(aPacket, *route, nullptr, aNow);
-  if (target == nullptr) {
+  if (known != nullptr && !known->confirmed) {
+    if (auto* target = OnCopy(*known, aPacket, *route, aNow)) {
+      OpenAt(*target, aPacket, aData, aSize, aNow);
+    }
     return;
   }
-  if (known == nullptr || known->confirmed || known->target != target) {
-    m_flows.Open(aPacket.flow, *target, aNow);
-    m_metrics.Add(Counter::FlowsOpened);
+  const auto placement = Place(aPacket, *route, nullptr, aNow);
+  if (placement.target != nullptr) {
+    OpenAt(*placement.target, aPacket, aData, aSize, aNow);
+  } else if (placement.refusal == RefusalReason::Busy) {
+    Wait(aPacket, aData, aSize, route->urgency, aNow);
+  } else {
+    Refuse(aPacket, Counter::FlowRefusedNoTarget, "no-target");
+  }
+}
+
+auto Forwarder::ServeQueue(const std::string& aService, OpeningQueue& aQueue,
+                           std::vector<WaitingOpening>& aServed,
+                           Clock::time_point aNow) -> void
+{
+  while (auto opening = aQueue.Pop()) {
+    const auto& packet = opening->packet;
+    const auto* route = m_routes.Find(packet.flow.service);
+    if (route == nullptr) {
+      Refuse(packet, Counter::FlowRefusedNoRoute, "no-route");
+      continue;
+    }
+    const auto placement = Place(packet, *route, nullptr, aNow);
+    if (placement.target != nullptr) {
+      m_metrics.Observe(Latency::FlowWait, aNow - opening->arrivedAt);
+      aServed.push_back(std::move(*opening));
+      auto& served = aServed.back();
+      OpenAt(*placement.target, served.packet, served.data.data(),
+             served.data.size(), aNow);
+      continue;
+    }
+    if (placement.refusal == RefusalReason::NoTarget) {
+      Refuse(packet, Counter::FlowRefusedNoTarget, "no-target");
+      continue;
+    }
+    if (aService.empty()) {
+      // It came before the routes and now waits for a target.
+      Wait(packet, opening->data.data(), opening->data.size(), route->urgency,
+           opening->arrivedAt);
+      continue;
+    }
+    aQueue.Return(std::move(*opening));
+    return;
+  }
+}
+
+/// Sends a first packet again that nobody answered: to the same target where
+/// that answers others, so that the packet was lost, and to another where it
+/// does not. The client itself repeats it only after 200 ms.
+auto Forwarder::Repeat(TrackedFlow& aFlow, Clock::time_point aNow) -> void
+{
+  auto& target = *aFlow.target;
+  auto data = aFlow.opening;
+  const auto packet = m_codec.Decode(data.data(), data.size());
+  const auto* route = m_routes.Find(aFlow.id.service);
+  if (!packet || route == nullptr) {
+    return;
+  }
+  auto* next = &target;
+  if (target.evidence.answeredAt < aFlow.openedAt) {
+    if (MarkSilent(target.evidence, aNow)) {
+      m_onSilent(target);
+    }
+    next = OnCopy(aFlow, *packet, *route, aNow);
+  }
+  if (next == nullptr) {
+    return;
+  }
+  m_metrics.Add(Counter::FlowRepeated);
+  if (next != &target) {
+    m_flows.Open(packet->flow, *next, aNow).opening = data;
+  }
+  m_codec.SetTag(data.data(), next->tag);
+  m_sink.ToTarget(*next, data.data(), data.size());
+  m_sink.Flush();
+}
+
+auto Forwarder::RepeatUnanswered(Clock::time_point aNow) -> void
+{
+  while (!m_unanswered.empty() &&
+         aNow - m_unanswered.front().sentAt > kAnswerLimit) {
+    const auto unanswered = m_unanswered.front();
+    m_unanswered.pop_front();
+    auto* flow = m_flows.Find(unanswered.flow);
+    if (flow == nullptr || flow->confirmed) {
+      continue;
+    }
+    if (unanswered.repeated) {
+      // Whoever opened it may have gone; it takes no part in the load.
+      m_flows.Finish(*flow);
+      continue;
+    }
+    Repeat(*flow, aNow);
+    m_unanswered.push_back({ unanswered.flow, aNow, true });
+  }
+}
+
+auto Forwarder::OnSilent(std::function<void(DirectoryEntry&)> aListener) -> void
+{
+  m_onSilent = std::move(aListener);
+}
+
+auto Forwarder::RefuseOld(Clock::time_point aNow) -> void
+{
+  for (auto& [service, queue] : m_waiting) {
+    for (const auto& old : queue.TakeOlderThan(aNow - kLongestWait)) {
+      Refuse(old.packet, Counter::FlowRefusedWaited, "waited-too-long");
+    }
+  }
+}
+
+auto Forwarder::ServeWaiting(Clock::time_point aNow) -> void
+{
+  if (m_routes.Current().version == 0) {
+    return;
+  }
+  // The data of what is served has to last until it is sent.
+  std::vector<WaitingOpening> served;
+  served.reserve(Waiting());
+  for (auto& [service, queue] : m_waiting) {
+    ServeQueue(service, queue, served, aNow);
+  }
+  if (!served.empty()) {
+    m_sink.Flush();
   }
-  NoteOpened(*target, aNow);
-  m_codec.SetTag(aData, target->tag);
-  m_metrics.Add(Counter::PacketsForwarded);
-  m_sink.ToTarget(*target, aData, aSize);
 }
 
 /// The first packet after the opening one shows which target the client took.
@@ -228,6 +386,7 @@
     return;
   }
   aFlow.confirmed = true;
+  aFlow.opening.clear();
   if (aFlow.target != &aTarget) {
     m_flows.Finish(aFlow);
     aFlow.target = &aTarget;
@@ -250,7 +409,7 @@
   Confirm(aFlow, aTarget, aNow);
   if (first || advance > 0) {
     aFlow.acknowledged = aPacket.acknowledgement;
-    aTarget.evidence.unansweredSince = {};
+    aTarget.evidence.silentSince = {};
     aTarget.evidence.answeredAt = aNow;
   }
   if (aPacket.ends || aPacket.resets) {
@@ -310,13 +469,32 @@
   m_sink.ToTarget(*target, aData, aSize);
 }
 
+auto Forwarder::SetBalancers(std::size_t aCount) -> void
+{
+  m_balancers = std::max<std::size_t>(aCount, 1);
+}
+
+auto Forwarder::Waiting() const -> std::size_t
+{
+  std::size_t waiting = 0;
+  for (const auto& [service, queue] : m_waiting) {
+    waiting += queue.Size();
+  }
+  return waiting;
+}
+
 auto Forwarder::Expire(Clock::time_point aNow) -> void
 {
+  RefuseOld(aNow);
+  std::erase_if(m_waiting,
+                [](const auto& aRow) { return aRow.second.Size() == 0; });
   m_flows.Expire(kQuiet, m_options.longestFlow, aNow);
   // One second between the two keeps no flow that points at a forgotten entry.
   const auto keep = m_options.longestFlow + std::chrono::seconds(1);
   m_flows.DropTargetsGoneBefore(aNow - m_options.longestFlow);
   m_targets.Expire(keep, aNow);
+  ServeWaiting(aNow);
+  m_sink.Flush();
 }
 
 auto Forwarder::Flows() const -> const FlowTable&
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -2,7 +2,6 @@
 
 #include "bramleylock/Forward/RoutingState.h"
 
-#include "bramleylock/Forward/Forwarder.h"
 #include "bramleylock/Support/Log.h"
 
 #include <algorithm>
@@ -16,18 +15,19 @@
 /// reading may be half a second behind.
 static constexpr Milliseconds kLapse{ 2500 };
 
-/// An entry that missed this many renewals is not a sign of life.
-static constexpr int kMissedRenewals = 2;
-
 RoutingState::RoutingState(RouteTable& aRoutes, TargetDirectory& aTargets,
-                           Metrics& aMetrics, Milliseconds aRenewal)
+                           Metrics& aMetrics)
   : m_routes(aRoutes)
   , m_targets(aTargets)
   , m_metrics(aMetrics)
-  , m_renewal(aRenewal)
 {
 }
 
+auto RoutingState::OnChange(std::function<void()> aListener) -> void
+{
+  m_listener = std::move(aListener);
+}
+
 auto RoutingState::Complete() const -> bool
 {
   return m_readAt != Clock::time_point{} && m_routes.Current().version != 0;
@@ -136,18 +136,6 @@
   return missing;
 }
 
-auto RoutingState::Unrenewed(Clock::time_point aNow) -> std::vector<std::string>
-{
-  std::vector<std::string> ids;
-  for (const auto* entry : m_targets.All()) {
-    if (entry->record.State() == TargetState::Ready &&
-        aNow - entry->heardAt > kMissedRenewals * m_renewal) {
-      ids.push_back(entry->record.id);
-    }
-  }
-  return ids;
-}
-
 auto RoutingState::TakeReading(StateReading aReading, bool aWhole,
                                bool aStoreTroubled, Clock::time_point aReadAt,
                                Clock::time_point aNow) -> RoutingNews
@@ -161,10 +149,6 @@
   for (const auto& record : aReading.targets) {
     if (ApplyTarget(record, "store", aNow) || aWhole) {
       news.targets.push_back(record);
-    } else if (auto* entry = m_targets.Find(record.id)) {
-      // Nothing but the time of its renewal has changed; that was at most a
-      // renewal ago.
-      Forwarder::TakeSignOfLife(*entry, aReadAt - m_renewal);
     }
   }
   if (aWhole) {
@@ -181,7 +165,7 @@
   }
   Advance(aReading.revision, aReadAt);
   news.routesVersion = m_routes.Current().version;
-  news.unrenewed = Unrenewed(aNow);
+  m_listener();
   return news;
 }
 
@@ -207,18 +191,8 @@
       aNews.routesVersion > m_routes.Current().version) {
     return false;
   }
-  const auto readAt = aNow - Milliseconds(aNews.ageMs);
-  const auto renewed = readAt - kMissedRenewals * m_renewal;
-  for (auto* entry : m_targets.All()) {
-    const auto& id = entry->record.id;
-    if (entry->record.State() == TargetState::Ready &&
-        std::find(aNews.unrenewed.begin(), aNews.unrenewed.end(), id) ==
-          aNews.unrenewed.end()) {
-      entry->heardAt = std::max(entry->heardAt, renewed);
-      Forwarder::TakeSignOfLife(*entry, renewed);
-    }
-  }
-  Advance(aNews.revision, readAt);
+  Advance(aNews.revision, aNow - Milliseconds(aNews.ageMs));
+  m_listener();
   return true;
 }
 
@@ -234,7 +208,6 @@
     news.routes.push_back(m_routes.Current());
   }
   news.targets = m_targets.Records(aNow);
-  news.unrenewed = Unrenewed(aNow);
   return news;
 }
 
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -8,19 +8,18 @@
 
 namespace bramleylock::forward {
 
-/// Pace of the first reader. Targets may get new flows for 3 s after they began
-/// to drain, which has to hold when a reader dies just before its turn: a pace,
-/// two ranks and the calls stay under 2 s.
-static constexpr Milliseconds kPace{ 1000 };
+/// How long a watch waits. Targets may get new flows for 3 s after they began
+/// to drain, which has to hold when the reader dies just after its last news:
+/// the wait, two ranks and the calls stay under 3 s.
+static constexpr Milliseconds kWait{ 2000 };
 
 /// How much later each further rank reads; a reading takes some milliseconds,
 /// and up to 250 in a store that is fifty times slower than usual.
 static constexpr Milliseconds kRankStep{ 250 };
 static constexpr std::size_t kRanksApart = 6;
 
-/// A watch that finds nothing returns after this time; entries are renewed far
-/// more often.
-static constexpr Milliseconds kWait{ 500 };
+/// Pause between two watches, so that changes in quick succession come in one.
+static constexpr Milliseconds kPause{ 200 };
 
 /// Pauses after failed calls, doubled up to the longest.
 static constexpr Milliseconds kRetry{ 250 };
@@ -31,12 +30,16 @@
 static constexpr Milliseconds kTroubleKept{ 4000 };
 
 /// State older than this is asked for from any peer, of other domains too.
-static constexpr Milliseconds kStale{ 2500 };
+static constexpr Milliseconds kStale{ 3500 };
 static constexpr Milliseconds kAskEvery{ 500 };
 
 auto ReadAfter(std::size_t aRank) -> Milliseconds
 {
-  return kPace + kRankStep * static_cast<int>(std::min(aRank, kRanksApart));
+  if (aRank == 0) {
+    return kPause;
+  }
+  return kWait + kPause +
+         kRankStep * static_cast<int>(std::min(aRank, kRanksApart));
 }
 
 StateReader::StateReader(asio::io_context& aContext, StateSource& aSource,
@@ -132,8 +135,10 @@
   if (whole) {
     reading = co_await m_source.ReadAll(error);
   } else {
-    reading =
-      co_await m_source.ReadChanges(m_state.Revision(), kWait, error);
+    // Who stands in for a reader that is late tells what there is at once, so
+    // that those behind it need not read as well.
+    const auto wait = Rank() == 0 ? kWait : Milliseconds(0);
+    reading = co_await m_source.ReadChanges(m_state.Revision(), wait, error);
   }
   const auto now = Clock::now();
   m_metrics.Add(Counter::StateReadings);
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -192,6 +192,12 @@
   return found;
 }
 
+auto TargetDirectory::FindTag(TargetTag aTag) -> DirectoryEntry*
+{
+  const auto found = m_byTag.find(aTag);
+  return found == m_byTag.end() ? nullptr : found->second;
+}
+
 auto TargetDirectory::Candidates(const std::string& aService,
                                  Clock::time_point aNow)
   -> std::vector<DirectoryEntry*>
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -4,6 +4,7 @@
 
 #include "bramleylock/Flow/PauseWatch.h"
 #include "bramleylock/Forward/Forwarder.h"
+#include "bramleylock/Forward/SilenceWatch.h"
 #include "bramleylock/Forward/StateReader.h"
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Kernel/PacketPort.h"
@@ -20,6 +21,10 @@
 /// How often flows and targets are aged.
 static constexpr Milliseconds kAgeEvery{ 250 };
 
+/// How often first packets without an answer are looked for while no packet
+/// comes; with packets it is done after each batch.
+static constexpr Milliseconds kTick{ 50 };
+
 /// Pause between tries to get the cluster's secret.
 static constexpr Milliseconds kSecretRetry{ 300 };
 
@@ -59,6 +64,7 @@
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<forward::StateReader> reader;
+  std::unique_ptr<forward::SilenceWatch> silence;
   bool draining = false;
   bool toldReady = false;
 };
@@ -73,7 +79,7 @@
       settings.stateSource, context, settings.storeAddress, metrics))
   , choice(forward::FlowChoiceRegistry::Instance().Create(settings.flowChoice))
   , targets(*codec)
-  , state(routes, targets, metrics, Milliseconds(settings.renewalMs))
+  , state(routes, targets, metrics)
   , port(context, metrics)
   , forwarder(*codec, routes, targets, *choice, port, metrics,
               { settings.failureDomain,
@@ -102,6 +108,7 @@
   const auto now = Clock::now();
   metrics.SetGauge("flows_tracked",
                    static_cast<double>(forwarder.Flows().Size()));
+  metrics.SetGauge("flows_waiting", static_cast<double>(forwarder.Waiting()));
   metrics.SetGauge("targets_known", static_cast<double>(targets.Size()));
   metrics.SetGauge("state_age_seconds", InSeconds(now - state.ReadAt()));
   metrics.SetGauge("routes_age_seconds",
@@ -155,6 +162,8 @@
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   reader = std::make_unique<forward::StateReader>(context, *source, state, *hub,
                                                   *members, metrics);
+  silence = std::make_unique<forward::SilenceWatch>(context, targets, *hub,
+                                                    *members, metrics);
   hub->Start(self);
   return true;
 }
@@ -191,13 +200,27 @@
     aHeartbeat.draining = draining;
   });
   reader->Start();
+  silence->Start();
+  forwarder.OnSilent([this](forward::DirectoryEntry& aTarget) {
+    silence->OnSilent(aTarget);
+  });
 }
 
 auto ForwardingBalancer::Parts::AgeLoop() -> awaitable<void>
 {
+  auto aged = Clock::now();
   for (;;) {
-    co_await Sleep(kAgeEvery);
-    forwarder.Expire(Clock::now());
+    co_await Sleep(kTick);
+    const auto now = Clock::now();
+    forwarder.RepeatUnanswered(now);
+    if (now - aged < kAgeEvery) {
+      continue;
+    }
+    aged = now;
+    if (members) {
+      forwarder.SetBalancers(members->AliveCount());
+    }
+    forwarder.Expire(now);
     if (pauses.Tick() && reader) {
       reader->Hurry();
     }
@@ -215,7 +238,7 @@
     [&parts](char* aData, std::size_t aSize, Clock::time_point aNow) {
       parts.forwarder.OnDatagram(aData, aSize, aNow);
     },
-    aError);
+    [&parts] { parts.forwarder.RepeatUnanswered(Clock::now()); }, aError);
   if (aError) {
     aDetail = "listen.packets = " + settings.packetAddress;
     return;
@@ -247,6 +270,8 @@
             { "packets", parts.port.Address() },
             { "peers", settings.peerAddress },
             { "store", settings.storeAddress } });
+  parts.state.OnChange(
+    [&parts] { parts.forwarder.ServeWaiting(Clock::now()); });
   Spawn(parts.context, "join", parts.Join());
   Spawn(parts.context, "age", parts.AgeLoop());
 }
--- a/lib/Kernel/PacketPort.cpp
+++ b/lib/Kernel/PacketPort.cpp
@@ -49,9 +49,11 @@
 PacketPort::~PacketPort() = default;
 
 auto PacketPort::Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
-                       Handler aHandler, std::error_code& aError) -> void
+                       Handler aHandler, std::function<void()> aOnIdle,
+                       std::error_code& aError) -> void
 {
   m_handler = std::move(aHandler);
+  m_onIdle = std::move(aOnIdle);
   boost::system::error_code failure;
   m_socket.open(aAddress.protocol(), failure);
   if (!failure) {
@@ -132,6 +134,9 @@
 auto PacketPort::Flush() -> void
 {
   auto& outgoing = m_buffers->outgoing;
+  if (outgoing.empty()) {
+    return;
+  }
   std::vector<mmsghdr> headers(outgoing.size());
   std::vector<std::array<iovec, 2>> parts(outgoing.size());
   for (std::size_t i = 0; i < outgoing.size(); ++i) {
@@ -178,10 +183,9 @@
     }
     for (int turn = 0; turn < kBatchesInTurn; ++turn) {
       const auto count = ReceiveBatch();
-      if (!m_buffers->outgoing.empty()) {
-        Flush();
-      }
+      Flush();
       if (count < kBatch) {
+        m_onIdle();
         break;
       }
     }
--- a/lib/Kernel/SettingsSchema.cpp
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -123,17 +123,15 @@
   return kRows;
 }
 
-auto NumberRows() -> const std::array<NumberRow, 8>&
+auto NumberRows() -> const std::array<NumberRow, 7>&
 {
-  static const std::array<NumberRow, 8> kRows{ {
+  static const std::array<NumberRow, 7> kRows{ {
     { "flows.idle_seconds", &Settings::idleFlowSeconds, 600, 1, 86400, "s",
       "a flow without requests is forgotten after this time" },
     { "flows.drain_seconds", &Settings::drainSeconds, 60, 1, 3600, "s",
       "longest time that a planned stop waits for requests in flight" },
     { "listen.receive_buffer_bytes", &Settings::receiveBufferBytes, 8388608,
       65536, 1073741824, "bytes", "socket buffer for callers' datagrams" },
-    { "forward.renewal_ms", &Settings::renewalMs, 1200, 100, 60000, "ms",
-      "how often targets renew their entries" },
     { "forward.longest_flow_seconds", &Settings::longestFlowSeconds, 60, 1,
       86400, "s", "an older flow may be forgotten" },
     { "forward.stop_ms", &Settings::stopMs, 4000, 0, 600000, "ms",
--- a/lib/Kernel/SettingsSchema.h
+++ b/lib/Kernel/SettingsSchema.h
@@ -46,6 +46,6 @@
 
 auto TextRows() -> const std::array<TextRow, 28>&;
 
-auto NumberRows() -> const std::array<NumberRow, 8>&;
+auto NumberRows() -> const std::array<NumberRow, 7>&;
 
 } // namespace bramleylock::kernel
