Check silent targets from the start, and read what waits before judging

In the first second, with the processor used up, balancers took late answers for silence, and the watch that clears it only began with the peers, so that two balancers sent all their flows to one target for 4 s. An answer now counts as missing only if it was not in the socket at a time taken before the last read.

Ruled out: the balancer's share of slots (in_flight=3 at one single target), the queue (its oldest were refused as meant).

--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -24,11 +24,10 @@
 {
 public:
   SilenceWatch(asio::io_context& aContext, const RouteTable& aRoutes,
-               TargetDirectory& aTargets, peer::PeerLinks& aLinks, peer::Membership& aMembers,
-               Metrics& aMetrics);
+               TargetDirectory& aTargets, Metrics& aMetrics);
 
-  /// Starts handling messages.
-  auto Start() -> void;
+  /// Shares with peers from now on.
+  auto Join(peer::PeerLinks& aLinks, peer::Membership& aMembers) -> void;
 
   /// Takes a target that this balancer found silent.
   auto OnSilent(DirectoryEntry& aTarget) -> void;
@@ -42,9 +41,10 @@
   asio::io_context& m_context;
   const RouteTable& m_routes;
   TargetDirectory& m_targets;
-  peer::PeerLinks& m_links;
-  peer::Membership& m_members;
   Metrics& m_metrics;
+  /// Null until Join.
+  peer::PeerLinks* m_links = nullptr;
+  peer::Membership* m_members = nullptr;
 };
 
 /// Marks aTarget silent from aNow on; false when it was already.
--- a/include/bramleylock/Kernel/PacketPort.h
+++ b/include/bramleylock/Kernel/PacketPort.h
@@ -23,11 +23,16 @@
   PacketPort(asio::io_context& aContext, Metrics& aMetrics);
   ~PacketPort() override;
 
-  /// aOnIdle is called whenever no more datagrams wait.
+  /// aOnIdle is called when no more datagrams wait, with a time up to which
+  /// all that came has been handled.
   auto Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
-             Handler aHandler, std::function<void()> aOnIdle,
+             Handler aHandler,
+             std::function<void(Clock::time_point)> aOnIdle,
              std::error_code& aError) -> void;
 
+  /// Handles the datagrams that wait.
+  auto ReadWaiting() -> void;
+
   auto ToTarget(const forward::DirectoryEntry& aTarget, const char* aData,
                 std::size_t aSize) -> void override;
   auto ToClient(const forward::Address& aClient, std::string aPacket)
@@ -49,7 +54,7 @@
   Metrics& m_metrics;
   Udp::socket m_socket;
   Handler m_handler;
-  std::function<void()> m_onIdle;
+  std::function<void(Clock::time_point)> m_onIdle;
   std::unique_ptr<Buffers> m_buffers;
   std::uint16_t m_port = 0;
   Clock::time_point m_lastPacketAt{};
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -17,9 +17,9 @@
 /// Pause between checks, doubled each time: each takes a slot for a moment.
 static constexpr Milliseconds kCheckEvery{ 200 };
 
-/// A target that falls silent again this soon after a good check is not checked
-/// again: its check says nothing about its flows.
-static constexpr Milliseconds kCheckTrusted{ 5000 };
+/// A target that answered no flow between a good check and its next silence is
+/// not checked again for this long: its check says nothing about its flows.
+static constexpr Milliseconds kCheckDistrusted{ 5000 };
 
 /// Own evidence this fresh outweighs a peer's word.
 static constexpr Milliseconds kFresh{ 50 };
@@ -41,20 +41,20 @@
 
 SilenceWatch::SilenceWatch(asio::io_context& aContext,
                            const RouteTable& aRoutes,
-                           TargetDirectory& aTargets, peer::PeerLinks& aLinks,
-                           peer::Membership& aMembers, Metrics& aMetrics)
+                           TargetDirectory& aTargets, Metrics& aMetrics)
   : m_context(aContext)
   , m_routes(aRoutes)
   , m_targets(aTargets)
-  , m_links(aLinks)
-  , m_members(aMembers)
   , m_metrics(aMetrics)
 {
 }
 
-auto SilenceWatch::Start() -> void
+auto SilenceWatch::Join(peer::PeerLinks& aLinks, peer::Membership& aMembers)
+  -> void
 {
-  m_links.On(wire::MessageType::TargetSilence,
+  m_links = &aLinks;
+  m_members = &aMembers;
+  m_links->On(wire::MessageType::TargetSilence,
              [this](const wire::Hello& aSender, const std::string& aBody) {
                if (const auto news = wire::UnpackBody<SilenceNews>(aBody)) {
                  TakeNews(aSender.vm, *news);
@@ -70,7 +70,9 @@
                              { "address", FormatAddress(aTarget.record.At()) },
                              { "tag", std::to_string(aTarget.tag) } });
   Tell({ aTarget.tag, true });
-  if (Clock::now() - aTarget.evidence.clearedAt < kCheckTrusted) {
+  const auto& evidence = aTarget.evidence;
+  if (evidence.answeredAt < evidence.clearedAt &&
+      Clock::now() - evidence.clearedAt < kCheckDistrusted) {
     return;
   }
   Spawn(m_context, "probe-silent", ProbeLoop(aTarget.tag));
@@ -98,9 +100,12 @@
 
 auto SilenceWatch::Tell(const SilenceNews& aNews) -> void
 {
+  if (m_members == nullptr) {
+    return;
+  }
   const auto body = wire::PackBody(aNews);
-  for (const auto& member : m_members.Alive()) {
-    m_links.Send(member.address, wire::MessageType::TargetSilence, body);
+  for (const auto& member : m_members->Alive()) {
+    m_links->Send(member.address, wire::MessageType::TargetSilence, body);
   }
 }
 
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -66,13 +66,13 @@
   forward::RoutingState state;
   PacketPort port;
   forward::Forwarder forwarder;
+  forward::SilenceWatch silence;
   flow::PauseWatch pauses;
   std::unique_ptr<http::Server> status;
   std::unique_ptr<http::Server> metricsServer;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<forward::StateReader> reader;
-  std::unique_ptr<forward::SilenceWatch> silence;
   bool draining = false;
   bool toldReady = false;
   int unreadyTold = 0;
@@ -95,6 +95,7 @@
                 std::chrono::seconds(settings.longestFlowSeconds),
                 settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
                                    : SecretNumber() })
+  , silence(context, routes, targets, metrics)
   , pauses(context, metrics)
 {
 }
@@ -172,8 +173,6 @@
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   reader = std::make_unique<forward::StateReader>(context, *source, state, *hub,
                                                   *members, metrics);
-  silence = std::make_unique<forward::SilenceWatch>(context, routes, targets,
-                                                    *hub, *members, metrics);
   hub->Start(self);
   return true;
 }
@@ -213,10 +212,7 @@
   members->Start([this](wire::Heartbeat& aHeartbeat) {
     aHeartbeat.draining = draining;
   });
-  silence->Start();
-  forwarder.OnSilent([this](forward::DirectoryEntry& aTarget) {
-    silence->OnSilent(aTarget);
-  });
+  silence.Join(*hub, *members);
 }
 
 auto ForwardingBalancer::Parts::AgeLoop() -> awaitable<void>
@@ -226,7 +222,7 @@
     co_await Sleep(kTick);
     const auto now = Clock::now();
     FlushLog();
-    forwarder.RepeatUnanswered(now);
+    port.ReadWaiting();
     if (now - aged < kAgeEvery) {
       continue;
     }
@@ -252,7 +248,10 @@
     [&parts](char* aData, std::size_t aSize, Clock::time_point aNow) {
       parts.forwarder.OnDatagram(aData, aSize, aNow);
     },
-    [&parts] { parts.forwarder.RepeatUnanswered(Clock::now()); }, aError);
+    [&parts](Clock::time_point aReadUntil) {
+      parts.forwarder.RepeatUnanswered(aReadUntil);
+    },
+    aError);
   if (aError) {
     aDetail = "listen.packets = " + settings.packetAddress;
     return;
@@ -286,6 +285,9 @@
             { "store", settings.storeAddress } });
   parts.state.OnChange(
     [&parts] { parts.forwarder.ServeWaiting(Clock::now()); });
+  parts.forwarder.OnSilent([&parts](forward::DirectoryEntry& aTarget) {
+    parts.silence.OnSilent(aTarget);
+  });
   Spawn(parts.context, "join", parts.Join());
   Spawn(parts.context, "age", parts.AgeLoop());
 }
--- a/lib/Kernel/PacketPort.cpp
+++ b/lib/Kernel/PacketPort.cpp
@@ -49,7 +49,8 @@
 PacketPort::~PacketPort() = default;
 
 auto PacketPort::Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
-                       Handler aHandler, std::function<void()> aOnIdle,
+                       Handler aHandler,
+                       std::function<void(Clock::time_point)> aOnIdle,
                        std::error_code& aError) -> void
 {
   m_handler = std::move(aHandler);
@@ -181,13 +182,20 @@
     if (failure == asio::error::operation_aborted) {
       co_return;
     }
-    for (int turn = 0; turn < kBatchesInTurn; ++turn) {
-      const auto count = ReceiveBatch();
-      Flush();
-      if (count < kBatch) {
-        m_onIdle();
-        break;
-      }
+    ReadWaiting();
+  }
+}
+
+auto PacketPort::ReadWaiting() -> void
+{
+  for (int turn = 0; turn < kBatchesInTurn; ++turn) {
+    // Taken before the read: this process may lose the processor after it.
+    const auto before = Clock::now();
+    const auto count = ReceiveBatch();
+    Flush();
+    if (count < kBatch) {
+      m_onIdle(before);
+      return;
     }
   }
 }
