--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "bramleylock/Forward/RouteTable.h"
+#include "bramleylock/Support/Names.h"
 #include "bramleylock/Support/Random.h"
 #include "bramleylock/Support/Registry.h"
 
@@ -43,7 +43,6 @@
 struct ChoiceInput
 {
   std::vector<Candidate> candidates;
-  RequestKind kind = RequestKind::Idempotent;
   /// Balancers that share the targets, this one too.
   std::size_t balancers = 1;
 };
--- a/include/bramleylock/Forward/Packet.h
+++ b/include/bramleylock/Forward/Packet.h
@@ -37,6 +37,10 @@
   auto operator==(const FlowId&) const -> bool = default;
 };
 
+/// "client>service", by which a flow is found in the logs of clients and
+/// targets.
+auto FormatFlow(const FlowId& aFlow) -> std::string;
+
 struct FlowIdHash
 {
   auto operator()(const FlowId& aFlow) const -> std::size_t;
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -23,19 +23,6 @@
 /// The longest work of the platform's requests takes 400 ms.
 static constexpr Milliseconds kQuiet{ 800 };
 
-/// A client gives up an attempt 1.4 s after its first packet; what has waited
-/// this long is refused, so that the client hears before it gives up by itself.
-static constexpr Milliseconds kLongestWait{ 1200 };
-
-/// First packets that may wait for each slot of a service, over all balancers:
-/// a slot serves 15 to 30 in the longest wait.
-static constexpr std::size_t kWaitingPerSlot = 16;
-static constexpr std::size_t kLeastWaiting = 8;
-
-/// First packets that may wait while no routes are known: a second of the
-/// traffic of a small machine.
-static constexpr std::size_t kWaitingForRoutes = 256;
-
 Forwarder::Forwarder(const PacketCodec& aCodec, RouteTable& aRoutes,
                      TargetDirectory& aTargets, FlowChoice& aChoice,
                      PacketSink& aSink, Metrics& aMetrics,
@@ -52,12 +39,6 @@
 {
 }
 
-/// The fields by which a flow is found in the clients' and targets' logs.
-static auto FlowText(const FlowId& aFlow) -> std::string
-{
-  return FormatAddress(aFlow.client) + ">" + FormatAddress(aFlow.service);
-}
-
 static auto AgeText(Clock::time_point aSince, Clock::time_point aNow)
   -> std::string
 {
@@ -90,7 +71,7 @@
   m_metrics.Add(aCounter);
   if (WouldLog(LogLevel::Info, "flow-refused")) {
     LogInfo("flow-refused",
-            { { "flow", FlowText(aPacket.flow) },
+            { { "flow", FormatFlow(aPacket.flow) },
               { "sequence", std::to_string(aPacket.sequence) },
               { "copy", std::to_string(aPacket.acknowledgement) },
               { "reason", aReason },
@@ -109,7 +90,7 @@
   }
   const auto& evidence = aTarget.evidence;
   LogInfo("flow-opened",
-          { { "flow", FlowText(aPacket.flow) },
+          { { "flow", FormatFlow(aPacket.flow) },
             { "sequence", std::to_string(aPacket.sequence) },
             { "copy", std::to_string(aPacket.acknowledgement) },
             { "route", aRoute.name },
@@ -132,7 +113,7 @@
   if (entries.size() > 1) {
     std::erase(entries, aAvoided);
   }
-  ChoiceInput input{ {}, aRoute.Kind(), m_balancers };
+  ChoiceInput input{ {}, m_balancers };
   input.candidates.reserve(entries.size());
   for (const auto* entry : entries) {
     const auto& evidence = entry->evidence;
@@ -170,7 +151,7 @@
   }
   m_metrics.Add(Counter::FlowMoved);
   LogInfo("flow-moved",
-          { { "flow", FlowText(aPacket.flow) },
+          { { "flow", FormatFlow(aPacket.flow) },
             { "from", target.record.id },
             { "to", other->record.id },
             { "waited_ms", AgeText(aFlow.openedAt, aNow) },
@@ -179,45 +160,6 @@
   return other;
 }
 
-auto Forwarder::WaitingLimit(const std::string& aService,
-                             Clock::time_point aNow) -> std::size_t
-{
-  std::size_t slots = 0;
-  for (const auto* entry : m_targets.Candidates(aService, aNow)) {
-    slots += entry->record.slots;
-  }
-  return std::max(kLeastWaiting, slots * kWaitingPerSlot / m_balancers);
-}
-
-/// Holds a first packet back until a target has room. The client waits for its
-/// answer up to 1.4 s; refusing it at once would have it come again into the
-/// same crowd.
-auto Forwarder::Wait(const Packet& aPacket, const char* aData,
-                     std::size_t aSize, std::uint32_t aUrgency,
-                     Clock::time_point aNow) -> void
-{
-  const auto* route = m_routes.Find(aPacket.flow.service);
-  const auto service = route == nullptr
-                         ? std::string()
-                         : m_routes.ServiceFor(*route, aPacket.flow);
-  const auto limit =
-    route == nullptr ? kWaitingForRoutes : WaitingLimit(service, aNow);
-  auto& queue = m_waiting[service];
-  m_metrics.Add(Counter::FlowWaited);
-  if (WouldLog(LogLevel::Info, "flow-waits")) {
-    LogInfo("flow-waits", { { "flow", FlowText(aPacket.flow) },
-                            { "sequence", std::to_string(aPacket.sequence) },
-                            { "service", service },
-                            { "waiting", std::to_string(queue.Size()) },
-                            { "limit", std::to_string(limit) } });
-  }
-  const auto refused =
-    queue.Push({ aPacket, std::string(aData, aSize), aUrgency, aNow }, limit);
-  if (refused) {
-    Refuse(refused->packet, Counter::FlowRefusedQueueFull, "queue-full");
-  }
-}
-
 auto Forwarder::OpenAt(DirectoryEntry& aTarget, const Packet& aPacket,
                        char* aData, std::size_t aSize, Clock::time_point aNow)
   -> void
@@ -263,41 +205,6 @@
   }
 }
 
-auto Forwarder::ServeQueue(const std::string& aService, OpeningQueue& aQueue,
-                           std::vector<WaitingOpening>& aServed,
-                           Clock::time_point aNow) -> void
-{
-  while (auto opening = aQueue.Pop()) {
-    const auto& packet = opening->packet;
-    const auto* route = m_routes.Find(packet.flow.service);
-    if (route == nullptr) {
-      Refuse(packet, Counter::FlowRefusedNoRoute, "no-route");
-      continue;
-    }
-    const auto placement = Place(packet, *route, nullptr, aNow);
-    if (placement.target != nullptr) {
-      m_metrics.Observe(Latency::FlowWait, aNow - opening->arrivedAt);
-      aServed.push_back(std::move(*opening));
-      auto& served = aServed.back();
-      OpenAt(*placement.target, served.packet, served.data.data(),
-             served.data.size(), aNow);
-      continue;
-    }
-    if (placement.refusal == RefusalReason::NoTarget) {
-      Refuse(packet, Counter::FlowRefusedNoTarget, "no-target");
-      continue;
-    }
-    if (aService.empty()) {
-      // It came before the routes and now waits for a target.
-      Wait(packet, opening->data.data(), opening->data.size(), route->urgency,
-           opening->arrivedAt);
-      continue;
-    }
-    aQueue.Return(std::move(*opening));
-    return;
-  }
-}
-
 /// Sends a first packet again that nobody answered: to the same target where
 /// that answers others, so that the packet was lost, and to another where it
 /// does not. The client itself repeats it only after 200 ms.
@@ -354,31 +261,6 @@
   m_onSilent = std::move(aListener);
 }
 
-auto Forwarder::RefuseOld(Clock::time_point aNow) -> void
-{
-  for (auto& [service, queue] : m_waiting) {
-    for (const auto& old : queue.TakeOlderThan(aNow - kLongestWait)) {
-      Refuse(old.packet, Counter::FlowRefusedWaited, "waited-too-long");
-    }
-  }
-}
-
-auto Forwarder::ServeWaiting(Clock::time_point aNow) -> void
-{
-  if (m_routes.Current().version == 0) {
-    return;
-  }
-  // The data of what is served has to last until it is sent.
-  std::vector<WaitingOpening> served;
-  served.reserve(Waiting());
-  for (auto& [service, queue] : m_waiting) {
-    ServeQueue(service, queue, served, aNow);
-  }
-  if (!served.empty()) {
-    m_sink.Flush();
-  }
-}
-
 /// The first packet after the opening one shows which target the client took.
 auto Forwarder::Confirm(TrackedFlow& aFlow, DirectoryEntry& aTarget,
                         Clock::time_point aNow) -> void
@@ -422,7 +304,7 @@
 {
   m_metrics.Add(Counter::PacketTagUnknown);
   if (WouldLog(LogLevel::Info, "packet-dropped")) {
-    LogInfo("packet-dropped", { { "flow", FlowText(aPacket.flow) },
+    LogInfo("packet-dropped", { { "flow", FormatFlow(aPacket.flow) },
                                 { "tag", fmt::format("{:08x}", aPacket.tag) },
                                 { "reason", "tag-unknown" } });
   }
@@ -475,15 +357,6 @@
   m_balancers = std::max<std::size_t>(aCount, 1);
 }
 
-auto Forwarder::Waiting() const -> std::size_t
-{
-  std::size_t waiting = 0;
-  for (const auto& [service, queue] : m_waiting) {
-    waiting += queue.Size();
-  }
-  return waiting;
-}
-
 auto Forwarder::Expire(Clock::time_point aNow) -> void
 {
   RefuseOld(aNow);
--- /dev/null
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -0,0 +1,133 @@
+// First packets that wait for routes or for room at a target.
+
+#include "bramleylock/Forward/Forwarder.h"
+
+#include "bramleylock/Support/Log.h"
+
+#include <algorithm>
+
+namespace bramleylock::forward {
+
+/// What has waited this long is refused: its client, with the shortest deadline
+/// of 1.5 s, then still has time for another try, which is served as the
+/// newest.
+static constexpr Milliseconds kLongestWait{ 600 };
+
+/// First packets that may wait for each slot of a service, over all balancers:
+/// a slot serves 8 to 18 in the longest wait.
+static constexpr std::size_t kWaitingPerSlot = 16;
+static constexpr std::size_t kLeastWaiting = 8;
+
+/// First packets that may wait while no routes are known: a second of the
+/// traffic of a small machine.
+static constexpr std::size_t kWaitingForRoutes = 256;
+
+auto Forwarder::WaitingLimit(const std::string& aService,
+                             Clock::time_point aNow) -> std::size_t
+{
+  std::size_t slots = 0;
+  for (const auto* entry : m_targets.Candidates(aService, aNow)) {
+    slots += entry->record.slots;
+  }
+  return std::max(kLeastWaiting, slots * kWaitingPerSlot / m_balancers);
+}
+
+/// Holds a first packet back until a target has room. The client waits for its
+/// answer up to 1.4 s; refusing it at once would have it come again into the
+/// same crowd.
+auto Forwarder::Wait(const Packet& aPacket, const char* aData,
+                     std::size_t aSize, std::uint32_t aUrgency,
+                     Clock::time_point aNow) -> void
+{
+  const auto* route = m_routes.Find(aPacket.flow.service);
+  const auto service = route == nullptr
+                         ? std::string()
+                         : m_routes.ServiceFor(*route, aPacket.flow);
+  const auto limit =
+    route == nullptr ? kWaitingForRoutes : WaitingLimit(service, aNow);
+  auto& queue = m_waiting[service];
+  m_metrics.Add(Counter::FlowWaited);
+  if (WouldLog(LogLevel::Info, "flow-waits")) {
+    LogInfo("flow-waits", { { "flow", FormatFlow(aPacket.flow) },
+                            { "sequence", std::to_string(aPacket.sequence) },
+                            { "service", service },
+                            { "waiting", std::to_string(queue.Size()) },
+                            { "limit", std::to_string(limit) } });
+  }
+  const auto refused =
+    queue.Push({ aPacket, std::string(aData, aSize), aUrgency, aNow }, limit);
+  if (refused) {
+    Refuse(refused->packet, Counter::FlowRefusedQueueFull, "queue-full");
+  }
+}
+
+auto Forwarder::ServeQueue(const std::string& aService, OpeningQueue& aQueue,
+                           std::vector<WaitingOpening>& aServed,
+                           Clock::time_point aNow) -> void
+{
+  while (auto opening = aQueue.Pop()) {
+    const auto& packet = opening->packet;
+    const auto* route = m_routes.Find(packet.flow.service);
+    if (route == nullptr) {
+      Refuse(packet, Counter::FlowRefusedNoRoute, "no-route");
+      continue;
+    }
+    const auto placement = Place(packet, *route, nullptr, aNow);
+    if (placement.target != nullptr) {
+      m_metrics.Observe(Latency::FlowWait, aNow - opening->arrivedAt);
+      aServed.push_back(std::move(*opening));
+      auto& served = aServed.back();
+      OpenAt(*placement.target, served.packet, served.data.data(),
+             served.data.size(), aNow);
+      continue;
+    }
+    if (placement.refusal == RefusalReason::NoTarget) {
+      Refuse(packet, Counter::FlowRefusedNoTarget, "no-target");
+      continue;
+    }
+    if (aService.empty()) {
+      // It came before the routes and now waits for a target.
+      Wait(packet, opening->data.data(), opening->data.size(), route->urgency,
+           opening->arrivedAt);
+      continue;
+    }
+    aQueue.Return(std::move(*opening));
+    return;
+  }
+}
+
+auto Forwarder::RefuseOld(Clock::time_point aNow) -> void
+{
+  for (auto& [service, queue] : m_waiting) {
+    for (const auto& old : queue.TakeOlderThan(aNow - kLongestWait)) {
+      Refuse(old.packet, Counter::FlowRefusedWaited, "waited-too-long");
+    }
+  }
+}
+
+auto Forwarder::ServeWaiting(Clock::time_point aNow) -> void
+{
+  if (m_routes.Current().version == 0) {
+    return;
+  }
+  // The data of what is served has to last until it is sent.
+  std::vector<WaitingOpening> served;
+  served.reserve(Waiting());
+  for (auto& [service, queue] : m_waiting) {
+    ServeQueue(service, queue, served, aNow);
+  }
+  if (!served.empty()) {
+    m_sink.Flush();
+  }
+}
+
+auto Forwarder::Waiting() const -> std::size_t
+{
+  std::size_t waiting = 0;
+  for (const auto& [service, queue] : m_waiting) {
+    waiting += queue.Size();
+  }
+  return waiting;
+}
+
+} // namespace bramleylock::forward
--- a/lib/Forward/Packet.cpp
+++ b/lib/Forward/Packet.cpp
@@ -21,6 +21,11 @@
   return FormatEndpoint(asio::ip::address_v4(aAddress.ip), aAddress.port);
 }
 
+auto FormatFlow(const FlowId& aFlow) -> std::string
+{
+  return FormatAddress(aFlow.client) + ">" + FormatAddress(aFlow.service);
+}
+
 /// Mixes the bits of a 64-bit word, so that flows that differ in one bit land
 /// far apart (the finalizer of SplitMix64).
 static auto Mix(std::uint64_t aWord) -> std::uint64_t
--- a/measure/ProcessUse.cpp
+++ b/measure/ProcessUse.cpp
@@ -2,6 +2,10 @@
 
 #include "measure/ProcessUse.h"
 
+#include <malloc.h>
+
+#include <ctime>
+
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -67,4 +71,17 @@
   return fit;
 }
 
+auto OwnCpuSeconds() -> double
+{
+  std::timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+auto OwnHeapBytes() -> double
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
 } // namespace bramleylock::measure
--- a/measure/ProcessUse.h
+++ b/measure/ProcessUse.h
@@ -34,4 +34,10 @@
 
 auto FitLine(const std::vector<Point>& aPoints) -> Fit;
 
+/// Processor time that this process has used, in seconds.
+auto OwnCpuSeconds() -> double;
+
+/// Bytes that this process has allocated and not freed.
+auto OwnHeapBytes() -> double;
+
 } // namespace bramleylock::measure
--- a/measure/Slopes.cpp
+++ b/measure/Slopes.cpp
@@ -10,10 +10,8 @@
 #include "bramleylock/Wire/Token.h"
 
 #include <fmt/format.h>
-#include <malloc.h>
 
 #include <algorithm>
-#include <ctime>
 
 namespace bramleylock::measure {
 
@@ -21,29 +19,15 @@
 
 namespace {
 
-auto CpuSeconds() -> double
-{
-  std::timespec now{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) +
-         static_cast<double>(now.tv_nsec) * 1e-9;
-}
-
-/// Bytes that the process has allocated and not freed.
-auto HeapBytes() -> double
-{
-  return static_cast<double>(mallinfo2().uordblks);
-}
-
 /// The median processor time of one run of aWork, in seconds.
 template<typename Work>
 auto MedianCpu(Work aWork) -> double
 {
   std::vector<double> times;
   for (int i = 0; i < kRepetitions; ++i) {
-    const auto before = CpuSeconds();
+    const auto before = OwnCpuSeconds();
     aWork();
-    times.push_back(CpuSeconds() - before);
+    times.push_back(OwnCpuSeconds() - before);
   }
   std::sort(times.begin(), times.end());
   return times[times.size() / 2];
@@ -173,11 +157,11 @@
                         fmt::format("service-{}", i / kHostsPerService),
                         "domain", false });
     }
-    const auto before = HeapBytes();
+    const auto before = OwnHeapBytes();
     auto table = MakeTable(metrics, context);
     install.push_back(
       { double(hosts), MedianCpu([&] { table->SetTargets(hints); }) });
-    memory.push_back({ double(hosts), HeapBytes() - before });
+    memory.push_back({ double(hosts), OwnHeapBytes() - before });
     choose.push_back({ double(hosts), MedianCpu([&] {
                                         for (int i = 0; i < kChoices; ++i) {
                                           table->Choose("service-0", {});
@@ -210,7 +194,7 @@
     asio::io_context context(1);
     const peer::ClusterKey key{};
     const Tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
-    const auto before = HeapBytes();
+    const auto before = OwnHeapBytes();
     std::vector<std::unique_ptr<peer::PeerHub>> hubs;
     for (int i = 0; i <= links; ++i) {
       hubs.push_back(
@@ -220,18 +204,18 @@
       hubs.back()->Start(
         { fmt::format("vm-{}", i), "domain", hubs.back()->Address(), 1 });
     }
-    const auto cpuBefore = CpuSeconds();
+    const auto cpuBefore = OwnCpuSeconds();
     for (int i = 1; i <= links; ++i) {
       hubs[0]->SendMessage(hubs[i]->Address(), wire::MessageType::Heartbeat,
                            wire::Heartbeat{});
     }
     RunFor(context, kSettle);
-    opening.push_back({ double(links), CpuSeconds() - cpuBefore });
-    memory.push_back({ double(links), HeapBytes() - before });
-    const auto idleBefore = CpuSeconds();
+    opening.push_back({ double(links), OwnCpuSeconds() - cpuBefore });
+    memory.push_back({ double(links), OwnHeapBytes() - before });
+    const auto idleBefore = OwnCpuSeconds();
     RunFor(context, kIdleWatch);
     idle.push_back(
-      { double(links), (CpuSeconds() - idleBefore) /
+      { double(links), (OwnCpuSeconds() - idleBefore) /
                          std::chrono::duration<double>(kIdleWatch).count() });
   }
   aReport.Add("link_bytes_both_ends", FitLine(memory).slope);
