--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -5,6 +5,8 @@
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Support/Log.h"
 
+#include <fmt/format.h>
+
 namespace bramleylock::forward {
 
 /// A target is left alone at most this long on one sign of silence. The
@@ -68,7 +70,7 @@
   LogInfo("target-silent", { { "from", "packets" },
                              { "target", aTarget.record.id },
                              { "address", FormatAddress(aTarget.record.At()) },
-                             { "tag", std::to_string(aTarget.tag) } });
+                             { "tag", fmt::format("{:08x}", aTarget.tag) } });
   Tell({ aTarget.tag, true });
   const auto& evidence = aTarget.evidence;
   if (evidence.answeredAt < evidence.clearedAt &&
