Do not open a waiting flow again that its copy has opened

Cause, found by reading: a client's copy that finds room while the first copy waits here opens the flow; the waiting one then opened it again, maybe at another target. The test fails without the check (two packets to targets).

--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -67,6 +67,11 @@
 {
   while (auto opening = aQueue.Pop()) {
     const auto& packet = opening->packet;
+    const auto* known = m_flows.Find(packet.flow);
+    if (known != nullptr && known->openedAt >= opening->arrivedAt) {
+      // A copy that came later found room before it.
+      continue;
+    }
     const auto* route = m_routes.Find(packet.flow.service);
     if (route == nullptr) {
       Refuse(packet, Counter::FlowRefusedNoRoute, "no-route");
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -305,6 +305,25 @@
   cr_assert(test.sink.resets[0].flow.client.port == 5);
 }
 
+Test(Forwarder, WaitingFlowThatACopyOpenedIsNotOpenedAgain)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  cr_assert(test.forwarder.Waiting() == 1);
+  // Room comes, and the client's copy before the one that waits.
+  test.targets.Apply(MakeTarget("b", 6), test.now);
+  test.Pass(Milliseconds(200));
+  test.Send(TestForward::Opening(5));
+  const auto sent = test.sink.toTargets.size();
+  cr_assert(test.sink.toTargets.back().packet.flow.client.port == 5);
+  test.forwarder.ServeWaiting(test.now);
+  cr_assert(test.sink.toTargets.size() == sent);
+  cr_assert(test.forwarder.Waiting() == 0);
+}
+
 Test(Forwarder, EndedFlowsLeaveTheCountOfTheirTarget)
 {
   TestForward test;
