--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -185,6 +185,7 @@
     }
   }
   Advance(aReading.revision, aReadAt);
+  m_metrics.Observe(Latency::StateInForce, aNow - aReadAt);
   if (first) {
     LogFirstReading();
   }
@@ -215,7 +216,9 @@
       aNews.routesVersion > m_routes.Current().version) {
     return false;
   }
-  Advance(aNews.revision, aNow - Milliseconds(aNews.ageMs));
+  const Milliseconds age(aNews.ageMs);
+  Advance(aNews.revision, aNow - age);
+  m_metrics.Observe(Latency::StateInForce, age);
   m_listener();
   return true;
 }
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -48,6 +48,7 @@
                          node.now, node.now);
   cr_assert(node.state.Complete());
   cr_assert(node.Ready() == 1);
+  cr_assert(node.metrics.Summary(Latency::StateInForce).count == 1);
 }
 
 Test(RoutingState, OlderRoutesAreNeverInstalled)
