Forget ended targets and routes by their age, and find addresses by an index

Causes, found by reading: - A departure that a balancer learnt from a peer had no time, so the target was forgotten at the next turn and its open flows ended in silence (DepartureLearntFromAPeerKeepsTheTargetForItsFlows fails without this). - A peer that was cut off for minutes still listed a target that had ended here; once its end was forgotten, the record was taken as new (PeerThatWasCutOffBringsNoEndedTargetBack fails without this). - The search for the former holder of an address walked all targets for each new one, so a first reading of 81,000 took their square; ends of entries and allowed services were never forgotten; forgetting walked all targets four times a second. After: indexes by address, departures in the order of time. An unused field of the packet is gone.

--- a/include/bramleylock/Forward/Packet.h
+++ b/include/bramleylock/Forward/Packet.h
@@ -24,6 +24,15 @@
   }
 };
 
+struct AddressHash
+{
+  auto operator()(const Address& aAddress) const -> std::size_t
+  {
+    return std::hash<std::uint64_t>{}(std::uint64_t{ aAddress.ip } << 16 |
+                                      aAddress.port);
+  }
+};
+
 /// "ip:port"; nothing for any other text.
 auto ParseAddress(const std::string& aText) -> std::optional<Address>;
 auto FormatAddress(const Address& aAddress) -> std::string;
@@ -56,7 +65,6 @@
   /// The tag that the client received last on this flow.
   TargetTag tag = 0;
   bool opens = false;
-  bool acknowledges = false;
   bool ends = false;
   bool resets = false;
   std::uint32_t sequence = 0;
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -104,6 +103,9 @@
   auto Allows(const Address& aService, const std::string& aTargetService) const
     -> bool;
 
+  /// Forgets what no version allowed within aKeep: no flow is that old.
+  auto Expire(Clock::duration aKeep, Clock::time_point aNow) -> void;
+
   /// Path of the health check of a service, or nothing.
   auto HealthPath(const std::string& aService) const -> std::string;
 
@@ -114,7 +116,11 @@
   RouteSet m_set;
   Clock::time_point m_since{};
   std::map<Address, std::size_t> m_byAddress;
-  std::map<Address, std::set<std::string>> m_allowed;
+  /// By route and service, until when a version allowed it; the maximum while
+  /// one does.
+  std::map<Address, std::map<std::string, Clock::time_point>> m_allowed;
+  /// The earliest of these times.
+  Clock::time_point m_firstEnded = Clock::time_point::max();
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -82,6 +82,7 @@
   auto MissingFrom(const std::vector<TargetRecord>& aShown,
                    std::uint64_t aRevision, bool aMayReturn)
     -> std::vector<RemovedTarget>;
+  auto EndedBeforeHere(const TargetRecord& aRecord) const -> bool;
   auto LogFirstReading() -> void;
   auto Advance(std::uint64_t aRevision, Clock::time_point aReadAt) -> void;
 
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -107,7 +108,7 @@
   auto Remove(const std::string& aId, std::uint64_t aRevision,
               Milliseconds aLapse, Clock::time_point aNow) -> bool;
 
-  /// Forgets targets that left longer than aKeep ago.
+  /// Forgets targets and ends of entries that are older than aKeep.
   auto Expire(Clock::duration aKeep, Clock::time_point aNow) -> void;
 
   /// The incarnation that aTag names among the services that aRoutes allows at
@@ -121,6 +122,9 @@
 
   auto Find(const std::string& aId) -> DirectoryEntry*;
 
+  /// Whether this incarnation of aId is or was listed here.
+  auto Knows(const std::string& aId, std::uint64_t aIncarnation) const -> bool;
+
   /// Some target with aTag, or null.
   auto FindTag(TargetTag aTag) -> DirectoryEntry*;
 
@@ -135,7 +139,17 @@
 private:
   using Key = std::pair<std::string, std::uint64_t>;
 
+  /// The end of an entry.
+  struct Ended
+  {
+    std::uint64_t revision = 0;
+    Clock::time_point at{};
+  };
+
   auto Latest(const std::string& aId) -> DirectoryEntry*;
+  auto NoteGone(DirectoryEntry& aEntry, Clock::time_point aNow) -> void;
+  auto AddToIndexes(DirectoryEntry& aEntry) -> void;
+  auto DropFromIndexes(DirectoryEntry& aEntry) -> void;
   auto MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow) -> void;
   auto RetireAddress(const DirectoryEntry& aNewcomer, Clock::time_point aNow)
     -> void;
@@ -143,9 +157,12 @@
   const PacketCodec& m_codec;
   std::map<Key, DirectoryEntry> m_entries;
   std::unordered_multimap<TargetTag, DirectoryEntry*> m_byTag;
+  std::unordered_multimap<Address, DirectoryEntry*, AddressHash> m_byAddress;
   std::map<std::string, std::vector<DirectoryEntry*>> m_byService;
-  /// Revisions of entries that ended, by id.
-  std::map<std::string, std::uint64_t> m_removed;
+  /// Entries that ended lately, by id.
+  std::map<std::string, Ended> m_ended;
+  /// Incarnations in the order in which they left; some may be back.
+  std::deque<std::pair<Clock::time_point, Key>> m_gone;
 };
 
 } // namespace bramleylock::forward
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -367,6 +367,7 @@
   const auto keep = m_options.longestFlow + std::chrono::seconds(1);
   m_flows.DropTargetsGoneBefore(aNow - m_options.longestFlow);
   m_targets.Expire(keep, aNow);
+  m_routes.Expire(keep, aNow);
   ServeWaiting(aNow);
   m_sink.Flush();
 }
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -2,6 +2,7 @@
 
 #include "bramleylock/Forward/RouteTable.h"
 
+#include <algorithm>
 #include <cassert>
 #include <numeric>
 
@@ -12,6 +13,12 @@
   if (aSet.version <= m_set.version) {
     return false;
   }
+  for (const auto& route : m_set.routes) {
+    for (const auto& share : route.shares) {
+      m_allowed[route.At()][share.service] = aNow;
+    }
+  }
+  m_firstEnded = std::min(m_firstEnded, aNow);
   m_set = std::move(aSet);
   m_since = aNow;
   m_byAddress.clear();
@@ -19,7 +26,7 @@
     const auto& route = m_set.routes[index];
     m_byAddress[route.At()] = index;
     for (const auto& share : route.shares) {
-      m_allowed[route.At()].insert(share.service);
+      m_allowed[route.At()][share.service] = Clock::time_point::max();
     }
   }
   return true;
@@ -69,6 +76,24 @@
   return found != m_allowed.end() && found->second.contains(aTargetService);
 }
 
+auto RouteTable::Expire(Clock::duration aKeep, Clock::time_point aNow) -> void
+{
+  const auto limit = aNow - aKeep;
+  if (m_firstEnded >= limit) {
+    return;
+  }
+  m_firstEnded = Clock::time_point::max();
+  for (auto& [address, services] : m_allowed) {
+    std::erase_if(services,
+                  [limit](const auto& aRow) { return aRow.second < limit; });
+    for (const auto& [service, until] : services) {
+      m_firstEnded = std::min(m_firstEnded, until);
+    }
+  }
+  std::erase_if(m_allowed,
+                [](const auto& aRow) { return aRow.second.empty(); });
+}
+
 auto RouteTable::HealthPath(const std::string& aService) const -> std::string
 {
   for (const auto& service : m_set.services) {
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -194,6 +194,15 @@
   return news;
 }
 
+/// All changes up to m_revision are here, so a listed target that is not known
+/// and not newer has ended. A peer that was cut off for long still has it.
+auto RoutingState::EndedBeforeHere(const TargetRecord& aRecord) const -> bool
+{
+  return aRecord.State() < TargetState::Departed &&
+         aRecord.revision <= m_revision &&
+         !m_targets.Knows(aRecord.id, aRecord.incarnation);
+}
+
 auto RoutingState::TakeNews(const RoutingNews& aNews, Clock::time_point aNow)
   -> bool
 {
@@ -201,7 +210,9 @@
     InstallRoutes(routes, "peer", aNow);
   }
   for (const auto& record : aNews.targets) {
-    ApplyTarget(record, "peer", aNow);
+    if (!EndedBeforeHere(record)) {
+      ApplyTarget(record, "peer", aNow);
+    }
   }
   for (const auto& removed : aNews.removed) {
     RemoveTarget(removed, "peer", aNow);
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -5,6 +5,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <cassert>
 #include <cstring>
 
 namespace bramleylock::forward {
@@ -53,6 +54,50 @@
   return Latest(aId);
 }
 
+auto TargetDirectory::Knows(const std::string& aId,
+                            std::uint64_t aIncarnation) const -> bool
+{
+  return m_entries.contains({ aId, aIncarnation });
+}
+
+template<typename Index, typename Name>
+static auto DropFrom(Index& aIndex, const Name& aName,
+                     const DirectoryEntry* aEntry) -> void
+{
+  const auto range = aIndex.equal_range(aName);
+  const auto row = std::find_if(
+    range.first, range.second,
+    [aEntry](const auto& aRow) { return aRow.second == aEntry; });
+  assert(row != range.second);
+  aIndex.erase(row);
+}
+
+auto TargetDirectory::AddToIndexes(DirectoryEntry& aEntry) -> void
+{
+  m_byTag.emplace(aEntry.tag, &aEntry);
+  m_byAddress.emplace(aEntry.record.At(), &aEntry);
+  m_byService[aEntry.record.service].push_back(&aEntry);
+}
+
+auto TargetDirectory::DropFromIndexes(DirectoryEntry& aEntry) -> void
+{
+  DropFrom(m_byTag, aEntry.tag, &aEntry);
+  DropFrom(m_byAddress, aEntry.record.At(), &aEntry);
+  const auto service = m_byService.find(aEntry.record.service);
+  assert(service != m_byService.end());
+  std::erase(service->second, &aEntry);
+  if (service->second.empty()) {
+    m_byService.erase(service);
+  }
+}
+
+auto TargetDirectory::NoteGone(DirectoryEntry& aEntry, Clock::time_point aNow)
+  -> void
+{
+  aEntry.departedAt = aNow;
+  m_gone.emplace_back(aNow, Key{ aEntry.record.id, aEntry.record.incarnation });
+}
+
 auto TargetDirectory::MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow)
   -> void
 {
@@ -60,7 +105,7 @@
     return;
   }
   if (aEntry.record.State() != TargetState::Departed) {
-    aEntry.departedAt = aNow;
+    NoteGone(aEntry, aNow);
   }
   aEntry.record.state = static_cast<std::uint8_t>(TargetState::Dead);
   aEntry.lapseEnds = {};
@@ -71,8 +116,10 @@
 auto TargetDirectory::RetireAddress(const DirectoryEntry& aNewcomer,
                                     Clock::time_point aNow) -> void
 {
-  for (auto& [key, entry] : m_entries) {
-    if (&entry != &aNewcomer && entry.record.At() == aNewcomer.record.At() &&
+  const auto range = m_byAddress.equal_range(aNewcomer.record.At());
+  for (auto row = range.first; row != range.second; ++row) {
+    auto& entry = *row->second;
+    if (&entry != &aNewcomer &&
         entry.record.incarnation < aNewcomer.record.incarnation) {
       MarkDead(entry, aNow);
     }
@@ -83,9 +130,9 @@
   -> bool
 {
   const auto prefix = m_codec.PrefixOf(aRecord.id);
-  const auto removed = m_removed.find(aRecord.id);
+  const auto ended = m_ended.find(aRecord.id);
   const bool old =
-    removed != m_removed.end() && aRecord.revision <= removed->second;
+    ended != m_ended.end() && aRecord.revision <= ended->second.revision;
   if (!prefix || (old && aRecord.State() < TargetState::Departed)) {
     return false;
   }
@@ -105,20 +152,23 @@
     }
     entry.tag = TagOf(aRecord.id, aRecord.incarnation);
     entry.prefix = *prefix;
-    m_byTag.emplace(entry.tag, &entry);
-    m_byService[aRecord.service].push_back(&entry);
-    if (aRecord.State() >= TargetState::Departed) {
-      entry.departedAt = aNow;
-    }
-  } else if (entry.record.service != aRecord.service) {
-    std::erase(m_byService[entry.record.service], &entry);
-    m_byService[aRecord.service].push_back(&entry);
   }
-  const bool changed = isNew || entry.record.state != aRecord.state ||
-                       entry.record.At() != aRecord.At() ||
-                       entry.record.service != aRecord.service ||
+  const bool moved = entry.record.At() != aRecord.At() ||
+                     entry.record.service != aRecord.service;
+  const bool changed = isNew || moved || entry.record.state != aRecord.state ||
                        entry.record.slots != aRecord.slots;
+  if (!isNew && moved) {
+    DropFromIndexes(entry);
+  }
+  const bool wasListed =
+    isNew || entry.record.State() < TargetState::Departed;
   entry.record = aRecord;
+  if (wasListed && aRecord.State() >= TargetState::Departed) {
+    NoteGone(entry, aNow);
+  }
+  if (isNew || moved) {
+    AddToIndexes(entry);
+  }
   entry.heardAt = aNow;
   entry.lapseEnds = {};
   entry.warmAt = aNow + Milliseconds(aRecord.coldMs);
@@ -132,8 +182,8 @@
                              Milliseconds aLapse, Clock::time_point aNow)
   -> bool
 {
-  auto& removed = m_removed[aId];
-  removed = std::max(removed, aRevision);
+  auto& ended = m_ended[aId];
+  ended = { std::max(ended.revision, aRevision), aNow };
   auto* entry = Latest(aId);
   if (entry == nullptr || entry->record.revision >= aRevision ||
       entry->record.State() >= TargetState::Departed) {
@@ -145,32 +195,28 @@
   }
   entry->record.state = static_cast<std::uint8_t>(TargetState::Departed);
   entry->record.revision = aRevision;
-  entry->departedAt = aNow;
+  NoteGone(*entry, aNow);
   return true;
 }
 
 auto TargetDirectory::Expire(Clock::duration aKeep, Clock::time_point aNow)
   -> void
 {
-  for (auto place = m_entries.begin(); place != m_entries.end();) {
-    auto& entry = place->second;
-    const bool gone = entry.record.State() >= TargetState::Departed &&
-                      aNow - entry.departedAt > aKeep;
-    if (!gone) {
-      ++place;
+  for (; !m_gone.empty() && aNow - m_gone.front().first > aKeep;
+       m_gone.pop_front()) {
+    const auto place = m_entries.find(m_gone.front().second);
+    if (place == m_entries.end() ||
+        place->second.record.State() < TargetState::Departed ||
+        aNow - place->second.departedAt <= aKeep) {
+      // It was listed again; if it left again, that stands further back.
       continue;
     }
-    const auto range = m_byTag.equal_range(entry.tag);
-    for (auto row = range.first; row != range.second; ++row) {
-      if (row->second == &entry) {
-        m_byTag.erase(row);
-        break;
-      }
-    }
-    std::erase(m_byService[entry.record.service], &entry);
-    m_removed.erase(place->first.first);
-    place = m_entries.erase(place);
+    DropFromIndexes(place->second);
+    m_entries.erase(place);
   }
+  std::erase_if(m_ended, [aKeep, aNow](const auto& aRow) {
+    return aNow - aRow.second.at > aKeep;
+  });
 }
 
 auto TargetDirectory::Lookup(TargetTag aTag, const Address& aService,
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -163,6 +163,24 @@
   cr_assert(test.sink.resets.size() == 1);
 }
 
+/// Routes come and go for days; what they allowed is kept while a flow may live.
+Test(Forwarder, RemovedRouteIsForgottenAfterTheLongestFlow)
+{
+  TestForward node;
+  node.routes.Install(RouteSet{ 2, 2, 15000, {}, {} }, node.now);
+  node.Pass(Milliseconds(60000));
+  node.forwarder.Expire(node.now);
+  cr_assert(node.routes.StateOf(kOrders) == RouteState::Removed);
+  node.Pass(Milliseconds(2000));
+  node.forwarder.Expire(node.now);
+  cr_assert(node.routes.StateOf(kOrders) == RouteState::Unknown);
+  node.routes.Install(MakeRoutes(3), node.now);
+  node.Pass(std::chrono::minutes(5));
+  node.forwarder.Expire(node.now);
+  cr_assert(node.routes.StateOf(kOrders) == RouteState::InForce);
+  cr_assert(node.routes.Allows(kOrders, "orders"));
+}
+
 Test(Forwarder, OpenFlowsStayWhenTheirRouteChangesItsService)
 {
   TestForward test;
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -174,3 +174,65 @@
   cr_assert(target != nullptr);
   cr_assert(target->record.State() == TargetState::Departed);
 }
+
+/// A peer that was cut off for minutes still lists a target that ended here so
+/// long ago that its end is forgotten.
+Test(RoutingState, PeerThatWasCutOffBringsNoEndedTargetBack)
+{
+  Node node;
+  Node apart;
+  for (auto* each : { &node, &apart }) {
+    each->state.TakeReading(Whole(9, { MakeTarget("a", 5) }), true, false,
+                            each->now, each->now);
+  }
+  node.state.TakeReading({ 12, std::nullopt, {}, { { "a", 12, false } } },
+                         false, false, node.now, node.now);
+  node.now += std::chrono::minutes(3);
+  node.targets.Expire(std::chrono::seconds(61), node.now);
+  cr_assert(node.targets.Size() == 0);
+  node.state.TakeNews(apart.state.Answer({ 12, 0 }, apart.now), node.now);
+  cr_assert(node.Ready() == 0);
+}
+
+/// The same target listed again later is taken.
+Test(RoutingState, NewerRecordOfAnEndedTargetIsTaken)
+{
+  Node node;
+  node.state.TakeReading(Whole(9, { MakeTarget("a", 5) }), true, false,
+                         node.now, node.now);
+  node.state.TakeReading({ 12, std::nullopt, {}, { { "a", 12, false } } },
+                         false, false, node.now, node.now);
+  node.now += std::chrono::minutes(3);
+  node.targets.Expire(std::chrono::seconds(61), node.now);
+  RoutingNews news;
+  news.base = 12;
+  news.revision = 14;
+  news.targets.push_back(MakeTarget("a", 14, "orders", 2));
+  node.state.TakeNews(news, node.now);
+  cr_assert(node.Ready() == 1);
+}
+
+/// Whoever learns of a departure from a peer keeps the target for its flows as
+/// long as the one that read it in the store.
+Test(RoutingState, DepartureLearntFromAPeerKeepsTheTargetForItsFlows)
+{
+  Node reader;
+  Node other;
+  for (auto* each : { &reader, &other }) {
+    each->state.TakeReading(Whole(9, { MakeTarget("a", 5) }), true, false,
+                            each->now, each->now);
+  }
+  reader.state.TakeReading({ 12, std::nullopt, {}, { { "a", 12, false } } },
+                           false, false, reader.now, reader.now);
+  other.state.TakeNews(reader.state.Answer({ 9, 0 }, reader.now), other.now);
+  cr_assert(other.Ready() == 0);
+  const auto lookup = [&other] {
+    return other.targets.Lookup(TagOf("a", 1), kOrders, other.routes);
+  };
+  other.now += std::chrono::seconds(59);
+  other.targets.Expire(std::chrono::seconds(61), other.now);
+  cr_assert(lookup() != nullptr);
+  other.now += std::chrono::seconds(3);
+  other.targets.Expire(std::chrono::seconds(61), other.now);
+  cr_assert(lookup() == nullptr);
+}
--- a/unittests/Forward/TargetDirectoryTest.cpp
+++ b/unittests/Forward/TargetDirectoryTest.cpp
@@ -137,6 +137,49 @@
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
+Test(TargetDirectory, NewcomerAtAnAddressEndsWhoeverHadIt)
+{
+  FakeCodec codec;
+  TargetDirectory targets(codec);
+  auto moved = MakeTarget("a", 5);
+  targets.Apply(moved, kNow);
+  moved.port = 81;
+  moved.revision = 6;
+  targets.Apply(moved, kNow);
+  auto newcomer = MakeTarget("b", 7, "proofs", 2);
+  newcomer.ip = moved.ip;
+  newcomer.port = 80;
+  targets.Apply(newcomer, kNow);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Ready,
+            "it has another address by now");
+  auto other = MakeTarget("c", 8, "proofs", 2);
+  other.ip = moved.ip;
+  other.port = 81;
+  targets.Apply(other, kNow);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Dead);
+}
+
+/// Targets come and go for days; what is kept of them does not pile up.
+Test(TargetDirectory, WhatEndedIsForgotten)
+{
+  FakeCodec codec;
+  TargetDirectory targets(codec);
+  RouteTable routes;
+  routes.Install(MakeRoutes(1), kNow);
+  auto now = kNow;
+  for (int i = 0; i < 500; ++i) {
+    const auto id = "t" + std::to_string(i);
+    const auto revision = static_cast<std::uint64_t>(2 * i + 10);
+    targets.Apply(MakeTarget(id, revision), now);
+    targets.Remove(id, revision + 1, Milliseconds(0), now);
+    now += std::chrono::seconds(1);
+    targets.Expire(std::chrono::seconds(61), now);
+    cr_assert(targets.Size() <= 62);
+  }
+  cr_assert(targets.Lookup(TagOf("t0", 1), kOrders, routes) == nullptr);
+  cr_assert(targets.Lookup(TagOf("t499", 1), kOrders, routes) != nullptr);
+}
+
 Test(TargetDirectory, TagsOfManyTargetsSeldomCollide)
 {
   std::set<TargetTag> tags;
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -148,7 +148,6 @@
                         std::uint32_t aAcknowledgement = 500) -> Packet
   {
     aOpening.opens = false;
-    aOpening.acknowledges = true;
     aOpening.tag = aTag;
     aOpening.acknowledgement = aAcknowledgement;
     return aOpening;
--- a/unittests/Platform/PacketHeaderTest.cpp
+++ b/unittests/Platform/PacketHeaderTest.cpp
@@ -34,7 +34,7 @@
   const auto data = OpeningBytes();
   const auto packet = Codec()->Decode(data.data(), data.size());
   cr_assert(packet.has_value());
-  cr_assert(packet->opens && !packet->acknowledges && !packet->ends);
+  cr_assert(packet->opens && !packet->ends && !packet->resets);
   cr_assert(FormatAddress(packet->flow.client) == "192.0.2.9:40001");
   cr_assert(FormatAddress(packet->flow.service) == "198.51.100.5:443");
   cr_assert(packet->sequence == 0x11223344);
