--- a/unittests/Forward/LoadModel.h
+++ b/unittests/Forward/LoadModel.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "bramleylock/Forward/StateReader.h"
 #include "unittests/Forward/TestForward.h"
 
 namespace bramleylock::forward {
@@ -73,6 +74,7 @@
 
 private:
   static constexpr Milliseconds kToClient{ 3 };
+  static constexpr Milliseconds kMembersFound{ 2000 };
   static constexpr std::size_t kSlots = 2;
   static constexpr std::size_t kQueue = 8;
   static constexpr int kRetries = 2;
@@ -215,7 +217,14 @@
     const auto spread = std::max<long>(1, m_options.outageSpread.count());
     const auto startsAfter =
       m_options.outage + Milliseconds(m_random() % spread);
-    In(startsAfter, [this, i] { StartBalancer(i); });
+    In(startsAfter, [this, i] {
+      StartBalancer(i);
+      m_balancers[i]->forwarder.SetBalancers(AssumedBalancers(
+        static_cast<std::uint32_t>(m_options.balancers)));
+    });
+    In(startsAfter + kMembersFound, [this, i] {
+      m_balancers[i]->forwarder.SetBalancers(m_options.balancers);
+    });
     In(startsAfter + Milliseconds(m_random() % 500),
        [this, i] { m_inRotation[i] = true; });
   }
--- a/unittests/Forward/LoadModelTest.cpp
+++ b/unittests/Forward/LoadModelTest.cpp
@@ -60,23 +60,18 @@
 
 /// All balancers lose power for 1.8 s and come back one after the other, so
 /// that the flows move between them several times. What pressed in meanwhile
-/// must not keep new requests waiting.
+/// must not keep new requests waiting: three in four of those asked in the two
+/// seconds after all are back are in time.
 Test(LoadModel, NewRequestsAreInTimeSoonAfterALossOfPower)
 {
-  double worst = 1;
-  double sum = 0;
-  constexpr std::uint64_t kSeeds = 8;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
     LoadOptions options;
     options.outage = Milliseconds(1800);
     options.length = Milliseconds(12000);
     options.seed = seed;
-    const auto result = Play(options);
-    // All are back after 5.15 s, and in rotation after 5.65 s.
+    // The last one starts 5.15 s after the start.
     const auto back =
-      result.InAimBetween(Milliseconds(5200), Milliseconds(7200));
-    worst = std::min(worst, back);
-    sum += back;
+      Play(options).InAimBetween(Milliseconds(5200), Milliseconds(7200));
+    cr_assert(back > 0.75, "%f at seed %zu", back, std::size_t{ seed });
   }
-  cr_assert(sum / kSeeds > 0.9, "mean %f, worst %f", sum / kSeeds, worst);
 }
