Read the store once for all failure domains

Now the first balancer of the first domain holds the watch and tells two members of each other domain, which tell theirs; a domain that does not hear in time reads for itself, as the next in rank of one domain did before, so the bound on draining targets holds as before (DomainThatIsCutOffReadsForItself, oldest state under 3 s). While members are not found, watches are 1 s apart.

--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -11,18 +11,18 @@
 
 namespace bramleylock::forward {
 
-/// How long after the last known reading the balancer of aRank in its failure
-/// domain reads the store.
+/// How long after the last known reading the balancer of aRank reads the store.
 auto ReadAfter(std::size_t aRank) -> Milliseconds;
 
 /// How many balancers are taken to share the targets before members are found,
 /// when aRecorded were recorded last.
 auto AssumedBalancers(std::uint32_t aRecorded) -> std::size_t;
 
-/// Balancers of a failure domain take turns by rank: the first holds a watch
-/// and tells the others at its every return, also when nothing changed; each
-/// further one reads only when that news is late by its rank. So nobody is
-/// elected, and nobody has to notice a failure.
+/// Balancers take turns by rank: the first of the first failure domain holds a
+/// watch and tells its domain and two members of each other domain at its every
+/// return, also when nothing changed; those tell theirs. Each further one reads
+/// only when that news is late by its rank in its domain. So nobody is elected,
+/// and nobody has to notice a failure.
 class StateReader
 {
 public:
@@ -47,12 +47,15 @@
   auto RecordBalancers() -> awaitable<void>;
   auto CountIsOff() const -> bool;
   auto NextReading() -> Clock::time_point;
+  auto PauseNow() const -> Milliseconds;
+  auto WaitNow() const -> Milliseconds;
   auto Rank() const -> std::size_t;
   auto AskSomebody(Clock::time_point aNow) -> void;
   auto NoteFailure(const std::error_code& aError, Clock::time_point aNow)
     -> void;
   auto NoteSuccess() -> void;
   auto TellDomain(const RoutingNews& aNews) -> void;
+  auto TellOtherDomains(const RoutingNews& aNews) -> void;
   auto TakeNews(const wire::Hello& aSender, const RoutingNews& aNews) -> void;
 
   asio::io_context& m_context;
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -59,6 +59,14 @@
   /// Reachable members of this balancer's failure domain, without itself.
   auto AliveInDomain() const -> std::vector<Member>;
 
+  /// Their addresses.
+  auto InDomain() const -> std::vector<std::string>;
+
+  /// Addresses of reachable members of another failure domain that are known
+  /// here.
+  auto ContactsOf(const std::string& aFailureDomain) const
+    -> std::vector<std::string>;
+
   /// Balancers alive in the fleet, with this one, by the domains' summaries.
   auto AliveCount() const -> std::size_t;
 
@@ -129,9 +137,6 @@
   auto ForgetStale() -> void;
   auto NextProbed() -> std::string;
   auto Knock() -> void;
-  auto InDomain() const -> std::vector<std::string>;
-  auto ContactsOf(const std::string& aFailureDomain) const
-    -> std::vector<std::string>;
   auto OtherDomains() const -> std::vector<std::string>;
   auto Choose(std::vector<std::string> aFrom, std::size_t aCount)
     -> std::vector<std::string>;
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -22,6 +22,17 @@
 /// Pause between two watches, so that changes in quick succession come in one.
 static constexpr Milliseconds kPause{ 200 };
 
+/// The same while members are not found, and everybody ranks first.
+static constexpr Milliseconds kPauseAlone{ 1000 };
+
+/// Members of each other failure domain that the first reader tells: with one
+/// of them dead the domain still hears.
+static constexpr std::size_t kContactsTold = 2;
+
+/// News of another domain are passed on if they are newer by more than what two
+/// contacts of one reader differ by.
+static constexpr Milliseconds kNewer{ 100 };
+
 /// Pauses after failed calls, doubled up to the longest.
 static constexpr Milliseconds kRetry{ 250 };
 static constexpr Milliseconds kLongestRetry{ 1000 };
@@ -117,15 +128,12 @@
   return gap * kCountTolerance > recorded;
 }
 
-/// The first reader of the first failure domain keeps the recorded number of
-/// balancers about right; a domain that is cut off from the others does not.
+/// The first reader keeps the recorded number of balancers about right; one
+/// that cannot hear all failure domains does not.
 auto StateReader::RecordBalancers() -> awaitable<void>
 {
   const auto now = Clock::now();
-  const auto domains = m_members.AliveByDomain();
-  const bool mine = !domains.empty() && Rank() == 0 &&
-                    domains.begin()->first == m_members.Self().failureDomain;
-  if (!mine || !m_members.LostDomains().empty() || !CountIsOff()) {
+  if (Rank() != 0 || !m_members.LostDomains().empty() || !CountIsOff()) {
     m_countOffSince = {};
     co_return;
   }
@@ -153,14 +161,38 @@
 
 auto StateReader::Rank() const -> std::size_t
 {
-  std::vector<std::string> addresses{ m_members.Self().address };
-  for (const auto& member : m_members.AliveInDomain()) {
-    addresses.push_back(member.address);
+  const auto& self = m_members.Self();
+  auto addresses = m_members.InDomain();
+  addresses.push_back(self.address);
+  const auto order = RendezvousOrder("state-reader", std::move(addresses));
+  const auto place = std::find(order.begin(), order.end(), self.address);
+  const auto inDomain = static_cast<std::size_t>(place - order.begin());
+  std::vector<std::string> domains;
+  for (const auto& [domain, alive] : m_members.AliveByDomain()) {
+    domains.push_back(domain);
+  }
+  const auto domainOrder = RendezvousOrder("state-reader", std::move(domains));
+  const bool first =
+    domainOrder.empty() || domainOrder.front() == self.failureDomain;
+  return first ? inDomain : inDomain + 1;
+}
+
+/// Pauses and waits add up to the same, by which others notice a late reader.
+auto StateReader::PauseNow() const -> Milliseconds
+{
+  const bool alone = Clock::now() - m_startedAt < kMembersFound;
+  return alone ? kPauseAlone : kPause;
+}
+
+auto StateReader::WaitNow() const -> Milliseconds
+{
+  if (!m_state.Complete()) {
+    // The operators have not written any routes; all wait for them.
+    return kWait;
   }
-  const auto order = RendezvousOrder("state-reader", addresses);
-  const auto self =
-    std::find(order.begin(), order.end(), m_members.Self().address);
-  return static_cast<std::size_t>(self - order.begin());
+  // Who stands in for a reader that is late tells what there is at once, so
+  // that those behind it need not read as well.
+  return Rank() == 0 ? kWait + kPause - PauseNow() : Milliseconds(0);
 }
 
 auto StateReader::NextReading() -> Clock::time_point
@@ -175,7 +207,8 @@
             { { "rank", std::to_string(rank) },
               { "reads_after_ms", std::to_string(ReadAfter(rank).count()) } });
   }
-  return std::max(m_retryAt, m_state.ReadAt() + ReadAfter(rank));
+  const auto after = rank == 0 ? PauseNow() : ReadAfter(rank);
+  return std::max(m_retryAt, m_state.ReadAt() + after);
 }
 
 auto StateReader::ReadLoop() -> awaitable<void>
@@ -205,12 +238,8 @@
   if (whole) {
     reading = co_await m_source.ReadAll(error);
   } else {
-    // Who stands in for a reader that is late tells what there is at once, so
-    // that those behind it need not read as well.
-    // While the operators have not written any routes, all wait for them.
-    const bool waits = Rank() == 0 || !m_state.Complete();
-    const auto wait = waits ? kWait : Milliseconds(0);
-    reading = co_await m_source.ReadChanges(m_state.Revision(), wait, error);
+    reading =
+      co_await m_source.ReadChanges(m_state.Revision(), WaitNow(), error);
   }
   const auto now = Clock::now();
   m_metrics.Add(Counter::StateReadings);
@@ -230,8 +259,10 @@
     m_failedAt != Clock::time_point{} && now - m_failedAt < kTroubleKept;
   NoteSuccess();
   // The answer to a watch shows the store as it was when it was sent.
-  TellDomain(m_state.TakeReading(std::move(reading), whole, troubled,
-                                 whole ? began : now, now));
+  const auto news = m_state.TakeReading(std::move(reading), whole, troubled,
+                                        whole ? began : now, now);
+  TellDomain(news);
+  TellOtherDomains(news);
 }
 
 auto StateReader::NoteFailure(const std::error_code& aError,
@@ -264,8 +295,24 @@
 auto StateReader::TellDomain(const RoutingNews& aNews) -> void
 {
   const auto body = wire::PackBody(aNews);
-  for (const auto& member : m_members.AliveInDomain()) {
-    m_links.Send(member.address, wire::MessageType::Routing, body);
+  for (const auto& address : m_members.InDomain()) {
+    m_links.Send(address, wire::MessageType::Routing, body);
+  }
+}
+
+auto StateReader::TellOtherDomains(const RoutingNews& aNews) -> void
+{
+  const auto body = wire::PackBody(aNews);
+  for (const auto& [domain, alive] : m_members.AliveByDomain()) {
+    if (domain == m_members.Self().failureDomain) {
+      continue;
+    }
+    auto contacts = m_members.ContactsOf(domain);
+    std::shuffle(contacts.begin(), contacts.end(), m_random);
+    contacts.resize(std::min(contacts.size(), kContactsTold));
+    for (const auto& address : contacts) {
+      m_links.Send(address, wire::MessageType::Routing, body);
+    }
   }
 }
 
@@ -289,13 +336,21 @@
   -> void
 {
   m_metrics.Add(Counter::StateFromPeer);
-  if (!m_state.TakeNews(aNews, Clock::now())) {
+  const auto now = Clock::now();
+  const auto before = m_state.ReadAt();
+  if (!m_state.TakeNews(aNews, now)) {
     m_links.SendMessage(aSender.address, wire::MessageType::RoutingRequest,
                         RoutingRequest{ m_state.Revision(), 0 });
     return;
   }
   m_needWhole = false;
   m_wake.Notify();
+  // A whole account answers a question; others of the domain ask theirs.
+  const bool passesOn = aSender.failureDomain != m_members.Self().failureDomain &&
+                        aNews.base != 0 && m_state.ReadAt() > before + kNewer;
+  if (passesOn) {
+    TellDomain(aNews);
+  }
 }
 
 } // namespace bramleylock::forward
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -183,3 +183,52 @@
   cr_assert(node.reader.Balancers(now) == 4);
   cr_assert(node.reader.Balancers(now + Milliseconds(4000)) == 1);
 }
+
+namespace {
+
+/// Two failure domains of two balancers each.
+struct TwoDomains
+{
+  peer::TestNetwork network;
+  FakeStore store;
+  Node northA{ network, store, "a", "north" };
+  Node northB{ network, store, "b", "north" };
+  Node southC{ network, store, "c", "south" };
+  Node southD{ network, store, "d", "south" };
+  std::array<Node*, 4> all{ &northA, &northB, &southC, &southD };
+};
+
+} // namespace
+
+/// One watch serves all failure domains.
+Test(StateReader, OneReaderServesAllDomains)
+{
+  TwoDomains fleet;
+  fleet.network.RunFor(Milliseconds(5000));
+  const int before = fleet.store.watches;
+  fleet.network.RunFor(Milliseconds(6600));
+  cr_assert(fleet.store.watches - before <= 4, "%d",
+            fleet.store.watches - before);
+  for (const auto* node : fleet.all) {
+    cr_assert(Clock::now() - node->state.ReadAt() < Milliseconds(2450));
+  }
+}
+
+/// A domain that is cut off from the others and still reaches the store reads
+/// for itself, before targets that drain get flows for too long.
+Test(StateReader, DomainThatIsCutOffReadsForItself)
+{
+  TwoDomains fleet;
+  fleet.network.RunFor(Milliseconds(5000));
+  for (const auto* north : { "a", "b" }) {
+    for (const auto* south : { "c", "d" }) {
+      fleet.network.CutBoth(north, south);
+    }
+  }
+  for (int step = 0; step < 60; ++step) {
+    fleet.network.RunFor(Milliseconds(100));
+    for (const auto* node : fleet.all) {
+      cr_assert(Clock::now() - node->state.ReadAt() < Milliseconds(3000));
+    }
+  }
+}
