--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -1,6 +1,7 @@
 // Finds out whether targets that did not answer are gone, and shares it.
 #pragma once
 
+#include <set>
 #include <string>
 
 #include "bramleylock/Forward/TargetDirectory.h"
@@ -33,6 +34,7 @@
   auto OnSilent(DirectoryEntry& aTarget) -> void;
 
 private:
+  auto Probe(TargetTag aTag) -> awaitable<void>;
   auto ProbeLoop(TargetTag aTag) -> awaitable<void>;
   auto Healthy(const TargetRecord& aTarget) -> awaitable<bool>;
   auto Tell(const SilenceNews& aNews) -> void;
@@ -45,6 +47,8 @@
   /// Null until Join.
   peer::PeerLinks* m_links = nullptr;
   peer::Membership* m_members = nullptr;
+  /// Targets that are being asked.
+  std::set<TargetTag> m_probed;
 };
 
 /// Marks aTarget silent from aNow on; false when it was already.
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -77,7 +77,9 @@
       Clock::now() - evidence.clearedAt < kCheckDistrusted) {
     return;
   }
-  Spawn(m_context, "probe-silent", ProbeLoop(aTarget.tag));
+  if (m_probed.insert(aTarget.tag).second) {
+    Spawn(m_context, "probe-silent", Probe(aTarget.tag));
+  }
 }
 
 auto SilenceWatch::TakeNews(const std::string& aPeer, const SilenceNews& aNews)
@@ -124,6 +126,12 @@
   co_return !error && reply.status == 200;
 }
 
+auto SilenceWatch::Probe(TargetTag aTag) -> awaitable<void>
+{
+  co_await ProbeLoop(aTag);
+  m_probed.erase(aTag);
+}
+
 auto SilenceWatch::ProbeLoop(TargetTag aTag) -> awaitable<void>
 {
   auto pause = kCheckEvery;
--- a/lib/Kernel/PacketPort.cpp
+++ b/lib/Kernel/PacketPort.cpp
@@ -35,6 +35,9 @@
 
   std::array<std::array<char, forward::kLargestPacket>, kBatch> incoming;
   std::vector<Outgoing> outgoing;
+  /// What sendmmsg gets; kept for their memory.
+  std::vector<mmsghdr> headers;
+  std::vector<std::array<iovec, 2>> parts;
 };
 
 PacketPort::PacketPort(asio::io_context& aContext, Metrics& aMetrics)
@@ -138,8 +141,10 @@
   if (outgoing.empty()) {
     return;
   }
-  std::vector<mmsghdr> headers(outgoing.size());
-  std::vector<std::array<iovec, 2>> parts(outgoing.size());
+  auto& headers = m_buffers->headers;
+  auto& parts = m_buffers->parts;
+  headers.assign(outgoing.size(), mmsghdr{});
+  parts.resize(outgoing.size());
   for (std::size_t i = 0; i < outgoing.size(); ++i) {
     auto& packet = outgoing[i];
     if (!packet.prefixed) {
--- a/measure/ForwardCost.cpp
+++ b/measure/ForwardCost.cpp
@@ -2,6 +2,7 @@
 // memory of a target and of a tracked flow, in this process with the library's
 // own code.
 
+#include "measure/PlainPackets.h"
 #include "measure/ProcessUse.h"
 #include "measure/Scenario.h"
 
@@ -21,35 +22,6 @@
 
 using namespace forward;
 
-/// A packet is a Packet as it lies in memory, so that the codec costs little.
-class PlainCodec : public PacketCodec
-{
-public:
-  auto Decode(const char* aData, std::size_t aSize) const
-    -> std::optional<Packet> override
-  {
-    if (aSize != sizeof(Packet)) {
-      return std::nullopt;
-    }
-    Packet packet;
-    std::memcpy(&packet, aData, sizeof packet);
-    return packet;
-  }
-
-  auto SetTag(char* aData, TargetTag aTag) const -> void override
-  {
-    std::memcpy(aData + offsetof(Packet, tag), &aTag, sizeof aTag);
-  }
-
-  auto MakeReset(const Packet&) const -> std::string override { return "r"; }
-
-  auto PrefixOf(const std::string&) const
-    -> std::optional<TargetPrefix> override
-  {
-    return TargetPrefix{ 1 };
-  }
-};
-
 class CountingSink : public PacketSink
 {
 public:
--- a/unittests/Forward/LoadModel.h
+++ b/measure/LoadModel.cpp
@@ -1,149 +1,44 @@
-// Clients and targets around real forwarders in simulated time, for tests of
-// what callers get under load. Targets work on some requests at once and queue
-// a few; clients repeat first packets and retry as the platform's do.
-#pragma once
+// Events in the order of their times; nothing here waits or reads a clock.
 
-#include <deque>
-#include <functional>
-#include <memory>
-#include <queue>
-#include <string>
-#include <vector>
+#include "measure/LoadModel.h"
 
+#include "bramleylock/Forward/Forwarder.h"
 #include "bramleylock/Forward/StateReader.h"
-#include "unittests/Forward/TestForward.h"
+#include "measure/PlainPackets.h"
+
+#include <random>
 
 namespace bramleylock::forward {
 
-struct LoadOptions
-{
-  std::string choice = "least-wait";
-  std::size_t balancers = 8;
-  std::size_t targets = 14;
-  double requestsPerSecond = 390;
-  double meanWorkMs = 32;
-  Milliseconds aim{ 150 };
-  Milliseconds deadline{ 1500 };
-  Milliseconds length{ 10000 };
-  /// Targets that fall silent in the fourth and fifth second.
-  std::size_t silentTargets = 0;
-  /// How long all balancers are gone, from the third second on. They lose what
-  /// they knew, come back within the spread after it, and are in rotation up to
-  /// half a second later, when the platform has asked them.
-  Milliseconds outage{ 0 };
-  Milliseconds outageSpread{ 350 };
-  /// Whether first packets are repeated before the client does.
-  bool repeats = true;
-  std::uint64_t seed = 1;
-};
+static constexpr Address kService{ 0xc6120001, 443 };
+static constexpr const char* kServiceName = "orders";
 
-struct LoadResult
+static auto MakeRoute() -> RouteSet
 {
-  std::size_t asked = 0;
-  std::size_t inAim = 0;
-  std::size_t late = 0;
-  std::size_t failed = 0;
-  /// When each request was asked, from the start, and whether it was in time.
-  std::vector<std::pair<Milliseconds, bool>> outcomes{};
-
-  auto InAim() const -> double
-  {
-    return static_cast<double>(inAim) / static_cast<double>(asked);
-  }
-
-  /// The share in time of those asked from aFrom to aTo.
-  auto InAimBetween(Milliseconds aFrom, Milliseconds aTo) const -> double
-  {
-    std::size_t all = 0;
-    std::size_t good = 0;
-    for (const auto& [at, inTime] : outcomes) {
-      const bool counts = at >= aFrom && at < aTo;
-      all += counts ? 1 : 0;
-      good += counts && inTime ? 1 : 0;
-    }
-    return static_cast<double>(good) / static_cast<double>(all);
-  }
-};
+  RouteSet set{ 1, 1, 15000, {}, {} };
+  set.routes.push_back({ "orders",
+                         kService.ip,
+                         kService.port,
+                         { { kServiceName, 1 } },
+                         1,
+                         1,
+                         2000 });
+  return set;
+}
 
-/// Plays one load.
-class LoadModel
+static auto RecordOf(const std::string& aId) -> TargetRecord
 {
-public:
-  explicit LoadModel(LoadOptions aOptions);
-  auto Run() -> LoadResult;
-
-private:
-  static constexpr Milliseconds kToClient{ 3 };
-  static constexpr Milliseconds kMembersFound{ 2000 };
-  static constexpr std::size_t kSlots = 2;
-  static constexpr std::size_t kQueue = 8;
-  static constexpr int kRetries = 2;
-
-  struct Balancer;
-  struct Request
-  {
-    Clock::time_point asked;
-    int tries = 0;
-    std::uint16_t port = 0;
-    /// Ended in one way or another.
-    bool over = false;
-    bool answered = false;
-    bool inAim = false;
-  };
-  struct Target
-  {
-    std::string id;
-    bool silent = false;
-    std::size_t working = 0;
-    std::deque<std::size_t> queue{};
-  };
-  struct Event
-  {
-    Clock::time_point at;
-    std::uint64_t order;
-    std::function<void()> run;
-    auto operator<(const Event& aOther) const -> bool
-    {
-      return at != aOther.at ? at > aOther.at : order > aOther.order;
-    }
-  };
-
-  auto In(std::chrono::nanoseconds aDelay, std::function<void()> aRun) -> void
-  {
-    m_events.push({ m_now + aDelay, m_order++, std::move(aRun) });
-  }
-  auto StartBalancer(std::size_t aIndex) -> void;
-  auto LosePower() -> void;
-  auto Receiver(const FlowId& aFlow) -> Balancer*;
-  auto Ask() -> void;
-  auto Try(std::size_t aRequest) -> void;
-  auto SendOpening(std::size_t aRequest, std::uint16_t aPort, int aCopy)
-    -> void;
-  auto Deliver(Packet aPacket) -> void;
-  auto ToTarget(const std::string& aId, const Packet& aPacket) -> void;
-  auto Answered(std::size_t aRequest, std::uint16_t aPort, TargetTag aTag)
-    -> void;
-  auto Work(Target& aTarget, std::size_t aRequest) -> void;
-  auto Finished(Target& aTarget, std::size_t aRequest) -> void;
-  auto Failed(std::size_t aRequest, std::uint16_t aPort) -> void;
-  auto Tick() -> void;
-
-  LoadOptions m_options;
-  Random m_random;
-  Clock::time_point m_start{ std::chrono::hours(1) };
-  Clock::time_point m_now = m_start;
-  std::priority_queue<Event> m_events;
-  std::uint64_t m_order = 0;
-  /// Null while it has no power.
-  std::vector<std::unique_ptr<Balancer>> m_balancers;
-  std::vector<bool> m_inRotation;
-  std::vector<Target> m_targets;
-  std::vector<Request> m_requests;
-  std::uint16_t m_port = 0;
-  /// The request of each port's flow.
-  std::vector<std::size_t> m_byPort = std::vector<std::size_t>(65536);
-  LoadResult m_result;
-};
+  TargetRecord record;
+  record.id = aId;
+  record.incarnation = 1;
+  record.service = kServiceName;
+  record.ip = 0x0a000000U + static_cast<unsigned char>(aId[0]);
+  record.port = 80;
+  record.failureDomain = "here";
+  record.slots = 2;
+  record.revision = 5;
+  return record;
+}
 
 struct LoadModel::Balancer : PacketSink
 {
@@ -154,7 +49,7 @@
     , forwarder(codec, routes, targets, *choice, *this, metrics,
                 { "here", std::chrono::seconds(60), aSeed })
   {
-    routes.Install(MakeRoutes(1), model.m_now);
+    routes.Install(MakeRoute(), model.m_now);
     forwarder.SetBalancers(aOptions.balancers);
   }
 
@@ -178,7 +73,7 @@
   auto Flush() -> void override {}
 
   LoadModel& model;
-  FakeCodec codec;
+  PlainCodec codec;
   Metrics metrics;
   std::unique_ptr<FlowChoice> choice;
   RouteTable routes;
@@ -186,7 +81,7 @@
   Forwarder forwarder;
 };
 
-inline LoadModel::LoadModel(LoadOptions aOptions)
+LoadModel::LoadModel(LoadOptions aOptions)
   : m_options(std::move(aOptions))
   , m_random(m_options.seed)
 {
@@ -200,16 +95,18 @@
   }
 }
 
-inline auto LoadModel::StartBalancer(std::size_t aIndex) -> void
+LoadModel::~LoadModel() = default;
+
+auto LoadModel::StartBalancer(std::size_t aIndex) -> void
 {
   auto& balancer = m_balancers[aIndex];
   balancer = std::make_unique<Balancer>(*this, m_options, m_random());
   for (const auto& target : m_targets) {
-    balancer->targets.Apply(MakeTarget(target.id, 5), m_now);
+    balancer->targets.Apply(RecordOf(target.id), m_now);
   }
 }
 
-inline auto LoadModel::LosePower() -> void
+auto LoadModel::LosePower() -> void
 {
   for (std::size_t i = 0; i < m_options.balancers; ++i) {
     m_balancers[i].reset();
@@ -232,7 +129,7 @@
 
 /// The platform hashes over the balancers in rotation, or over all of them
 /// while fewer than half are.
-inline auto LoadModel::Receiver(const FlowId& aFlow) -> Balancer*
+auto LoadModel::Receiver(const FlowId& aFlow) -> Balancer*
 {
   std::vector<std::size_t> in;
   for (std::size_t i = 0; i < m_options.balancers; ++i) {
@@ -246,7 +143,7 @@
            : m_balancers[in[hash % in.size()]].get();
 }
 
-inline auto LoadModel::Run() -> LoadResult
+auto LoadModel::Run() -> LoadResult
 {
   In({}, [this] { Ask(); });
   In({}, [this] { Tick(); });
@@ -280,7 +177,7 @@
   return m_result;
 }
 
-inline auto LoadModel::Ask() -> void
+auto LoadModel::Ask() -> void
 {
   std::exponential_distribution<double> pause(m_options.requestsPerSecond);
   if (m_now < m_start + m_options.length) {
@@ -291,7 +188,7 @@
   }
 }
 
-inline auto LoadModel::Try(std::size_t aRequest) -> void
+auto LoadModel::Try(std::size_t aRequest) -> void
 {
   auto& request = m_requests[aRequest];
   const auto port = ++m_port;
@@ -309,27 +206,27 @@
   });
 }
 
-inline auto LoadModel::SendOpening(std::size_t aRequest, std::uint16_t aPort,
+auto LoadModel::SendOpening(std::size_t aRequest, std::uint16_t aPort,
                                    int aCopy) -> void
 {
   const auto& request = m_requests[aRequest];
   if (request.over || request.answered || request.port != aPort) {
     return;
   }
-  auto opening = TestForward::Opening(aPort);
+  auto opening = MakeOpening(aPort, kService);
   opening.acknowledgement = static_cast<std::uint32_t>(aCopy);
   Deliver(opening);
 }
 
 /// A packet of a client on its way to the balancer of its flow.
-inline auto LoadModel::Deliver(Packet aPacket) -> void
+auto LoadModel::Deliver(Packet aPacket) -> void
 {
   In(kToClient, [this, aPacket] {
     auto* balancer = Receiver(aPacket.flow);
     if (balancer == nullptr) {
       return;
     }
-    auto data = FakeCodec::Bytes(aPacket);
+    auto data = PlainCodec::Bytes(aPacket);
     balancer->forwarder.OnDatagram(data.data(), data.size(), m_now);
     if (m_options.repeats) {
       balancer->forwarder.RepeatUnanswered(m_now);
@@ -337,7 +234,7 @@
   });
 }
 
-inline auto LoadModel::ToTarget(const std::string& aId, const Packet& aPacket)
+auto LoadModel::ToTarget(const std::string& aId, const Packet& aPacket)
   -> void
 {
   auto& target = m_targets[static_cast<std::size_t>(aId[0] - 'a')];
@@ -353,7 +250,7 @@
   }
 }
 
-inline auto LoadModel::Answered(std::size_t aRequest, std::uint16_t aPort,
+auto LoadModel::Answered(std::size_t aRequest, std::uint16_t aPort,
                                 TargetTag aTag) -> void
 {
   auto& request = m_requests[aRequest];
@@ -361,12 +258,12 @@
     return;
   }
   request.answered = true;
-  auto asking = TestForward::Following(TestForward::Opening(aPort), aTag);
+  auto asking = MakeFollowing(MakeOpening(aPort, kService), aTag);
   asking.carriesData = true;
   Deliver(asking);
 }
 
-inline auto LoadModel::Work(Target& aTarget, std::size_t aRequest) -> void
+auto LoadModel::Work(Target& aTarget, std::size_t aRequest) -> void
 {
   if (aTarget.working < kSlots) {
     ++aTarget.working;
@@ -381,7 +278,7 @@
   }
 }
 
-inline auto LoadModel::Finished(Target& aTarget, std::size_t aRequest) -> void
+auto LoadModel::Finished(Target& aTarget, std::size_t aRequest) -> void
 {
   --aTarget.working;
   if (!aTarget.queue.empty()) {
@@ -401,14 +298,14 @@
       m_result.inAim += took <= m_options.aim ? 1 : 0;
       m_result.late += took > m_options.aim ? 1 : 0;
     }
-    auto end = TestForward::Following(TestForward::Opening(request.port),
+    auto end = MakeFollowing(MakeOpening(request.port, kService),
                                       TagOf(aTarget.id, 1), 900);
     end.ends = true;
     Deliver(end);
   });
 }
 
-inline auto LoadModel::Failed(std::size_t aRequest, std::uint16_t aPort) -> void
+auto LoadModel::Failed(std::size_t aRequest, std::uint16_t aPort) -> void
 {
   auto& request = m_requests[aRequest];
   if (request.over || request.port != aPort) {
@@ -421,7 +318,7 @@
   Try(aRequest);
 }
 
-inline auto LoadModel::Tick() -> void
+auto LoadModel::Tick() -> void
 {
   In(Milliseconds(50), [this] { Tick(); });
   for (const auto& balancer : m_balancers) {
--- a/unittests/Forward/LoadModelTest.cpp
+++ b/unittests/Forward/LoadModelTest.cpp
@@ -2,7 +2,7 @@
 // requests in time are compared with those that the policy without the
 // mechanism in question gets on the same load.
 
-#include "unittests/Forward/LoadModel.h"
+#include "measure/LoadModel.h"
 
 #include <criterion/criterion.h>
 
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -25,7 +25,7 @@
   }
 
   Clock::time_point now{ std::chrono::hours(1) };
-  FakeCodec codec;
+  PlainCodec codec;
   Metrics metrics;
   RouteTable routes;
   TargetDirectory targets;
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -102,7 +102,7 @@
   }
 
   peer::Membership& members;
-  FakeCodec codec;
+  PlainCodec codec;
   Metrics metrics;
   RouteTable routes;
   TargetDirectory targets;
--- a/unittests/Forward/TargetDirectoryTest.cpp
+++ b/unittests/Forward/TargetDirectoryTest.cpp
@@ -14,7 +14,7 @@
 
 Test(TargetDirectory, OlderRevisionChangesNothing)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   auto leaving = MakeTarget("a", 9);
   leaving.state = static_cast<std::uint8_t>(TargetState::Draining);
@@ -25,7 +25,7 @@
 
 Test(TargetDirectory, EntryThatEndedStaysGoneForOlderNews)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   targets.Apply(MakeTarget("a", 5), kNow);
   cr_assert(targets.Remove("a", 8, Milliseconds(0), kNow));
@@ -37,7 +37,7 @@
 
 Test(TargetDirectory, EndThatComesFirstHoldsAgainstTheOlderRecord)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   targets.Remove("a", 8, Milliseconds(0), kNow);
   cr_assert(!targets.Apply(MakeTarget("a", 5), kNow));
@@ -46,7 +46,7 @@
 
 Test(TargetDirectory, LapsedEntryServesForAWhile)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   targets.Apply(MakeTarget("a", 5), kNow);
   targets.Remove("a", 8, Milliseconds(2500), kNow);
@@ -56,7 +56,7 @@
 
 Test(TargetDirectory, DrainingEntryDoesNotLapse)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   auto leaving = MakeTarget("a", 5);
   leaving.state = static_cast<std::uint8_t>(TargetState::Draining);
@@ -67,7 +67,7 @@
 
 Test(TargetDirectory, RecordOfAnEarlierIncarnationIsIgnored)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   targets.Apply(MakeTarget("a", 9, "orders", 2), kNow);
   cr_assert(!targets.Apply(MakeTarget("a", 12, "orders", 1), kNow));
@@ -76,7 +76,7 @@
 
 Test(TargetDirectory, OfTwoTargetsWithOneTagOnlyTheFirstGetsFlows)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   RouteTable routes;
   routes.Install(MakeRoutes(1), kNow);
@@ -104,7 +104,7 @@
     { true, 6, 1, TargetState::Ready },  { false, 8, 2, TargetState::Ready },
     { true, 10, 2, TargetState::Ready }, { false, 12, 3, TargetState::Ready },
   };
-  FakeCodec codec;
+  PlainCodec codec;
   RouteTable routes;
   routes.Install(MakeRoutes(1), kNow);
   std::vector<std::size_t> order{ 0, 1, 2, 3, 4, 5 };
@@ -139,7 +139,7 @@
 
 Test(TargetDirectory, NewcomerAtAnAddressEndsWhoeverHadIt)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   auto moved = MakeTarget("a", 5);
   targets.Apply(moved, kNow);
@@ -162,7 +162,7 @@
 /// Targets come and go for days; what is kept of them does not pile up.
 Test(TargetDirectory, WhatEndedIsForgotten)
 {
-  FakeCodec codec;
+  PlainCodec codec;
   TargetDirectory targets(codec);
   RouteTable routes;
   routes.Install(MakeRoutes(1), kNow);
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -1,58 +1,15 @@
 // Packets, a sink and targets for tests of the forwarding path.
 #pragma once
 
-#include <cstring>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "bramleylock/Forward/Forwarder.h"
+#include "measure/PlainPackets.h"
 
 namespace bramleylock::forward {
 
-/// A packet is a Packet as it lies in memory.
-class FakeCodec : public PacketCodec
-{
-public:
-  auto Decode(const char* aData, std::size_t aSize) const
-    -> std::optional<Packet> override
-  {
-    if (aSize != sizeof(Packet)) {
-      return std::nullopt;
-    }
-    Packet packet;
-    std::memcpy(&packet, aData, sizeof packet);
-    return packet;
-  }
-
-  auto SetTag(char* aData, TargetTag aTag) const -> void override
-  {
-    Packet packet;
-    std::memcpy(&packet, aData, sizeof packet);
-    packet.tag = aTag;
-    std::memcpy(aData, &packet, sizeof packet);
-  }
-
-  auto MakeReset(const Packet& aPacket) const -> std::string override
-  {
-    auto reset = aPacket;
-    reset.resets = true;
-    return Bytes(reset);
-  }
-
-  auto PrefixOf(const std::string& aTargetId) const
-    -> std::optional<TargetPrefix> override
-  {
-    return aTargetId.empty() ? std::nullopt
-                             : std::make_optional(TargetPrefix{ aTargetId[0] });
-  }
-
-  static auto Bytes(const Packet& aPacket) -> std::string
-  {
-    return { reinterpret_cast<const char*>(&aPacket), sizeof aPacket };
-  }
-};
-
 /// Keeps what goes out.
 class FakeSink : public PacketSink
 {
@@ -67,14 +24,14 @@
   auto ToTarget(const DirectoryEntry& aTarget, const char* aData,
                 std::size_t aSize) -> void override
   {
-    const auto packet = FakeCodec{}.Decode(aData, aSize);
+    const auto packet = PlainCodec{}.Decode(aData, aSize);
     toTargets.push_back(
       { aTarget.record.id, aTarget.record.incarnation, *packet });
   }
 
   auto ToClient(const Address&, std::string aPacket) -> void override
   {
-    resets.push_back(*FakeCodec{}.Decode(aPacket.data(), aPacket.size()));
+    resets.push_back(*PlainCodec{}.Decode(aPacket.data(), aPacket.size()));
   }
 
   auto Flush() -> void override {}
@@ -130,33 +87,25 @@
 
   auto Send(Packet aPacket) -> void
   {
-    auto data = FakeCodec::Bytes(aPacket);
+    auto data = PlainCodec::Bytes(aPacket);
     forwarder.OnDatagram(data.data(), data.size(), now);
   }
 
   static auto Opening(std::uint16_t aPort, Address aService = kOrders) -> Packet
   {
-    Packet packet;
-    packet.flow = { { 0x64400007, aPort }, aService };
-    packet.opens = true;
-    packet.sequence = 1000;
-    return packet;
+    return MakeOpening(aPort, aService);
   }
 
-  /// What the client sends after a target answered.
-  static auto Following(Packet aOpening, TargetTag aTag,
+  static auto Following(const Packet& aOpening, TargetTag aTag,
                         std::uint32_t aAcknowledgement = 500) -> Packet
   {
-    aOpening.opens = false;
-    aOpening.tag = aTag;
-    aOpening.acknowledgement = aAcknowledgement;
-    return aOpening;
+    return MakeFollowing(aOpening, aTag, aAcknowledgement);
   }
 
   auto Pass(Milliseconds aTime) -> void { now += aTime; }
 
   Clock::time_point now{ std::chrono::hours(1) };
-  FakeCodec codec;
+  PlainCodec codec;
   FakeSink sink;
   Metrics metrics;
   std::unique_ptr<FlowChoice> choice;
