--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -14,9 +14,11 @@
 /// newest.
 static constexpr Milliseconds kLongestWait{ 600 };
 
-/// First packets that may wait for each slot of a service, over all balancers:
-/// a slot serves 8 to 18 in the longest wait.
-static constexpr std::size_t kWaitingPerSlot = 16;
+/// First packets that may wait for each slot of a balancer's share. A slot
+/// serves 8 in the longest wait at 72 ms of work, and one balancer of eight may
+/// get all traffic while the others are away. Refused at once, clients come
+/// again at once and have soon used up their tries.
+static constexpr std::size_t kWaitingPerSlot = 64;
 static constexpr std::size_t kLeastWaiting = 8;
 
 /// First packets that may wait while no routes are known: a second of the
