Refuse news that cannot be used, and notice settings that change without a signal

News of peers were unpacked or silently ignored, and a route without services or a state that this version does not know would have been taken (found by reading; the first ends a balancer by an assertion). The settings file is read every 5 s and taken when its contents differ: the platform changes it without SIGHUP too.

--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -38,6 +38,10 @@
   MSGPACK_DEFINE_ARRAY(revision, routesVersion)
 };
 
+/// Whether every record of aNews can be used as it is. A peer of another
+/// version may send what this one does not know.
+auto IsSound(const RoutingNews& aNews) -> bool;
+
 /// Applies readings and news to the route table and the directory, and tells
 /// what changed.
 class RoutingState
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -34,8 +34,8 @@
   auto Start() -> void;
 
   /// How many balancers share the targets, this one too: those that were found,
-  /// and for the first seconds at least the assumed number, since after the loss
-  /// of all of them each finds itself alone.
+  /// and for the first seconds at least the assumed number, since after the
+  /// loss of all of them each finds itself alone.
   auto Balancers(Clock::time_point aNow) const -> std::size_t;
 
   /// Reads at the next chance, as after a pause in which all may have changed.
@@ -54,6 +54,7 @@
   auto NoteFailure(const std::error_code& aError, Clock::time_point aNow)
     -> void;
   auto NoteSuccess() -> void;
+  auto NoteMalformed(const wire::Hello& aSender) -> void;
   auto TellDomain(const RoutingNews& aNews) -> void;
   auto TellOtherDomains(const RoutingNews& aNews) -> void;
   auto TakeNews(const wire::Hello& aSender, const RoutingNews& aNews) -> void;
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -27,9 +27,9 @@
 
 /// Clients send a first packet again after 200 ms and after 600 ms, and give up
 /// after 1.4 s; by the number of the copy, how long until the next sign.
-static constexpr std::array<Milliseconds, 3> kNextCopy{
-  Milliseconds{ 200 }, Milliseconds{ 400 }, Milliseconds{ 800 }
-};
+static constexpr std::array<Milliseconds, 3> kNextCopy{ Milliseconds{ 200 },
+                                                        Milliseconds{ 400 },
+                                                        Milliseconds{ 800 } };
 static constexpr std::array<Milliseconds, 3> kCopySentAfter{
   Milliseconds{ 0 }, Milliseconds{ 200 }, Milliseconds{ 600 }
 };
@@ -57,8 +57,7 @@
   if (m_waiting.empty()) {
     return false;
   }
-  const auto queue =
-    m_waiting.find(m_routes.ServiceFor(aRoute, aPacket.flow));
+  const auto queue = m_waiting.find(m_routes.ServiceFor(aRoute, aPacket.flow));
   return queue != m_waiting.end() && queue->second.Size() > 0;
 }
 
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -17,6 +17,23 @@
 /// reading may be half a second behind.
 static constexpr Milliseconds kLapse{ 2500 };
 
+auto IsSound(const RoutingNews& aNews) -> bool
+{
+  const auto routeIsSound = [](const Route& aRoute) {
+    return !aRoute.shares.empty();
+  };
+  return std::all_of(aNews.routes.begin(), aNews.routes.end(),
+                     [&routeIsSound](const RouteSet& aSet) {
+                       return std::all_of(aSet.routes.begin(),
+                                          aSet.routes.end(), routeIsSound);
+                     }) &&
+         std::all_of(aNews.targets.begin(), aNews.targets.end(),
+                     [](const TargetRecord& aRecord) {
+                       return aRecord.State() <= TargetState::Dead &&
+                              aRecord.slots > 0;
+                     });
+}
+
 RoutingState::RoutingState(RouteTable& aRoutes, TargetDirectory& aTargets,
                            Metrics& aMetrics)
   : m_routes(aRoutes)
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -56,12 +56,16 @@
 {
   m_links = &aLinks;
   m_members = &aMembers;
-  m_links->On(wire::MessageType::TargetSilence,
-              [this](const wire::Hello& aSender, const std::string& aBody) {
-                if (const auto news = wire::UnpackBody<SilenceNews>(aBody)) {
-                  TakeNews(aSender.vm, *news);
-                }
-              });
+  m_links->On(
+    wire::MessageType::TargetSilence,
+    [this](const wire::Hello& aSender, const std::string& aBody) {
+      if (const auto news = wire::UnpackBody<SilenceNews>(aBody)) {
+        TakeNews(aSender.vm, *news);
+      } else {
+        m_metrics.Add(Counter::PeerFrameMalformed);
+        LogWarning("peer-message-malformed", { { "peer", aSender.vm } });
+      }
+    });
 }
 
 auto SilenceWatch::OnSilent(DirectoryEntry& aTarget) -> void
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -94,14 +94,19 @@
 {
   m_links.On(wire::MessageType::Routing,
              [this](const wire::Hello& aSender, const std::string& aBody) {
-               if (const auto news = wire::UnpackBody<RoutingNews>(aBody)) {
+               const auto news = wire::UnpackBody<RoutingNews>(aBody);
+               if (news && IsSound(*news)) {
                  TakeNews(aSender, *news);
+               } else {
+                 NoteMalformed(aSender);
                }
              });
   m_links.On(wire::MessageType::RoutingRequest,
              [this](const wire::Hello& aSender, const std::string& aBody) {
                const auto request = wire::UnpackBody<RoutingRequest>(aBody);
-               if (request && m_state.Complete()) {
+               if (!request) {
+                 NoteMalformed(aSender);
+               } else if (m_state.Complete()) {
                  m_links.SendMessage(aSender.address,
                                      wire::MessageType::Routing,
                                      m_state.Answer(*request, Clock::now()));
@@ -153,6 +158,12 @@
             { "outcome", error ? error.message() : "done" } });
 }
 
+auto StateReader::NoteMalformed(const wire::Hello& aSender) -> void
+{
+  m_metrics.Add(Counter::PeerFrameMalformed);
+  LogWarning("peer-message-malformed", { { "peer", aSender.vm } });
+}
+
 auto StateReader::Hurry() -> void
 {
   m_hurried = true;
@@ -346,8 +357,9 @@
   m_needWhole = false;
   m_wake.Notify();
   // A whole account answers a question; others of the domain ask theirs.
-  const bool passesOn = aSender.failureDomain != m_members.Self().failureDomain &&
-                        aNews.base != 0 && m_state.ReadAt() > before + kNewer;
+  const bool passesOn =
+    aSender.failureDomain != m_members.Self().failureDomain &&
+    aNews.base != 0 && m_state.ReadAt() > before + kNewer;
   if (passesOn) {
     TellDomain(aNews);
   }
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -65,9 +65,9 @@
                      const DirectoryEntry* aEntry) -> void
 {
   const auto range = aIndex.equal_range(aName);
-  const auto row = std::find_if(
-    range.first, range.second,
-    [aEntry](const auto& aRow) { return aRow.second == aEntry; });
+  const auto row =
+    std::find_if(range.first, range.second,
+                 [aEntry](const auto& aRow) { return aRow.second == aEntry; });
   assert(row != range.second);
   aIndex.erase(row);
 }
@@ -160,8 +160,7 @@
   if (!isNew && moved) {
     DropFromIndexes(entry);
   }
-  const bool wasListed =
-    isNew || entry.record.State() < TargetState::Departed;
+  const bool wasListed = isNew || entry.record.State() < TargetState::Departed;
   entry.record = aRecord;
   if (wasListed && aRecord.State() >= TargetState::Departed) {
     NoteGone(entry, aNow);
--- a/lib/Support/Base64.cpp
+++ b/lib/Support/Base64.cpp
@@ -23,10 +23,9 @@
   std::string bytes(aText.size(), '\0');
   std::size_t size = 0;
   const char* end = nullptr;
-  const int failed =
-    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()),
-                      bytes.size(), aText.data(), aText.size(), nullptr, &size,
-                      &end, sodium_base64_VARIANT_ORIGINAL);
+  const int failed = sodium_base642bin(
+    reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), aText.data(),
+    aText.size(), nullptr, &size, &end, sodium_base64_VARIANT_ORIGINAL);
   if (failed != 0 || end != aText.data() + aText.size()) {
     return std::nullopt;
   }
--- /dev/null
+++ b/lib/Support/FileWatch.cpp
@@ -0,0 +1,42 @@
+// Contents are compared, not times of change: the time of day may jump.
+
+#include "bramleylock/Support/FileWatch.h"
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace bramleylock {
+
+static auto ReadWhole(const std::string& aFile) -> std::optional<std::string>
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+static auto WatchLoop(std::string aFile, Milliseconds aEvery,
+                      std::function<void()> aOnChange) -> awaitable<void>
+{
+  auto known = ReadWhole(aFile);
+  for (;;) {
+    co_await Sleep(aEvery);
+    // While somebody replaces it, it may be missing for a moment.
+    auto now = ReadWhole(aFile);
+    if (now && now != known) {
+      known = std::move(now);
+      aOnChange();
+    }
+  }
+}
+
+auto WatchFile(asio::io_context& aContext, std::string aFile,
+               Milliseconds aEvery, std::function<void()> aOnChange) -> void
+{
+  Spawn(aContext, "watch-file",
+        WatchLoop(std::move(aFile), aEvery, std::move(aOnChange)));
+}
+
+} // namespace bramleylock
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -116,8 +116,8 @@
       m_options.outage + Milliseconds(m_random() % spread);
     In(startsAfter, [this, i] {
       StartBalancer(i);
-      m_balancers[i]->forwarder.SetBalancers(AssumedBalancers(
-        static_cast<std::uint32_t>(m_options.balancers)));
+      m_balancers[i]->forwarder.SetBalancers(
+        AssumedBalancers(static_cast<std::uint32_t>(m_options.balancers)));
     });
     In(startsAfter + kMembersFound, [this, i] {
       m_balancers[i]->forwarder.SetBalancers(m_options.balancers);
@@ -207,7 +207,7 @@
 }
 
 auto LoadModel::SendOpening(std::size_t aRequest, std::uint16_t aPort,
-                                   int aCopy) -> void
+                            int aCopy) -> void
 {
   const auto& request = m_requests[aRequest];
   if (request.over || request.answered || request.port != aPort) {
@@ -234,8 +234,7 @@
   });
 }
 
-auto LoadModel::ToTarget(const std::string& aId, const Packet& aPacket)
-  -> void
+auto LoadModel::ToTarget(const std::string& aId, const Packet& aPacket) -> void
 {
   auto& target = m_targets[static_cast<std::size_t>(aId[0] - 'a')];
   if (target.silent) {
@@ -251,7 +250,7 @@
 }
 
 auto LoadModel::Answered(std::size_t aRequest, std::uint16_t aPort,
-                                TargetTag aTag) -> void
+                         TargetTag aTag) -> void
 {
   auto& request = m_requests[aRequest];
   if (request.over || request.answered || request.port != aPort) {
@@ -299,7 +298,7 @@
       m_result.late += took > m_options.aim ? 1 : 0;
     }
     auto end = MakeFollowing(MakeOpening(request.port, kService),
-                                      TagOf(aTarget.id, 1), 900);
+                             TagOf(aTarget.id, 1), 900);
     end.ends = true;
     Deliver(end);
   });
--- a/test/forwarding-balancers.sh
+++ b/test/forwarding-balancers.sh
@@ -26,6 +26,10 @@
 until_logged 1 'event=reload-refused'
 write_forward_settings 1
 
+# The file may change without a signal.
+printf '[log]\nrecords_per_second = 50\n' >>"$run/entry-2.toml"
+until_logged 2 'event=reloaded'
+
 # Killed: other balancers forward its flows by their tags.
 traffic 2500 120
 sleep 0.5
--- a/tools/bramleylockd/main.cpp
+++ b/tools/bramleylockd/main.cpp
@@ -1,6 +1,7 @@
 // bramleylockd: the balancer.
 
 #include "bramleylock/Kernel/DataPath.h"
+#include "bramleylock/Support/FileWatch.h"
 #include "bramleylock/Support/Log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -48,6 +49,11 @@
                  aSettings.dataPath == "forward" });
 }
 
+/// How often the settings file is read for a change that no signal told of.
+/// What a running process takes from it, hints of peers and logging, can wait
+/// so long.
+static constexpr bramleylock::Milliseconds kFileEvery{ 5000 };
+
 /// Reads the settings again. Invalid ones leave those in force as they are.
 static auto Reload(const std::string& aFile,
                    bramleylock::kernel::DataPath& aBalancer) -> void
@@ -102,6 +108,8 @@
     return CannotStart;
   }
   ReloadOnHangup(hangups, aFile, balancer);
+  WatchFile(context, aFile, kFileEvery,
+            [&aFile, &balancer] { Reload(aFile, balancer); });
   signals.async_wait([&balancer](const boost::system::error_code& aError, int) {
     if (!aError) {
       balancer.Drain();
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -163,7 +163,8 @@
   cr_assert(test.sink.resets.size() == 1);
 }
 
-/// Routes come and go for days; what they allowed is kept while a flow may live.
+/// Routes come and go for days; what they allowed is kept while a flow may
+/// live.
 Test(Forwarder, RemovedRouteIsForgottenAfterTheLongestFlow)
 {
   TestForward node;
--- a/unittests/Forward/TargetDirectoryTest.cpp
+++ b/unittests/Forward/TargetDirectoryTest.cpp
@@ -169,7 +169,8 @@
   auto now = kNow;
   for (int i = 0; i < 500; ++i) {
     const auto id = "t" + std::to_string(i);
-    const auto revision = static_cast<std::uint64_t>(2 * i + 10);
+    const auto revision =
+      std::uint64_t{ 10 } + 2 * static_cast<std::uint64_t>(i);
     targets.Apply(MakeTarget(id, revision), now);
     targets.Remove(id, revision + 1, Milliseconds(0), now);
     now += std::chrono::seconds(1);
