--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -356,3 +356,66 @@
   test.Send(end);
   cr_assert(test.targets.Find("a")->evidence.inFlight == 0);
 }
+
+/// The platform hashes over other balancers than before: the answers to flows
+/// that were opened here reach others, and theirs come here.
+Test(Forwarder, MovedFlowIsNoSignOfSilence)
+{
+  TestForward node;
+  node.targets.Apply(MakeTarget("a", 5), node.now);
+  node.targets.Apply(MakeTarget("b", 6), node.now);
+  node.Send(TestForward::Opening(1));
+  const auto& target = *node.targets.Find(node.sink.toTargets[0].target);
+  auto foreign = TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
+  foreign.carriesData = true;
+  node.Pass(Milliseconds(20));
+  node.Send(foreign);
+  cr_assert(node.metrics.Get(Counter::FlowTakenOver) == 1);
+  cr_assert(node.forwarder.Flows().Size() == 2);
+  node.Pass(Milliseconds(60));
+  node.forwarder.RepeatUnanswered(node.now);
+  cr_assert(node.sink.toTargets.size() == 2, "nothing is sent again");
+  cr_assert(target.evidence.silentSince == Clock::time_point{});
+}
+
+/// A flow that was open here before and had no packet since is another
+/// balancer's, and leaves the count of its target.
+Test(Forwarder, FlowsThatMovedAwayLeaveTheCount)
+{
+  TestForward node;
+  node.targets.Apply(MakeTarget("a", 5), node.now);
+  const auto opening = TestForward::Opening(1);
+  node.Send(opening);
+  node.Send(TestForward::Following(opening, TagOf("a", 1)));
+  const auto& evidence = node.targets.Find("a")->evidence;
+  node.Pass(Milliseconds(20));
+  auto foreign = TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
+  foreign.carriesData = true;
+  node.Send(foreign);
+  cr_assert(evidence.inFlight == 2);
+  node.Pass(Milliseconds(140));
+  node.forwarder.RepeatUnanswered(node.now);
+  cr_assert(evidence.inFlight == 1);
+}
+
+/// A first packet waits here while its client's copy goes to another balancer.
+Test(Forwarder, WaitingFlowWhoseCopyWentElsewhereIsNotOpenedHere)
+{
+  TestForward node;
+  node.targets.Apply(MakeTarget("a", 5), node.now);
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    node.Send(TestForward::Opening(port));
+  }
+  cr_assert(node.forwarder.Waiting() == 1);
+  node.Pass(Milliseconds(20));
+  auto foreign = TestForward::Following(TestForward::Opening(9), TagOf("a", 1));
+  foreign.carriesData = true;
+  node.Send(foreign);
+  node.Pass(Milliseconds(260));
+  node.forwarder.RepeatUnanswered(node.now);
+  node.forwarder.ServeWaiting(node.now);
+  cr_assert(node.forwarder.Waiting() == 0);
+  cr_assert(node.metrics.Get(Counter::FlowLeft) == 1);
+  cr_assert(node.sink.toTargets.size() == 5, "four opened, one taken over");
+  cr_assert(node.sink.resets.empty());
+}
--- a/unittests/Support/FileWatchTest.cpp
+++ b/unittests/Support/FileWatchTest.cpp
@@ -18,10 +18,9 @@
 
 Test(FileWatch, OnlyOtherContentsAreAChange)
 {
-  const auto file =
-    (std::filesystem::temp_directory_path() /
-     ("bramleylock-file-watch-" + std::to_string(::getpid())))
-      .string();
+  const auto file = (std::filesystem::temp_directory_path() /
+                     ("bramleylock-file-watch-" + std::to_string(::getpid())))
+                      .string();
   Write(file, "one");
   asio::io_context context(1);
   int changes = 0;
