--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -233,57 +233,63 @@
   }
 }
 
-/// Peers of another version, and bodies that are none.
-Test(StateReader, NewsThatCannotBeUsedAreCountedAndChangeNothing)
+namespace {
+
+/// A balancer that gets a peer's messages.
+struct Told
 {
+  Told() { network.RunFor(Milliseconds(100)); }
+
+  auto Tell(const std::string& aBody) -> void
+  {
+    network.links["a:1"]->handlers.at(wire::MessageType::Routing)(
+      wire::Hello{ "b", "north", "b:1", 1 }, aBody);
+  }
+
   FakeStore store;
   peer::TestNetwork network;
-  Node node(network, store, "a", "north");
-  network.RunFor(Milliseconds(100));
-  auto& handler = network.links["a:1"]->handlers.at(wire::MessageType::Routing);
-  const wire::Hello peer{ "b", "north", "b:1", 1 };
-  handler(peer, "no message");
+  Node node{ network, store, "a", "north" };
+};
+
+} // namespace
+
+/// Peers of another version, and bodies that are none.
+Test(StateReader, NewsThatCannotBeUsedAreCountedAndChangeNothing)
+{
+  Told told;
+  told.Tell("no message");
   RoutingNews unknownState;
   unknownState.revision = 20;
   unknownState.targets.push_back(MakeTarget("a", 20));
   unknownState.targets.back().state = 17;
-  handler(peer, wire::PackBody(unknownState));
+  told.Tell(wire::PackBody(unknownState));
   RoutingNews noService;
   noService.revision = 21;
   noService.routes.push_back(MakeRoutes(9));
   noService.routes.back().routes.front().shares.clear();
-  handler(peer, wire::PackBody(noService));
-  cr_assert(node.metrics.Get(Counter::PeerFrameMalformed) == 3);
-  cr_assert(node.targets.Size() == 0);
-  cr_assert(node.routes.Current().version == 3);
+  told.Tell(wire::PackBody(noService));
+  cr_assert(told.node.metrics.Get(Counter::PeerFrameMalformed) == 3);
+  cr_assert(told.node.targets.Size() == 0);
+  cr_assert(told.node.routes.Current().version == 3);
 }
 
 /// An older version sends fewer fields, a newer one more.
 Test(StateReader, NewsOfOtherVersionsAreRead)
 {
-  FakeStore store;
-  peer::TestNetwork network;
-  Node node(network, store, "a", "north");
-  network.RunFor(Milliseconds(100));
-  auto& handler = network.links["a:1"]->handlers.at(wire::MessageType::Routing);
-  const wire::Hello peer{ "b", "north", "b:1", 1 };
-  RoutingNews news;
-  news.base = 9;
-  news.revision = 20;
-  news.routesVersion = 3;
-  news.targets.push_back(MakeTarget("a", 20));
-  const std::uint32_t age = 0;
+  Told told;
+  constexpr std::uint64_t kBase = 9;
+  constexpr std::uint64_t kVersion = 3;
+  constexpr std::uint32_t kAge = 0;
   const std::vector<RouteSet> routes;
-  const std::vector<RemovedTarget> removed;
-  handler(peer, wire::PackBody(std::make_tuple(
-                  news.base, news.revision, news.routesVersion, age, routes,
-                  news.targets, removed, std::string("a later field"))));
-  cr_assert(node.targets.Size() == 1);
-  news.targets.front() = MakeTarget("b", 21);
-  handler(peer, wire::PackBody(std::make_tuple(news.base, std::uint64_t{ 21 },
-                                               news.routesVersion, age, routes,
-                                               news.targets)));
-  cr_assert(node.targets.Size() == 2);
+  std::vector<TargetRecord> targets{ MakeTarget("a", 20) };
+  told.Tell(wire::PackBody(std::make_tuple(
+    kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
+    std::vector<RemovedTarget>(), std::string("a later field"))));
+  cr_assert(told.node.targets.Size() == 1);
+  targets.front() = MakeTarget("b", 21);
+  told.Tell(wire::PackBody(std::make_tuple(kBase, std::uint64_t{ 21 }, kVersion,
+                                           kAge, routes, targets)));
+  cr_assert(told.node.targets.Size() == 2);
 }
 
 /// The reader's calls hang while its links live, so nobody takes it for dead.
