Test the order of waiting, its limit, and news passed on within a domain

The harness of the forwarder's tests fills a target, ends a flow and sends a foreign packet in one place.

--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -167,19 +167,19 @@
 /// live.
 Test(Forwarder, RemovedRouteIsForgottenAfterTheLongestFlow)
 {
-  TestForward node;
-  node.routes.Install(RouteSet{ 2, 2, 15000, {}, {} }, node.now);
-  node.Pass(Milliseconds(60000));
-  node.forwarder.Expire(node.now);
-  cr_assert(node.routes.StateOf(kOrders) == RouteState::Removed);
-  node.Pass(Milliseconds(2000));
-  node.forwarder.Expire(node.now);
-  cr_assert(node.routes.StateOf(kOrders) == RouteState::Unknown);
-  node.routes.Install(MakeRoutes(3), node.now);
-  node.Pass(std::chrono::minutes(5));
-  node.forwarder.Expire(node.now);
-  cr_assert(node.routes.StateOf(kOrders) == RouteState::InForce);
-  cr_assert(node.routes.Allows(kOrders, "orders"));
+  TestForward test;
+  test.routes.Install(RouteSet{ 2, 2, 15000, {}, {} }, test.now);
+  test.Pass(Milliseconds(60000));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.routes.StateOf(kOrders) == RouteState::Removed);
+  test.Pass(Milliseconds(2000));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.routes.StateOf(kOrders) == RouteState::Unknown);
+  test.routes.Install(MakeRoutes(3), test.now);
+  test.Pass(std::chrono::minutes(5));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.routes.StateOf(kOrders) == RouteState::InForce);
+  cr_assert(test.routes.Allows(kOrders, "orders"));
 }
 
 Test(Forwarder, OpenFlowsStayWhenTheirRouteChangesItsService)
@@ -299,19 +299,14 @@
 Test(Forwarder, BusyServiceServesTheNewestFirstAndRefusesTheOld)
 {
   TestForward test;
-  test.targets.Apply(MakeTarget("a", 5), test.now);
-  for (std::uint16_t port = 1; port <= 4; ++port) {
-    test.Send(TestForward::Opening(port));
-  }
+  test.FillTarget();
   cr_assert(test.sink.toTargets.size() == 4);
   test.Send(TestForward::Opening(5));
   test.Pass(Milliseconds(10));
   test.Send(TestForward::Opening(6));
   cr_assert(test.sink.toTargets.size() == 4);
   cr_assert(test.forwarder.Waiting() == 2);
-  auto end = TestForward::Following(TestForward::Opening(1), TagOf("a", 1));
-  end.ends = true;
-  test.Send(end);
+  test.End(1);
   cr_assert(test.sink.toTargets.back().packet.flow.client.port == 6);
   test.Pass(Milliseconds(1300));
   for (std::uint16_t port = 2; port <= 4; ++port) {
@@ -327,10 +322,8 @@
 Test(Forwarder, WaitingFlowThatACopyOpenedIsNotOpenedAgain)
 {
   TestForward test;
-  test.targets.Apply(MakeTarget("a", 5), test.now);
-  for (std::uint16_t port = 1; port <= 5; ++port) {
-    test.Send(TestForward::Opening(port));
-  }
+  test.FillTarget();
+  test.Send(TestForward::Opening(5));
   cr_assert(test.forwarder.Waiting() == 1);
   // Room comes, and the client's copy before the one that waits.
   test.targets.Apply(MakeTarget("b", 6), test.now);
@@ -357,24 +350,73 @@
   cr_assert(test.targets.Find("a")->evidence.inFlight == 0);
 }
 
+/// A late copy of a packet whose first copies were lost is no newer than one
+/// that came before it.
+Test(Forwarder, LateCopyWaitsBehindWhatWasSentAfterIt)
+{
+  TestForward test;
+  test.FillTarget();
+  test.Send(TestForward::Opening(5));
+  test.Pass(Milliseconds(10));
+  auto late = TestForward::Opening(6);
+  late.acknowledgement = 2;
+  test.Send(late);
+  cr_assert(test.forwarder.Waiting() == 2);
+  test.End(1);
+  cr_assert(test.forwarder.Waiting() == 1);
+  cr_assert(test.sink.toTargets.back().packet.flow.client.port == 5);
+}
+
+/// The first of eight balancers that is back has room for what each slot serves
+/// in the longest wait, eight requests of 72 ms.
+Test(Forwarder, OneOfEightHoldsTheQueueOfAll)
+{
+  TestForward test;
+  test.forwarder.SetBalancers(8);
+  test.FillTarget();
+  for (std::uint16_t port = 5; port <= 20; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  cr_assert(test.sink.toTargets.size() == 4);
+  cr_assert(test.forwarder.Waiting() == 16);
+  cr_assert(test.sink.resets.empty());
+  test.Send(TestForward::Opening(21));
+  cr_assert(test.forwarder.Waiting() == 16);
+  cr_assert(test.sink.resets.size() == 1);
+}
+
+/// Room that nobody was told of goes to those that wait first.
+Test(Forwarder, ArrivalTakesItsTurnWithThoseThatWait)
+{
+  TestForward test;
+  test.FillTarget();
+  test.Send(TestForward::Opening(5));
+  test.targets.Apply(MakeTarget("b", 6), test.now);
+  auto late = TestForward::Opening(6);
+  late.acknowledgement = 2;
+  test.Send(late);
+  cr_assert(test.forwarder.Waiting() == 0);
+  cr_assert(test.sink.toTargets.size() == 6);
+  cr_assert(test.sink.toTargets[4].packet.flow.client.port == 5);
+  cr_assert(test.sink.toTargets[5].packet.flow.client.port == 6);
+}
+
 /// The platform hashes over other balancers than before: the answers to flows
 /// that were opened here reach others, and theirs come here.
 Test(Forwarder, MovedFlowIsNoSignOfSilence)
 {
-  TestForward node;
-  node.targets.Apply(MakeTarget("a", 5), node.now);
-  node.targets.Apply(MakeTarget("b", 6), node.now);
-  node.Send(TestForward::Opening(1));
-  const auto& target = *node.targets.Find(node.sink.toTargets[0].target);
-  auto foreign = TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
-  foreign.carriesData = true;
-  node.Pass(Milliseconds(20));
-  node.Send(foreign);
-  cr_assert(node.metrics.Get(Counter::FlowTakenOver) == 1);
-  cr_assert(node.forwarder.Flows().Size() == 2);
-  node.Pass(Milliseconds(60));
-  node.forwarder.RepeatUnanswered(node.now);
-  cr_assert(node.sink.toTargets.size() == 2, "nothing is sent again");
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.targets.Apply(MakeTarget("b", 6), test.now);
+  test.Send(TestForward::Opening(1));
+  const auto& target = *test.targets.Find(test.sink.toTargets[0].target);
+  test.Pass(Milliseconds(20));
+  test.SendForeign(2);
+  cr_assert(test.metrics.Get(Counter::FlowTakenOver) == 1);
+  cr_assert(test.forwarder.Flows().Size() == 2);
+  test.Pass(Milliseconds(60));
+  test.forwarder.RepeatUnanswered(test.now);
+  cr_assert(test.sink.toTargets.size() == 2, "nothing is sent again");
   cr_assert(target.evidence.silentSince == Clock::time_point{});
 }
 
@@ -382,40 +424,34 @@
 /// balancer's, and leaves the count of its target.
 Test(Forwarder, FlowsThatMovedAwayLeaveTheCount)
 {
-  TestForward node;
-  node.targets.Apply(MakeTarget("a", 5), node.now);
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
   const auto opening = TestForward::Opening(1);
-  node.Send(opening);
-  node.Send(TestForward::Following(opening, TagOf("a", 1)));
-  const auto& evidence = node.targets.Find("a")->evidence;
-  node.Pass(Milliseconds(20));
-  auto foreign = TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
-  foreign.carriesData = true;
-  node.Send(foreign);
+  test.Send(opening);
+  test.Send(TestForward::Following(opening, TagOf("a", 1)));
+  const auto& evidence = test.targets.Find("a")->evidence;
+  test.Pass(Milliseconds(20));
+  test.SendForeign(2);
   cr_assert(evidence.inFlight == 2);
-  node.Pass(Milliseconds(140));
-  node.forwarder.RepeatUnanswered(node.now);
+  test.Pass(Milliseconds(140));
+  test.forwarder.RepeatUnanswered(test.now);
   cr_assert(evidence.inFlight == 1);
 }
 
 /// A first packet waits here while its client's copy goes to another balancer.
 Test(Forwarder, WaitingFlowWhoseCopyWentElsewhereIsNotOpenedHere)
 {
-  TestForward node;
-  node.targets.Apply(MakeTarget("a", 5), node.now);
-  for (std::uint16_t port = 1; port <= 5; ++port) {
-    node.Send(TestForward::Opening(port));
-  }
-  cr_assert(node.forwarder.Waiting() == 1);
-  node.Pass(Milliseconds(20));
-  auto foreign = TestForward::Following(TestForward::Opening(9), TagOf("a", 1));
-  foreign.carriesData = true;
-  node.Send(foreign);
-  node.Pass(Milliseconds(260));
-  node.forwarder.RepeatUnanswered(node.now);
-  node.forwarder.ServeWaiting(node.now);
-  cr_assert(node.forwarder.Waiting() == 0);
-  cr_assert(node.metrics.Get(Counter::FlowLeft) == 1);
-  cr_assert(node.sink.toTargets.size() == 5, "four opened, one taken over");
-  cr_assert(node.sink.resets.empty());
+  TestForward test;
+  test.FillTarget();
+  test.Send(TestForward::Opening(5));
+  cr_assert(test.forwarder.Waiting() == 1);
+  test.Pass(Milliseconds(20));
+  test.SendForeign(9);
+  test.Pass(Milliseconds(260));
+  test.forwarder.RepeatUnanswered(test.now);
+  test.forwarder.ServeWaiting(test.now);
+  cr_assert(test.forwarder.Waiting() == 0);
+  cr_assert(test.metrics.Get(Counter::FlowLeft) == 1);
+  cr_assert(test.sink.toTargets.size() == 5, "four opened, one taken over");
+  cr_assert(test.sink.resets.empty());
 }
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -186,7 +186,7 @@
 
 namespace {
 
-/// Two failure domains of two balancers each.
+/// Two failure domains; in the larger one not all are told by the other.
 struct TwoDomains
 {
   peer::TestNetwork network;
@@ -195,7 +195,11 @@
   Node northB{ network, store, "b", "north" };
   Node southC{ network, store, "c", "south" };
   Node southD{ network, store, "d", "south" };
-  std::array<Node*, 4> all{ &northA, &northB, &southC, &southD };
+  Node southE{ network, store, "e", "south" };
+  Node southF{ network, store, "f", "south" };
+  std::array<Node*, 6> all{
+    &northA, &northB, &southC, &southD, &southE, &southF
+  };
 };
 
 } // namespace
@@ -221,7 +225,7 @@
   TwoDomains fleet;
   fleet.network.RunFor(Milliseconds(5000));
   for (const auto* north : { "a", "b" }) {
-    for (const auto* south : { "c", "d" }) {
+    for (const auto* south : { "c", "d", "e", "f" }) {
       fleet.network.CutBoth(north, south);
     }
   }
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -104,6 +104,31 @@
 
   auto Pass(Milliseconds aTime) -> void { now += aTime; }
 
+  /// Lists target "a" and opens as many flows, from port 1 on, as it may have.
+  auto FillTarget() -> void
+  {
+    targets.Apply(MakeTarget("a", 5), now);
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+      Send(Opening(port));
+    }
+  }
+
+  /// Ends the flow from aPort to target "a".
+  auto End(std::uint16_t aPort) -> void
+  {
+    auto end = Following(Opening(aPort), TagOf("a", 1));
+    end.ends = true;
+    Send(end);
+  }
+
+  /// Sends a request in a flow to target "a" that was opened elsewhere.
+  auto SendForeign(std::uint16_t aPort) -> void
+  {
+    auto foreign = Following(Opening(aPort), TagOf("a", 1));
+    foreign.carriesData = true;
+    Send(foreign);
+  }
+
   Clock::time_point now{ std::chrono::hours(1) };
   PlainCodec codec;
   FakeSink sink;
