--- a/lib/Support/Files.cpp
+++ b/lib/Support/Files.cpp
@@ -1,4 +1,4 @@
-// A watch compares contents, not times of change: the time of day may jump.
+// Whole files as text.
 
 #include "bramleylock/Support/Files.h"
 
@@ -16,26 +16,4 @@
   return std::string(std::istreambuf_iterator<char>(stream), {});
 }
 
-static auto WatchLoop(std::string aFile, Milliseconds aEvery,
-                      std::function<void()> aOnChange) -> awaitable<void>
-{
-  auto known = ReadFile(aFile);
-  for (;;) {
-    co_await Sleep(aEvery);
-    // While somebody replaces it, it may be missing for a moment.
-    auto now = ReadFile(aFile);
-    if (now && now != known) {
-      known = std::move(now);
-      aOnChange();
-    }
-  }
-}
-
-auto WatchFile(asio::io_context& aContext, std::string aFile,
-               Milliseconds aEvery, std::function<void()> aOnChange) -> void
-{
-  Spawn(aContext, "watch-file",
-        WatchLoop(std::move(aFile), aEvery, std::move(aOnChange)));
-}
-
 } // namespace bramleylock
--- a/tools/bramleylockd/main.cpp
+++ b/tools/bramleylockd/main.cpp
@@ -1,7 +1,7 @@
 // bramleylockd: the balancer.
 
 #include "bramleylock/Kernel/DataPath.h"
-#include "bramleylock/Support/Files.h"
+#include "bramleylock/Support/FileWatch.h"
 #include "bramleylock/Support/Log.h"
 
 #include <boost/asio/signal_set.hpp>
--- a/unittests/Support/FilesTest.cpp
+++ b/unittests/Support/FileWatchTest.cpp
@@ -1,6 +1,6 @@
 // Changes, absences and rewrites of a watched file.
 
-#include "bramleylock/Support/Files.h"
+#include "bramleylock/Support/FileWatch.h"
 
 #include <criterion/criterion.h>
 
@@ -16,7 +16,7 @@
   std::ofstream(aFile) << aText;
 }
 
-Test(Files, OnlyOtherContentsAreAChange)
+Test(FileWatch, OnlyOtherContentsAreAChange)
 {
   const auto file = (std::filesystem::temp_directory_path() /
                      ("bramleylock-file-watch-" + std::to_string(::getpid())))
