Spread news and silence over a tree and its mirror image

An answer to a peer held all targets.

peer::Broadcast spreads a message in every failure domain over the tree that the lists use and over its mirror image, whose inner nodes are others, so that one dead balancer cuts off nobody; at most six copies a balancer and two to each other domain. An answer holds what changed after the asker's revision, and everything only where the answerer started later than that. FanOut moved from Lists to Peer, as both paths use it now.

Weighed: two trees from random roots (one dead inner node could stand above a member in both); one tree and repair by revisions (a member would hear up to 3.5 s late, beyond the bound of 3 s for draining targets).

--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -30,9 +30,10 @@
                        removed)
 };
 
-/// Asks a peer for everything that it has beyond this.
+/// Asks a peer for what it has beyond this.
 struct RoutingRequest
 {
+  /// The asker has all changes up to this; 0 asks for everything.
   std::uint64_t revision = 0;
   std::uint64_t routesVersion = 0;
   MSGPACK_DEFINE_ARRAY(revision, routesVersion)
@@ -61,7 +62,8 @@
   /// so that the peer has to be asked for all.
   auto TakeNews(const RoutingNews& aNews, Clock::time_point aNow) -> bool;
 
-  /// All that is held, for a peer that lacks it.
+  /// What a peer lacks: the changes after its revision, or everything where not
+  /// all of them are known here.
   auto Answer(const RoutingRequest& aRequest, Clock::time_point aNow)
     -> RoutingNews;
 
@@ -75,6 +77,7 @@
   /// is none.
   auto ReadAt() const -> Clock::time_point;
   auto Revision() const -> std::uint64_t;
+  auto RoutesVersion() const -> std::uint64_t;
 
   /// How many balancers the store says there are; 0 when it does not.
   auto RecordedBalancers() const -> std::uint32_t;
@@ -98,6 +101,8 @@
   Metrics& m_metrics;
   std::function<void()> m_listener = [] {};
   std::uint64_t m_revision = 0;
+  /// Every end of a target after this revision was seen here.
+  std::uint64_t m_completeFrom = 0;
   Clock::time_point m_readAt{};
   std::uint32_t m_recordedBalancers = 0;
 };
--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -5,8 +5,7 @@
 #include <string>
 
 #include "bramleylock/Forward/TargetDirectory.h"
-#include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Peer/PeerLinks.h"
+#include "bramleylock/Peer/Broadcast.h"
 
 namespace bramleylock::forward {
 
@@ -28,7 +27,7 @@
                TargetDirectory& aTargets, Metrics& aMetrics);
 
   /// Shares with peers from now on.
-  auto Join(peer::PeerLinks& aLinks, peer::Membership& aMembers) -> void;
+  auto Join(peer::Broadcast& aBroadcast) -> void;
 
   /// Takes a target that this balancer found silent.
   auto OnSilent(DirectoryEntry& aTarget) -> void;
@@ -45,8 +44,7 @@
   TargetDirectory& m_targets;
   Metrics& m_metrics;
   /// Null until Join.
-  peer::PeerLinks* m_links = nullptr;
-  peer::Membership* m_members = nullptr;
+  peer::Broadcast* m_broadcast = nullptr;
   /// Targets that are being asked.
   std::set<TargetTag> m_probed;
 };
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "bramleylock/Forward/RoutingState.h"
+#include "bramleylock/Peer/Broadcast.h"
 #include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Peer/PeerLinks.h"
 #include "bramleylock/Support/Random.h"
 
 namespace bramleylock::forward {
@@ -19,16 +19,16 @@
 auto AssumedBalancers(std::uint32_t aRecorded) -> std::size_t;
 
 /// Balancers take turns by rank: the first of the first failure domain holds a
-/// watch and tells its domain and two members of each other domain at its every
-/// return, also when nothing changed; those tell theirs. Each further one reads
-/// only when that news is late by its rank in its domain. So nobody is elected,
-/// and nobody has to notice a failure.
+/// watch and broadcasts its every return, also when nothing changed. Each
+/// further one reads only when that news is late by its rank in its domain. So
+/// nobody is elected, and nobody has to notice a failure.
 class StateReader
 {
 public:
   StateReader(asio::io_context& aContext, StateSource& aSource,
               RoutingState& aState, peer::PeerLinks& aLinks,
-              peer::Membership& aMembers, Metrics& aMetrics);
+              peer::Membership& aMembers, peer::Broadcast& aBroadcast,
+              Metrics& aMetrics);
 
   /// Starts from what was read of the store before.
   auto Start() -> void;
@@ -54,9 +54,7 @@
   auto NoteFailure(const std::error_code& aError, Clock::time_point aNow)
     -> void;
   auto NoteSuccess() -> void;
-  /// Both send aNews as they are packed.
-  auto TellDomain(const std::string& aNews) -> void;
-  auto TellOtherDomains(const std::string& aNews) -> void;
+  auto Request(Clock::time_point aNow) const -> RoutingRequest;
   auto TakeNews(const wire::Hello& aSender, const RoutingNews& aNews) -> void;
 
   asio::io_context& m_context;
@@ -64,6 +62,7 @@
   RoutingState& m_state;
   peer::PeerLinks& m_links;
   peer::Membership& m_members;
+  peer::Broadcast& m_broadcast;
   Metrics& m_metrics;
   Random m_random;
   Signal m_wake;
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -135,8 +135,10 @@
   /// All incarnations, the latest of each id first.
   auto All() -> std::vector<DirectoryEntry*>;
 
-  /// Records for a peer, with the states in force here.
-  auto Records(Clock::time_point aNow) -> std::vector<TargetRecord>;
+  /// The records that changed after aRevision, for a peer, with the states in
+  /// force here.
+  auto RecordsAfter(std::uint64_t aRevision, Clock::time_point aNow)
+    -> std::vector<TargetRecord>;
 
   auto Size() const -> std::size_t;
 
--- a/include/bramleylock/Kernel/PlatformWatcher.h
+++ b/include/bramleylock/Kernel/PlatformWatcher.h
@@ -64,8 +64,8 @@
   PlatformView m_view;
   lists::ListSpread m_spread;
   VmSpread m_vms;
-  lists::FanOut m_fanOut;
-  lists::SeenMessages m_seen;
+  peer::FanOut m_fanOut;
+  peer::SeenMessages m_seen;
   lists::WatcherElection m_election;
   Signal m_elected;
   Random m_random;
--- a/include/bramleylock/Kernel/VmSpread.h
+++ b/include/bramleylock/Kernel/VmSpread.h
@@ -6,8 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "bramleylock/Lists/FanOut.h"
 #include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Peer/FanOut.h"
+#include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Target/TargetTable.h"
 
 namespace bramleylock::kernel {
@@ -50,9 +51,9 @@
   peer::Membership& m_members;
   target::TargetTable& m_targets;
   Metrics& m_metrics;
-  lists::FanOut m_fanOut;
-  lists::SeenMessages m_seen;
-  lists::ByteBudget m_budget;
+  peer::FanOut m_fanOut;
+  peer::SeenMessages m_seen;
+  peer::ByteBudget m_budget;
   Rows m_rows;
   Rows m_polled;
   std::uint64_t m_sequence = 0;
--- a/include/bramleylock/Lists/ListSpread.h
+++ b/include/bramleylock/Lists/ListSpread.h
@@ -5,8 +5,9 @@
 #include <string>
 #include <utility>
 
-#include "bramleylock/Lists/FanOut.h"
 #include "bramleylock/Lists/ListKeeper.h"
+#include "bramleylock/Peer/FanOut.h"
+#include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Support/Random.h"
 
 namespace bramleylock::lists {
@@ -43,8 +44,8 @@
   peer::PeerHub& m_hub;
   peer::Membership& m_members;
   Metrics& m_metrics;
-  FanOut m_fanOut;
-  ByteBudget m_budget;
+  peer::FanOut m_fanOut;
+  peer::ByteBudget m_budget;
   /// Revision and digest of what this balancer held before the last
   /// installation.
   std::uint64_t m_previousRevision = 0;
--- a/include/bramleylock/Lists/FanOut.h
+++ b/include/bramleylock/Peer/FanOut.h
@@ -5,33 +5,49 @@
 #include <string>
 
 #include "bramleylock/Peer/Membership.h"
-#include "bramleylock/Peer/PeerHub.h"
+#include "bramleylock/Peer/PeerLinks.h"
 
-namespace bramleylock::lists {
+namespace bramleylock::peer {
 
 /// Messages that one balancer sends on for each one it receives.
 inline constexpr std::size_t kFanOut = 3;
 
-/// A tree over the live balancers of the failure domain, different for each
-/// origin, so that no balancer sends to all. Gaps, as where members differ in
-/// view or an inner node is paused, are left to repair.
+/// A tree over the live balancers of a failure domain. Those that pass messages
+/// on in a tree only receive them in its mirror image.
+struct SpreadTree
+{
+  /// Orders the balancers.
+  std::string seed;
+  /// The balancer that sends first.
+  std::string root;
+  bool mirrored = false;
+};
+
+/// The tree of what aOrigin spreads in its own failure domain.
+inline auto TreeOf(const std::string& aOrigin) -> SpreadTree
+{
+  return { aOrigin, aOrigin, false };
+}
+
+/// Sends down trees, so that no balancer sends to all. Gaps, as where members
+/// differ in view or an inner node is paused, are left to repair.
 class FanOut
 {
 public:
-  FanOut(peer::PeerHub& aHub, peer::Membership& aMembers);
+  FanOut(PeerLinks& aLinks, Membership& aMembers);
 
-  /// Sends to this balancer's children in the tree of aOrigin.
-  auto PassOn(const std::string& aOrigin, wire::MessageType aType,
+  /// Sends to this balancer's children in aTree.
+  auto PassOn(const SpreadTree& aTree, wire::MessageType aType,
               const std::string& aBody) -> void;
 
 private:
-  peer::PeerHub& m_hub;
-  peer::Membership& m_members;
+  PeerLinks& m_links;
+  Membership& m_members;
 };
 
-/// Addresses that aSelf sends to in the tree that aOrigin roots over aNodes;
-/// aNodes holds both.
-auto ChildrenInTree(const std::string& aOrigin, const std::string& aSelf,
+/// Addresses that aSelf sends to in aTree over aNodes, which hold the root and
+/// aSelf.
+auto ChildrenInTree(const SpreadTree& aTree, const std::string& aSelf,
                     std::vector<std::string> aNodes)
   -> std::vector<std::string>;
 
@@ -64,4 +80,4 @@
   Clock::time_point m_updated{};
 };
 
-} // namespace bramleylock::lists
+} // namespace bramleylock::peer
--- a/include/bramleylock/Peer/Receive.h
+++ b/include/bramleylock/Peer/Receive.h
@@ -19,21 +19,28 @@
   LogWarning("peer-message-malformed", { { "peer", aSender.vm } });
 }
 
-/// Sets the handler of aType to one that gets the message itself. A body that
-/// is none is noted as malformed.
+/// Wraps aHandler, which takes a Message, into one that takes its body. A body
+/// that is none is noted as malformed.
 template<typename Message, typename Handler>
-auto Receive(PeerLinks& aLinks, wire::MessageType aType, Metrics& aMetrics,
-             Handler aHandler) -> void
+auto Unpacked(Metrics& aMetrics, Handler aHandler) -> MessageHandler
 {
-  aLinks.On(aType, [&aMetrics, handler = std::move(aHandler)](
-                     const wire::Hello& aSender, const std::string& aBody) {
+  return [&aMetrics, handler = std::move(aHandler)](const wire::Hello& aSender,
+                                                    const std::string& aBody) {
     const auto message = wire::UnpackBody<Message>(aBody);
     if (message) {
       handler(aSender, *message);
     } else {
       NoteMalformed(aMetrics, aSender);
     }
-  });
+  };
+}
+
+/// Sets the handler of aType to one that gets the message itself.
+template<typename Message, typename Handler>
+auto Receive(PeerLinks& aLinks, wire::MessageType aType, Metrics& aMetrics,
+             Handler aHandler) -> void
+{
+  aLinks.On(aType, Unpacked<Message>(aMetrics, std::move(aHandler)));
 }
 
 } // namespace bramleylock::peer
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -39,10 +39,11 @@
   AllowanceGrant,
   Routing,
   RoutingRequest,
-  TargetSilence
+  TargetSilence,
+  RoutingAnswer
 };
 
-inline constexpr std::array<NameRow<MessageType>, 24> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 25> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Received, "received" },
   { MessageType::Forwarded, "forwarded" },
@@ -67,6 +68,7 @@
   { MessageType::Routing, "routing" },
   { MessageType::RoutingRequest, "routing-request" },
   { MessageType::TargetSilence, "target-silence" },
+  { MessageType::RoutingAnswer, "routing-answer" },
 } };
 
 /// Who speaks on a link; the first message in each direction.
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -62,6 +62,11 @@
   return m_revision;
 }
 
+auto RoutingState::RoutesVersion() const -> std::uint64_t
+{
+  return m_routes.Current().version;
+}
+
 auto RoutingState::RecordedBalancers() const -> std::uint32_t
 {
   return m_recordedBalancers;
@@ -186,6 +191,9 @@
     news.routes.push_back(*aReading.routes);
   }
   const bool first = m_readAt == Clock::time_point{};
+  if (first) {
+    m_completeFrom = aReading.revision;
+  }
   for (const auto& record : aReading.targets) {
     // The first reading is logged as one change.
     const bool changed = first ? m_targets.Apply(record, aNow)
@@ -250,6 +258,9 @@
       aNews.routesVersion > m_routes.Current().version) {
     return false;
   }
+  if (m_readAt == Clock::time_point{}) {
+    m_completeFrom = aNews.revision;
+  }
   const Milliseconds age(aNews.ageMs);
   Advance(aNews.revision, aNow - age);
   m_metrics.Observe(Latency::StateInForce, age);
@@ -261,6 +272,9 @@
                           Clock::time_point aNow) -> RoutingNews
 {
   RoutingNews news;
+  const bool changes =
+    aRequest.revision > 0 && aRequest.revision >= m_completeFrom;
+  news.base = changes ? aRequest.revision : 0;
   news.revision = m_revision;
   news.routesVersion = m_routes.Current().version;
   news.ageMs = static_cast<std::uint32_t>(
@@ -268,7 +282,7 @@
   if (aRequest.routesVersion < news.routesVersion) {
     news.routes.push_back(m_routes.Current());
   }
-  news.targets = m_targets.Records(aNow);
+  news.targets = m_targets.RecordsAfter(news.base, aNow);
   return news;
 }
 
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -52,16 +52,15 @@
 {
 }
 
-auto SilenceWatch::Join(peer::PeerLinks& aLinks, peer::Membership& aMembers)
-  -> void
+auto SilenceWatch::Join(peer::Broadcast& aBroadcast) -> void
 {
-  m_links = &aLinks;
-  m_members = &aMembers;
-  peer::Receive<SilenceNews>(
-    aLinks, wire::MessageType::TargetSilence, m_metrics,
-    [this](const wire::Hello& aSender, const SilenceNews& aNews) {
-      TakeNews(aSender.vm, aNews);
-    });
+  m_broadcast = &aBroadcast;
+  aBroadcast.On(
+    wire::MessageType::TargetSilence,
+    peer::Unpacked<SilenceNews>(
+      m_metrics, [this](const wire::Hello& aSender, const SilenceNews& aNews) {
+        TakeNews(aSender.vm, aNews);
+      }));
 }
 
 auto SilenceWatch::OnSilent(DirectoryEntry& aTarget) -> void
@@ -103,12 +102,9 @@
 
 auto SilenceWatch::Tell(const SilenceNews& aNews) -> void
 {
-  if (m_members == nullptr) {
-    return;
-  }
-  const auto body = wire::PackBody(aNews);
-  for (const auto& member : m_members->Alive()) {
-    m_links->Send(member.address, wire::MessageType::TargetSilence, body);
+  if (m_broadcast != nullptr) {
+    m_broadcast->Announce(wire::MessageType::TargetSilence,
+                          wire::PackBody(aNews));
   }
 }
 
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -26,14 +26,6 @@
 /// The same while members are not found, and everybody ranks first.
 static constexpr Milliseconds kPauseAlone{ 1000 };
 
-/// Members of each other failure domain that the first reader tells: with one
-/// of them dead the domain still hears.
-static constexpr std::size_t kContactsTold = 2;
-
-/// News of another domain are passed on if they are newer by more than what two
-/// contacts of one reader differ by.
-static constexpr Milliseconds kNewer{ 100 };
-
 /// Pauses after failed calls, doubled up to the longest.
 static constexpr Milliseconds kRetry{ 250 };
 static constexpr Milliseconds kLongestRetry{ 1000 };
@@ -46,6 +38,10 @@
 static constexpr Milliseconds kStale{ 3500 };
 static constexpr Milliseconds kAskEvery{ 500 };
 
+/// State older than this is asked for whole: peers forget targets that left a
+/// minute ago, and could not name them.
+static constexpr Milliseconds kChangesKnown{ 30000 };
+
 /// How long members take to find each other after a start, as the tests of
 /// membership allow them.
 static constexpr Milliseconds kMembersFound{ 4000 };
@@ -79,12 +75,14 @@
 
 StateReader::StateReader(asio::io_context& aContext, StateSource& aSource,
                          RoutingState& aState, peer::PeerLinks& aLinks,
-                         peer::Membership& aMembers, Metrics& aMetrics)
+                         peer::Membership& aMembers,
+                         peer::Broadcast& aBroadcast, Metrics& aMetrics)
   : m_context(aContext)
   , m_source(aSource)
   , m_state(aState)
   , m_links(aLinks)
   , m_members(aMembers)
+  , m_broadcast(aBroadcast)
   , m_metrics(aMetrics)
   , m_random(SecretNumber())
   , m_wake(aContext)
@@ -93,20 +91,21 @@
 
 auto StateReader::Start() -> void
 {
-  peer::Receive<RoutingNews>(
-    m_links, wire::MessageType::Routing, m_metrics,
-    [this](const wire::Hello& aSender, const RoutingNews& aNews) {
+  const auto takeNews = peer::Unpacked<RoutingNews>(
+    m_metrics, [this](const wire::Hello& aSender, const RoutingNews& aNews) {
       if (IsSound(aNews)) {
         TakeNews(aSender, aNews);
       } else {
         peer::NoteMalformed(m_metrics, aSender);
       }
     });
+  m_broadcast.On(wire::MessageType::Routing, takeNews);
+  m_links.On(wire::MessageType::RoutingAnswer, takeNews);
   peer::Receive<RoutingRequest>(
     m_links, wire::MessageType::RoutingRequest, m_metrics,
     [this](const wire::Hello& aSender, const RoutingRequest& aRequest) {
       if (m_state.Complete()) {
-        m_links.SendMessage(aSender.address, wire::MessageType::Routing,
+        m_links.SendMessage(aSender.address, wire::MessageType::RoutingAnswer,
                             m_state.Answer(aRequest, Clock::now()));
       }
     });
@@ -262,10 +261,10 @@
     m_failedAt != Clock::time_point{} && now - m_failedAt < kTroubleKept;
   NoteSuccess();
   // The answer to a watch shows the store as it was when it was sent.
-  const auto news = wire::PackBody(m_state.TakeReading(
-    std::move(reading), whole, troubled, whole ? began : now, now));
-  TellDomain(news);
-  TellOtherDomains(news);
+  m_broadcast.Announce(
+    wire::MessageType::Routing,
+    wire::PackBody(m_state.TakeReading(std::move(reading), whole, troubled,
+                                       whole ? began : now, now)));
 }
 
 auto StateReader::NoteFailure(const std::error_code& aError,
@@ -295,29 +294,6 @@
   m_retryAt = {};
 }
 
-auto StateReader::TellDomain(const std::string& aNews) -> void
-{
-  for (const auto& address : m_members.InDomain()) {
-    m_links.Send(address, wire::MessageType::Routing, aNews);
-  }
-}
-
-auto StateReader::TellOtherDomains(const std::string& aNews) -> void
-{
-  for (const auto& [domain, alive] : m_members.AliveByDomain()) {
-    if (domain == m_members.Self().failureDomain) {
-      continue;
-    }
-    const auto contacts = m_members.ContactsOf(domain);
-    std::vector<std::string> told;
-    std::sample(contacts.begin(), contacts.end(), std::back_inserter(told),
-                kContactsTold, m_random);
-    for (const auto& address : told) {
-      m_links.Send(address, wire::MessageType::Routing, aNews);
-    }
-  }
-}
-
 auto StateReader::AskSomebody(Clock::time_point aNow) -> void
 {
   if (aNow - m_askedAt < kAskEvery) {
@@ -331,7 +307,13 @@
   m_metrics.Add(Counter::StateAsked);
   const auto& asked = alive[m_random() % alive.size()];
   m_links.SendMessage(asked.address, wire::MessageType::RoutingRequest,
-                      RoutingRequest{ m_state.Revision(), 0 });
+                      Request(aNow));
+}
+
+auto StateReader::Request(Clock::time_point aNow) const -> RoutingRequest
+{
+  const bool changes = aNow - m_state.ReadAt() < kChangesKnown;
+  return { changes ? m_state.Revision() : 0, m_state.RoutesVersion() };
 }
 
 auto StateReader::TakeNews(const wire::Hello& aSender, const RoutingNews& aNews)
@@ -339,21 +321,13 @@
 {
   m_metrics.Add(Counter::StateFromPeer);
   const auto now = Clock::now();
-  const auto before = m_state.ReadAt();
   if (!m_state.TakeNews(aNews, now)) {
     m_links.SendMessage(aSender.address, wire::MessageType::RoutingRequest,
-                        RoutingRequest{ m_state.Revision(), 0 });
+                        Request(now));
     return;
   }
   m_needWhole = false;
   m_wake.Notify();
-  // A whole account answers a question; others of the domain ask theirs.
-  const bool passesOn =
-    aSender.failureDomain != m_members.Self().failureDomain &&
-    aNews.base != 0 && m_state.ReadAt() > before + kNewer;
-  if (passesOn) {
-    TellDomain(wire::PackBody(aNews));
-  }
 }
 
 } // namespace bramleylock::forward
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -272,11 +272,15 @@
   return all;
 }
 
-auto TargetDirectory::Records(Clock::time_point aNow)
+auto TargetDirectory::RecordsAfter(std::uint64_t aRevision,
+                                   Clock::time_point aNow)
   -> std::vector<TargetRecord>
 {
   std::vector<TargetRecord> records;
   for (const auto& [key, entry] : m_entries) {
+    if (entry.record.revision <= aRevision) {
+      continue;
+    }
     auto record = entry.record;
     const auto cold =
       std::chrono::duration_cast<Milliseconds>(entry.warmAt - aNow).count();
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -8,6 +8,7 @@
 #include "bramleylock/Forward/StateReader.h"
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Kernel/PacketPort.h"
+#include "bramleylock/Peer/Broadcast.h"
 #include "bramleylock/Peer/PeerHub.h"
 #include "bramleylock/Support/Log.h"
 #include "bramleylock/Wire/Token.h"
@@ -72,6 +73,7 @@
   std::unique_ptr<http::Server> metricsServer;
   std::unique_ptr<peer::PeerHub> hub;
   std::unique_ptr<peer::Membership> members;
+  std::unique_ptr<peer::Broadcast> broadcast;
   std::unique_ptr<forward::StateReader> reader;
   bool draining = false;
   bool toldReady = false;
@@ -177,8 +179,9 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
-  reader = std::make_unique<forward::StateReader>(context, *source, state, *hub,
-                                                  *members, metrics);
+  broadcast = std::make_unique<peer::Broadcast>(*hub, *members, metrics);
+  reader = std::make_unique<forward::StateReader>(
+    context, *source, state, *hub, *members, *broadcast, metrics);
   hub->Start(self);
   return true;
 }
@@ -223,7 +226,7 @@
   members->SetHints(peer::HintsFromSeeds(settings.peerSeeds));
   members->Start(
     [this](wire::Heartbeat& aHeartbeat) { aHeartbeat.draining = draining; });
-  silence.Join(*hub, *members);
+  silence.Join(*broadcast);
 }
 
 auto ForwardingBalancer::Parts::AgeLoop() -> awaitable<void>
--- a/lib/Kernel/PlatformWatcher.cpp
+++ b/lib/Kernel/PlatformWatcher.cpp
@@ -138,7 +138,8 @@
                                     m_view.lists.Digest(),
                                     m_vms.Digest() };
   const auto body = wire::PackBody(notice);
-  m_fanOut.PassOn(self.address, wire::MessageType::WatcherNotice, body);
+  m_fanOut.PassOn(peer::TreeOf(self.address), wire::MessageType::WatcherNotice,
+                  body);
   if (m_election.IsRegular() && m_sequence % kAbroadEvery == 0) {
     SendNoticeAbroad(body);
   }
@@ -179,7 +180,8 @@
     m_election.Heard(notice->origin, Clock::now());
   }
   m_vms.Compare(aSender.address, notice->vmsDigest);
-  m_fanOut.PassOn(notice->origin, wire::MessageType::WatcherNotice, aBody);
+  m_fanOut.PassOn(peer::TreeOf(notice->origin),
+                  wire::MessageType::WatcherNotice, aBody);
 }
 
 auto PlatformWatcher::WatchLists() -> awaitable<void>
--- a/lib/Kernel/VmSpread.cpp
+++ b/lib/Kernel/VmSpread.cpp
@@ -80,7 +80,7 @@
   // The first answer after a start is no news to the others.
   if (changed && !first) {
     message.sequence = ++m_sequence;
-    m_fanOut.PassOn(message.origin, wire::MessageType::Vms,
+    m_fanOut.PassOn(peer::TreeOf(message.origin), wire::MessageType::Vms,
                     wire::PackBody(message));
   }
 }
@@ -96,7 +96,8 @@
                       message->sequence)) {
       return;
     }
-    m_fanOut.PassOn(message->origin, wire::MessageType::Vms, aBody);
+    m_fanOut.PassOn(peer::TreeOf(message->origin), wire::MessageType::Vms,
+                    aBody);
   }
   auto rows = message->whole ? Rows{} : m_rows;
   for (auto& row : message->rows) {
--- /dev/null
+++ b/lib/Peer/Broadcast.cpp
@@ -0,0 +1,76 @@
+// Two trees in each failure domain, and what was seen of each message.
+
+#include "bramleylock/Peer/Broadcast.h"
+
+#include "bramleylock/Peer/Receive.h"
+
+namespace bramleylock::peer {
+
+Broadcast::Broadcast(PeerLinks& aLinks, Membership& aMembers, Metrics& aMetrics)
+  : m_links(aLinks)
+  , m_members(aMembers)
+  , m_metrics(aMetrics)
+  , m_fanOut(aLinks, aMembers)
+{
+}
+
+static auto TreeOf(const BroadcastMessage& aMessage) -> SpreadTree
+{
+  return { aMessage.origin, aMessage.root, aMessage.mirrored };
+}
+
+auto Broadcast::Announce(wire::MessageType aType, const std::string& aBody)
+  -> void
+{
+  const auto& self = m_members.Self();
+  BroadcastMessage message{ self.address, self.incarnation, ++m_sequence,
+                            self.address, false,            aBody };
+  m_fanOut.PassOn(TreeOf(message), aType, wire::PackBody(message));
+  if (m_members.InDomain().size() > kFanOut) {
+    message.mirrored = true;
+    m_fanOut.PassOn(TreeOf(message), aType, wire::PackBody(message));
+  }
+  for (const auto& [domain, alive] : m_members.AliveByDomain()) {
+    if (domain == self.failureDomain) {
+      continue;
+    }
+    message.mirrored = false;
+    for (const auto& contact : m_members.ContactsOf(domain)) {
+      message.root = contact;
+      m_links.SendMessage(contact, aType, message);
+      message.mirrored = !message.mirrored;
+    }
+  }
+}
+
+auto Broadcast::On(wire::MessageType aType, MessageHandler aHandler) -> void
+{
+  m_links.On(aType, [this, aType, handler = std::move(aHandler)](
+                      const wire::Hello& aSender, const std::string& aBody) {
+    Take(aType, handler, aSender, aBody);
+  });
+}
+
+auto Broadcast::Take(wire::MessageType aType, const MessageHandler& aHandler,
+                     const wire::Hello& aSender, const std::string& aEnvelope)
+  -> void
+{
+  const auto message = wire::UnpackBody<BroadcastMessage>(aEnvelope);
+  if (!message) {
+    NoteMalformed(m_metrics, aSender);
+    return;
+  }
+  auto& seen = m_seen[aType];
+  const auto tree = TreeOf(*message);
+  const auto name = tree.seed + ' ' + tree.root + (tree.mirrored ? "'" : "");
+  if (seen.passedOn.IsNew(name, message->incarnation, message->sequence)) {
+    m_fanOut.PassOn(tree, aType, aEnvelope);
+  }
+  if (message->origin != m_members.Self().address &&
+      seen.handled.IsNew(message->origin, message->incarnation,
+                         message->sequence)) {
+    aHandler(aSender, message->body);
+  }
+}
+
+} // namespace bramleylock::peer
--- a/lib/Lists/FanOut.cpp
+++ b/lib/Peer/FanOut.cpp
@@ -1,29 +1,36 @@
 // Trees by rendezvous order, message numbers, and the budget of bytes.
 
-#include "bramleylock/Lists/FanOut.h"
+#include "bramleylock/Peer/FanOut.h"
 
-#include "bramleylock/Lists/WatcherElection.h"
 #include "bramleylock/Support/Rendezvous.h"
 
 #include <algorithm>
 
-namespace bramleylock::lists {
+namespace bramleylock::peer {
 
-FanOut::FanOut(peer::PeerHub& aHub, peer::Membership& aMembers)
-  : m_hub(aHub)
+/// Origins whose newest message is remembered: those of a failure domain of 857
+/// balancers, twice over. Beyond that all are forgotten, and a message that is
+/// still on its way is passed on once more.
+static constexpr std::size_t kOriginsKept = 2048;
+
+FanOut::FanOut(PeerLinks& aLinks, Membership& aMembers)
+  : m_links(aLinks)
   , m_members(aMembers)
 {
 }
 
-auto ChildrenInTree(const std::string& aOrigin, const std::string& aSelf,
+auto ChildrenInTree(const SpreadTree& aTree, const std::string& aSelf,
                     std::vector<std::string> aNodes) -> std::vector<std::string>
 {
-  std::erase(aNodes, aOrigin);
-  const auto order = RendezvousOrder(aOrigin, std::move(aNodes));
-  // The origin stands before position 0; node i has the kFanOut nodes from
-  // (i + 1) * kFanOut on.
+  std::erase(aNodes, aTree.root);
+  auto order = RendezvousOrder(aTree.seed, std::move(aNodes));
+  if (aTree.mirrored) {
+    std::reverse(order.begin(), order.end());
+  }
+  // The root stands before position 0; node i has the kFanOut nodes from
+  // (i + 1) * kFanOut on, so that less than a kFanOut-th of them pass on.
   std::size_t first = 0;
-  if (aSelf != aOrigin) {
+  if (aSelf != aTree.root) {
     const auto self = std::find(order.begin(), order.end(), aSelf);
     if (self == order.end()) {
       return {};
@@ -36,22 +43,23 @@
            order.begin() + static_cast<std::ptrdiff_t>(until) };
 }
 
-auto FanOut::PassOn(const std::string& aOrigin, wire::MessageType aType,
+auto FanOut::PassOn(const SpreadTree& aTree, wire::MessageType aType,
                     const std::string& aBody) -> void
 {
   const auto& self = m_members.Self().address;
-  std::vector<std::string> nodes{ self };
-  for (const auto& member : m_members.AliveInDomain()) {
-    nodes.push_back(member.address);
-  }
-  for (const auto& child : ChildrenInTree(aOrigin, self, std::move(nodes))) {
-    m_hub.Send(child, aType, aBody);
+  auto nodes = m_members.InDomain();
+  nodes.push_back(self);
+  for (const auto& child : ChildrenInTree(aTree, self, std::move(nodes))) {
+    m_links.Send(child, aType, aBody);
   }
 }
 
 auto SeenMessages::IsNew(const std::string& aOrigin, std::uint64_t aIncarnation,
                          std::uint64_t aSequence) -> bool
 {
+  if (m_newest.size() >= kOriginsKept && !m_newest.contains(aOrigin)) {
+    m_newest.clear();
+  }
   auto& newest = m_newest[aOrigin];
   const std::pair number{ aIncarnation, aSequence };
   if (number <= newest) {
@@ -80,4 +88,4 @@
   return true;
 }
 
-} // namespace bramleylock::lists
+} // namespace bramleylock::peer
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -139,6 +139,36 @@
   cr_assert(other.targets.Find("a")->record.State() == TargetState::Departed);
 }
 
+/// A fleet of thousands of targets answers with some hundred bytes.
+Test(RoutingState, AnswerHoldsOnlyWhatThePeerLacks)
+{
+  Node reader;
+  reader.Read(Whole(9, { MakeTarget("a", 5), MakeTarget("b", 6) }), true);
+  reader.Read({ 12, std::nullopt, { MakeTarget("c", 12) }, {} }, false);
+  const auto version = reader.state.RoutesVersion();
+  const auto news = reader.state.Answer({ 9, version }, reader.now);
+  cr_assert(news.base == 9 && news.revision == 12);
+  cr_assert(news.routes.empty());
+  cr_assert(news.targets.size() == 1 && news.targets.front().id == "c");
+}
+
+/// Whoever started after a target had ended cannot name it, and so has to tell
+/// everything.
+Test(RoutingState, PeerThatStartedLaterAnswersWithEverything)
+{
+  Node asker;
+  Node later;
+  asker.Read(Whole(9, { MakeTarget("a", 5), MakeTarget("b", 6) }), true);
+  later.Read(Whole(14, { MakeTarget("b", 6) }), true);
+  const auto news = later.state.Answer({ 9, 3 }, later.now);
+  cr_assert(news.base == 0 && news.targets.size() == 1);
+  cr_assert(asker.state.TakeNews(news, asker.now));
+  cr_assert(asker.Ready() == 1);
+  // Its own changes since then it can name.
+  later.Read({ 20, std::nullopt, {}, { { "b", 20, false } } }, false);
+  cr_assert(later.state.Answer({ 14, 3 }, later.now).base == 14);
+}
+
 Test(RoutingState, NewsWithANewerVersionOfTheRoutesAskForIt)
 {
   Node reader;
@@ -177,7 +207,7 @@
   node.now += std::chrono::minutes(3);
   node.targets.Expire(std::chrono::seconds(61), node.now);
   cr_assert(node.targets.Size() == 0);
-  node.state.TakeNews(apart.state.Answer({ 12, 0 }, apart.now), node.now);
+  node.state.TakeNews(apart.state.Answer({ 0, 0 }, apart.now), node.now);
   cr_assert(node.Ready() == 0);
 }
 
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -95,8 +95,9 @@
     , targets(codec)
     , state(routes, targets, metrics)
     , source(aStore)
+    , broadcast(*aNetwork.links[aName + ":1"], members, metrics)
     , reader(aNetwork.context, source, state, *aNetwork.links[aName + ":1"],
-             members, metrics)
+             members, broadcast, metrics)
   {
     reader.Start();
   }
@@ -108,6 +109,7 @@
   TargetDirectory targets;
   RoutingState state;
   FakeSource source;
+  peer::Broadcast broadcast;
   StateReader reader;
 };
 
@@ -246,7 +248,7 @@
 
   auto Tell(const std::string& aBody) -> void
   {
-    network.links["a:1"]->handlers.at(wire::MessageType::Routing)(
+    network.links["a:1"]->handlers.at(wire::MessageType::RoutingAnswer)(
       wire::Hello{ "b", "north", "b:1", 1 }, aBody);
   }
 
--- a/unittests/Lists/FanOutTest.cpp
+++ b/unittests/Peer/FanOutTest.cpp
@@ -1,13 +1,13 @@
 // The tree reaches every balancer with a bounded number of sends.
 
-#include "bramleylock/Lists/FanOut.h"
+#include "bramleylock/Peer/FanOut.h"
 
 #include <criterion/criterion.h>
 
 #include <deque>
 
 using namespace bramleylock;
-using namespace bramleylock::lists;
+using namespace bramleylock::peer;
 
 Test(FanOut, TreeReachesEachOfADomainOnce)
 {
@@ -21,7 +21,7 @@
   while (!sending.empty()) {
     const auto node = sending.front();
     sending.pop_front();
-    const auto children = ChildrenInTree(nodes[5], node, nodes);
+    const auto children = ChildrenInTree(TreeOf(nodes[5]), node, nodes);
     cr_assert_leq(children.size(), kFanOut);
     for (const auto& child : children) {
       cr_assert(depths.emplace(child, depths[node] + 1).second);
