Take a higher incarnation after a clock was set back, and skip unknown messages

Now a peer answers with the record that it holds, and a balancer of the forwarding path takes the next incarnation and introduces itself anew on its open links. On the request path incarnations stand in tokens and stay (test).

Also a message of an unknown type closed the link, so that two versions side by side would have opened and closed links at each broadcast; it is skipped and counted now. A failed accept is logged.

Ruled out: an incarnation kept in the store (a write at each start). Tests: Membership.BalancerThatStartsWithALowerIncarnationTakesAHigherOne and IncarnationStaysWhereItMayStandInTokens, PeerHub.*.

--- a/include/bramleylock/Peer/MemberTable.h
+++ b/include/bramleylock/Peer/MemberTable.h
@@ -65,6 +65,9 @@
   /// Tells the others that this balancer drains or leaves.
   auto SetSelf(MemberState aState, bool aDraining) -> void;
 
+  /// See Membership::AllowRenewal.
+  auto AllowRenewal() -> void;
+
   /// Takes a record that somebody passed on. True when it changed what is held.
   auto Apply(const wire::MemberRecord& aRecord, Clock::time_point aNow) -> bool;
 
@@ -105,6 +108,7 @@
   };
 
   auto ApplyToSelf(const wire::MemberRecord& aRecord) -> bool;
+  auto Renew(const wire::MemberRecord& aRecord) -> bool;
   auto PassOn(const std::string& aAddress) -> void;
   auto Damped(Member& aMember, Clock::time_point aNow) -> bool;
   auto Retransmissions() const -> int;
@@ -113,6 +117,7 @@
   Metrics& m_metrics;
   MemberState m_selfState = MemberState::Alive;
   bool m_selfDraining = false;
+  bool m_renewable = false;
   std::uint64_t m_refutation = 0;
   std::map<std::string, Member> m_members;
   std::deque<News> m_news;
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -88,6 +88,11 @@
   /// Sends a heartbeat now to a bounded number of members.
   auto Announce() -> void;
 
+  /// Lets this balancer take a new incarnation when the others hold a higher
+  /// one for its address: its machine's clock was set back before it started.
+  /// Not for a balancer whose incarnation stands in flow tokens.
+  auto AllowRenewal() -> void;
+
   /// Says that this balancer is about to stop.
   auto Leave() -> void;
 
--- a/include/bramleylock/Peer/PeerHub.h
+++ b/include/bramleylock/Peer/PeerHub.h
@@ -41,6 +41,7 @@
   auto On(wire::MessageType aType, MessageHandler aHandler) -> void override;
   auto Send(const std::string& aAddress, wire::MessageType aType,
             std::string aBody) -> bool override;
+  auto Introduce(const wire::Hello& aSelf) -> void override;
   auto OnUnreachable(std::function<void(const std::string& aAddress)> aListener)
     -> void override;
 
--- a/include/bramleylock/Peer/PeerLinks.h
+++ b/include/bramleylock/Peer/PeerLinks.h
@@ -26,6 +26,9 @@
   virtual auto Send(const std::string& aAddress, wire::MessageType aType,
                     std::string aBody) -> bool = 0;
 
+  /// Tells the peers on all links who this balancer is from now on.
+  virtual auto Introduce(const wire::Hello& aSelf) -> void = 0;
+
   /// Sets who is told of an address to which no link could be opened, or whose
   /// link went silent.
   virtual auto OnUnreachable(
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -179,6 +179,8 @@
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
+  // Nothing on this path names an incarnation but the members' records.
+  members->AllowRenewal();
   broadcast = std::make_unique<peer::Broadcast>(*hub, *members, metrics);
   reader = std::make_unique<forward::StateReader>(
     context, *source, state, *hub, *members, *broadcast, metrics);
--- a/lib/Peer/Broadcast.cpp
+++ b/lib/Peer/Broadcast.cpp
@@ -23,8 +23,9 @@
   -> void
 {
   const auto& self = m_members.Self();
-  BroadcastMessage message{ self.address, self.incarnation, ++m_sequence,
-                            self.address, false,            aBody };
+  BroadcastMessage message{ self.address, self.incarnation,
+                            ++m_sequence, self.address,
+                            false,        aBody };
   m_fanOut.PassOn(TreeOf(message), aType, wire::PackBody(message));
   if (m_members.InDomain().size() > kFanOut) {
     message.mirrored = true;
--- a/lib/Peer/MemberGossip.cpp
+++ b/lib/Peer/MemberGossip.cpp
@@ -120,7 +120,7 @@
   const auto* member = m_table.Find(aSender.address);
   if (!heard) {
     // A replaced or declared dead balancer is told what is held of it.
-    if (member != nullptr && member->incarnation == aSender.incarnation) {
+    if (member != nullptr && member->incarnation >= aSender.incarnation) {
       m_links.SendMessage(
         aSender.address, wire::MessageType::MemberSync,
         wire::MemberSync{ false, { MemberTable::RecordOf(*member) } });
@@ -137,11 +137,15 @@
   -> bool
 {
   const auto now = Clock::now();
+  const auto incarnation = Self().incarnation;
   bool refuted = false;
   for (const auto& record : aRecords) {
     const bool changed = m_table.Apply(record, now);
     refuted = refuted || (changed && record.address == Self().address);
   }
+  if (Self().incarnation != incarnation) {
+    m_links.Introduce(Self());
+  }
   if (refuted && now - m_lastRefuted > kAnnounceRefutationEvery) {
     m_lastRefuted = now;
     Announce();
--- a/lib/Peer/MemberTable.cpp
+++ b/lib/Peer/MemberTable.cpp
@@ -6,6 +6,7 @@
 #include "bramleylock/Support/Log.h"
 
 #include <bit>
+#include <limits>
 #include <tuple>
 
 namespace bramleylock::peer {
@@ -72,8 +73,33 @@
            aMember.latest.draining };
 }
 
+auto MemberTable::AllowRenewal() -> void
+{
+  m_renewable = true;
+}
+
+auto MemberTable::Renew(const wire::MemberRecord& aRecord) -> bool
+{
+  const bool last =
+    aRecord.incarnation == std::numeric_limits<std::uint64_t>::max();
+  if (!m_renewable || last || m_selfState == MemberState::Left) {
+    return false;
+  }
+  LogWarning("incarnation-renewed",
+             { { "before", std::to_string(m_self.incarnation) },
+               { "held_by_peers", std::to_string(aRecord.incarnation) } });
+  m_metrics.Add(Counter::MemberRenewed);
+  m_self.incarnation = aRecord.incarnation + 1;
+  m_refutation = 0;
+  PassOn(m_self.address);
+  return true;
+}
+
 auto MemberTable::ApplyToSelf(const wire::MemberRecord& aRecord) -> bool
 {
+  if (aRecord.incarnation > m_self.incarnation) {
+    return Renew(aRecord);
+  }
   const bool aboutThisRun = aRecord.incarnation == m_self.incarnation;
   const bool harmless =
     aRecord.state == static_cast<std::uint8_t>(m_selfState) ||
--- a/lib/Peer/Membership.cpp
+++ b/lib/Peer/Membership.cpp
@@ -50,6 +50,11 @@
   Spawn(m_context, "membership", PeriodLoop());
 }
 
+auto Membership::AllowRenewal() -> void
+{
+  m_table.AllowRenewal();
+}
+
 auto Membership::Listen() -> void
 {
   using wire::MessageType;
--- a/lib/Peer/PeerHub.cpp
+++ b/lib/Peer/PeerHub.cpp
@@ -32,6 +32,9 @@
 /// Outgoing links before the least used one is closed for a new one.
 static constexpr std::size_t kOutgoingLimit = 1024;
 
+/// Pause after a failed accept, as when descriptors have run out.
+static constexpr Milliseconds kAcceptRetry{ 100 };
+
 /// After a failed connect, messages to the address are dropped this long.
 static constexpr Milliseconds kHoldOff{ 200 };
 
@@ -192,6 +195,19 @@
   return true;
 }
 
+/// Links that open later begin with it.
+auto PeerHub::Introduce(const wire::Hello& aSelf) -> void
+{
+  m_self = aSelf;
+  std::vector<std::string> addresses;
+  for (const auto& [address, outgoing] : m_outgoing) {
+    addresses.push_back(address);
+  }
+  for (const auto& address : addresses) {
+    SendMessage(address, wire::MessageType::Hello, aSelf);
+  }
+}
+
 auto PeerHub::BytesSent() const -> std::uint64_t
 {
   auto bytes = m_bytesSent;
@@ -232,7 +248,8 @@
       co_return;
     }
     if (failure) {
-      co_await Sleep(Milliseconds(10));
+      LogWarning("peer-accept-failed", { { "why", failure.message() } });
+      co_await Sleep(kAcceptRetry);
       continue;
     }
     Spawn(m_context, "peer-incoming", ServeIncoming(std::move(socket)));
@@ -300,11 +317,17 @@
       sender = *hello;
       continue;
     }
-    const auto handler = m_handlers.find(message.type);
-    if (sender.vm.empty() || handler == m_handlers.end()) {
+    if (sender.vm.empty()) {
       aError = LinkError::Malformed;
       co_return;
     }
+    const auto handler = m_handlers.find(message.type);
+    if (handler == m_handlers.end()) {
+      // A newer version has messages that this one does not know; the others on
+      // the link are as good as before.
+      m_metrics.Add(Counter::PeerTypeUnknown);
+      continue;
+    }
     handler->second(sender, message.body);
   }
 }
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -193,9 +193,6 @@
     std::size_t offset = 0;
     const auto handle = msgpack::unpack(aText.data(), aText.size(), offset);
     const auto type = handle.get().as<std::uint32_t>();
-    if (type >= wire::kMessageTypeNames.size()) {
-      return message;
-    }
     message.type = static_cast<wire::MessageType>(type);
     message.body = aText.substr(offset);
   } catch (const std::exception&) {
--- a/unittests/Kernel/AllowanceExchangeTest.cpp
+++ b/unittests/Kernel/AllowanceExchangeTest.cpp
@@ -20,6 +20,8 @@
 class KeptLinks : public peer::PeerLinks
 {
 public:
+  auto Introduce(const wire::Hello&) -> void override {}
+
   struct Message
   {
     std::string to;
--- a/unittests/Peer/MembershipTest.cpp
+++ b/unittests/Peer/MembershipTest.cpp
@@ -169,3 +169,37 @@
   network.RunFor(Milliseconds(3000));
   cr_assert(!here.IsAlive("b:1", 1));
 }
+
+/// A machine's clock is set back, and its balancer starts again with a lower
+/// incarnation than the one before it: the others took it for a message of the
+/// former process, and knew nothing of it until they had forgotten that one.
+Test(Membership, BalancerThatStartsWithALowerIncarnationTakesAHigherOne)
+{
+  TestNetwork network;
+  auto& first = network.Add("a", "north");
+  const wire::MemberRecord former{ "b", "north", "b:1", 100, 0, 1, false };
+  network.links["a:1"]->handlers[wire::MessageType::MemberSync](
+    wire::Hello{ "c", "north", "c:1", 1 },
+    wire::PackBody(wire::MemberSync{ false, { former } }));
+  auto& back = network.Add("b", "north", 7);
+  back.AllowRenewal();
+  network.RunFor(Milliseconds(3000));
+  cr_assert(back.Self().incarnation == 101);
+  cr_assert(first.AliveInDomain().size() == 1);
+  cr_assert(first.AliveInDomain().front().incarnation == 101);
+  cr_assert(network.metrics.Get(Counter::MemberRenewed) == 1);
+}
+
+/// Tokens name the incarnation of a balancer that owns flows.
+Test(Membership, IncarnationStaysWhereItMayStandInTokens)
+{
+  TestNetwork network;
+  network.Add("a", "north");
+  const wire::MemberRecord former{ "b", "north", "b:1", 100, 0, 1, false };
+  network.links["a:1"]->handlers[wire::MessageType::MemberSync](
+    wire::Hello{ "c", "north", "c:1", 1 },
+    wire::PackBody(wire::MemberSync{ false, { former } }));
+  auto& back = network.Add("b", "north", 7);
+  network.RunFor(Milliseconds(2000));
+  cr_assert(back.Self().incarnation == 7);
+}
--- a/unittests/Peer/TestNetwork.h
+++ b/unittests/Peer/TestNetwork.h
@@ -27,6 +27,8 @@
   auto Send(const std::string& aAddress, wire::MessageType aType,
             std::string aBody) -> bool override;
 
+  auto Introduce(const wire::Hello& aSelf) -> void override { self = aSelf; }
+
   auto OnUnreachable(std::function<void(const std::string&)> aListener)
     -> void override
   {
