Soak the forwarding path with real processes, and show what a balancer believes

Processes of the harness write their standard output to files, which a failed forward-soak keeps: balancers' records were lost in a pipe that nobody read.

bramleylockctl's status, targets and counters work on the forwarding path, at the metrics address, and target ID shows one target. The status address, which the routers reach, answers readiness alone now. The record of a first reading names at most 64 targets; with 3,000 it was a line of 150 KB.

--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -38,6 +38,9 @@
   /// loss of all of them each finds itself alone.
   auto Balancers(Clock::time_point aNow) const -> std::size_t;
 
+  /// This balancer's place among those that read the store; 0 watches it.
+  auto Rank() const -> std::size_t;
+
   /// Reads at the next chance, as after a pause in which all may have changed.
   auto Hurry() -> void;
 
@@ -49,7 +52,6 @@
   auto NextReading(std::size_t aRank) -> Clock::time_point;
   auto PauseNow() const -> Milliseconds;
   auto WaitNow(std::size_t aRank) const -> Milliseconds;
-  auto Rank() const -> std::size_t;
   auto AskSomebody(Clock::time_point aNow) -> void;
   auto NoteFailure(const std::error_code& aError, Clock::time_point aNow)
     -> void;
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -17,6 +17,10 @@
 /// reading may be half a second behind.
 static constexpr Milliseconds kLapse{ 2500 };
 
+/// Targets that the record of the first reading names: those of a small
+/// deployment. A balancer lists all of them to who asks.
+static constexpr std::size_t kTargetsListed = 64;
+
 auto IsSound(const RoutingNews& aNews) -> bool
 {
   const auto routeIsSound = [](const Route& aRoute) {
@@ -168,7 +172,10 @@
 auto RoutingState::LogFirstReading() -> void
 {
   std::string targets;
-  for (const auto* entry : m_targets.All()) {
+  const auto all = m_targets.All();
+  const auto listed = std::min(all.size(), kTargetsListed);
+  for (std::size_t i = 0; i < listed; ++i) {
+    const auto* entry = all[i];
     const auto state = NameOf(kTargetStateNames, entry->record.State());
     targets +=
       fmt::format("{}{}@{}:{}", targets.empty() ? "" : ",", entry->record.id,
@@ -177,6 +184,7 @@
   LogInfo("state-read",
           { { "revision", std::to_string(m_revision) },
             { "routes", std::to_string(m_routes.Current().version) },
+            { "known", std::to_string(all.size()) },
             { "targets", targets } });
 }
 
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -7,6 +7,7 @@
 #include "bramleylock/Forward/SilenceWatch.h"
 #include "bramleylock/Forward/StateReader.h"
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Kernel/ForwardingView.h"
 #include "bramleylock/Kernel/PacketPort.h"
 #include "bramleylock/Peer/Broadcast.h"
 #include "bramleylock/Peer/PeerHub.h"
@@ -46,7 +47,8 @@
 {
   Parts(asio::io_context& aContext, const Settings& aSettings);
 
-  auto Handle(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto AnswerPlatform(const http::Request& aRequest) -> awaitable<http::Reply>;
+  auto AnswerOperators(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto Ready() const -> bool;
   auto ReadFirst() -> awaitable<void>;
   auto Join() -> awaitable<void>;
@@ -135,16 +137,31 @@
                    static_cast<double>(LogRecordsDropped()));
 }
 
-auto ForwardingBalancer::Parts::Handle(const http::Request& aRequest)
+/// What this balancer believes; nothing that is secret.
+auto ForwardingBalancer::Parts::AnswerOperators(const http::Request& aRequest)
   -> awaitable<http::Reply>
 {
-  http::Reply reply;
   if (http::PathOf(aRequest.target) == "/metrics") {
     UpdateGauges();
+    http::Reply reply;
     reply.contentType = "text/plain; version=0.0.4";
     reply.body = metrics.Exposition();
     co_return reply;
   }
+  const ForwardingSources sources{ settings.vmName, settings.failureDomain,
+                                   Ready(),         draining,
+                                   routes,          targets,
+                                   state,           forwarder,
+                                   metrics,         members.get(),
+                                   reader.get() };
+  co_return AnswerForwardingView(aRequest, sources, Clock::now());
+}
+
+/// Whatever it asks, it asks whether to send packets here.
+auto ForwardingBalancer::Parts::AnswerPlatform(const http::Request&)
+  -> awaitable<http::Reply>
+{
+  http::Reply reply;
   const bool ready = Ready();
   unreadyTold += draining ? 1 : 0;
   reply.status = ready ? 200 : 503;
@@ -254,6 +271,7 @@
 auto ForwardingBalancer::Start(std::error_code& aError, std::string& aDetail)
   -> void
 {
+  using Answer = awaitable<http::Reply> (Parts::*)(const http::Request&);
   auto& parts = *m_parts;
   const auto& settings = parts.settings;
   const auto packets = ParseUdpEndpoint(settings.packetAddress, aError);
@@ -270,22 +288,22 @@
     aDetail = "listen.packets = " + settings.packetAddress;
     return;
   }
-  const auto handle = [&parts](const http::Request& aRequest) {
-    return parts.Handle(aRequest);
-  };
-  const auto serve = [&](const std::string& aAddress) {
+  const auto serve = [&](const std::string& aAddress, Answer aAnswer) {
     const auto address = ParseTcpEndpoint(aAddress, aError);
-    auto server =
-      std::make_unique<http::Server>(parts.context, address, handle);
+    auto server = std::make_unique<http::Server>(
+      parts.context, address, [&parts, aAnswer](const http::Request& aRequest) {
+        return (parts.*aAnswer)(aRequest);
+      });
     server->Start();
     return server;
   };
   try {
     aDetail = "listen.status = " + settings.statusAddress;
-    parts.status = serve(settings.statusAddress);
+    parts.status = serve(settings.statusAddress, &Parts::AnswerPlatform);
     if (!settings.metricsAddress.empty()) {
       aDetail = "listen.metrics = " + settings.metricsAddress;
-      parts.metricsServer = serve(settings.metricsAddress);
+      parts.metricsServer =
+        serve(settings.metricsAddress, &Parts::AnswerOperators);
     }
   } catch (const boost::system::system_error& failure) {
     aError = failure.code();
--- a/measure/ClusterFaults.cpp
+++ b/measure/ClusterFaults.cpp
@@ -39,9 +39,9 @@
     "--seed",
     std::to_string(m_options.seed * 1000 + m_nextName)
   };
-  return std::make_unique<Process>(m_programs + "/bramleylock-standin",
-                                   arguments,
-                                   m_directory + "/" + aName + "-proxy.log");
+  return std::make_unique<Process>(
+    m_programs + "/bramleylock-standin", arguments,
+    m_directory.Path() + "/" + aName + "-proxy.log");
 }
 
 auto Cluster::StoreFor(const std::string& aDomain) -> std::string
--- /dev/null
+++ b/measure/FaultSchedule.cpp
@@ -0,0 +1,93 @@
+// A shuffled deck of events, and the ends of those that last.
+
+#include "measure/FaultSchedule.h"
+
+#include "bramleylock/Support/Asio.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <thread>
+
+namespace bramleylock::measure {
+
+/// Shorter than most events last, so that they overlap.
+static constexpr double kEventEverySeconds = 2.5;
+static constexpr double kFirstEventSeconds = 1;
+static constexpr Milliseconds kPollEvery{ 50 };
+
+/// How often each kind of event is in the deck.
+static constexpr int kTimesEach = 2;
+
+FaultSchedule::FaultSchedule(std::vector<FaultKind> aKinds, Random& aRandom,
+                             std::function<double()> aElapsed)
+  : m_kinds(std::move(aKinds))
+  , m_random(aRandom)
+  , m_elapsed(std::move(aElapsed))
+{
+}
+
+auto FaultSchedule::Begin() -> void
+{
+  if (m_deck.empty()) {
+    for (int i = 0; i < kTimesEach; ++i) {
+      m_deck.insert(m_deck.end(), m_kinds.begin(), m_kinds.end());
+    }
+    std::shuffle(m_deck.begin(), m_deck.end(), m_random);
+  }
+  const auto event = std::move(m_deck.back());
+  m_deck.pop_back();
+  ++m_counts[event.name];
+  fmt::print(stderr, "at {:.3f} s: {}\n", m_elapsed(), event.name);
+  event.begin();
+}
+
+auto FaultSchedule::EndAt(double aSeconds, std::function<void()> aEnd) -> void
+{
+  m_endings.push_back({ aSeconds, std::move(aEnd) });
+}
+
+auto FaultSchedule::EndDue(double aNow) -> void
+{
+  const auto due = std::stable_partition(
+    m_endings.begin(), m_endings.end(),
+    [aNow](const Ending& aEnding) { return aEnding.at > aNow; });
+  std::vector<Ending> ended(std::make_move_iterator(due),
+                            std::make_move_iterator(m_endings.end()));
+  m_endings.erase(due, m_endings.end());
+  for (const auto& ending : ended) {
+    ending.end();
+  }
+}
+
+auto FaultSchedule::Run(double aUntil, const std::function<void()>& aLook)
+  -> void
+{
+  double next = kFirstEventSeconds;
+  while (m_elapsed() < aUntil) {
+    std::this_thread::sleep_for(kPollEvery);
+    EndDue(m_elapsed());
+    aLook();
+    if (m_elapsed() >= next) {
+      Begin();
+      next = std::max(next + kEventEverySeconds, m_elapsed());
+    }
+  }
+}
+
+/// An end may have a further part that comes later.
+auto FaultSchedule::Calm() -> void
+{
+  while (!m_endings.empty()) {
+    EndDue(std::numeric_limits<double>::max());
+  }
+}
+
+auto FaultSchedule::Counts() const
+  -> const std::map<std::string, std::uint64_t>&
+{
+  return m_counts;
+}
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/ForwardFaults.h
@@ -0,0 +1,108 @@
+// The faults and changes of a soak of the forwarding path, and what is looked
+// at while they happen.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "measure/FaultSchedule.h"
+#include "measure/ForwardFleet.h"
+
+namespace bramleylock::measure {
+
+/// Events on the balancers, their links, the store and the hosts. A balancer or
+/// host is met by one event at a time.
+class ForwardFaults
+{
+public:
+  ForwardFaults(ForwardFleet& aFleet, std::uint64_t aSeed);
+
+  /// Starts the hosts of both services.
+  auto StartHosts() -> void;
+
+  /// Makes events for aSeconds, and then ends them.
+  auto Run(double aSeconds) -> void;
+
+  auto Counts() const -> const std::map<std::string, std::uint64_t>&;
+
+  /// Promises that were seen broken, with the second at which they were.
+  auto Broken() const -> const std::vector<std::string>&;
+
+  /// Looks whether all promises hold.
+  auto Look() -> void;
+
+  /// A host of orders that nothing has happened to.
+  auto AnyOrderHost() -> std::string;
+
+private:
+  struct Host
+  {
+    std::string id;
+    std::string service;
+    std::string failureDomain;
+    int address = 0;
+    bool met = false;
+  };
+
+  auto Kinds() -> std::vector<FaultKind>;
+  auto Elapsed() const -> double;
+  auto After(double aSeconds, std::function<void()> aEnd) -> void;
+
+  auto KillBalancer() -> void;
+  auto StopBalancer() -> void;
+  auto PauseBalancer() -> void;
+  auto ReloadBalancer() -> void;
+  auto KillAll() -> void;
+  auto HarmStore(const nlohmann::json& aFault) -> void;
+  auto LapseEntries() -> void;
+  auto DrainInTheGap() -> void;
+  auto SilenceHost() -> void;
+  auto CrashHost() -> void;
+  auto StartHostAgain() -> void;
+  auto DrainHost() -> void;
+  auto ReuseAddress() -> void;
+  auto SpoilEntry() -> void;
+  auto StormConfigurations() -> void;
+  auto DropRoute() -> void;
+  auto CutDomain() -> void;
+  auto CutStore() -> void;
+  auto CutOneWay() -> void;
+  auto HarmLinks() -> void;
+  auto SendForged() -> void;
+
+  /// One that no event has met, or null.
+  auto AnyBalancer() -> ForwardVm*;
+  auto AnyHost() -> Host*;
+  auto AnyDomain() -> std::string;
+  auto AddHost(const std::string& aService, const std::string& aDomain,
+               int aAddress) -> void;
+  auto StartHost(const Host& aHost) -> void;
+  auto Harm(const std::string& aHost, const char* aFault) -> void;
+  auto Forget(const std::string& aHost) -> void;
+  auto Start(ForwardVm& aVm) -> void;
+  auto AwaitStop(ForwardVm& aVm, double aSince) -> void;
+  auto NoteBroken(const std::string& aWhat) -> void;
+  auto LookAtReport() -> void;
+  auto LookAtBalancers() -> void;
+
+  ForwardFleet& m_fleet;
+  Random m_random;
+  Clock::time_point m_startedAt;
+  FaultSchedule m_schedule;
+  std::vector<Host> m_hosts;
+  std::set<std::string> m_metVms;
+  std::multiset<std::string> m_cutDomains;
+  std::multiset<std::string> m_cutStores;
+  int m_storeFaults = 0;
+  int m_routeDrops = 0;
+  int m_nextHost = 1;
+  std::vector<std::string> m_broken;
+  std::map<std::string, std::uint64_t> m_lastReport;
+  /// The highest version of the routes, by process.
+  std::map<int, double> m_versions;
+  double m_nextLook = 0;
+};
+
+} // namespace bramleylock::measure
--- /dev/null
+++ b/measure/ForwardSoak.cpp
@@ -0,0 +1,144 @@
+// Scenario "forward-soak": faults of every kind on the forwarding path, several
+// at a time, under traffic; the promises are looked at while they happen, and
+// the platform's bounds once all is calm again.
+
+#include "measure/ForwardFaults.h"
+#include "measure/Scenario.h"
+
+#include <fmt/format.h>
+
+#include <thread>
+
+namespace bramleylock::measure {
+
+static constexpr double kSeconds = 120;
+static constexpr double kRequestsPerSecond = 150;
+
+/// By when all balancers are in rotation and serve after the last fault.
+static constexpr Milliseconds kRecovery{ 12000 };
+
+/// Calm time in which no request may fail.
+static constexpr Milliseconds kCalm{ 3000 };
+
+/// By when a change of the routes or of a host's state is in force.
+static constexpr Milliseconds kInForce{ 3000 };
+
+/// Requests that were on their way end within this.
+static constexpr Milliseconds kSettled{ 1000 };
+static constexpr Milliseconds kPollEvery{ 100 };
+
+namespace {
+
+class ForwardSoak : public Scenario
+{
+public:
+  auto Summary() const -> std::string override
+  {
+    return "forwarding: kills, pauses, cuts, outages, hosts that go, and "
+           "changes together";
+  }
+
+  auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
+  {
+    const double seconds = aOptions.seconds > 0 ? aOptions.seconds : kSeconds;
+    ForwardFleet fleet(aOptions.seed);
+    fleet.Start();
+    ForwardFaults faults(fleet, aOptions.seed);
+    faults.StartHosts();
+    const auto rest = kRecovery + kCalm + 4 * (kInForce + kSettled);
+    fleet.Ask("traffic", { { "milliseconds", seconds * 1000 + rest.count() },
+                           { "per_second", kRequestsPerSecond } });
+    faults.Run(seconds);
+    CheckRecovery(fleet, aReport);
+    CheckRouteInForce(fleet, aReport);
+    CheckDrainInForce(fleet, faults, aReport);
+    faults.Look();
+    AddFigures(fleet, faults, aReport);
+    if (!aReport.Held()) {
+      fleet.KeepLogs();
+    }
+  }
+
+private:
+  static auto Figure(ForwardFleet& aFleet, const char* aName) -> std::uint64_t
+  {
+    return aFleet.Ask("report").value(aName, std::uint64_t{ 0 });
+  }
+
+  static auto CheckRecovery(ForwardFleet& aFleet, Report& aReport) -> void
+  {
+    const auto began = Clock::now();
+    auto took = Clock::duration::zero();
+    while (took < kRecovery &&
+           Figure(aFleet, "in_rotation") < aFleet.Vms().size()) {
+      std::this_thread::sleep_for(kPollEvery);
+      took = Clock::now() - began;
+    }
+    // What was asked for before may still fail in its last try.
+    std::this_thread::sleep_for(kRecovery - took);
+    const auto failed = Figure(aFleet, "failed");
+    const auto misdirected = Figure(aFleet, "misdirected");
+    const auto answered = Figure(aFleet, "answered");
+    std::this_thread::sleep_for(kCalm);
+    const auto failedLater = Figure(aFleet, "failed") - failed;
+    aReport.Add("in_rotation_s", InSeconds(took));
+    aReport.Add("failed_in_calm", failedLater);
+    aReport.Require("in_rotation_s<12", took < kRecovery);
+    aReport.Require("failed_in_calm=0", failedLater == 0);
+    aReport.Require("misdirected_in_calm=0",
+                    Figure(aFleet, "misdirected") == misdirected);
+    aReport.Require("served in calm", Figure(aFleet, "answered") > answered);
+  }
+
+  /// A route that was dropped serves nothing 3 s later, and serves again.
+  static auto CheckRouteInForce(ForwardFleet& aFleet, Report& aReport) -> void
+  {
+    aFleet.Ask("configuration", { { "orders_route", false } });
+    std::this_thread::sleep_for(kInForce + kSettled);
+    const auto runs = Figure(aFleet, "order_runs");
+    std::this_thread::sleep_for(kSettled);
+    const auto later = Figure(aFleet, "order_runs") - runs;
+    aFleet.Ask("configuration", { { "orders_route", true } });
+    std::this_thread::sleep_for(kInForce + kSettled);
+    const auto again = Figure(aFleet, "order_runs") - runs - later;
+    aReport.Add("runs_on_dropped_route", later);
+    aReport.Require("runs_on_dropped_route=0", later == 0);
+    aReport.Require("a route that is back serves", again > 0);
+  }
+
+  static auto CheckDrainInForce(ForwardFleet& aFleet, ForwardFaults& aFaults,
+                                Report& aReport) -> void
+  {
+    const auto before = Figure(aFleet, "opened_late");
+    aFleet.Ask("host-fault",
+               { { "id", aFaults.AnyOrderHost() }, { "fault", "drain" } });
+    std::this_thread::sleep_for(kInForce + kSettled);
+    const auto late = Figure(aFleet, "opened_late") - before;
+    aReport.Add("opened_late_in_calm", late);
+    aReport.Require("opened_late_in_calm=0", late == 0);
+  }
+
+  static auto AddFigures(ForwardFleet& aFleet, const ForwardFaults& aFaults,
+                         Report& aReport) -> void
+  {
+    for (const auto& [name, count] : aFaults.Counts()) {
+      aReport.Add("events_" + name, count);
+    }
+    const auto report = aFleet.Ask("report");
+    for (const auto* name : { "asked", "answered", "failed", "refused", "cut",
+                              "cut_by_balancer", "misdirected", "opened_late", "store_calls" }) {
+      aReport.Add(name, report.value(name, std::uint64_t{ 0 }));
+    }
+    aReport.Add("p99_ms", report.value("p99_ms", 0.0));
+    aReport.Require("answered>0", report.value("answered", 0U) > 0);
+    for (const auto& broken : aFaults.Broken()) {
+      aReport.Require(broken, false);
+    }
+  }
+};
+
+const Registration<ScenarioRegistry, ForwardSoak> kRegistration("forward-soak");
+
+} // namespace
+
+} // namespace bramleylock::measure
--- a/test/forwarding-calm.sh
+++ b/test/forwarding-calm.sh
@@ -29,3 +29,13 @@
 # One of the three reads the store; the others hear it from there.
 logged 1 'event=flow-opened' && logged 1 'event=state-read'
 [ "$(http GET "$net.0.11:8167" /ready)" = '{"ready":true}' ]
+
+# What a balancer believes, for operators; the routers' address tells nothing.
+believed() { "$bin/bramleylockctl" --server "$net.0.11:9464" "$@"; }
+[[ "$(believed --json status)" == *'"ready":true'*'"routes_version":1'* ]]
+[[ "$(believed --json target b-001)" == *'"service":"orders"'* ]]
+[[ "$(believed --json targets)" == *'"id":"b-008"'* ]]
+[[ "$(believed counters)" == *flows_opened* ]]
+[ "$(believed target b-001 | grep -c '"state": "ready"')" = 1 ]
+[ "$(http GET "$net.0.11:8167" /targets)" = '{"ready":true}' ]
+[[ "$(http GET "$net.0.11:9464" /nothing)" == *'"error":"path"'* ]]
--- a/tools/bramleylockctl/BalancerVerbs.cpp
+++ b/tools/bramleylockctl/BalancerVerbs.cpp
@@ -22,6 +22,12 @@
   return PrintEach(aSession, "GET", "/targets");
 }
 
+auto ShowTarget(const Session& aSession) -> int
+{
+  const auto path = "/targets?id=" + aSession.words[1];
+  return PrintEach(aSession, "GET", path.c_str());
+}
+
 auto ShowCounters(const Session& aSession) -> int
 {
   return PrintEach(aSession, "GET", "/counters");
--- a/tools/bramleylockctl/BalancerVerbs.h
+++ b/tools/bramleylockctl/BalancerVerbs.h
@@ -7,6 +7,10 @@
 
 auto ShowStatus(const Session& aSession) -> int;
 auto ShowTargets(const Session& aSession) -> int;
+
+/// One target of the forwarding path, all its incarnations.
+auto ShowTarget(const Session& aSession) -> int;
+
 auto ShowCounters(const Session& aSession) -> int;
 auto StartDrain(const Session& aSession) -> int;
 
--- a/tools/bramleylockctl/main.cpp
+++ b/tools/bramleylockctl/main.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-static const std::array<Verb, 12> kVerbs{ {
+static const std::array<Verb, 13> kVerbs{ {
   { "lists show", 2, ShowLists, "lists show" },
   { "lists apply", 3, ApplyFile, "lists apply FILE" },
   { "lists diff", 3, DiffFile, "lists diff FILE" },
@@ -36,6 +36,7 @@
   { "lists history", 2, ShowHistory, "lists history" },
   { "status", 1, ShowStatus, "status" },
   { "targets", 1, ShowTargets, "targets" },
+  { "target", 2, ShowTarget, "target ID" },
   { "counters", 1, ShowCounters, "counters" },
   { "drain", 1, StartDrain, "drain" },
   { "keys rotate", 2, RotateKeys, "keys rotate" },
@@ -49,6 +50,10 @@
   bramleylockctl ... lists apply lists.json
   bramleylockctl ... --json status
   bramleylockctl --server 10.0.0.1:7402 --ca ca.pem --token-file admin.token status
+  bramleylockctl --server 10.0.0.1:9464 --plain-http target b-001
+
+On the forwarding path 'status', 'targets' and 'counters' go to the metrics
+address of a balancer, which takes no token.
 
 With several --server, edits go through the first that answers, and the command
 waits until the edit is in force on all of them. An edit whose answer was lost is
@@ -159,9 +164,13 @@
     return Usage;
   }
   aSession.servers = aParsed["server"].as<std::vector<std::string>>();
+  const auto tokenFile = aParsed["token-file"].as<std::string>();
+  if (tokenFile.empty()) {
+    // The metrics address of the forwarding path takes none.
+    return ReadTls(aParsed, aSession);
+  }
   std::error_code error;
-  aSession.token =
-    kernel::ReadSecretFile(aParsed["token-file"].as<std::string>(), error);
+  aSession.token = kernel::ReadSecretFile(tokenFile, error);
   if (error) {
     std::cerr << "bramleylockctl: --token-file cannot be read\n";
     return Usage;
