Let a failure domain without a seed find together

In the two without a seed every balancer thought that it was alone: another domain keeps one summary of theirs, which named whoever had written it last, and forgot the rest.

Whoever hears a member of another domain whom that domain's summary does not name sends the summary back, and a summary of the own domain names members to speak to. Answers are not answered, so two views that differ cannot go on at each other.

Ruled out: summaries that come too late (kSilencePerDomain).

--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -124,6 +124,8 @@
   auto TakeSync(const wire::Hello& aSender, const wire::MemberSync& aSync)
     -> void;
   auto TakeDomains(const std::vector<wire::DomainSummary>& aDomains) -> void;
+  auto TellOfItsDomain(const wire::Hello& aSender) -> void;
+  auto TryMembersOf(const wire::DomainSummary& aSummary) -> void;
   auto TakeMembersOf(const wire::DomainSummary& aSummary, bool aChanged)
     -> void;
   auto MakeGossip(const std::string& aReceiver, std::size_t aDomains,
--- a/lib/Kernel/ForwardingView.cpp
+++ b/lib/Kernel/ForwardingView.cpp
@@ -94,8 +94,8 @@
 }
 
 static auto TargetsOf(const http::Request& aRequest,
-                      const ForwardingSources& aSources,
-                      Clock::time_point aNow) -> json
+                      const ForwardingSources& aSources, Clock::time_point aNow)
+  -> json
 {
   const auto id = http::QueryOf(aRequest.target, "id");
   const auto service = http::QueryOf(aRequest.target, "service");
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -121,6 +121,11 @@
   for (const auto& summary : aDomains) {
     const auto* before = m_domains.Find(summary.failureDomain);
     const bool wasLost = before != nullptr && before->lost;
+    if (summary.failureDomain == Self().failureDomain) {
+      // Also when its version is no higher: members that do not know each other
+      // count their versions apart.
+      TryMembersOf(summary);
+    }
     if (!m_domains.Apply(summary, now) ||
         summary.failureDomain == Self().failureDomain) {
       continue;
@@ -130,6 +135,40 @@
   }
 }
 
+/// Tells a member of another failure domain whom its domain's summary names,
+/// when that is not the sender itself: those that speak to other domains stand
+/// first in it, so the sender does not know them. Without this a domain in
+/// which no seed stands would never find together.
+auto Membership::TellOfItsDomain(const wire::Hello& aSender) -> void
+{
+  const auto* view = m_domains.Find(aSender.failureDomain);
+  if (aSender.failureDomain == Self().failureDomain || view == nullptr ||
+      view->summary.members.empty()) {
+    return;
+  }
+  const auto& members = view->summary.members;
+  const bool named =
+    std::any_of(members.begin(), members.end(), [&](const auto& aRecord) {
+      return aRecord.address == aSender.address;
+    });
+  if (named) {
+    return;
+  }
+  auto gossip = MakeGossip(aSender.address, 0, false);
+  gossip.domains.push_back(view->summary);
+  m_links.SendMessage(aSender.address, wire::MessageType::Heartbeat, gossip);
+}
+
+/// Whom a summary of the own domain names is spoken to.
+auto Membership::TryMembersOf(const wire::DomainSummary& aSummary) -> void
+{
+  for (const auto& record : aSummary.members) {
+    if (record.failureDomain == aSummary.failureDomain) {
+      m_table.AddCandidate(record.vm, record.failureDomain, record.address);
+    }
+  }
+}
+
 auto Membership::TakeMembersOf(const wire::DomainSummary& aSummary,
                                bool aChanged) -> void
 {
--- a/lib/Peer/MemberGossip.cpp
+++ b/lib/Peer/MemberGossip.cpp
@@ -116,6 +116,10 @@
   if (TakeRecords(aGossip.updates)) {
     SendHeartbeat(aSender.address, 0);
   }
+  if (aGossip.whole) {
+    // Answers are not whole, so that no answer is answered.
+    TellOfItsDomain(aSender);
+  }
   TakeDomains(aGossip.domains);
   const auto* member = m_table.Find(aSender.address);
   if (!heard) {
--- a/measure/ForwardFaults.cpp
+++ b/measure/ForwardFaults.cpp
@@ -33,11 +33,12 @@
 /// What no fault may bring about, by the report of the stand-in. That a packet
 /// comes to a host which it was not meant for is none of these: an address may
 /// get a new host while the store is away, and the host then drops the packet.
-static constexpr std::array<const char*, 6> kPromises{
-  "wrong",          "altered",
-  "ran_twice",      "not_run_untrue",
-  "ran_at_other_service", "cut_by_balancer"
-};
+static constexpr std::array<const char*, 6> kPromises{ "wrong",
+                                                       "altered",
+                                                       "ran_twice",
+                                                       "not_run_untrue",
+                                                       "ran_at_other_service",
+                                                       "cut_by_balancer" };
 
 ForwardFaults::ForwardFaults(ForwardFleet& aFleet, std::uint64_t aSeed)
   : m_fleet(aFleet)
@@ -55,11 +56,26 @@
     { "pause", [this] { PauseBalancer(); } },
     { "reload", [this] { ReloadBalancer(); } },
     { "kill_all", [this] { KillAll(); } },
-    { "store_down", [this] { HarmStore({ { "status", 503 } }); } },
-    { "store_limits", [this] { HarmStore({ { "status", 429 } }); } },
-    { "store_silent", [this] { HarmStore({ { "silent", true } }); } },
-    { "store_slow", [this] { HarmStore({ { "slow_ms", 200 } }); } },
-    { "store_lost", [this] { HarmStore({ { "lose_answers", 3 } }); } },
+    { "store_down",
+      [this] {
+        HarmStore({ { "status", 503 } });
+      } },
+    { "store_limits",
+      [this] {
+        HarmStore({ { "status", 429 } });
+      } },
+    { "store_silent",
+      [this] {
+        HarmStore({ { "silent", true } });
+      } },
+    { "store_slow",
+      [this] {
+        HarmStore({ { "slow_ms", 200 } });
+      } },
+    { "store_lost",
+      [this] {
+        HarmStore({ { "lose_answers", 3 } });
+      } },
     { "lapse", [this] { LapseEntries(); } },
     { "compact", [this] { DrainInTheGap(); } },
     { "host_silent", [this] { SilenceHost(); } },
@@ -526,9 +542,8 @@
 auto ForwardFaults::SendForged() -> void
 {
   for (const int flags : { 0, 1, 16, 32, 64, 80, 255 }) {
-    m_fleet.Ask("raw",
-                { { "flags", flags },
-                  { "tag", static_cast<std::uint32_t>(m_random()) } });
+    m_fleet.Ask("raw", { { "flags", flags },
+                         { "tag", static_cast<std::uint32_t>(m_random()) } });
   }
   m_fleet.Ask("raw", { { "bytes", "no packet" } });
 }
--- a/measure/ForwardFleet.cpp
+++ b/measure/ForwardFleet.cpp
@@ -117,7 +117,8 @@
       proxy("store-" + domain, "127.0.0.1:0", m_platform->Value("store"));
   }
   for (auto& vm : m_vms) {
-    vm.proxy = proxy(vm.name, vm.ip + ":0", fmt::format("{}:{}", vm.ip, kPeerPort));
+    vm.proxy =
+      proxy(vm.name, vm.ip + ":0", fmt::format("{}:{}", vm.ip, kPeerPort));
   }
   for (auto& vm : m_vms) {
     StartBalancer(vm);
@@ -172,9 +173,9 @@
   for (const auto& vm : m_vms) {
     std::vector<std::string> cut;
     for (const auto& from : m_domains) {
-      const bool apart = from != vm.failureDomain &&
-                         (m_cutDomains.contains(from) ||
-                          m_cutDomains.contains(vm.failureDomain));
+      const bool apart =
+        from != vm.failureDomain && (m_cutDomains.contains(from) ||
+                                     m_cutDomains.contains(vm.failureDomain));
       if (apart || m_cutOneWay[vm.failureDomain].contains(from)) {
         cut.push_back(Prefix(from));
       }
--- a/measure/ForwardSoak.cpp
+++ b/measure/ForwardSoak.cpp
@@ -125,8 +125,9 @@
       aReport.Add("events_" + name, count);
     }
     const auto report = aFleet.Ask("report");
-    for (const auto* name : { "asked", "answered", "failed", "refused", "cut",
-                              "cut_by_balancer", "misdirected", "opened_late", "store_calls" }) {
+    for (const auto* name :
+         { "asked", "answered", "failed", "refused", "cut", "cut_by_balancer",
+           "misdirected", "opened_late", "store_calls" }) {
       aReport.Add(name, report.value(name, std::uint64_t{ 0 }));
     }
     aReport.Add("p99_ms", report.value("p99_ms", 0.0));
--- a/unittests/Peer/MembershipTest.cpp
+++ b/unittests/Peer/MembershipTest.cpp
@@ -203,3 +203,57 @@
   network.RunFor(Milliseconds(2000));
   cr_assert(back.Self().incarnation == 7);
 }
+
+namespace {
+
+/// A fleet whose members know three seeds at the start and nothing else.
+struct SeededFleet
+{
+  SeededFleet(const std::vector<std::string>& aDomains, int aMembers)
+  {
+    for (const auto& domain : aDomains) {
+      for (int i = 0; i < aMembers; ++i) {
+        const auto address = domain + std::to_string(i) + ":1";
+        const wire::Hello self{ domain + std::to_string(i), domain, address,
+                                1 };
+        network.links[address] = std::make_unique<TestLinks>(network, self);
+        auto& member = network.members[address];
+        member = std::make_unique<Membership>(
+          network.context, *network.links[address], self, network.metrics);
+        member->SetHints(HintsFromSeeds("a0:1 b0:1 c0:1"));
+        member->Start([](wire::Heartbeat&) {});
+      }
+    }
+  }
+
+  /// Failure domains that some member holds lost.
+  auto Lost() -> std::size_t
+  {
+    std::size_t lost = 0;
+    for (const auto& [address, member] : network.members) {
+      lost += member->LostDomains().size();
+    }
+    return lost;
+  }
+
+  TestNetwork network;
+};
+
+} // namespace
+
+/// The domains without a seed took the others for lost on a calm day, and read
+/// the store for themselves.
+Test(Membership, DomainsWithoutASeedKeepHearingTheOthers, .timeout = 60)
+{
+  SeededFleet fleet({ "a", "b", "c", "d", "e" }, 17);
+  fleet.network.RunFor(Milliseconds(6000));
+  std::size_t lost = 0;
+  for (int second = 0; second < 12; ++second) {
+    fleet.network.RunFor(Milliseconds(1000));
+    lost = std::max(lost, fleet.Lost());
+  }
+  cr_assert(lost == 0, "%zu", lost);
+  for (const auto& [address, member] : fleet.network.members) {
+    cr_assert(member->AliveCount() == 85, "%zu", member->AliveCount());
+  }
+}
