--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -35,7 +35,9 @@
 private:
   auto Probe(TargetTag aTag) -> awaitable<void>;
   auto ProbeLoop(TargetTag aTag) -> awaitable<void>;
-  auto Healthy(const TargetRecord& aTarget) -> awaitable<bool>;
+  /// Asks the target; sets aWhy when its answer is not good.
+  auto Healthy(const TargetRecord& aTarget, std::string& aWhy)
+    -> awaitable<bool>;
   auto Tell(const SilenceNews& aNews) -> void;
   auto TakeNews(const std::string& aPeer, const SilenceNews& aNews) -> void;
 
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -108,18 +108,24 @@
   }
 }
 
-auto SilenceWatch::Healthy(const TargetRecord& aTarget) -> awaitable<bool>
+auto SilenceWatch::Healthy(const TargetRecord& aTarget, std::string& aWhy)
+  -> awaitable<bool>
 {
   http::Request request;
   request.target = m_routes.HealthPath(aTarget.service);
   if (request.target.empty()) {
+    aWhy = "the configuration names no health check of " + aTarget.service;
     co_return false;
   }
   const Tcp::endpoint address(asio::ip::address_v4(aTarget.ip), aTarget.port);
   std::error_code error;
   const auto reply =
     co_await http::Fetch(address, std::move(request), kCheckLimit, error);
-  co_return !error && reply.status == 200;
+  if (!error && reply.status == 200) {
+    co_return true;
+  }
+  aWhy = error ? error.message() : "status " + std::to_string(reply.status);
+  co_return false;
 }
 
 auto SilenceWatch::Probe(TargetTag aTag) -> awaitable<void>
@@ -139,7 +145,8 @@
     }
     m_metrics.Add(Counter::TargetProbes);
     const auto record = target->record;
-    const bool healthy = co_await Healthy(record);
+    std::string why;
+    const bool healthy = co_await Healthy(record, why);
     target = m_targets.FindTag(aTag);
     if (target == nullptr) {
       co_return;
@@ -152,6 +159,11 @@
       Tell({ aTag, false });
       co_return;
     }
+    LogInfo("target-check-failed",
+            { { "target", record.id },
+              { "address", FormatAddress(record.At()) },
+              { "why", why },
+              { "next_ms", std::to_string(pause.count()) } });
     co_await Sleep(pause);
     pause *= 2;
   }
--- a/measure/Cluster.cpp
+++ b/measure/Cluster.cpp
@@ -335,19 +335,33 @@
   Control(FabricControl(), "/control/balancers", routes);
 }
 
-auto Cluster::Control(const std::string& aAddress, const std::string& aPath,
-                      const json& aBody) -> json
+auto PostJson(const std::string& aAddress, const std::string& aPath,
+              const json& aBody, std::error_code& aError) -> json
 {
   http::Request request;
   request.method = "POST";
   request.target = aPath;
   request.body = aBody.dump();
-  std::error_code error;
   const auto reply =
-    http::SyncFetch(aAddress, std::move(request), kControlTimeout, error);
+    http::SyncFetch(aAddress, std::move(request), kControlTimeout, aError);
+  if (!aError && reply.status != 200) {
+    aError = std::make_error_code(std::errc::protocol_error);
+  }
   return json::parse(reply.body, nullptr, false);
 }
 
+auto Cluster::Control(const std::string& aAddress, const std::string& aPath,
+                      const json& aBody) -> json
+{
+  std::error_code error;
+  auto answer = PostJson(aAddress, aPath, aBody, error);
+  if (error) {
+    // What a scenario has killed does not answer any more.
+    fmt::print(stderr, "{}{}: {}\n", aAddress, aPath, error.message());
+  }
+  return answer;
+}
+
 auto Cluster::Admin(BalancerProcess& aBalancer, const std::string& aMethod,
                     const std::string& aTarget, const std::string& aBody)
   -> json
--- a/measure/Cluster.h
+++ b/measure/Cluster.h
@@ -67,6 +67,11 @@
   bool m_kept = false;
 };
 
+/// Posts a document to a process of the run and returns its answer.
+auto PostJson(const std::string& aAddress, const std::string& aPath,
+              const nlohmann::json& aBody, std::error_code& aError)
+  -> nlohmann::json;
+
 /// Where the programs of this build stand.
 auto ProgramDirectory() -> std::string;
 
--- a/measure/ForwardFleet.cpp
+++ b/measure/ForwardFleet.cpp
@@ -142,20 +142,16 @@
   return m_domains;
 }
 
+/// A stand-in of this fleet that does not answer ends the run.
 static auto Post(const std::string& aAddress, const std::string& aPath,
                  const json& aBody) -> json
 {
-  http::Request request;
-  request.method = "POST";
-  request.target = aPath;
-  request.body = aBody.dump();
   std::error_code error;
-  const auto reply =
-    http::SyncFetch(aAddress, std::move(request), kControlTimeout, error);
-  if (error || reply.status != 200) {
-    throw std::runtime_error(aAddress + aPath + " does not answer");
+  auto answer = PostJson(aAddress, aPath, aBody, error);
+  if (error) {
+    throw std::runtime_error(aAddress + aPath + ": " + error.message());
   }
-  return json::parse(reply.body, nullptr, false);
+  return answer;
 }
 
 auto ForwardFleet::Ask(const std::string& aAction, const json& aBody) -> json
--- a/measure/SoakEvidence.cpp
+++ b/measure/SoakEvidence.cpp
@@ -227,7 +227,15 @@
     const auto journal = aCluster.Journal(target);
     for (const auto& run : journal["runs"]) {
       const auto at = run.value("at", std::uint64_t{ 0 });
-      late += at > deadlines[run.value("id", "")] ? 1 : 0;
+      const auto id = run.value("id", "");
+      if (at <= deadlines[id]) {
+        continue;
+      }
+      ++late;
+      std::cerr << fmt::format(
+        "started late: {} at {} ({}), {} ms beyond its deadline, {:.3f} s\n",
+        id, target.name, target.failureDomain, at - deadlines[id],
+        static_cast<double>(at - aStartedAt) / 1000);
     }
   }
   aReport.Add("started_late", late);
