--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -416,12 +416,25 @@
   return { buffer.data(), buffer.size() };
 }
 
+/// Arrays within arrays: the routes of news are seven deep.
+inline constexpr std::size_t kDeepestBody = 12;
+
+/// What a body of aSize bytes can hold. A few bytes can claim to be followed by
+/// millions of elements, for which memory would be taken first.
+inline auto LimitsOfBody(std::size_t aSize) -> msgpack::unpack_limit
+{
+  const std::size_t noMaps = 0;
+  const std::size_t noExtensions = 0;
+  return { aSize, noMaps, aSize, aSize, noExtensions, kDeepestBody };
+}
+
 /// Unpacks the body of a message; empty when it is malformed.
 template<typename Message>
 auto UnpackBody(const std::string& aBody) -> std::optional<Message>
 {
   try {
-    const auto handle = msgpack::unpack(aBody.data(), aBody.size());
+    const auto handle = msgpack::unpack(aBody.data(), aBody.size(), nullptr,
+                                        nullptr, LimitsOfBody(aBody.size()));
     return handle.get().template as<Message>();
   } catch (const std::exception&) {
     return std::nullopt;
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -191,7 +191,10 @@
   aError = LinkError::Malformed;
   try {
     std::size_t offset = 0;
-    const auto handle = msgpack::unpack(aText.data(), aText.size(), offset);
+    // A number and nothing else stands first.
+    const msgpack::unpack_limit limits(0, 0, 0, 0, 0, 1);
+    const auto handle = msgpack::unpack(aText.data(), aText.size(), offset,
+                                        nullptr, nullptr, limits);
     const auto type = handle.get().as<std::uint32_t>();
     message.type = static_cast<wire::MessageType>(type);
     message.body = aText.substr(offset);
--- /dev/null
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -0,0 +1,92 @@
+// Readings of the platform's store, from the stand-in of it.
+
+#include "platform/standins/StoreStandin.h"
+
+#include "bramleylock/Forward/StateSource.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace bramleylock;
+using namespace bramleylock::forward;
+
+namespace {
+
+/// A store with hosts, and the source that reads it.
+struct Reading
+{
+  explicit Reading(int aHosts)
+    : store(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  {
+    for (int i = 0; i < aHosts; ++i) {
+      store.Put(fmt::format("servers/h-{:04x}", i + 1),
+                fmt::format(R"({{"service":"orders","addr":"10.0.0.{}:80",)"
+                            R"("zone":"here","version":"v1","slots":2,)"
+                            R"("state":"ready","coldLeftMs":0,"seq":1,)"
+                            R"("born":1000}})",
+                            i + 1));
+    }
+    const auto endpoint = store.Endpoint();
+    source = StateSourceRegistry::Instance().Create(
+      "bandeiras", context, FormatEndpoint(endpoint.address(), endpoint.port()),
+      metrics);
+  }
+
+  /// Reads everything; the number of targets read.
+  auto ReadAll() -> std::size_t
+  {
+    std::size_t targets = 0;
+    asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        const auto reading = co_await source->ReadAll(error);
+        targets = reading.targets.size();
+        context.stop();
+      },
+      asio::detached);
+    context.run();
+    context.restart();
+    return targets;
+  }
+
+  asio::io_context context{ 1 };
+  Metrics metrics;
+  standin::StoreStandin store;
+  std::unique_ptr<StateSource> source;
+  std::error_code error;
+};
+
+} // namespace
+
+Test(PlatformState, ReadsAllPages)
+{
+  Reading reading(23);
+  cr_assert(reading.ReadAll() == 23);
+  cr_assert(!reading.error);
+  cr_assert(reading.metrics.Get(Counter::StoreCalls) == 5);
+}
+
+/// A store that limits its calls refuses some of those of a herd that starts;
+/// whoever began anew at each refusal would never come to the last page.
+Test(PlatformState, RefusedPageIsAskedForAgain)
+{
+  Reading reading(23);
+  standin::StoreFaults faults;
+  faults.refuseEvery = 3;
+  reading.store.SetFaults(faults);
+  cr_assert(reading.ReadAll() == 23);
+  cr_assert(!reading.error);
+  cr_assert(reading.metrics.Get(Counter::StoreCalls) == 7);
+}
+
+Test(PlatformState, StoreThatRefusesAllIsGivenUp)
+{
+  Reading reading(23);
+  standin::StoreFaults faults;
+  faults.status = 429;
+  reading.store.SetFaults(faults);
+  cr_assert(reading.ReadAll() == 0);
+  cr_assert(reading.error == make_error_code(SourceError::Refused));
+  // The caller knows how long to wait before the next try.
+  cr_assert(reading.metrics.Get(Counter::StoreCalls) == 1);
+}
