--- a/fuzz/FuzzNews.cpp
+++ b/fuzz/FuzzNews.cpp
@@ -76,8 +76,8 @@
       std::abort();
     }
   }
-  const auto told =
-    wire::UnpackBody<RoutingNews>(wire::PackBody(node.state.Answer({}, node.now)));
+  const auto told = wire::UnpackBody<RoutingNews>(
+    wire::PackBody(node.state.Answer({}, node.now)));
   if (!told || !IsSound(*told)) {
     std::abort();
   }
--- a/measure/ForwardFaults.h
+++ b/measure/ForwardFaults.h
@@ -80,6 +80,8 @@
                int aAddress) -> void;
   auto StartHost(const Host& aHost) -> void;
   auto Harm(const std::string& aHost, const char* aFault) -> void;
+  /// Events may meet aHost again.
+  auto Release(const std::string& aHost) -> void;
   auto Forget(const std::string& aHost) -> void;
   auto Start(ForwardVm& aVm) -> void;
   auto AwaitStop(ForwardVm& aVm, double aSince) -> void;
