--- a/unittests/Peer/BroadcastTest.cpp
+++ b/unittests/Peer/BroadcastTest.cpp
@@ -97,6 +97,7 @@
 Test(Broadcast, MirrorImageOfATreeHasOtherInnerNodes)
 {
   std::vector<std::string> nodes;
+  nodes.reserve(857);
   for (int i = 0; i < 857; ++i) {
     nodes.push_back("10.0.0." + std::to_string(i));
   }
