Count requests in work at targets, not open flows

Cause: a flow counted as work until 800 ms after its last packet, and two for each slot were the limit at a target.

One direction of a flow shows enough: new data of the client begins a request, an acknowledgement of new data of the target ends it. Placing weighs what idle flows take on average, learnt by route; a target's own limit of flows is a limit of its own.

--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -17,7 +17,12 @@
 struct Candidate
 {
   std::uint32_t slots = 1;
+  /// Requests of this balancer's flows that wait for an answer.
   std::uint32_t inFlight = 0;
+  /// Slots that this balancer's idle flows take on average.
+  double idleLoad = 0;
+  /// It holds as many flows as it may.
+  bool full = false;
   bool sameDomain = true;
   /// Still slow after its start.
   bool cold = false;
@@ -45,6 +50,8 @@
   std::vector<Candidate> candidates;
   /// Balancers that share the targets, this one too.
   std::size_t balancers = 1;
+  /// Requests that the new flow is expected to carry after its first.
+  double laterRequests = 0;
 };
 
 /// The index of the chosen candidate, or why there is none.
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -117,9 +117,11 @@
     -> void;
   auto Repeat(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto RefuseOld(Clock::time_point aNow) -> void;
+  auto MostOpen(const std::string& aService) const -> std::uint32_t;
+  auto LongestQuiet() const -> Clock::duration;
   auto TakeOver(const Packet& aPacket, DirectoryEntry& aTarget,
                 Clock::time_point aNow) -> void;
-  auto FinishMoved(Clock::time_point aNow) -> void;
+  auto LeaveMoved(Clock::time_point aNow) -> void;
   auto LeaveIfElsewhere(const WaitingOpening& aOpening,
                         const std::string& aService, Clock::time_point aNow)
     -> bool;
@@ -127,6 +129,10 @@
                Clock::time_point aNow) -> void;
   auto TakeProgress(TrackedFlow& aFlow, DirectoryEntry& aTarget,
                     const Packet& aPacket, Clock::time_point aNow) -> void;
+  auto TakeData(TrackedFlow& aFlow, const Packet& aPacket, bool aAnswered,
+                Clock::time_point aNow) -> void;
+  auto NoteAnswer(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+  auto NoteRepeated(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto Refuse(const Packet& aPacket, Counter aCounter, const char* aReason)
     -> void;
   auto DropUnknownTag(const Packet& aPacket) -> void;
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -58,7 +59,9 @@
   std::string name;
   /// Path of its targets' health check.
   std::string healthPath;
-  MSGPACK_DEFINE_ARRAY(name, healthPath)
+  /// Flows that one of its targets holds; 0 when it is not known.
+  std::uint32_t mostFlows = 0;
+  MSGPACK_DEFINE_ARRAY(name, healthPath, mostFlows)
 };
 
 /// One version of the operators' configuration.
@@ -109,6 +112,9 @@
   /// Path of the health check of a service, or nothing.
   auto HealthPath(const std::string& aService) const -> std::string;
 
+  /// Flows that one target of a service holds; 0 when it is not known.
+  auto MostFlows(const std::string& aService) const -> std::uint32_t;
+
   auto Current() const -> const RouteSet&;
   auto InForceSince() const -> Clock::time_point;
 
@@ -116,6 +122,7 @@
   RouteSet m_set;
   Clock::time_point m_since{};
   std::map<Address, std::size_t> m_byAddress;
+  std::unordered_map<std::string, std::size_t> m_services;
   /// By route and service, until when a version allowed it; the maximum while
   /// one does.
   std::map<Address, std::map<std::string, Clock::time_point>> m_allowed;
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -62,8 +62,17 @@
 /// What the packets of this balancer's clients showed of a target.
 struct TargetEvidence
 {
-  /// Flows that were opened here and have not ended.
+  /// Flows that are being opened, or have a request without an answer.
   std::uint32_t inFlight = 0;
+  /// Open flows that were answered last.
+  std::uint32_t idle = 0;
+  /// Slots that the idle flows take on average.
+  double idleLoad = 0;
+  /// Flows that have not ended, as far as this balancer saw.
+  std::uint32_t open = 0;
+  /// Requests of open flows that were sent again since a client last showed
+  /// that the target answers.
+  std::uint32_t repeatedRequests = 0;
   /// When it was found not to answer; the epoch while it does.
   Clock::time_point silentSince{};
   /// When a health check cleared it of silence last.
--- a/lib/Forward/FlowChoice.cpp
+++ b/lib/Forward/FlowChoice.cpp
@@ -15,14 +15,19 @@
 /// milliseconds more, and bytes between domains are paid for.
 static constexpr double kOtherDomainCost = 0.5;
 
-/// A target with this many flows for each slot makes the next one wait for a
+/// Cost of a target whose slots are all taken but one, in mean service times:
+/// the chance that another balancer sends a request there meanwhile.
+static constexpr double kLoadCost = 0.25;
+
+/// A target with this many requests for each slot makes the next one wait for a
 /// whole service time; it waits better here, where the order can still change
 /// and any target that gets free can take it.
-static constexpr std::uint32_t kFlowsPerSlot = 2;
+static constexpr std::uint32_t kRequestsPerSlot = 2;
 
-/// A balancer has its share of the slots full when it has as many flows as the
-/// share has slots, and this many standard deviations of its random load more;
-/// beyond that the targets are crowded even if those that it knows look free.
+/// A balancer has its share of the slots full when it has as many requests as
+/// the share has slots, and this many standard deviations of its random load
+/// more; beyond that the targets are crowded even if those that it knows look
+/// free.
 static constexpr double kSpareDeviations = 3;
 static constexpr double kLeastShare = 4;
 
@@ -40,33 +45,36 @@
 
 /// Expected time until one more request is done, in mean service times of a
 /// warm target, and the cost of going there.
-auto CostOf(const Candidate& aCandidate) -> double
+auto CostOf(const Candidate& aCandidate, double aLaterRequests) -> double
 {
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
-  const double flows = aCandidate.inFlight;
+  const double requests = aCandidate.inFlight + aCandidate.idleLoad;
   const double work = aCandidate.cold ? kColdFactor : 1.0;
-  const double wait = std::max(0.0, flows + 1 - slots) / slots * work;
-  const double load = flows / slots;
+  const double wait = std::max(0.0, requests + 1 - slots) / slots * work;
   // Among targets with a free slot the emptier one is safer, as some flows of
   // other balancers are not known here yet.
-  return wait + work + 0.25 * load +
+  const double load = kLoadCost * requests / slots;
+  // The later requests of the flow meet what the idle flows bring then, not
+  // what is at work now.
+  const double later = kLoadCost * aLaterRequests * aCandidate.idleLoad / slots;
+  return wait + work + load + later +
          (aCandidate.sameDomain ? 0 : kOtherDomainCost);
 }
 
-/// Whether this balancer has as many flows in flight as its share allows.
+/// Whether this balancer has as many requests in flight as its share allows.
 auto ShareIsUsed(const ChoiceInput& aInput, bool aSilenceCounts) -> bool
 {
   double slots = 0;
-  double flows = 0;
+  double requests = 0;
   for (const auto& candidate : aInput.candidates) {
     if (!aSilenceCounts || !candidate.silent) {
       slots += candidate.slots;
-      flows += candidate.inFlight;
+      requests += candidate.inFlight;
     }
   }
   const double share = slots / static_cast<double>(aInput.balancers);
   const double limit = share + kSpareDeviations * std::sqrt(share);
-  return flows >= std::max(kLeastShare, limit);
+  return requests >= std::max(kLeastShare, limit);
 }
 
 /// The least cost; equal ones by chance.
@@ -88,11 +96,11 @@
     std::uint64_t ties = 0;
     for (std::size_t index = 0; index < aInput.candidates.size(); ++index) {
       const auto& candidate = aInput.candidates[index];
-      if ((silenceCounts && candidate.silent) ||
-          candidate.inFlight >= candidate.slots * kFlowsPerSlot) {
+      if ((silenceCounts && candidate.silent) || candidate.full ||
+          candidate.inFlight >= candidate.slots * kRequestsPerSlot) {
         continue;
       }
-      const auto cost = CostOf(candidate);
+      const auto cost = CostOf(candidate, aInput.laterRequests);
       if (decision.chosen && cost > least) {
         continue;
       }
--- a/lib/Forward/FlowTable.cpp
+++ b/lib/Forward/FlowTable.cpp
@@ -1,8 +1,9 @@
-// Flows in the order of their last packets.
+// Flows by phase, in the order in which they came into it or had a packet.
 
 #include "bramleylock/Forward/FlowTable.h"
 
 #include <cassert>
+#include <utility>
 
 namespace bramleylock::forward {
 
@@ -12,6 +13,16 @@
   assert(aCapacity > 0);
 }
 
+auto FlowTable::In(FlowPhase aPhase) -> Flows&
+{
+  return m_byPhase[static_cast<std::size_t>(aPhase)];
+}
+
+auto FlowTable::CountIn(FlowPhase aPhase) const -> std::size_t
+{
+  return m_byPhase[static_cast<std::size_t>(aPhase)].size();
+}
+
 auto FlowTable::Find(const FlowId& aFlow) -> TrackedFlow*
 {
   const auto found = m_byId.find(aFlow);
@@ -25,16 +36,36 @@
     Drop(found->second);
   }
   if (Size() >= m_capacity) {
-    Drop(m_over.empty() ? m_inFlight.begin() : m_over.begin());
+    Evict();
   }
-  const auto place = m_inFlight.insert(
-    m_inFlight.end(),
-    TrackedFlow{ aFlow, &aTarget, aNow, aNow, 0, false, true, {} });
+  auto& route = m_routes[aFlow.service];
+  ++route.flows;
+  route.usedAt = aNow;
+  auto& busy = In(FlowPhase::Busy);
+  const auto place = busy.insert(busy.end(), TrackedFlow{});
+  place->id = aFlow;
+  place->target = &aTarget;
+  place->route = &route;
+  place->openedAt = aNow;
+  place->lastPacketAt = aNow;
+  place->phaseSince = aNow;
   m_byId[aFlow] = place;
-  ++aTarget.evidence.inFlight;
+  AddCounts(*place);
   return *place;
 }
 
+auto FlowTable::Evict() -> void
+{
+  ++m_evicted;
+  for (const auto phase :
+       { FlowPhase::Quiet, FlowPhase::Idle, FlowPhase::Busy }) {
+    if (!In(phase).empty()) {
+      Drop(In(phase).begin());
+      return;
+    }
+  }
+}
+
 auto FlowTable::PlaceOf(const TrackedFlow& aFlow) -> Place
 {
   const auto found = m_byId.find(aFlow.id);
@@ -42,68 +73,147 @@
   return found->second;
 }
 
-auto FlowTable::ListOf(const TrackedFlow& aFlow) -> Flows&
+auto FlowTable::AddCounts(const TrackedFlow& aFlow) -> void
 {
-  return aFlow.inFlight ? m_inFlight : m_over;
+  auto& evidence = aFlow.target->evidence;
+  evidence.open += aFlow.ended ? 0 : 1;
+  evidence.inFlight += aFlow.phase == FlowPhase::Busy ? 1 : 0;
+  if (aFlow.phase == FlowPhase::Idle) {
+    ++evidence.idle;
+    evidence.idleLoad += aFlow.idleLoad;
+  }
+}
+
+auto FlowTable::DropCounts(const TrackedFlow& aFlow) -> void
+{
+  auto& evidence = aFlow.target->evidence;
+  evidence.open -= aFlow.ended ? 0 : 1;
+  evidence.inFlight -= aFlow.phase == FlowPhase::Busy ? 1 : 0;
+  if (aFlow.phase == FlowPhase::Idle) {
+    --evidence.idle;
+    // Sums of rounded numbers drift; without idle flows there is no load.
+    evidence.idleLoad =
+      evidence.idle == 0 ? 0 : evidence.idleLoad - aFlow.idleLoad;
+  }
+}
+
+auto FlowTable::Enter(TrackedFlow& aFlow, FlowPhase aPhase) -> void
+{
+  auto& from = In(aFlow.phase);
+  auto& to = In(aPhase);
+  to.splice(to.end(), from, PlaceOf(aFlow));
+  DropCounts(aFlow);
+  aFlow.phase = aPhase;
+  aFlow.idleLoad = aPhase == FlowPhase::Idle ? aFlow.route->work.IdleLoad() : 0;
+  AddCounts(aFlow);
 }
 
 auto FlowTable::Touch(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
   aFlow.lastPacketAt = aNow;
-  auto& flows = ListOf(aFlow);
-  flows.splice(flows.end(), flows, PlaceOf(aFlow));
+  aFlow.route->usedAt = aNow;
+  // Busy flows stand in the order of their requests: a client that sends its
+  // request in small pieces does not keep a slot taken by it.
+  if (aFlow.phase != FlowPhase::Busy) {
+    auto& flows = In(aFlow.phase);
+    flows.splice(flows.end(), flows, PlaceOf(aFlow));
+  }
 }
 
-auto FlowTable::Count(TrackedFlow& aFlow, DirectoryEntry& aTarget) -> void
+auto FlowTable::MoveTo(TrackedFlow& aFlow, DirectoryEntry& aTarget) -> void
 {
-  if (aFlow.inFlight && aFlow.target == &aTarget) {
+  if (aFlow.target == &aTarget) {
     return;
   }
-  Finish(aFlow);
-  m_inFlight.splice(m_inFlight.end(), m_over, PlaceOf(aFlow));
+  DropCounts(aFlow);
   aFlow.target = &aTarget;
-  aFlow.inFlight = true;
-  ++aTarget.evidence.inFlight;
+  AddCounts(aFlow);
 }
 
-auto FlowTable::Finish(TrackedFlow& aFlow) -> void
+auto FlowTable::SetBusy(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
-  if (!aFlow.inFlight) {
-    return;
+  Enter(aFlow, FlowPhase::Busy);
+  aFlow.phaseSince = aNow;
+}
+
+auto FlowTable::SetIdle(TrackedFlow& aFlow, Clock::time_point aNow) -> void
+{
+  Enter(aFlow, FlowPhase::Idle);
+  aFlow.phaseSince = aNow;
+}
+
+auto FlowTable::SetQuiet(TrackedFlow& aFlow) -> void
+{
+  if (aFlow.phase != FlowPhase::Quiet) {
+    Enter(aFlow, FlowPhase::Quiet);
+  }
+}
+
+auto FlowTable::End(TrackedFlow& aFlow) -> void
+{
+  SetQuiet(aFlow);
+  if (!aFlow.ended) {
+    aFlow.ended = true;
+    --aFlow.target->evidence.open;
   }
-  m_over.splice(m_over.end(), m_inFlight, PlaceOf(aFlow));
-  aFlow.inFlight = false;
-  assert(aFlow.target->evidence.inFlight > 0);
-  --aFlow.target->evidence.inFlight;
 }
 
 auto FlowTable::Drop(Place aPlace) -> void
 {
-  Finish(*aPlace);
+  DropCounts(*aPlace);
+  --aPlace->route->flows;
   m_byId.erase(aPlace->id);
-  m_over.erase(aPlace);
+  In(aPlace->phase).erase(aPlace);
+}
+
+auto FlowTable::QuietBusySince(Clock::time_point aLimit) -> std::size_t
+{
+  auto& busy = In(FlowPhase::Busy);
+  std::size_t count = 0;
+  for (; !busy.empty() && busy.front().phaseSince < aLimit; ++count) {
+    SetQuiet(busy.front());
+  }
+  return count;
 }
 
-auto FlowTable::FinishQuietSince(Clock::time_point aLimit) -> void
+auto FlowTable::QuietIdleSince(Clock::time_point aLimit) -> void
 {
-  while (!m_inFlight.empty() && m_inFlight.front().lastPacketAt < aLimit) {
-    Finish(m_inFlight.front());
+  auto& idle = In(FlowPhase::Idle);
+  while (!idle.empty() && idle.front().lastPacketAt < aLimit) {
+    SetQuiet(idle.front());
+  }
+}
+
+auto FlowTable::QuietWithoutPacketSince(Clock::time_point aLimit) -> void
+{
+  auto& busy = In(FlowPhase::Busy);
+  for (auto place = busy.begin();
+       place != busy.end() && place->phaseSince < aLimit;) {
+    auto& flow = *place++;
+    if (flow.lastPacketAt < aLimit) {
+      SetQuiet(flow);
+    }
   }
 }
 
 auto FlowTable::ForgetQuietSince(Clock::time_point aLimit) -> void
 {
+  QuietBusySince(aLimit);
+  QuietIdleSince(aLimit);
   // One that ended by itself stands behind those that were quiet longer.
-  FinishQuietSince(aLimit);
-  while (!m_over.empty() && m_over.front().lastPacketAt < aLimit) {
-    Drop(m_over.begin());
+  auto& quiet = In(FlowPhase::Quiet);
+  while (!quiet.empty() && quiet.front().lastPacketAt < aLimit) {
+    Drop(quiet.begin());
   }
+  std::erase_if(m_routes, [aLimit](const auto& aRow) {
+    return aRow.second.flows == 0 && aRow.second.usedAt < aLimit;
+  });
 }
 
 auto FlowTable::DropTargetsGoneBefore(Clock::time_point aLimit) -> void
 {
-  for (auto* flows : { &m_inFlight, &m_over }) {
-    for (auto place = flows->begin(); place != flows->end();) {
+  for (auto& flows : m_byPhase) {
+    for (auto place = flows.begin(); place != flows.end();) {
       const auto next = std::next(place);
       const auto& target = *place->target;
       if (target.record.State() >= TargetState::Departed &&
@@ -115,9 +225,20 @@
   }
 }
 
+auto FlowTable::WorkOf(const Address& aService) const -> RouteWork
+{
+  const auto found = m_routes.find(aService);
+  return found == m_routes.end() ? RouteWork{} : found->second.work;
+}
+
 auto FlowTable::Size() const -> std::size_t
 {
   return m_byId.size();
 }
 
+auto FlowTable::TakeEvicted() -> std::uint64_t
+{
+  return std::exchange(m_evicted, 0);
+}
+
 } // namespace bramleylock::forward
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace bramleylock::forward {
 
@@ -19,16 +21,22 @@
 /// trips; the platform's clients are 3 ms away.
 static constexpr Milliseconds kAnswerLimit{ 60 };
 
-/// A flow without a packet for this long has its answer, or lost its target.
-/// The longest work of the platform's requests takes 400 ms.
-static constexpr Milliseconds kQuiet{ 800 };
+/// A request without an answer for this long lost its target, or its answer was
+/// seen by another balancer. The longest work of the platform's requests takes
+/// 430 ms, and a target queues up to four for each slot.
+static constexpr Milliseconds kAnswerExpected{ 800 };
 
-/// The same while flows move between the balancers, for one that had no packet
-/// since they did: the mean work of the platform's requests takes 30 to 72 ms.
-static constexpr Milliseconds kQuietMoved{ 150 };
+/// A flow that pauses for this long is expected to ask nothing more: the pauses
+/// of the platform's clients are some second long on average.
+static constexpr Milliseconds kLongestPause{ 5000 };
 
-/// Flows move at once; when none has for this long, the next move is logged.
-static constexpr Milliseconds kMoveLasts{ 1000 };
+/// How long after its last packet a flow is forgotten, beyond the time after
+/// which its ends may discard it: packets may be under way.
+static constexpr Milliseconds kIdleMargin{ 1000 };
+
+/// Flows beyond the even share of a target's limit that a balancer may have
+/// there, in standard deviations of a random share.
+static constexpr double kOpenDeviations = 3;
 
 Forwarder::Forwarder(const PacketCodec& aCodec, RouteTable& aRoutes,
                      TargetDirectory& aTargets, FlowChoice& aChoice,
@@ -108,9 +116,25 @@
             { "target_revision", std::to_string(aTarget.record.revision) },
             { "heard_ms", AgeText(aTarget.heardAt, aNow) },
             { "in_flight", std::to_string(evidence.inFlight) },
+            { "idle", std::to_string(evidence.idle) },
+            { "idle_load", fmt::format("{:.2f}", evidence.idleLoad) },
             { "candidates", std::to_string(aCandidates) } });
 }
 
+/// Flows that this balancer may have open at one target of aService: its share
+/// of what the target holds. A target that holds all that it can does not
+/// answer and would pass for a silent one.
+auto Forwarder::MostOpen(const std::string& aService) const -> std::uint32_t
+{
+  const auto most = m_routes.MostFlows(aService);
+  if (most == 0) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const double share = most / static_cast<double>(m_balancers);
+  const double limit = share + kOpenDeviations * std::sqrt(share);
+  return static_cast<std::uint32_t>(std::min<double>(most, limit));
+}
+
 auto Forwarder::Place(const Packet& aPacket, const Route& aRoute,
                       const DirectoryEntry* aAvoided, Clock::time_point aNow)
   -> Placement
@@ -120,12 +144,16 @@
   if (entries.size() > 1) {
     std::erase(entries, aAvoided);
   }
-  ChoiceInput input{ {}, m_balancers };
+  ChoiceInput input{ {},
+                     m_balancers,
+                     m_flows.WorkOf(aPacket.flow.service).LaterRequests() };
   input.candidates.reserve(entries.size());
+  const auto mostOpen = MostOpen(service);
   for (const auto* entry : entries) {
     const auto& evidence = entry->evidence;
     input.candidates.push_back(
-      { entry->record.slots, evidence.inFlight,
+      { entry->record.slots, evidence.inFlight, evidence.idleLoad,
+        evidence.open >= mostOpen,
         entry->record.failureDomain == m_options.failureDomain,
         entry->warmAt > aNow, IsSilent(evidence, aNow) });
   }
@@ -176,7 +204,7 @@
     m_flows.Open(aPacket.flow, aTarget, aNow).opening.assign(aData, aSize);
     m_metrics.Add(Counter::FlowsOpened);
   } else {
-    m_flows.Count(*known, aTarget);
+    m_flows.SetBusy(*known, aNow);
   }
   m_unanswered.push_back({ aPacket.flow, aNow, false });
   m_codec.SetTag(aData, aTarget.tag);
@@ -253,7 +281,7 @@
 
 auto Forwarder::RepeatUnanswered(Clock::time_point aNow) -> void
 {
-  FinishMoved(aNow);
+  LeaveMoved(aNow);
   while (!m_unanswered.empty() &&
          aNow - m_unanswered.front().sentAt > kAnswerLimit) {
     const auto unanswered = m_unanswered.front();
@@ -265,7 +293,7 @@
     if (unanswered.repeated || m_movedAt >= unanswered.sentAt) {
       // The client may have gone, or speak through another balancer by now. If
       // it lacks an answer, its next copy says so.
-      m_flows.Finish(*flow);
+      m_flows.SetQuiet(*flow);
       continue;
     }
     Repeat(*flow, aNow);
@@ -278,125 +306,20 @@
   m_onSilent = std::move(aListener);
 }
 
-/// The first packet after the opening one shows which target the client took.
-auto Forwarder::Confirm(TrackedFlow& aFlow, DirectoryEntry& aTarget,
-                        Clock::time_point aNow) -> void
-{
-  if (aFlow.confirmed) {
-    return;
-  }
-  aFlow.confirmed = true;
-  aFlow.opening.clear();
-  m_flows.Count(aFlow, aTarget);
-  m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
-}
-
-/// Only what the client acknowledges anew shows that the target answers: a
-/// client repeats its own packets towards a dead one as well.
-auto Forwarder::TakeProgress(TrackedFlow& aFlow, DirectoryEntry& aTarget,
-                             const Packet& aPacket, Clock::time_point aNow)
-  -> void
-{
-  const bool first = !aFlow.confirmed;
-  const auto advance =
-    static_cast<std::int32_t>(aPacket.acknowledgement - aFlow.acknowledged);
-  m_flows.Touch(aFlow, aNow);
-  Confirm(aFlow, aTarget, aNow);
-  if (first || advance > 0) {
-    aFlow.acknowledged = aPacket.acknowledgement;
-    aTarget.evidence.silentSince = {};
-    aTarget.evidence.answeredAt = aNow;
-  }
-  if (aPacket.ends || aPacket.resets) {
-    m_flows.Finish(aFlow);
-  }
-}
-
-/// A flow that was opened through another balancer comes here when the platform
-/// hashes over other balancers than before. Then nearly all flows move, those
-/// that were opened here too.
-auto Forwarder::TakeOver(const Packet& aPacket, DirectoryEntry& aTarget,
-                         Clock::time_point aNow) -> void
-{
-  m_metrics.Add(Counter::FlowTakenOver);
-  if (aNow - m_movedAt > kMoveLasts) {
-    LogInfo("flows-move", { { "flow", FormatFlow(aPacket.flow) },
-                            { "target", aTarget.record.id },
-                            { "tracked", std::to_string(m_flows.Size()) } });
-  }
-  m_movedAt = aNow;
-  // Without data the request is in work or done, and its end may not be seen.
-  if (aPacket.carriesData && !aPacket.ends && !aPacket.resets) {
-    auto& flow = m_flows.Open(aPacket.flow, aTarget, aNow);
-    flow.confirmed = true;
-    flow.acknowledged = aPacket.acknowledgement;
-  }
-}
-
-/// Gives up the count of flows that probably moved to other balancers, which
-/// count them now; else targets look busy here that are not.
-auto Forwarder::FinishMoved(Clock::time_point aNow) -> void
-{
-  m_flows.FinishQuietSince(std::min(m_movedAt, aNow - kQuietMoved));
-}
-
-auto Forwarder::DropUnknownTag(const Packet& aPacket) -> void
+auto Forwarder::SetBalancers(std::size_t aCount) -> void
 {
-  m_metrics.Add(Counter::PacketTagUnknown);
-  if (WouldLog(LogLevel::Info, "packet-dropped")) {
-    LogInfo("packet-dropped", { { "flow", FormatFlow(aPacket.flow) },
-                                { "tag", fmt::format("{:08x}", aPacket.tag) },
-                                { "reason", "tag-unknown" } });
-  }
+  m_balancers = std::max<std::size_t>(aCount, 1);
 }
 
-auto Forwarder::OnOpenFlow(const Packet& aPacket, char* aData,
-                           std::size_t aSize, Clock::time_point aNow) -> void
+/// How long a flow without packets is tracked: its ends may discard it after
+/// the idle limit of the configuration.
+auto Forwarder::LongestQuiet() const -> Clock::duration
 {
-  const auto state = m_routes.StateOf(aPacket.flow.service);
-  if (state == RouteState::Removed) {
-    if (!aPacket.resets) {
-      Refuse(aPacket, Counter::FlowRouteRemoved, "route-removed");
-    }
-    return;
-  }
-  if (state == RouteState::Unknown) {
-    // The route may stand in a version that has not come here yet, and then
-    // the flow is sound.
-    m_metrics.Add(Counter::PacketRouteUnknown);
-    return;
-  }
-  auto* flow = m_flows.Find(aPacket.flow);
-  DirectoryEntry* target = nullptr;
-  if (flow != nullptr && flow->confirmed) {
-    // A late answer of a target that was tried first may have changed the tag.
-    target = flow->target;
-  } else {
-    target = m_targets.Lookup(aPacket.tag, aPacket.flow.service, m_routes);
-  }
-  if (target == nullptr) {
-    DropUnknownTag(aPacket);
-    return;
+  const Milliseconds idle(m_routes.Current().idleTimeoutMs);
+  if (idle.count() == 0) {
+    return m_options.longestFlow;
   }
-  if (target->record.State() == TargetState::Dead) {
-    if (!aPacket.resets) {
-      Refuse(aPacket, Counter::FlowTargetDead, "target-dead");
-    }
-    return;
-  }
-  if (flow != nullptr) {
-    TakeProgress(*flow, *target, aPacket, aNow);
-  } else {
-    TakeOver(aPacket, *target, aNow);
-  }
-  m_codec.SetTag(aData, target->tag);
-  m_metrics.Add(Counter::PacketsForwarded);
-  m_sink.ToTarget(*target, aData, aSize);
-}
-
-auto Forwarder::SetBalancers(std::size_t aCount) -> void
-{
-  m_balancers = std::max<std::size_t>(aCount, 1);
+  return std::min<Clock::duration>(m_options.longestFlow, idle + kIdleMargin);
 }
 
 auto Forwarder::Expire(Clock::time_point aNow) -> void
@@ -404,8 +327,11 @@
   RefuseOld(aNow);
   std::erase_if(m_waiting,
                 [](const auto& aRow) { return aRow.second.Size() == 0; });
-  m_flows.FinishQuietSince(aNow - kQuiet);
-  m_flows.ForgetQuietSince(aNow - m_options.longestFlow);
+  m_metrics.Add(Counter::FlowAnswerUnseen,
+                m_flows.QuietBusySince(aNow - kAnswerExpected));
+  m_flows.QuietIdleSince(aNow - kLongestPause);
+  m_metrics.Add(Counter::FlowEvicted, m_flows.TakeEvicted());
+  m_flows.ForgetQuietSince(aNow - LongestQuiet());
   // One second between the two keeps no flow that points at a forgotten entry.
   const auto keep = m_options.longestFlow + std::chrono::seconds(1);
   if (const auto limit = aNow - m_options.longestFlow;
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -21,6 +21,10 @@
   m_firstEnded = std::min(m_firstEnded, aNow);
   m_set = std::move(aSet);
   m_since = aNow;
+  m_services.clear();
+  for (std::size_t index = 0; index < m_set.services.size(); ++index) {
+    m_services.emplace(m_set.services[index].name, index);
+  }
   m_byAddress.clear();
   for (std::size_t index = 0; index < m_set.routes.size(); ++index) {
     const auto& route = m_set.routes[index];
@@ -96,12 +100,16 @@
 
 auto RouteTable::HealthPath(const std::string& aService) const -> std::string
 {
-  for (const auto& service : m_set.services) {
-    if (service.name == aService) {
-      return service.healthPath;
-    }
-  }
-  return {};
+  const auto found = m_services.find(aService);
+  return found == m_services.end() ? std::string()
+                                   : m_set.services[found->second].healthPath;
+}
+
+auto RouteTable::MostFlows(const std::string& aService) const -> std::uint32_t
+{
+  const auto found = m_services.find(aService);
+  return found == m_services.end() ? 0
+                                   : m_set.services[found->second].mostFlows;
 }
 
 auto RouteTable::Current() const -> const RouteSet&
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -428,7 +428,9 @@
   test.targets.Apply(MakeTarget("a", 5), test.now);
   const auto opening = TestForward::Opening(1);
   test.Send(opening);
-  test.Send(TestForward::Following(opening, TagOf("a", 1)));
+  auto request = TestForward::Following(opening, TagOf("a", 1));
+  request.carriesData = true;
+  test.Send(request);
   const auto& evidence = test.targets.Find("a")->evidence;
   test.Pass(Milliseconds(20));
   test.SendForeign(2);
