Reset open flows whose target is out of reach, and play kept flows in the load model

Cause: a request in an open flow to a target that went dark, or is cut off from this domain, was repeated until its client's deadline. A repeated request that nobody answered starts a health check now; two in a row without any answer make the target unreachable for this balancer, and data of flows whose requests may be repeated is reset. At-most-once flows wait on, as their clients do not ask again once a flow was open.

The load model has users who keep flows, releases and rolling restarts.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -71,6 +71,10 @@
   /// Sets who is told of a target that does not answer.
   auto OnSilent(std::function<void(DirectoryEntry&)> aListener) -> void;
 
+  /// Sets who is told of a target that did not answer a request of an open
+  /// flow.
+  auto OnUnanswered(std::function<void(DirectoryEntry&)> aListener) -> void;
+
   /// Sets how many balancers share the targets, this one too.
   auto SetBalancers(std::size_t aCount) -> void;
 
@@ -133,6 +137,8 @@
                 Clock::time_point aNow) -> void;
   auto NoteAnswer(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto NoteRepeated(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+  auto ResetUnreachable(const Packet& aPacket, const DirectoryEntry& aTarget,
+                        Clock::time_point aNow) -> bool;
   auto Refuse(const Packet& aPacket, Counter aCounter, const char* aReason)
     -> void;
   auto DropUnknownTag(const Packet& aPacket) -> void;
@@ -156,6 +162,7 @@
   /// between the balancers.
   Clock::time_point m_movedAt{};
   std::function<void(DirectoryEntry&)> m_onSilent = [](DirectoryEntry&) {};
+  std::function<void(DirectoryEntry&)> m_onUnanswered = [](DirectoryEntry&) {};
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -32,12 +32,25 @@
   /// Takes a target that this balancer found silent.
   auto OnSilent(DirectoryEntry& aTarget) -> void;
 
+  /// Takes a target that did not answer a request of an open flow.
+  auto OnUnanswered(DirectoryEntry& aTarget) -> void;
+
 private:
+  /// What a health check found.
+  enum class Health
+  {
+    Good,
+    /// The target answers, and says that it is not well.
+    Bad,
+    NoAnswer
+  };
+
   auto Probe(TargetTag aTag) -> awaitable<void>;
   auto ProbeLoop(TargetTag aTag) -> awaitable<void>;
   /// Asks the target; sets aWhy when its answer is not good.
-  auto Healthy(const TargetRecord& aTarget, std::string& aWhy)
-    -> awaitable<bool>;
+  auto Check(const TargetRecord& aTarget, std::string& aWhy)
+    -> awaitable<Health>;
+  auto StartProbe(const DirectoryEntry& aTarget) -> void;
   auto Tell(const SilenceNews& aNews) -> void;
   auto TakeNews(const std::string& aPeer, const SilenceNews& aNews) -> void;
 
@@ -57,4 +70,9 @@
 /// Whether aTarget is to be left alone for its silence.
 auto IsSilent(const TargetEvidence& aEvidence, Clock::time_point aNow) -> bool;
 
+/// Whether the target does not answer this balancer by any way: neither the
+/// requests of open flows nor its last health checks.
+auto IsUnreachable(const TargetEvidence& aEvidence, Clock::time_point aNow)
+  -> bool;
+
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -73,6 +73,10 @@
   /// Requests of open flows that were sent again since a client last showed
   /// that the target answers.
   std::uint32_t repeatedRequests = 0;
+  /// Health checks in a row that got no answer at all, by this balancer.
+  std::uint32_t unansweredChecks = 0;
+  /// When the last of them was given up.
+  Clock::time_point checkedAt{};
   /// When it was found not to answer; the epoch while it does.
   Clock::time_point silentSince{};
   /// When a health check cleared it of silence last.
--- a/include/bramleylock/Support/Asio.h
+++ b/include/bramleylock/Support/Asio.h
@@ -80,4 +80,12 @@
   asio::steady_timer m_timer;
 };
 
+/// Whole milliseconds from aSince to aNow, as logs show them.
+inline auto AgeText(Clock::time_point aSince, Clock::time_point aNow)
+  -> std::string
+{
+  return std::to_string(
+    std::chrono::duration_cast<Milliseconds>(aNow - aSince).count());
+}
+
 } // namespace bramleylock
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -54,13 +54,6 @@
 {
 }
 
-static auto AgeText(Clock::time_point aSince, Clock::time_point aNow)
-  -> std::string
-{
-  return std::to_string(
-    std::chrono::duration_cast<Milliseconds>(aNow - aSince).count());
-}
-
 auto Forwarder::OnDatagram(char* aData, std::size_t aSize,
                            Clock::time_point aNow) -> void
 {
@@ -306,6 +299,12 @@
   m_onSilent = std::move(aListener);
 }
 
+auto Forwarder::OnUnanswered(std::function<void(DirectoryEntry&)> aListener)
+  -> void
+{
+  m_onUnanswered = std::move(aListener);
+}
+
 auto Forwarder::SetBalancers(std::size_t aCount) -> void
 {
   m_balancers = std::max<std::size_t>(aCount, 1);
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -74,16 +74,14 @@
   }
   ++evidence.repeatedRequests;
   if (WouldLog(LogLevel::Info, "request-repeated")) {
-    LogInfo(
-      "request-repeated",
-      { { "flow", FormatFlow(aFlow.id) },
-        { "sequence", std::to_string(aFlow.sequence) },
-        { "target", target.record.id },
-        { "waited_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                        aNow - aFlow.phaseSince)
-                                        .count()) },
-        { "unanswered", std::to_string(evidence.repeatedRequests) } });
+    LogInfo("request-repeated",
+            { { "flow", FormatFlow(aFlow.id) },
+              { "sequence", std::to_string(aFlow.sequence) },
+              { "target", target.record.id },
+              { "waited_ms", AgeText(aFlow.phaseSince, aNow) },
+              { "unanswered", std::to_string(evidence.repeatedRequests) } });
   }
+  m_onUnanswered(target);
   if (evidence.repeatedRequests >= kRepeatsOfSilence &&
       MarkSilent(evidence, aNow)) {
     m_onSilent(target);
@@ -184,6 +182,36 @@
   m_flows.QuietIdleSince(std::min(m_movedAt, aNow - kIdleMoved));
 }
 
+/// Ends a flow whose target is out of reach, where its client may ask again
+/// elsewhere; else the client would repeat its request until its deadline. What
+/// may run only once is not asked again after a flow was open, and waits for
+/// the target to come back.
+auto Forwarder::ResetUnreachable(const Packet& aPacket,
+                                 const DirectoryEntry& aTarget,
+                                 Clock::time_point aNow) -> bool
+{
+  const auto& evidence = aTarget.evidence;
+  const auto* route = m_routes.Find(aPacket.flow.service);
+  if (!aPacket.carriesData || aPacket.resets || route == nullptr ||
+      route->Kind() == RequestKind::AtMostOnce ||
+      !IsUnreachable(evidence, aNow)) {
+    return false;
+  }
+  if (WouldLog(LogLevel::Info, "target-unreachable")) {
+    LogInfo(
+      "target-unreachable",
+      { { "flow", FormatFlow(aPacket.flow) },
+        { "target", aTarget.record.id },
+        { "unanswered_checks", std::to_string(evidence.unansweredChecks) },
+        { "checked_ms", AgeText(evidence.checkedAt, aNow) } });
+  }
+  Refuse(aPacket, Counter::FlowTargetUnreachable, "target-unreachable");
+  if (auto* flow = m_flows.Find(aPacket.flow)) {
+    m_flows.End(*flow);
+  }
+  return true;
+}
+
 auto Forwarder::DropUnknownTag(const Packet& aPacket) -> void
 {
   m_metrics.Add(Counter::PacketTagUnknown);
@@ -228,6 +256,9 @@
     }
     return;
   }
+  if (ResetUnreachable(aPacket, *target, aNow)) {
+    return;
+  }
   if (flow != nullptr) {
     TakeProgress(*flow, *target, aPacket, aNow);
   } else {
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace bramleylock::forward {
 
 /// A target is left alone at most this long on one sign of silence. The
@@ -17,8 +19,18 @@
 /// A target that lives answers its health check within some milliseconds.
 static constexpr Milliseconds kCheckLimit{ 250 };
 
-/// Pause between checks, doubled each time: each takes a slot for a moment.
+/// Pause between checks, doubled up to the longest: each takes a slot for a
+/// moment.
 static constexpr Milliseconds kCheckEvery{ 200 };
+static constexpr Milliseconds kLongestCheckPause{ 1600 };
+
+/// Checks in a row without an answer that make a target unreachable: one may
+/// have met a lost packet, or a pause of this machine.
+static constexpr std::uint32_t kUnreachableChecks = 2;
+
+/// For this long after such a check its outcome is believed: the longest pause,
+/// the check itself, and some margin.
+static constexpr Milliseconds kCheckBelieved{ 2000 };
 
 /// A target that answered no flow between a good check and its next silence is
 /// not checked again for this long: its check says nothing about its flows.
@@ -42,6 +54,28 @@
          aNow - aEvidence.silentSince < kSilenceKept;
 }
 
+auto IsUnreachable(const TargetEvidence& aEvidence, Clock::time_point aNow)
+  -> bool
+{
+  return aEvidence.unansweredChecks >= kUnreachableChecks &&
+         aEvidence.answeredAt < aEvidence.checkedAt &&
+         aNow - aEvidence.checkedAt < kCheckBelieved;
+}
+
+/// Whether somebody waits for what a health check of aTarget finds: new flows,
+/// or requests of flows that are open.
+static auto NeedsCheck(const DirectoryEntry& aTarget, Clock::time_point aNow)
+  -> bool
+{
+  const auto& evidence = aTarget.evidence;
+  if (IsSilent(evidence, aNow) &&
+      aTarget.record.State() < TargetState::Departed) {
+    return true;
+  }
+  return evidence.repeatedRequests > 0 && evidence.open > 0 &&
+         aTarget.record.State() != TargetState::Dead;
+}
+
 SilenceWatch::SilenceWatch(asio::io_context& aContext,
                            const RouteTable& aRoutes, TargetDirectory& aTargets,
                            Metrics& aMetrics)
@@ -76,6 +110,16 @@
       Clock::now() - evidence.clearedAt < kCheckDistrusted) {
     return;
   }
+  StartProbe(aTarget);
+}
+
+auto SilenceWatch::OnUnanswered(DirectoryEntry& aTarget) -> void
+{
+  StartProbe(aTarget);
+}
+
+auto SilenceWatch::StartProbe(const DirectoryEntry& aTarget) -> void
+{
   if (m_probed.insert(aTarget.tag).second) {
     Spawn(m_context, "probe-silent", Probe(aTarget.tag));
   }
@@ -108,24 +152,24 @@
   }
 }
 
-auto SilenceWatch::Healthy(const TargetRecord& aTarget, std::string& aWhy)
-  -> awaitable<bool>
+auto SilenceWatch::Check(const TargetRecord& aTarget, std::string& aWhy)
+  -> awaitable<Health>
 {
   http::Request request;
   request.target = m_routes.HealthPath(aTarget.service);
   if (request.target.empty()) {
     aWhy = "the configuration names no health check of " + aTarget.service;
-    co_return false;
+    co_return Health::Bad;
   }
   const Tcp::endpoint address(asio::ip::address_v4(aTarget.ip), aTarget.port);
   std::error_code error;
   const auto reply =
     co_await http::Fetch(address, std::move(request), kCheckLimit, error);
   if (!error && reply.status == 200) {
-    co_return true;
+    co_return Health::Good;
   }
   aWhy = error ? error.message() : "status " + std::to_string(reply.status);
-  co_return false;
+  co_return error ? Health::NoAnswer : Health::Bad;
 }
 
 auto SilenceWatch::Probe(TargetTag aTag) -> awaitable<void>
@@ -139,33 +183,41 @@
   auto pause = kCheckEvery;
   for (;;) {
     auto* target = m_targets.FindTag(aTag);
-    if (target == nullptr || !IsSilent(target->evidence, Clock::now()) ||
-        target->record.State() >= TargetState::Departed) {
+    if (target == nullptr || !NeedsCheck(*target, Clock::now())) {
       co_return;
     }
     m_metrics.Add(Counter::TargetProbes);
     const auto record = target->record;
     std::string why;
-    const bool healthy = co_await Healthy(record, why);
+    const auto health = co_await Check(record, why);
     target = m_targets.FindTag(aTag);
     if (target == nullptr) {
       co_return;
     }
-    if (healthy) {
+    auto& evidence = target->evidence;
+    const auto now = Clock::now();
+    evidence.unansweredChecks =
+      health == Health::NoAnswer ? evidence.unansweredChecks + 1 : 0;
+    evidence.checkedAt = now;
+    if (health == Health::Good) {
       LogInfo("target-answers",
               { { "from", "health-check" }, { "target", record.id } });
-      target->evidence.silentSince = {};
-      target->evidence.clearedAt = Clock::now();
-      Tell({ aTag, false });
+      evidence.repeatedRequests = 0;
+      evidence.clearedAt = now;
+      if (IsSilent(evidence, now)) {
+        evidence.silentSince = {};
+        Tell({ aTag, false });
+      }
       co_return;
     }
     LogInfo("target-check-failed",
             { { "target", record.id },
               { "address", FormatAddress(record.At()) },
               { "why", why },
+              { "unanswered", std::to_string(evidence.unansweredChecks) },
               { "next_ms", std::to_string(pause.count()) } });
     co_await Sleep(pause);
-    pause *= 2;
+    pause = std::min(2 * pause, kLongestCheckPause);
   }
 }
 
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -322,6 +322,9 @@
   parts.forwarder.OnSilent([&parts](forward::DirectoryEntry& aTarget) {
     parts.silence.OnSilent(aTarget);
   });
+  parts.forwarder.OnUnanswered([&parts](forward::DirectoryEntry& aTarget) {
+    parts.silence.OnUnanswered(aTarget);
+  });
   Spawn(parts.context, "join", parts.Join());
   Spawn(parts.context, "age", parts.AgeLoop());
 }
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -6,27 +6,37 @@
 #include "bramleylock/Forward/StateReader.h"
 #include "measure/PlainPackets.h"
 
+#include <algorithm>
 #include <random>
 
 namespace bramleylock::forward {
 
-static constexpr Address kService{ 0xc6120001, 443 };
 static constexpr const char* kServiceName = "orders";
 
+/// Times of planned work, as on the platform's standard days.
+static constexpr Milliseconds kRestartEvery{ 1300 };
+static constexpr Milliseconds kRestartTakes{ 900 };
+static constexpr Milliseconds kReplaceEvery{ 700 };
+static constexpr Milliseconds kDrainTakes{ 3500 };
+
+/// Two health checks that time out, and the pause between them.
+static constexpr Milliseconds kChecksTake{ 700 };
+
 static auto MakeRoute() -> RouteSet
 {
   RouteSet set{ 1, 1, 15000, {}, {} };
   set.routes.push_back({ "orders",
-                         kService.ip,
-                         kService.port,
+                         kModelService.ip,
+                         kModelService.port,
                          { { kServiceName, 1 } },
-                         1,
+                         static_cast<std::uint8_t>(RequestKind::Idempotent),
                          1,
                          2000 });
   return set;
 }
 
-static auto RecordOf(const std::string& aId) -> TargetRecord
+static auto RecordOf(const std::string& aId, std::uint64_t aRevision,
+                     TargetState aState) -> TargetRecord
 {
   TargetRecord record;
   record.id = aId;
@@ -36,10 +46,22 @@
   record.port = 80;
   record.failureDomain = "here";
   record.slots = 2;
-  record.revision = 5;
+  record.revision = aRevision;
+  record.state = static_cast<std::uint8_t>(aState);
   return record;
 }
 
+auto LoadResult::Imbalance() const -> double
+{
+  std::size_t most = 0;
+  std::size_t all = 0;
+  for (const auto& [target, answers] : byTarget) {
+    most = std::max(most, answers);
+    all += answers;
+  }
+  return static_cast<double>(most * byTarget.size()) / static_cast<double>(all);
+}
+
 struct LoadModel::Balancer : PacketSink
 {
   Balancer(LoadModel& aModel, const LoadOptions& aOptions, std::uint64_t aSeed)
@@ -50,6 +72,10 @@
                 { "here", std::chrono::seconds(60), aSeed })
   {
     routes.Install(MakeRoute(), model.m_now);
+    forwarder.OnUnanswered([this](DirectoryEntry& aTarget) {
+      model.In(kChecksTake,
+               [&model = model, id = aTarget.record.id] { model.Checked(id); });
+    });
     forwarder.SetBalancers(aOptions.balancers);
   }
 
@@ -65,9 +91,8 @@
 
   auto ToClient(const Address& aClient, std::string) -> void override
   {
-    model.In(kToClient, [&model = model, aClient] {
-      model.Failed(model.m_byPort[aClient.port], aClient.port);
-    });
+    model.In(kToClient,
+             [&model = model, aClient] { model.Failed(aClient.port); });
   }
 
   auto Flush() -> void override {}
@@ -88,6 +113,7 @@
   for (std::size_t i = 0; i < m_options.targets; ++i) {
     m_targets.push_back({ std::string(1, static_cast<char>('a' + i)) });
   }
+  m_userPorts.resize(m_options.users);
   m_balancers.resize(m_options.balancers);
   m_inRotation.resize(m_options.balancers, true);
   for (std::size_t i = 0; i < m_options.balancers; ++i) {
@@ -97,12 +123,21 @@
 
 LoadModel::~LoadModel() = default;
 
+auto LoadModel::StateOf(const Target& aTarget) -> TargetState
+{
+  if (aTarget.gone) {
+    return TargetState::Departed;
+  }
+  return aTarget.draining ? TargetState::Draining : TargetState::Ready;
+}
+
 auto LoadModel::StartBalancer(std::size_t aIndex) -> void
 {
   auto& balancer = m_balancers[aIndex];
   balancer = std::make_unique<Balancer>(*this, m_options, m_random());
   for (const auto& target : m_targets) {
-    balancer->targets.Apply(RecordOf(target.id), m_now);
+    balancer->targets.Apply(RecordOf(target.id, m_revision, StateOf(target)),
+                            m_now);
   }
 }
 
@@ -127,6 +162,69 @@
   }
 }
 
+/// Each stops taking packets, as it does when it is ready no more, and starts
+/// again without what it knew.
+auto LoadModel::RestartInTurn() -> void
+{
+  for (std::size_t i = 0; i < m_options.balancers; ++i) {
+    const auto stops = kRestartEvery * static_cast<int>(i);
+    In(stops, [this, i] { m_inRotation[i] = false; });
+    In(stops + kRestartTakes, [this, i] {
+      StartBalancer(i);
+      m_inRotation[i] = true;
+    });
+  }
+}
+
+auto LoadModel::EveryBalancer(const std::function<void(Balancer&)>& aDo) -> void
+{
+  for (const auto& balancer : m_balancers) {
+    if (balancer) {
+      aDo(*balancer);
+    }
+  }
+}
+
+/// Health checks of a target have ended; each balancer that asked for them
+/// knows their outcome.
+auto LoadModel::Checked(const std::string& aId) -> void
+{
+  if (m_targets[static_cast<std::size_t>(aId[0] - 'a')].gone) {
+    EveryBalancer([&, this](Balancer& aBalancer) {
+      if (auto* entry = aBalancer.targets.Find(aId)) {
+        entry->evidence.unansweredChecks = 2;
+        entry->evidence.checkedAt = m_now;
+      }
+    });
+  }
+}
+
+auto LoadModel::ReplaceTargets(std::size_t aLeft) -> void
+{
+  if (aLeft == 0) {
+    return;
+  }
+  ++m_revision;
+  auto& old = m_targets[m_options.replacedTargets - aLeft];
+  old.draining = true;
+  m_targets.push_back(
+    { std::string(1, static_cast<char>('a' + m_targets.size())) });
+  EveryBalancer([&, this](Balancer& aBalancer) {
+    for (const auto& target : { m_targets.back(), old }) {
+      aBalancer.targets.Apply(RecordOf(target.id, m_revision, StateOf(target)),
+                              m_now);
+    }
+  });
+  In(kDrainTakes, [this, &old] {
+    old.gone = true;
+    ++m_revision;
+    EveryBalancer([&, this](Balancer& aBalancer) {
+      aBalancer.targets.Remove(old.id, m_revision, Milliseconds(0), m_now);
+    });
+  });
+  In(kReplaceEvery, [this, aLeft] { ReplaceTargets(aLeft - 1); });
+}
+
 /// The platform hashes over the balancers in rotation, or over all of them
 /// while fewer than half are.
 auto LoadModel::Receiver(const FlowId& aFlow) -> Balancer*
@@ -146,6 +244,11 @@
 auto LoadModel::Run() -> LoadResult
 {
   In({}, [this] { Ask(); });
+  for (std::size_t user = 0; user < m_options.users; ++user) {
+    const auto within = static_cast<std::uint64_t>(
+      std::max<long>(1, m_options.usersBegin.count()));
+    In(Milliseconds(m_random() % within), [this, user] { AskAgain(user); });
+  }
   In({}, [this] { Tick(); });
   In(Milliseconds(4000), [this] {
     for (std::size_t i = 0; i < m_options.silentTargets; ++i) {
@@ -155,6 +258,10 @@
   if (m_options.outage.count() > 0) {
     In(Milliseconds(3000), [this] { LosePower(); });
   }
+  if (m_options.rollingRestart) {
+    In(Milliseconds(3000), [this] { RestartInTurn(); });
+  }
+  In(Milliseconds(3000), [this] { ReplaceTargets(m_options.replacedTargets); });
   In(Milliseconds(6000), [this] {
     for (auto& target : m_targets) {
       target.silent = false;
@@ -177,47 +284,6 @@
   return m_result;
 }
 
-auto LoadModel::Ask() -> void
-{
-  std::exponential_distribution<double> pause(m_options.requestsPerSecond);
-  if (m_now < m_start + m_options.length) {
-    In(std::chrono::nanoseconds(static_cast<long>(pause(m_random) * 1e9)),
-       [this] { Ask(); });
-    m_requests.push_back({ m_now });
-    Try(m_requests.size() - 1);
-  }
-}
-
-auto LoadModel::Try(std::size_t aRequest) -> void
-{
-  auto& request = m_requests[aRequest];
-  const auto port = ++m_port;
-  request.port = port;
-  request.answered = false;
-  ++request.tries;
-  m_byPort[port] = aRequest;
-  SendOpening(aRequest, port, 0);
-  In(Milliseconds(200), [=, this] { SendOpening(aRequest, port, 1); });
-  In(Milliseconds(600), [=, this] { SendOpening(aRequest, port, 2); });
-  In(Milliseconds(1400), [=, this] {
-    if (!m_requests[aRequest].answered) {
-      Failed(aRequest, port);
-    }
-  });
-}
-
-auto LoadModel::SendOpening(std::size_t aRequest, std::uint16_t aPort,
-                            int aCopy) -> void
-{
-  const auto& request = m_requests[aRequest];
-  if (request.over || request.answered || request.port != aPort) {
-    return;
-  }
-  auto opening = MakeOpening(aPort, kService);
-  opening.acknowledgement = static_cast<std::uint32_t>(aCopy);
-  Deliver(opening);
-}
-
 /// A packet of a client on its way to the balancer of its flow.
 auto LoadModel::Deliver(Packet aPacket) -> void
 {
@@ -237,47 +303,35 @@
 auto LoadModel::ToTarget(const std::string& aId, const Packet& aPacket) -> void
 {
   auto& target = m_targets[static_cast<std::size_t>(aId[0] - 'a')];
-  if (target.silent) {
+  if (target.silent || target.gone) {
     return;
   }
   const auto port = aPacket.flow.client.port;
-  const auto request = m_byPort[port];
+  auto& flow = m_flows[port];
   if (aPacket.opens) {
-    In(kToClient, [=, this] { Answered(request, port, aPacket.tag); });
-  } else if (!aPacket.ends) {
-    Work(target, request);
-  }
-}
-
-auto LoadModel::Answered(std::size_t aRequest, std::uint16_t aPort,
-                         TargetTag aTag) -> void
-{
-  auto& request = m_requests[aRequest];
-  if (request.over || request.answered || request.port != aPort) {
-    return;
+    In(kToClient, [=, this] { Opened(port, aPacket.tag); });
+  } else if (aPacket.carriesData && aPacket.sequence > flow.received) {
+    flow.received = aPacket.sequence;
+    Work(target, port);
   }
-  request.answered = true;
-  auto asking = MakeFollowing(MakeOpening(aPort, kService), aTag);
-  asking.carriesData = true;
-  Deliver(asking);
 }
 
-auto LoadModel::Work(Target& aTarget, std::size_t aRequest) -> void
+auto LoadModel::Work(Target& aTarget, std::uint16_t aPort) -> void
 {
   if (aTarget.working < kSlots) {
     ++aTarget.working;
     std::gamma_distribution<double> work(4, m_options.meanWorkMs / 4);
     In(std::chrono::nanoseconds(static_cast<long>(work(m_random) * 1e6)),
-       [this, &aTarget, aRequest] { Finished(aTarget, aRequest); });
+       [this, &aTarget, aPort] { Finished(aTarget, aPort); });
   } else if (aTarget.queue.size() < kQueue) {
-    aTarget.queue.push_back(aRequest);
+    aTarget.queue.push_back(aPort);
   } else {
-    const auto port = m_requests[aRequest].port;
-    In(kToClient, [=, this] { Failed(aRequest, port); });
+    ++m_result.shed;
+    In(kToClient, [=, this] { Failed(aPort); });
   }
 }
 
-auto LoadModel::Finished(Target& aTarget, std::size_t aRequest) -> void
+auto LoadModel::Finished(Target& aTarget, std::uint16_t aPort) -> void
 {
   --aTarget.working;
   if (!aTarget.queue.empty()) {
@@ -285,50 +339,22 @@
     aTarget.queue.pop_front();
     Work(aTarget, next);
   }
-  if (aTarget.silent) {
-    return;
-  }
-  In(kToClient, [this, &aTarget, aRequest] {
-    auto& request = m_requests[aRequest];
-    if (!request.over) {
-      request.over = true;
-      const auto took = m_now - request.asked;
-      request.inAim = took <= m_options.aim;
-      m_result.inAim += took <= m_options.aim ? 1 : 0;
-      m_result.late += took > m_options.aim ? 1 : 0;
-    }
-    auto end = MakeFollowing(MakeOpening(request.port, kService),
-                             TagOf(aTarget.id, 1), 900);
-    end.ends = true;
-    Deliver(end);
-  });
-}
-
-auto LoadModel::Failed(std::size_t aRequest, std::uint16_t aPort) -> void
-{
-  auto& request = m_requests[aRequest];
-  if (request.over || request.port != aPort) {
-    return;
-  }
-  if (request.tries > kRetries || m_now - request.asked > m_options.deadline) {
-    request.over = true;
-    return;
+  if (!aTarget.silent) {
+    In(kToClient, [this, id = aTarget.id, aPort, closes = aTarget.draining] {
+      Answered(aPort, id, closes);
+    });
   }
-  Try(aRequest);
 }
 
 auto LoadModel::Tick() -> void
 {
   In(Milliseconds(50), [this] { Tick(); });
-  for (const auto& balancer : m_balancers) {
-    if (!balancer) {
-      continue;
-    }
-    balancer->forwarder.Expire(m_now);
+  EveryBalancer([this](Balancer& aBalancer) {
+    aBalancer.forwarder.Expire(m_now);
     if (m_options.repeats) {
-      balancer->forwarder.RepeatUnanswered(m_now);
+      aBalancer.forwarder.RepeatUnanswered(m_now);
     }
-  }
+  });
 }
 
 } // namespace bramleylock::forward
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -1,21 +1,26 @@
 // Clients and targets around real forwarders in simulated time, for what
 // callers get under load. Targets work on some requests at once and queue
-// a few; clients repeat first packets and retry as the platform's do.
+// a few; clients repeat packets and retry as the platform's do, with a flow for
+// each request or with flows that they keep.
 #pragma once
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <string>
 #include <vector>
 
-#include "bramleylock/Forward/Packet.h"
+#include "bramleylock/Forward/TargetDirectory.h"
 #include "bramleylock/Support/Asio.h"
 #include "bramleylock/Support/Random.h"
 
 namespace bramleylock::forward {
 
+/// The address of the model's only route.
+inline constexpr Address kModelService{ 0xc6120001, 443 };
+
 struct LoadOptions
 {
   std::string choice = "least-wait";
@@ -26,6 +31,18 @@
   Milliseconds aim{ 150 };
   Milliseconds deadline{ 1500 };
   Milliseconds length{ 10000 };
+  /// Users who keep a flow each and pause between their requests, beside the
+  /// requests with flows of their own.
+  std::size_t users = 0;
+  /// How long all users take to begin.
+  Milliseconds usersBegin{ 1000 };
+  Milliseconds meanPause{ 1000 };
+  /// Targets that are replaced from the third second on, one each 700 ms: a new
+  /// one starts, the old one closes each flow after its next answer and is gone
+  /// some seconds later.
+  std::size_t replacedTargets = 0;
+  /// Whether the balancers are stopped in turn from the third second on.
+  bool rollingRestart = false;
   /// Targets that fall silent in the fourth and fifth second.
   std::size_t silentTargets = 0;
   /// How long all balancers are gone, from the third second on. They lose what
@@ -44,9 +61,16 @@
   std::size_t inAim = 0;
   std::size_t late = 0;
   std::size_t failed = 0;
+  /// Requests that a target turned away since its queue was full.
+  std::size_t shed = 0;
+  /// Answers by target.
+  std::map<std::string, std::size_t> byTarget{};
   /// When each request was asked, from the start, and whether it was in time.
   std::vector<std::pair<Milliseconds, bool>> outcomes{};
 
+  /// Answers of the busiest target over those of a mean one.
+  auto Imbalance() const -> double;
+
   auto InAim() const -> double
   {
     return static_cast<double>(inAim) / static_cast<double>(asked);
@@ -81,23 +105,41 @@
   static constexpr std::size_t kQueue = 8;
   static constexpr int kRetries = 2;
 
+  static constexpr std::size_t kNoUser = ~std::size_t{ 0 };
+
   struct Balancer;
   struct Request
   {
     Clock::time_point asked;
+    /// Who keeps the flow, or kNoUser.
+    std::size_t user = kNoUser;
     int tries = 0;
     std::uint16_t port = 0;
     /// Ended in one way or another.
     bool over = false;
-    bool answered = false;
     bool inAim = false;
   };
+  /// A flow as its client knows it.
+  struct Flow
+  {
+    /// The last request in it.
+    std::size_t request = 0;
+    bool open = false;
+    TargetTag tag = 0;
+    std::uint32_t sequence = 1000;
+    std::uint32_t acknowledged = 500;
+    /// The highest sequence number that its target has.
+    std::uint32_t received = 0;
+  };
   struct Target
   {
     std::string id;
     bool silent = false;
+    bool draining = false;
+    bool gone = false;
     std::size_t working = 0;
-    std::deque<std::size_t> queue{};
+    /// Ports of the flows whose requests wait.
+    std::deque<std::uint16_t> queue{};
   };
   struct Event
   {
@@ -116,20 +158,31 @@
   }
   auto StartBalancer(std::size_t aIndex) -> void;
   auto LosePower() -> void;
+  static auto StateOf(const Target& aTarget) -> TargetState;
   auto Receiver(const FlowId& aFlow) -> Balancer*;
-  auto Ask() -> void;
-  auto Try(std::size_t aRequest) -> void;
-  auto SendOpening(std::size_t aRequest, std::uint16_t aPort, int aCopy)
-    -> void;
+  auto RestartInTurn() -> void;
+  auto ReplaceTargets(std::size_t aLeft) -> void;
+  auto Checked(const std::string& aId) -> void;
+  auto EveryBalancer(const std::function<void(Balancer&)>& aDo) -> void;
   auto Deliver(Packet aPacket) -> void;
   auto ToTarget(const std::string& aId, const Packet& aPacket) -> void;
-  auto Answered(std::size_t aRequest, std::uint16_t aPort, TargetTag aTag)
-    -> void;
-  auto Work(Target& aTarget, std::size_t aRequest) -> void;
-  auto Finished(Target& aTarget, std::size_t aRequest) -> void;
-  auto Failed(std::size_t aRequest, std::uint16_t aPort) -> void;
+  auto Work(Target& aTarget, std::uint16_t aPort) -> void;
+  auto Finished(Target& aTarget, std::uint16_t aPort) -> void;
   auto Tick() -> void;
 
+  // What clients do.
+  auto Ask() -> void;
+  auto AskAgain(std::size_t aUser) -> void;
+  auto PauseOf(double aMeanMs) -> std::chrono::nanoseconds;
+  auto Try(std::size_t aRequest) -> void;
+  auto SendOpening(std::uint16_t aPort, int aCopy) -> void;
+  auto Opened(std::uint16_t aPort, TargetTag aTag) -> void;
+  auto SendRequest(std::uint16_t aPort, Milliseconds aRepeatAfter) -> void;
+  auto Answered(std::uint16_t aPort, const std::string& aTarget, bool aCloses)
+    -> void;
+  auto Failed(std::uint16_t aPort) -> void;
+  auto Over(std::size_t aRequest) -> void;
+
   LoadOptions m_options;
   Random m_random;
   Clock::time_point m_start{ std::chrono::hours(1) };
@@ -139,11 +192,15 @@
   /// Null while it has no power.
   std::vector<std::unique_ptr<Balancer>> m_balancers;
   std::vector<bool> m_inRotation;
-  std::vector<Target> m_targets;
+  /// Stays in place while targets are added.
+  std::deque<Target> m_targets;
+  std::uint64_t m_revision = 5;
   std::vector<Request> m_requests;
   std::uint16_t m_port = 0;
-  /// The request of each port's flow.
-  std::vector<std::size_t> m_byPort = std::vector<std::size_t>(65536);
+  /// By client port.
+  std::vector<Flow> m_flows = std::vector<Flow>(65536);
+  /// The port of each user's open flow; 0 when there is none.
+  std::vector<std::uint16_t> m_userPorts;
   LoadResult m_result;
 };
 
--- a/unittests/Forward/LoadModelTest.cpp
+++ b/unittests/Forward/LoadModelTest.cpp
@@ -91,3 +91,88 @@
     cr_assert(back > 0.75, "%f at seed %zu", back, std::size_t{ seed });
   }
 }
+
+/// The users of a day with kept flows, at 60 % of the slots: 240 who pause for
+/// a second between requests of 55 ms, and 80 requests a second in flows of
+/// their own.
+static auto KeptFlows(std::uint64_t aSeed) -> LoadOptions
+{
+  LoadOptions options;
+  options.users = 240;
+  options.requestsPerSecond = 80;
+  options.meanWorkMs = 55;
+  options.aim = Milliseconds(250);
+  options.deadline = Milliseconds(4000);
+  options.seed = aSeed;
+  return options;
+}
+
+/// A flow that is open but idle takes no slot: all open theirs within half a
+/// second, and nobody waits for it.
+Test(LoadModel, KeptFlowsOpenAtOnceWithoutWaiting)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto options = KeptFlows(seed);
+    options.usersBegin = Milliseconds(500);
+    const auto result = Play(options);
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.InAim() > 0.99, "%f at seed %zu", result.InAim(),
+              std::size_t{ seed });
+    cr_assert(result.Imbalance() < 1.25, "%f", result.Imbalance());
+  }
+}
+
+/// Idle flows do not move to the targets that replace others by themselves; new
+/// ones even that out.
+Test(LoadModel, KeptFlowsSurviveARelease)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto options = KeptFlows(seed);
+    options.replacedTargets = 6;
+    const auto result = Play(options);
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.InAim() > 0.985, "%f", result.InAim());
+  }
+}
+
+/// Nearly all flows move to balancers that never saw them, twice for each one
+/// that restarts.
+Test(LoadModel, KeptFlowsSurviveARollingRestart)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto options = KeptFlows(seed);
+    options.rollingRestart = true;
+    options.length = Milliseconds(14000);
+    const auto result = Play(options);
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.InAim() > 0.985, "%f", result.InAim());
+  }
+}
+
+/// Requests in flows of their own flood in on top, to 90 % of the slots.
+Test(LoadModel, KeptFlowsKeepTheirTimeInABurst)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto options = KeptFlows(seed);
+    options.requestsPerSecond = 230;
+    const auto result = Play(options);
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.InAim() > 0.93, "%f", result.InAim());
+  }
+}
+
+/// All balancers lose power for 1.4 s. The targets keep the open flows, whose
+/// requests press in together with new ones.
+Test(LoadModel, KeptFlowsAreInTimeSoonAfterALossOfPower)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    auto options = KeptFlows(seed);
+    options.outage = Milliseconds(1400);
+    options.length = Milliseconds(12000);
+    const auto result = Play(options);
+    const auto back =
+      result.InAimBetween(Milliseconds(5500), Milliseconds(7500));
+    cr_assert(back > 0.9, "%f at seed %zu", back, std::size_t{ seed });
+    cr_assert(result.failed < result.asked / 200, "%zu", result.failed);
+  }
+}
