--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -75,8 +75,10 @@
   /// flow.
   auto OnUnanswered(std::function<void(DirectoryEntry&)> aListener) -> void;
 
-  /// Sets how many balancers share the targets, this one too.
-  auto SetBalancers(std::size_t aCount) -> void;
+  /// Sets how many balancers share the targets, this one too, and how many of
+  /// them are known to be in each failure domain.
+  auto SetBalancers(std::size_t aCount,
+                    std::map<std::string, std::size_t> aByDomain = {}) -> void;
 
   auto Flows() const -> const FlowTable&;
   auto Waiting() const -> std::size_t;
@@ -122,6 +124,8 @@
   auto Repeat(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto RefuseOld(Clock::time_point aNow) -> void;
   auto MostOpen(const std::string& aService) const -> std::uint32_t;
+  auto Sharing(const std::vector<DirectoryEntry*>& aTargets,
+               Clock::time_point aNow) const -> std::size_t;
   auto LongestQuiet() const -> Clock::duration;
   auto TakeOver(const Packet& aPacket, DirectoryEntry& aTarget,
                 Clock::time_point aNow) -> void;
@@ -156,6 +160,7 @@
   /// any route was known.
   std::map<std::string, OpeningQueue> m_waiting;
   std::size_t m_balancers = 1;
+  std::map<std::string, std::size_t> m_balancersByDomain;
   /// Flows whose first packet was sent, the oldest first.
   std::deque<UnansweredFlow> m_unanswered;
   /// When a packet of a flow that was open elsewhere came last: flows move
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -138,7 +138,7 @@
     std::erase(entries, aAvoided);
   }
   ChoiceInput input{ {},
-                     m_balancers,
+                     Sharing(entries, aNow),
                      m_flows.WorkOf(aPacket.flow.service).LaterRequests() };
   input.candidates.reserve(entries.size());
   const auto mostOpen = MostOpen(service);
@@ -305,9 +305,45 @@
   m_onUnanswered = std::move(aListener);
 }
 
-auto Forwarder::SetBalancers(std::size_t aCount) -> void
+auto Forwarder::SetBalancers(std::size_t aCount,
+                             std::map<std::string, std::size_t> aByDomain)
+  -> void
 {
   m_balancers = std::max<std::size_t>(aCount, 1);
+  m_balancersByDomain = std::move(aByDomain);
+}
+
+/// How many balancers share those of aTargets that answer. Where all targets of
+/// another failure domain are silent and others are not, that domain is out of
+/// reach, and its balancers do not reach the others either.
+auto Forwarder::Sharing(const std::vector<DirectoryEntry*>& aTargets,
+                        Clock::time_point aNow) const -> std::size_t
+{
+  bool someSilent = false;
+  bool someAnswer = false;
+  for (const auto* target : aTargets) {
+    const bool silent = IsSilent(target->evidence, aNow);
+    someSilent = someSilent || silent;
+    someAnswer = someAnswer || !silent;
+  }
+  if (!someSilent || !someAnswer) {
+    return m_balancers;
+  }
+  std::map<std::string, bool> answers;
+  for (const auto* target : aTargets) {
+    auto& answering = answers[target->record.failureDomain];
+    answering = answering || !IsSilent(target->evidence, aNow);
+  }
+  std::size_t sharing = m_balancers;
+  for (const auto& [domain, answering] : answers) {
+    const auto found = m_balancersByDomain.find(domain);
+    if (answering || domain == m_options.failureDomain ||
+        found == m_balancersByDomain.end()) {
+      continue;
+    }
+    sharing -= std::min(found->second, sharing - 1);
+  }
+  return sharing;
 }
 
 /// How long a flow without packets is tracked: its ends may discard it after
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -51,7 +51,8 @@
 auto IsSilent(const TargetEvidence& aEvidence, Clock::time_point aNow) -> bool
 {
   return aEvidence.silentSince != Clock::time_point{} &&
-         aNow - aEvidence.silentSince < kSilenceKept;
+         (aNow - aEvidence.silentSince < kSilenceKept ||
+          IsUnreachable(aEvidence, aNow));
 }
 
 auto IsUnreachable(const TargetEvidence& aEvidence, Clock::time_point aNow)
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -55,7 +55,7 @@
   auto OpenHub(const std::string& aSecret) -> bool;
   auto AgeLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
-  auto Balancers(Clock::time_point aNow) const -> std::size_t;
+  auto UpdateBalancers(Clock::time_point aNow) -> void;
   auto UpdateGauges() -> void;
 
   asio::io_context& context;
@@ -116,11 +116,14 @@
   return !draining && state.Complete();
 }
 
-auto ForwardingBalancer::Parts::Balancers(Clock::time_point aNow) const
-  -> std::size_t
+auto ForwardingBalancer::Parts::UpdateBalancers(Clock::time_point aNow) -> void
 {
-  return reader ? reader->Balancers(aNow)
-                : forward::AssumedBalancers(state.RecordedBalancers());
+  if (!reader) {
+    forwarder.SetBalancers(
+      forward::AssumedBalancers(state.RecordedBalancers()));
+    return;
+  }
+  forwarder.SetBalancers(reader->Balancers(aNow), members->AliveByDomain());
 }
 
 auto ForwardingBalancer::Parts::UpdateGauges() -> void
@@ -260,7 +263,7 @@
       continue;
     }
     aged = now;
-    forwarder.SetBalancers(Balancers(now));
+    UpdateBalancers(now);
     forwarder.Expire(now);
     if (pauses.Tick() && reader) {
       reader->Hurry();
@@ -316,7 +319,7 @@
                        { "store", settings.storeAddress } });
   parts.state.OnChange([&parts] {
     const auto now = Clock::now();
-    parts.forwarder.SetBalancers(parts.Balancers(now));
+    parts.UpdateBalancers(now);
     parts.forwarder.ServeWaiting(now);
   });
   parts.forwarder.OnSilent([&parts](forward::DirectoryEntry& aTarget) {
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -457,3 +457,28 @@
   cr_assert(test.sink.toTargets.size() == 5, "four opened, one taken over");
   cr_assert(test.sink.resets.empty());
 }
+
+/// Six slots in each of two failure domains, and the other one out of reach
+/// with seven of eight balancers: these do not share the targets that are left.
+Test(Forwarder, BalancersOutOfReachDoNotShareTheTargets)
+{
+  TestForward test;
+  test.forwarder.SetBalancers(8, { { "here", 1 }, { "there", 7 } });
+  for (const auto* id : { "a", "b", "c" }) {
+    test.targets.Apply(MakeTarget(id, 5), test.now);
+  }
+  for (const auto* id : { "x", "y", "z" }) {
+    auto far = MakeTarget(id, 6);
+    far.failureDomain = "there";
+    test.targets.Apply(far, test.now);
+    test.targets.Find(id)->evidence.silentSince = test.now;
+  }
+  for (std::uint16_t port = 1; port <= 6; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  cr_assert(test.forwarder.Waiting() == 0, "six slots are free");
+  // Where one of them answers, its domain is in reach.
+  test.targets.Find("x")->evidence.silentSince = {};
+  test.Send(TestForward::Opening(7));
+  cr_assert(test.forwarder.Waiting() == 1);
+}
