--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -15,8 +15,9 @@
 auto ReadAfter(std::size_t aRank) -> Milliseconds;
 
 /// How many balancers are taken to share the targets before members are found,
-/// when aRecorded were recorded last.
-auto AssumedBalancers(std::uint32_t aRecorded) -> std::size_t;
+/// aSinceStart after this one began, when aRecorded were recorded last.
+auto AssumedBalancers(std::uint32_t aRecorded, Milliseconds aSinceStart)
+  -> std::size_t;
 
 /// Balancers take turns by rank: the first of the first failure domain holds a
 /// watch and broadcasts its every return, also when nothing changed. Each
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -54,14 +54,21 @@
 /// targets by less than what it cannot know of the others anyway.
 static constexpr std::size_t kCountTolerance = 5;
 
-/// Until members are found, one in this many of those recorded is taken to be
-/// back: they return over half a second, and with all of them counted the first
-/// ones would leave targets idle.
+/// While balancers return after all were lost, one in this many of those
+/// recorded is taken to be back: with all of them counted the first ones would
+/// leave targets idle.
 static constexpr std::uint32_t kPartBack = 2;
 
-auto AssumedBalancers(std::uint32_t aRecorded) -> std::size_t
+/// They return within this: the machines of the platform start over some 350 ms
+/// and are asked for readiness every 500 ms. With fewer counted after that, all
+/// together would crowd the targets with four requests for each slot.
+static constexpr Milliseconds kReturnLasts{ 500 };
+
+auto AssumedBalancers(std::uint32_t aRecorded, Milliseconds aSinceStart)
+  -> std::size_t
 {
-  return std::max<std::size_t>(aRecorded / kPartBack, 1);
+  const auto part = aSinceStart < kReturnLasts ? kPartBack : 1;
+  return std::max<std::size_t>(aRecorded / part, 1);
 }
 
 auto ReadAfter(std::size_t aRank) -> Milliseconds
@@ -117,8 +124,11 @@
 auto StateReader::Balancers(Clock::time_point aNow) const -> std::size_t
 {
   const auto found = m_members.AliveCount();
-  return aNow - m_startedAt < kMembersFound
-           ? std::max(found, AssumedBalancers(m_state.RecordedBalancers()))
+  const auto since =
+    std::chrono::duration_cast<Milliseconds>(aNow - m_startedAt);
+  return since < kMembersFound
+           ? std::max(found,
+                      AssumedBalancers(m_state.RecordedBalancers(), since))
            : found;
 }
 
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -141,6 +141,20 @@
   }
 }
 
+/// As a balancer does until it has found the others.
+auto LoadModel::AssumeBalancers(std::size_t aIndex, Milliseconds aSinceStart)
+  -> void
+{
+  const auto recorded = static_cast<std::uint32_t>(m_options.balancers);
+  m_balancers[aIndex]->forwarder.SetBalancers(
+    AssumedBalancers(recorded, aSinceStart));
+  const auto next = aSinceStart + kCountedEvery;
+  if (next < kMembersFound) {
+    In(kCountedEvery,
+       [this, aIndex, next] { AssumeBalancers(aIndex, next); });
+  }
+}
+
 auto LoadModel::LosePower() -> void
 {
   for (std::size_t i = 0; i < m_options.balancers; ++i) {
@@ -151,8 +165,7 @@
       m_options.outage + Milliseconds(m_random() % spread);
     In(startsAfter, [this, i] {
       StartBalancer(i);
-      m_balancers[i]->forwarder.SetBalancers(
-        AssumedBalancers(static_cast<std::uint32_t>(m_options.balancers)));
+      AssumeBalancers(i, Milliseconds(0));
     });
     In(startsAfter + kMembersFound, [this, i] {
       m_balancers[i]->forwarder.SetBalancers(m_options.balancers);
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -101,6 +101,7 @@
 private:
   static constexpr Milliseconds kToClient{ 3 };
   static constexpr Milliseconds kMembersFound{ 2000 };
+  static constexpr Milliseconds kCountedEvery{ 250 };
   static constexpr std::size_t kSlots = 2;
   static constexpr std::size_t kQueue = 8;
   static constexpr int kRetries = 2;
@@ -158,6 +159,7 @@
   }
   auto StartBalancer(std::size_t aIndex) -> void;
   auto LosePower() -> void;
+  auto AssumeBalancers(std::size_t aIndex, Milliseconds aSinceStart) -> void;
   static auto StateOf(const Target& aTarget) -> TargetState;
   auto Receiver(const FlowId& aFlow) -> Balancer*;
   auto RestartInTurn() -> void;
