--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -59,6 +59,8 @@
   std::uint32_t sequence = 0;
   /// Whether the client has shown which target answered.
   bool confirmed = false;
+  /// Whether its last request has had no answer, also once that was given up.
+  bool unanswered = true;
   bool ended = false;
   /// The first packet, until a target has answered it.
   std::string opening;
--- a/lib/Forward/FlowTable.cpp
+++ b/lib/Forward/FlowTable.cpp
@@ -134,12 +134,14 @@
 {
   Enter(aFlow, FlowPhase::Busy);
   aFlow.phaseSince = aNow;
+  aFlow.unanswered = true;
 }
 
 auto FlowTable::SetIdle(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
   Enter(aFlow, FlowPhase::Idle);
   aFlow.phaseSince = aNow;
+  aFlow.unanswered = false;
 }
 
 auto FlowTable::SetQuiet(TrackedFlow& aFlow) -> void
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -99,6 +99,10 @@
     return;
   }
   aFlow.sequence = aPacket.sequence;
+  if (aFlow.phase == FlowPhase::Quiet && aFlow.unanswered && !aAnswered) {
+    // More of a request that was given up.
+    return;
+  }
   if (aFlow.phase == FlowPhase::Idle) {
     aFlow.route->work.TakePause(aNow - aFlow.phaseSince);
   }
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -119,8 +119,8 @@
 auto ForwardingBalancer::Parts::UpdateBalancers(Clock::time_point aNow) -> void
 {
   if (!reader) {
-    forwarder.SetBalancers(forward::AssumedBalancers(
-      state.RecordedBalancers(), Milliseconds(0)));
+    forwarder.SetBalancers(
+      forward::AssumedBalancers(state.RecordedBalancers(), Milliseconds(0)));
     return;
   }
   forwarder.SetBalancers(reader->Balancers(aNow), members->AliveByDomain());
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -150,8 +150,7 @@
     AssumedBalancers(recorded, aSinceStart));
   const auto next = aSinceStart + kCountedEvery;
   if (next < kMembersFound) {
-    In(kCountedEvery,
-       [this, aIndex, next] { AssumeBalancers(aIndex, next); });
+    In(kCountedEvery, [this, aIndex, next] { AssumeBalancers(aIndex, next); });
   }
 }
 
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -183,6 +183,7 @@
   network.RunFor(Milliseconds(200));
   const auto now = Clock::now();
   cr_assert(node.reader.Balancers(now) == 4);
+  cr_assert(node.reader.Balancers(now + Milliseconds(600)) == 8);
   cr_assert(node.reader.Balancers(now + Milliseconds(4000)) == 1);
 }
 
