--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -154,8 +154,8 @@
   cr_assert(EvidenceOf(test).idleLoad == 0);
 }
 
-/// All clients connect at once: what their flows bring later is spread, not only
-/// what is at work now.
+/// All clients connect at once: what their flows bring later is spread, not
+/// only what is at work now.
 Test(OpenFlows, KeptFlowsSpreadOverTheTargets)
 {
   TestForward test;
@@ -224,7 +224,8 @@
   busy.Ask();
   constexpr std::uint32_t kMany = 33000;
   for (std::uint32_t client = 0; client < kMany; ++client) {
-    auto packet = TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
+    auto packet =
+      TestForward::Following(TestForward::Opening(2), TagOf("a", 1));
     packet.flow.client.ip += client;
     test.Send(packet);
   }
--- /dev/null
+++ b/unittests/Forward/SilenceWatchTest.cpp
@@ -0,0 +1,119 @@
+// Health checks of targets that did not answer, over loopback.
+
+#include "unittests/Forward/TestForward.h"
+
+#include "bramleylock/Forward/SilenceWatch.h"
+#include "bramleylock/Http/Http.h"
+
+#include <criterion/criterion.h>
+
+using namespace bramleylock;
+using namespace bramleylock::forward;
+
+namespace {
+
+/// A target "a" whose health check listens when the test says so.
+struct WatchedTarget
+{
+  explicit WatchedTarget(unsigned aStatus)
+    : status(aStatus)
+    , watch(context, test.routes, test.targets, test.metrics)
+  {
+    auto routes = MakeRoutes(2);
+    routes.services.push_back({ "proofs", "/health", 0 });
+    test.routes.Install(routes, Clock::now());
+    server = std::make_unique<http::Server>(
+      context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+      [this](const http::Request&) -> awaitable<http::Reply> {
+        http::Reply reply;
+        reply.status = status;
+        co_return reply;
+      });
+    auto record = MakeTarget("a", 5, "proofs");
+    record.ip = server->Endpoint().address().to_v4().to_uint();
+    record.port = server->Endpoint().port();
+    test.targets.Apply(record, Clock::now());
+  }
+
+  auto Entry() -> DirectoryEntry& { return *test.targets.Find("a"); }
+
+  /// As the forwarder reports a request that was repeated.
+  auto ReportUnanswered() -> void
+  {
+    Entry().evidence.open = 1;
+    Entry().evidence.repeatedRequests = 1;
+    watch.OnUnanswered(Entry());
+  }
+
+  auto RunFor(int aMilliseconds) -> void
+  {
+    context.run_for(Milliseconds(aMilliseconds));
+  }
+
+  unsigned status;
+  asio::io_context context{ 1 };
+  TestForward test;
+  SilenceWatch watch;
+  std::unique_ptr<http::Server> server;
+};
+
+} // namespace
+
+/// The socket listens and nobody accepts, as on a machine whose process is gone.
+Test(SilenceWatch, TargetWithoutAnyAnswerIsUnreachableUntilItAnswers)
+{
+  WatchedTarget target(200);
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(target.Entry().evidence.unansweredChecks >= 2);
+  cr_assert(IsUnreachable(target.Entry().evidence, Clock::now()));
+  target.server->Start();
+  target.RunFor(2500);
+  cr_assert(!IsUnreachable(target.Entry().evidence, Clock::now()));
+  cr_assert(target.Entry().evidence.repeatedRequests == 0);
+  const auto checks = target.test.metrics.Get(Counter::TargetProbes);
+  target.RunFor(2000);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) == checks,
+            "nobody waits for it");
+}
+
+/// A bad answer is an answer: the target lives, and keeps its flows.
+Test(SilenceWatch, TargetThatSaysItIsNotWellIsReachable)
+{
+  WatchedTarget target(503);
+  target.server->Start();
+  target.ReportUnanswered();
+  target.RunFor(1000);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) >= 2);
+  cr_assert(target.Entry().evidence.unansweredChecks == 0);
+  cr_assert(!IsUnreachable(target.Entry().evidence, Clock::now()));
+}
+
+/// Once no flow is open there, nobody needs to know.
+Test(SilenceWatch, TargetThatLeftIsCheckedWhileItsFlowsAreOpen)
+{
+  WatchedTarget target(200);
+  target.test.targets.Remove("a", 9, Milliseconds(0), Clock::now());
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(IsUnreachable(target.Entry().evidence, Clock::now()));
+  target.Entry().evidence.open = 0;
+  target.RunFor(1000);
+  const auto checks = target.test.metrics.Get(Counter::TargetProbes);
+  target.RunFor(2500);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) == checks);
+}
+
+/// A target out of reach stays silent beyond the time of one sign.
+Test(SilenceWatch, SilenceLastsWhileChecksGetNoAnswer)
+{
+  TargetEvidence evidence;
+  const Clock::time_point start{ std::chrono::hours(1) };
+  cr_assert(MarkSilent(evidence, start));
+  evidence.unansweredChecks = 3;
+  evidence.checkedAt = start + Milliseconds(4500);
+  cr_assert(IsSilent(evidence, start + Milliseconds(5000)));
+  cr_assert(!IsSilent(evidence, start + Milliseconds(6501)));
+  evidence.unansweredChecks = 0;
+  cr_assert(!IsSilent(evidence, start + Milliseconds(5000)));
+}
