Let a balancer that starts without the store serve what a seed tells it

It now asks the seeds of its settings in the clear for routes and targets, which are no secret, every second until the store answers; then the store's word replaces them. The secret is not handed on.

--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -26,8 +26,10 @@
   std::vector<RouteSet> routes;
   std::vector<TargetRecord> targets;
   std::vector<RemovedTarget> removed;
+  /// How many balancers the store says there are, as far as the sender knows.
+  std::uint32_t balancers = 0;
   MSGPACK_DEFINE_ARRAY(base, revision, routesVersion, ageMs, routes, targets,
-                       removed)
+                       removed, balancers)
 };
 
 /// Asks a peer for what it has beyond this.
--- a/include/bramleylock/Peer/PeerHub.h
+++ b/include/bramleylock/Peer/PeerHub.h
@@ -45,6 +45,11 @@
   auto OnUnreachable(std::function<void(const std::string& aAddress)> aListener)
     -> void override;
 
+  /// Sets who answers balancers that have no cluster key; an empty answer
+  /// refuses.
+  using QuestionHandler = std::function<std::string(const std::string&)>;
+  auto OnQuestion(QuestionHandler aHandler) -> void;
+
   /// Bytes on peer links since the start, both directions.
   auto BytesSent() const -> std::uint64_t;
   auto BytesReceived() const -> std::uint64_t;
@@ -56,8 +61,14 @@
   struct Outgoing;
   struct Incoming;
 
+  /// How long connecting and the handshake may take.
+  static constexpr Milliseconds kConnectTimeout{ 1000 };
+
   auto AcceptLoop() -> awaitable<void>;
   auto ServeIncoming(Tcp::socket aSocket) -> awaitable<void>;
+  auto AnswerQuestion(std::shared_ptr<SecureLink> aLink) -> awaitable<void>;
+  static auto GuardHandshake(std::shared_ptr<SecureLink> aLink,
+                             std::shared_ptr<bool> aDone) -> awaitable<void>;
   auto ReadIncoming(std::shared_ptr<SecureLink> aLink,
                     std::shared_ptr<Incoming> aIncoming,
                     std::error_code& aError) -> awaitable<void>;
@@ -88,6 +99,8 @@
   std::map<std::string, std::shared_ptr<Outgoing>> m_outgoing;
   std::map<std::string, Clock::time_point> m_heldOff;
   std::function<void(const std::string&)> m_onUnreachable;
+  QuestionHandler m_onQuestion;
+  int m_questionsNow = 0;
   std::string m_advertised;
   std::set<std::shared_ptr<SecureLink>> m_links;
   std::uint64_t m_bytesSent = 0;
--- a/include/bramleylock/Peer/SecureLink.h
+++ b/include/bramleylock/Peer/SecureLink.h
@@ -23,16 +23,18 @@
   Malformed,
   Oversized,
   Lost,
-  Silent
+  Silent,
+  Question
 };
 
-inline constexpr std::array<NameRow<LinkError>, 6> kLinkErrorNames{ {
+inline constexpr std::array<NameRow<LinkError>, 7> kLinkErrorNames{ {
   { LinkError::Connect, "cannot connect to the peer" },
   { LinkError::Authentication, "the peer does not hold the cluster key" },
   { LinkError::Malformed, "malformed frame" },
   { LinkError::Oversized, "frame over the size limit" },
   { LinkError::Lost, "connection lost" },
   { LinkError::Silent, "the peer stopped acknowledging" },
+  { LinkError::Question, "the peer has no cluster key and asks a question" },
 } };
 
 /// One message as it travels: its type and packed body.
@@ -53,10 +55,18 @@
   SecureLink(const SecureLink&) = delete;
   auto operator=(const SecureLink&) -> SecureLink& = delete;
 
-  /// Runs the handshake; aDialer is true on the connecting end.
+  /// Runs the handshake; aDialer is true on the connecting end. Fails with
+  /// Question on the accepting end when the other one asks without a key.
   auto Handshake(const ClusterKey& aKey, bool aDialer, std::error_code& aError)
     -> awaitable<void>;
 
+  /// What the other end asked without a key.
+  auto TakeQuestion() -> std::string;
+
+  /// Answers it, in the clear.
+  auto AnswerQuestion(const std::string& aAnswer, std::error_code& aError)
+    -> awaitable<void>;
+
   /// Sends aMessages in order, in one write.
   auto Write(const std::vector<Envelope>& aMessages, std::error_code& aError)
     -> awaitable<void>;
@@ -78,6 +88,15 @@
   std::unique_ptr<State> m_state;
 };
 
+/// The longest question of a balancer that has no cluster key, in bytes.
+inline constexpr std::size_t kQuestionLimitBytes = 71;
+
+/// Asks the balancer at aAddress without a cluster key, in the clear. Whoever
+/// uses the answer trusts the address and the network to it.
+auto AskWithoutKey(const std::string& aAddress, const std::string& aQuestion,
+                   Milliseconds aTimeout, std::error_code& aError)
+  -> awaitable<std::string>;
+
 } // namespace bramleylock::peer
 
 BRAMLEYLOCK_ERROR_ENUM(bramleylock::peer, LinkError, kLinkErrorNames,
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -269,6 +269,9 @@
   if (m_readAt == Clock::time_point{}) {
     m_completeFrom = aNews.revision;
   }
+  if (m_recordedBalancers == 0) {
+    m_recordedBalancers = aNews.balancers;
+  }
   const Milliseconds age(aNews.ageMs);
   Advance(aNews.revision, aNow - age);
   m_metrics.Observe(Latency::StateInForce, age);
@@ -291,6 +294,7 @@
     news.routes.push_back(m_routes.Current());
   }
   news.targets = m_targets.RecordsAfter(news.base, aNow);
+  news.balancers = m_recordedBalancers;
   return news;
 }
 
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -5,6 +5,7 @@
 #include "bramleylock/Flow/PauseWatch.h"
 #include "bramleylock/Forward/Forwarder.h"
 #include "bramleylock/Forward/SilenceWatch.h"
+#include "bramleylock/Forward/StateBorrower.h"
 #include "bramleylock/Forward/StateReader.h"
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Kernel/ForwardingView.h"
@@ -16,8 +17,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-
 namespace bramleylock::kernel {
 
 /// How long after the first reading begins peers are spoken to.
@@ -57,6 +56,8 @@
   auto AnswerPlatform(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto AnswerOperators(const http::Request& aRequest) -> awaitable<http::Reply>;
   auto Ready() const -> bool;
+  auto OwnPeerAddress() const -> const std::string&;
+  auto OtherSeeds() const -> std::vector<std::string>;
   auto IsSeed() const -> bool;
   auto ReadFirst() -> awaitable<void>;
   auto Join() -> awaitable<void>;
@@ -75,6 +76,7 @@
   forward::RouteTable routes;
   forward::TargetDirectory targets;
   forward::RoutingState state;
+  forward::StateBorrower borrower;
   PacketPort port;
   forward::Forwarder forwarder;
   forward::SilenceWatch silence;
@@ -85,6 +87,7 @@
   std::unique_ptr<peer::Membership> members;
   std::unique_ptr<peer::Broadcast> broadcast;
   std::unique_ptr<forward::StateReader> reader;
+  Clock::time_point startedAt = Clock::now();
   bool draining = false;
   bool toldReady = false;
   int unreadyTold = 0;
@@ -100,6 +103,7 @@
   , choice(forward::FlowChoiceRegistry::Instance().Create(settings.flowChoice))
   , targets(*codec)
   , state(routes, targets, metrics)
+  , borrower(context, state, metrics, OtherSeeds())
   , port(context, metrics)
   , forwarder(*codec, routes, targets, *choice, port, metrics,
               { settings.failureDomain,
@@ -127,8 +131,9 @@
 auto ForwardingBalancer::Parts::UpdateBalancers(Clock::time_point aNow) -> void
 {
   if (!reader) {
-    forwarder.SetBalancers(
-      forward::AssumedBalancers(state.RecordedBalancers(), Milliseconds(0)));
+    forwarder.SetBalancers(forward::AssumedBalancers(
+      state.RecordedBalancers(),
+      std::chrono::duration_cast<Milliseconds>(aNow - startedAt)));
     return;
   }
   forwarder.SetBalancers(reader->Balancers(aNow), members->AliveByDomain());
@@ -204,6 +209,9 @@
     return false;
   }
   hub->SetAdvertised(settings.peerAdvertised);
+  hub->OnQuestion([this](const std::string& aQuestion) {
+    return forward::AnswerBorrower(state, aQuestion, Clock::now());
+  });
   const wire::Hello self{ settings.vmName, settings.failureDomain,
                           hub->Address(), NewIncarnation() };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
@@ -216,25 +224,43 @@
   return true;
 }
 
+auto ForwardingBalancer::Parts::OwnPeerAddress() const -> const std::string&
+{
+  return settings.peerAdvertised.empty() ? settings.peerAddress
+                                         : settings.peerAdvertised;
+}
+
+auto ForwardingBalancer::Parts::OtherSeeds() const -> std::vector<std::string>
+{
+  std::vector<std::string> seeds;
+  for (const auto& seed : peer::HintsFromSeeds(settings.peerSeeds)) {
+    if (seed.address != OwnPeerAddress()) {
+      seeds.push_back(seed.address);
+    }
+  }
+  return seeds;
+}
+
 auto ForwardingBalancer::Parts::IsSeed() const -> bool
 {
-  const auto& own = settings.peerAdvertised.empty() ? settings.peerAddress
-                                                    : settings.peerAdvertised;
-  const auto seeds = peer::HintsFromSeeds(settings.peerSeeds);
-  return std::any_of(seeds.begin(), seeds.end(), [&own](const auto& aSeed) {
-    return aSeed.address == own;
-  });
+  return OtherSeeds().size() < peer::HintsFromSeeds(settings.peerSeeds).size();
 }
 
-/// Clients are served from the first reading on.
+/// Clients are served from the first reading on, or from what a seed tells
+/// while the store does not answer.
 auto ForwardingBalancer::Parts::ReadFirst() -> awaitable<void>
 {
+  borrower.Start();
   for (;;) {
     const auto began = Clock::now();
     std::error_code error;
     auto reading = co_await source->ReadAll(error);
     if (!error) {
-      state.TakeReading(std::move(reading), true, false, began, Clock::now());
+      borrower.Stop();
+      // After an outage entries may have lapsed that are back soon.
+      const bool troubled = state.Complete();
+      state.TakeReading(std::move(reading), true, troubled, began,
+                        Clock::now());
       co_return;
     }
     metrics.Add(Counter::StateReadFailed);
--- a/lib/Peer/PeerHub.cpp
+++ b/lib/Peer/PeerHub.cpp
@@ -13,28 +13,15 @@
 /// out alone.
 static constexpr std::size_t kBatchBytes = 64U << 10;
 
-/// How long connecting and the handshake may take.
-static constexpr Milliseconds kConnectTimeout{ 1000 };
-
 /// How long an unacknowledged message may wait before the link is silent.
 static constexpr Milliseconds kSilence{ 1500 };
 
-/// How often the accepting end acknowledges.
-static constexpr Milliseconds kAcknowledgeEvery{ 200 };
-
 /// An outgoing link without messages for this long is closed.
 static constexpr Milliseconds kIdle{ 30000 };
 
-/// An incoming link without messages for this long is closed: its other end is
-/// gone, or it would have closed it.
-static constexpr Milliseconds kIncomingIdle{ 60000 };
-
 /// Outgoing links before the least used one is closed for a new one.
 static constexpr std::size_t kOutgoingLimit = 1024;
 
-/// Pause after a failed accept, as when descriptors have run out.
-static constexpr Milliseconds kAcceptRetry{ 100 };
-
 /// After a failed connect, messages to the address are dropped this long.
 static constexpr Milliseconds kHoldOff{ 200 };
 
@@ -76,19 +63,6 @@
   bool evicted = false;
 };
 
-struct PeerHub::Incoming
-{
-  explicit Incoming(asio::io_context& aContext)
-    : read(aContext)
-  {
-  }
-
-  Signal read;
-  std::uint64_t count = 0;
-  Clock::time_point lastRead = Clock::now();
-  bool closed = false;
-};
-
 PeerHub::PeerHub(asio::io_context& aContext, const Tcp::endpoint& aAddress,
                  const ClusterKey& aKey, Metrics& aMetrics)
   : m_context(aContext)
@@ -239,125 +213,6 @@
   m_links.erase(aLink);
 }
 
-auto PeerHub::AcceptLoop() -> awaitable<void>
-{
-  for (;;) {
-    boost::system::error_code failure;
-    auto socket = co_await m_acceptor.async_accept(Into(failure));
-    if (failure == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (failure) {
-      LogWarning("peer-accept-failed", { { "why", failure.message() } });
-      co_await Sleep(kAcceptRetry);
-      continue;
-    }
-    Spawn(m_context, "peer-incoming", ServeIncoming(std::move(socket)));
-  }
-}
-
-/// Closes aLink unless aDone is set within kConnectTimeout.
-static auto GuardHandshake(std::shared_ptr<SecureLink> aLink,
-                           std::shared_ptr<bool> aDone) -> awaitable<void>
-{
-  co_await Sleep(kConnectTimeout);
-  if (!*aDone) {
-    aLink->Close();
-  }
-}
-
-auto PeerHub::ServeIncoming(Tcp::socket aSocket) -> awaitable<void>
-{
-  auto link = std::make_shared<SecureLink>(std::move(aSocket));
-  auto done = std::make_shared<bool>(false);
-  Spawn(m_context, "peer-handshake-guard", GuardHandshake(link, done));
-  std::error_code error;
-  co_await link->Handshake(m_key, false, error);
-  *done = true;
-  if (error) {
-    m_metrics.Add(Counter::PeerAuthFailed);
-    LogWarning("peer-rejected", { { "why", error.message() } });
-    co_return;
-  }
-  auto incoming = std::make_shared<Incoming>(m_context);
-  m_links.insert(link);
-  Spawn(m_context, "peer-acknowledge", AcknowledgeLoop(link, incoming));
-  co_await ReadIncoming(link, incoming, error);
-  if (error == LinkError::Malformed || error == LinkError::Oversized) {
-    m_metrics.Add(Counter::PeerFrameMalformed);
-  }
-  if (error == LinkError::Authentication) {
-    m_metrics.Add(Counter::PeerAuthFailed);
-  }
-  Count(link);
-  link->Close();
-  incoming->closed = true;
-  incoming->read.Notify();
-}
-
-auto PeerHub::ReadIncoming(std::shared_ptr<SecureLink> aLink,
-                           std::shared_ptr<Incoming> aIncoming,
-                           std::error_code& aError) -> awaitable<void>
-{
-  wire::Hello sender;
-  for (;;) {
-    const auto message = co_await aLink->Read(aError);
-    if (aError) {
-      co_return;
-    }
-    ++aIncoming->count;
-    aIncoming->lastRead = Clock::now();
-    aIncoming->read.Notify();
-    if (message.type == wire::MessageType::Hello) {
-      auto hello = wire::UnpackBody<wire::Hello>(message.body);
-      if (!hello) {
-        aError = LinkError::Malformed;
-        co_return;
-      }
-      sender = *hello;
-      continue;
-    }
-    if (sender.vm.empty()) {
-      aError = LinkError::Malformed;
-      co_return;
-    }
-    const auto handler = m_handlers.find(message.type);
-    if (handler == m_handlers.end()) {
-      // A newer version has messages that this one does not know; the others on
-      // the link are as good as before.
-      m_metrics.Add(Counter::PeerTypeUnknown);
-      continue;
-    }
-    handler->second(sender, message.body);
-  }
-}
-
-/// Acknowledges while messages come, and closes a link on which none do.
-auto PeerHub::AcknowledgeLoop(std::shared_ptr<SecureLink> aLink,
-                              std::shared_ptr<Incoming> aIncoming)
-  -> awaitable<void>
-{
-  std::uint64_t sent = 0;
-  std::error_code error;
-  while (!error && !aIncoming->closed) {
-    if (aIncoming->count == sent) {
-      const auto limit = aIncoming->lastRead + kIncomingIdle;
-      if (Clock::now() >= limit) {
-        aLink->Close();
-        co_return;
-      }
-      co_await aIncoming->read.WaitUntil(limit);
-      continue;
-    }
-    co_await Sleep(kAcknowledgeEvery);
-    sent = aIncoming->count;
-    const std::vector<Envelope> messages{
-      { wire::MessageType::Received, wire::PackBody(wire::Received{ sent }) }
-    };
-    co_await aLink->Write(messages, error);
-  }
-}
-
 auto PeerHub::Connect(const std::string& aAddress, std::error_code& aError)
   -> awaitable<std::shared_ptr<SecureLink>>
 {
--- a/lib/Peer/SecureLink.cpp
+++ b/lib/Peer/SecureLink.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <sodium.h>
 
+#include <algorithm>
+#include <cassert>
 #include <string_view>
 
 namespace bramleylock::peer {
@@ -26,6 +28,13 @@
 static constexpr std::size_t kHelloMacBytes = 16;
 static constexpr unsigned char kLinkVersion = 1;
 
+/// Stands in place of the version where the dialer has no cluster key; its
+/// question fills the rest of the greeting, the length first.
+static constexpr unsigned char kQuestionVersion = 2;
+
+/// The largest answer to it: the state of 81,000 targets is some 10 MB.
+static constexpr std::size_t kAnswerLimitBytes = 32U << 20;
+
 namespace {
 
 struct Greeting
@@ -56,6 +65,7 @@
   std::size_t taken = 0;
   std::uint64_t bytesSent = 0;
   std::uint64_t bytesReceived = 0;
+  std::string question;
 };
 
 SecureLink::SecureLink(Tcp::socket aSocket)
@@ -117,6 +127,116 @@
          sodium_memcmp(mac.data(), aTheirs.mac.data(), mac.size()) == 0;
 }
 
+static_assert(kQuestionLimitBytes + 2 == kGreetingBytes);
+
+/// The question in a greeting, or nothing when its length is not valid.
+static auto QuestionOf(const Greeting& aGreeting) -> std::string
+{
+  std::string bytes;
+  bytes.append(aGreeting.publicKey.begin(), aGreeting.publicKey.end());
+  bytes.append(aGreeting.mac.begin(), aGreeting.mac.end());
+  bytes.append(aGreeting.streamHeader.begin(), aGreeting.streamHeader.end());
+  const auto size = static_cast<unsigned char>(bytes.front());
+  return size <= kQuestionLimitBytes ? bytes.substr(1, size) : std::string();
+}
+
+auto SecureLink::TakeQuestion() -> std::string
+{
+  return std::move(m_state->question);
+}
+
+static auto LengthBytes(std::size_t aLength) -> std::string
+{
+  std::string bytes(kLengthBytes, '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    bytes[i] = static_cast<char>(aLength >> (8 * (kLengthBytes - 1 - i)));
+  }
+  return bytes;
+}
+
+auto SecureLink::AnswerQuestion(const std::string& aAnswer,
+                                std::error_code& aError) -> awaitable<void>
+{
+  if (aAnswer.size() > kAnswerLimitBytes) {
+    aError = LinkError::Oversized;
+    co_return;
+  }
+  const auto bytes = LengthBytes(aAnswer.size()) + aAnswer;
+  boost::system::error_code failure;
+  co_await asio::async_write(m_state->socket, asio::buffer(bytes),
+                             Into(failure));
+  m_state->bytesSent += bytes.size();
+  aError = failure ? make_error_code(LinkError::Lost) : std::error_code{};
+}
+
+/// Reads an answer piece by piece, so that memory is taken for bytes that came
+/// and not for those that were announced.
+static auto ReadAnswer(Tcp::socket& aSocket, std::error_code& aError)
+  -> awaitable<std::string>
+{
+  std::array<unsigned char, kLengthBytes> head{};
+  boost::system::error_code failure;
+  co_await asio::async_read(aSocket, asio::buffer(head), Into(failure));
+  std::size_t length = 0;
+  for (const auto byte : head) {
+    length = (length << 8) | byte;
+  }
+  if (failure || length > kAnswerLimitBytes) {
+    aError = failure ? LinkError::Lost : LinkError::Oversized;
+    co_return std::string();
+  }
+  std::string answer;
+  while (answer.size() < length) {
+    const auto had = answer.size();
+    answer.resize(std::min(length, had + kReadBytes));
+    co_await asio::async_read(
+      aSocket, asio::buffer(answer.data() + had, answer.size() - had),
+      Into(failure));
+    if (failure) {
+      aError = LinkError::Lost;
+      co_return std::string();
+    }
+  }
+  co_return answer;
+}
+
+auto AskWithoutKey(const std::string& aAddress, const std::string& aQuestion,
+                   Milliseconds aTimeout, std::error_code& aError)
+  -> awaitable<std::string>
+{
+  assert(aQuestion.size() <= kQuestionLimitBytes);
+  const auto endpoint = ParseTcpEndpoint(aAddress, aError);
+  if (aError) {
+    co_return std::string();
+  }
+  std::string greeting(kGreetingBytes, '\0');
+  greeting[0] = static_cast<char>(kQuestionVersion);
+  greeting[1] = static_cast<char>(aQuestion.size());
+  greeting.replace(2, aQuestion.size(), aQuestion);
+  const auto context = co_await asio::this_coro::executor;
+  Tcp::socket socket(context);
+  asio::steady_timer timer(context);
+  timer.expires_after(aTimeout);
+  timer.async_wait([&socket](const boost::system::error_code& aCancelled) {
+    if (!aCancelled) {
+      boost::system::error_code ignored;
+      socket.close(ignored);
+    }
+  });
+  boost::system::error_code failure;
+  co_await socket.async_connect(endpoint, Into(failure));
+  if (failure) {
+    aError = LinkError::Connect;
+    co_return std::string();
+  }
+  co_await asio::async_write(socket, asio::buffer(greeting), Into(failure));
+  if (failure) {
+    aError = LinkError::Lost;
+    co_return std::string();
+  }
+  co_return co_await ReadAnswer(socket, aError);
+}
+
 auto SecureLink::Handshake(const ClusterKey& aKey, bool aDialer,
                            std::error_code& aError) -> awaitable<void>
 {
@@ -132,6 +252,12 @@
   auto theirBuffers = GreetingBuffers(theirs);
   if (!aDialer) {
     co_await asio::async_read(socket, theirBuffers, Into(failure));
+    if (!failure && theirs.version == kQuestionVersion) {
+      m_state->question = QuestionOf(theirs);
+      m_state->bytesReceived += kGreetingBytes;
+      aError = LinkError::Question;
+      co_return;
+    }
     if (failure || !CheckGreeting(aKey, theirs, true, nullptr)) {
       aError = failure ? LinkError::Lost : LinkError::Authentication;
       co_return;
@@ -216,11 +342,8 @@
     return LinkError::Oversized;
   }
   const auto start = aFrames.size();
+  aFrames += LengthBytes(sealed);
   aFrames.resize(start + kLengthBytes + sealed);
-  for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    aFrames[start + i] =
-      static_cast<char>(sealed >> (8 * (kLengthBytes - 1 - i)));
-  }
   crypto_secretstream_xchacha20poly1305_push(
     &m_state->sending,
     reinterpret_cast<unsigned char*>(aFrames.data() + start + kLengthBytes),
--- a/test/forwarding-store.sh
+++ b/test/forwarding-store.sh
@@ -55,11 +55,34 @@
 expect failed "$failed"
 expect_promises
 
-# A balancer that starts while the store is away is not ready until it is back,
-# and refuses nothing meanwhile.
+# A balancer that starts while the store is away serves what a seed tells it,
+# and refuses nothing.
 ask store '{"status": 503}' >/dev/null
 stop_balancer 3 KILL
+until_field in_rotation 2
+failed=$(field failed)
 start_balancer 3
+until_field in_rotation 3
+logged 3 'event=state-borrowed .*outcome=taken'
+[ "$(counter 3 state_readings)" = "" ] || [ "$(counter 3 state_readings)" = 0 ]
+traffic 1500 100
+until_quiet
+expect failed "$failed"
+expect_promises
+
+# Back, the store's word replaces the seed's: what left meanwhile is gone.
+harm b-005 unlisted
+ask store '{}' >/dev/null
+until_logged 3 'event=target-departed from=store target=b-005'
+harm b-005 listed
+until_logged 3 'event=reader-rank'
+expect_promises
+
+# Nobody knows anything while all balancers have started and the store is away.
+ask store '{"status": 503}' >/dev/null
+for i in 1 2 3; do stop_balancer $i KILL; done
+for i in 1 2 3; do start_balancer $i; done
+sleep 1
 [ "$(http GET "$net.0.13:8167" /ready)" = '{"ready":false}' ]
 ask store '{}' >/dev/null
 until_field in_rotation 3
