--- a/include/bramleylock/Forward/StateBorrower.h
+++ b/include/bramleylock/Forward/StateBorrower.h
@@ -11,10 +11,10 @@
 
 namespace bramleylock::forward {
 
-/// The secret of the peer links stands in the store, so a balancer that has just
-/// started cannot prove itself to a peer while the store is away. It may ask for
-/// what is no secret, and trusts the answer as far as it trusts the store's: both
-/// addresses are from its settings, and neither end proves more.
+/// The secret of the peer links stands in the store, so a balancer that has
+/// just started cannot prove itself to a peer while the store is away. It may
+/// ask for what is no secret, and trusts the answer as far as it trusts the
+/// store's: both addresses are from its settings, and neither end proves more.
 class StateBorrower
 {
 public:
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -315,7 +315,8 @@
 
 /// How many balancers share those of aTargets that answer. Where all targets of
 /// another failure domain are silent and others are not, that domain is out of
-/// reach, and its balancers do not reach the others either.
+/// reach, and its balancers do not reach the others either. Before any member
+/// is found, the domains are taken to be of one size.
 auto Forwarder::Sharing(const std::vector<DirectoryEntry*>& aTargets,
                         Clock::time_point aNow) const -> std::size_t
 {
@@ -336,12 +337,14 @@
   }
   std::size_t sharing = m_balancers;
   for (const auto& [domain, answering] : answers) {
-    const auto found = m_balancersByDomain.find(domain);
-    if (answering || domain == m_options.failureDomain ||
-        found == m_balancersByDomain.end()) {
+    if (answering || domain == m_options.failureDomain) {
       continue;
     }
-    sharing -= std::min(found->second, sharing - 1);
+    const auto found = m_balancersByDomain.find(domain);
+    const auto known = found == m_balancersByDomain.end() ? 0 : found->second;
+    const auto theirs =
+      m_balancersByDomain.empty() ? m_balancers / answers.size() : known;
+    sharing -= std::min(theirs, sharing - 1);
   }
   return sharing;
 }
--- a/lib/Forward/StateBorrower.cpp
+++ b/lib/Forward/StateBorrower.cpp
@@ -10,8 +10,8 @@
 
 namespace bramleylock::forward {
 
-/// How long the store may take before peers are asked: the platform's answers in
-/// 4 ms, and in some 240 when it is at its slowest.
+/// How long the store may take before peers are asked: the platform's answers
+/// in 4 ms, and in some 240 when it is at its slowest.
 static constexpr Milliseconds kStoreFirst{ 300 };
 
 /// How long one seed may take; a machine without power does not refuse.
--- a/lib/Peer/PeerHubIncoming.cpp
+++ b/lib/Peer/PeerHubIncoming.cpp
@@ -36,7 +36,7 @@
 
 /// Closes aLink unless aDone is set within kConnectTimeout.
 auto PeerHub::GuardHandshake(std::shared_ptr<SecureLink> aLink,
-                           std::shared_ptr<bool> aDone) -> awaitable<void>
+                             std::shared_ptr<bool> aDone) -> awaitable<void>
 {
   co_await Sleep(kConnectTimeout);
   if (!*aDone) {
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -458,21 +458,27 @@
   cr_assert(test.sink.resets.empty());
 }
 
-/// Six slots in each of two failure domains, and the other one out of reach
-/// with seven of eight balancers: these do not share the targets that are left.
-Test(Forwarder, BalancersOutOfReachDoNotShareTheTargets)
+/// Six slots in each of two failure domains, and no answer from the other one.
+static auto CutDomainOff(TestForward& aTest) -> void
 {
-  TestForward test;
-  test.forwarder.SetBalancers(8, { { "here", 1 }, { "there", 7 } });
   for (const auto* id : { "a", "b", "c" }) {
-    test.targets.Apply(MakeTarget(id, 5), test.now);
+    aTest.targets.Apply(MakeTarget(id, 5), aTest.now);
   }
   for (const auto* id : { "x", "y", "z" }) {
     auto far = MakeTarget(id, 6);
     far.failureDomain = "there";
-    test.targets.Apply(far, test.now);
-    test.targets.Find(id)->evidence.silentSince = test.now;
+    aTest.targets.Apply(far, aTest.now);
+    aTest.targets.Find(id)->evidence.silentSince = aTest.now;
   }
+}
+
+/// Seven of eight balancers are out of reach: these do not share the targets
+/// that are left.
+Test(Forwarder, BalancersOutOfReachDoNotShareTheTargets)
+{
+  TestForward test;
+  test.forwarder.SetBalancers(8, { { "here", 1 }, { "there", 7 } });
+  CutDomainOff(test);
   for (std::uint16_t port = 1; port <= 6; ++port) {
     test.Send(TestForward::Opening(port));
   }
@@ -482,3 +488,19 @@
   test.Send(TestForward::Opening(7));
   cr_assert(test.forwarder.Waiting() == 1);
 }
+
+/// A balancer that started without the store knows no members.
+Test(Forwarder, DomainsOutOfReachCountBeforeMembersAreFound)
+{
+  TestForward test;
+  test.forwarder.SetBalancers(4);
+  CutDomainOff(test);
+  // Two balancers share six slots: three each, and as many as three standard
+  // deviations more.
+  for (std::uint16_t port = 1; port <= 9; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  cr_assert(test.forwarder.Waiting() == 0);
+  test.Send(TestForward::Opening(10));
+  cr_assert(test.forwarder.Waiting() == 1);
+}
--- a/unittests/Forward/StateBorrowerTest.cpp
+++ b/unittests/Forward/StateBorrowerTest.cpp
@@ -141,8 +141,8 @@
   const auto now = Clock::now();
   cr_assert(AnswerBorrower(seed.state, "", now).empty());
   cr_assert(AnswerBorrower(seed.state, "\xc1 not a request", now).empty());
-  cr_assert(!AnswerBorrower(seed.state, wire::PackBody(RoutingRequest{}), now)
-               .empty());
+  cr_assert(
+    !AnswerBorrower(seed.state, wire::PackBody(RoutingRequest{}), now).empty());
 }
 
 /// Without the secret a balancer gets this answer and nothing else: no message
