--- a/include/bramleylock/Forward/SilenceWatch.h
+++ b/include/bramleylock/Forward/SilenceWatch.h
@@ -35,6 +35,9 @@
   /// Takes a target that did not answer a request of an open flow.
   auto OnUnanswered(DirectoryEntry& aTarget) -> void;
 
+  /// This machine stood still: answers may have come and gone meanwhile.
+  auto OnPause() -> void;
+
 private:
   /// What a health check found.
   enum class Health
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -119,6 +119,16 @@
   StartProbe(aTarget);
 }
 
+/// The steady clock does not count a pause, so that a check of before it would
+/// pass for a fresh one, and flows of targets that are back would be reset.
+auto SilenceWatch::OnPause() -> void
+{
+  for (auto* target : m_targets.All()) {
+    target->evidence.unansweredChecks = 0;
+    target->evidence.repeatedRequests = 0;
+  }
+}
+
 auto SilenceWatch::StartProbe(const DirectoryEntry& aTarget) -> void
 {
   if (m_probed.insert(aTarget.tag).second) {
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -312,8 +312,11 @@
     aged = now;
     UpdateBalancers(now);
     forwarder.Expire(now);
-    if (pauses.Tick() && reader) {
-      reader->Hurry();
+    if (pauses.Tick()) {
+      silence.OnPause();
+      if (reader) {
+        reader->Hurry();
+      }
     }
   }
 }
--- a/unittests/Forward/SilenceWatchTest.cpp
+++ b/unittests/Forward/SilenceWatchTest.cpp
@@ -105,6 +105,19 @@
   cr_assert(target.test.metrics.Get(Counter::TargetProbes) == checks);
 }
 
+/// A check that got no answer before a pause says nothing after it, however
+/// short the pause was for the steady clock.
+Test(SilenceWatch, PauseEndsTheBeliefInUnansweredChecks)
+{
+  WatchedTarget target(200);
+  auto& evidence = target.Entry().evidence;
+  evidence.unansweredChecks = 3;
+  evidence.checkedAt = Clock::now();
+  cr_assert(IsUnreachable(evidence, Clock::now()));
+  target.watch.OnPause();
+  cr_assert(!IsUnreachable(evidence, Clock::now()));
+}
+
 /// A target out of reach stays silent beyond the time of one sign.
 Test(SilenceWatch, SilenceLastsWhileChecksGetNoAnswer)
 {
