--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -26,8 +26,8 @@
 /// 430 ms, and a target queues up to four for each slot.
 static constexpr Milliseconds kAnswerExpected{ 800 };
 
-/// A flow that pauses for this long is expected to ask nothing more: the pauses
-/// of the platform's clients are some second long on average.
+/// A flow that pauses for this long is expected to ask nothing more: the
+/// platform's clients pause for about a second on average.
 static constexpr Milliseconds kLongestPause{ 5000 };
 
 /// How long after its last packet a flow is forgotten, beyond the time after
--- a/lib/Forward/SilenceWatch.cpp
+++ b/lib/Forward/SilenceWatch.cpp
@@ -119,8 +119,9 @@
   StartProbe(aTarget);
 }
 
-/// The steady clock does not count a pause, so that a check of before it would
-/// pass for a fresh one, and flows of targets that are back would be reset.
+/// The steady clock does not count a pause, so that a check from before it
+/// would pass for a fresh one, and flows to targets that are back would be
+/// reset.
 auto SilenceWatch::OnPause() -> void
 {
   for (auto* target : m_targets.All()) {
