--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -289,14 +289,20 @@
   constexpr std::uint32_t kAge = 0;
   const std::vector<RouteSet> routes;
   std::vector<TargetRecord> targets{ MakeTarget("a", 20) };
-  told.Tell(wire::PackBody(std::make_tuple(
-    kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
-    std::vector<RemovedTarget>(), std::string("a later field"))));
+  told.Tell(wire::PackBody(
+    std::make_tuple(kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
+                    std::vector<RemovedTarget>(), std::uint32_t{ 6 },
+                    std::string("a later field"))));
   cr_assert(told.node.targets.Size() == 1);
-  targets.front() = MakeTarget("b", 21);
+  targets.front() = MakeTarget("c", 21);
   told.Tell(wire::PackBody(std::make_tuple(kBase, std::uint64_t{ 21 }, kVersion,
-                                           kAge, routes, targets)));
+                                           kAge, routes, targets,
+                                           std::vector<RemovedTarget>())));
   cr_assert(told.node.targets.Size() == 2);
+  targets.front() = MakeTarget("b", 22);
+  told.Tell(wire::PackBody(std::make_tuple(kBase, std::uint64_t{ 22 }, kVersion,
+                                           kAge, routes, targets)));
+  cr_assert(told.node.targets.Size() == 3);
 }
 
 /// The reader's calls hang while its links live, so nobody takes it for dead.
