Let the load model play deployments unlike the standard ones

Cause: the model knew clients 3 ms away, two slots and a queue of eight only, so it could not show where constants of the first deployments fail.

Change: distances of clients (mixed on one balancer), slots, queues, long requests, bursts, frozen balancers, slow targets and lost packets.

--- a/measure/FlowPolicies.cpp
+++ b/measure/FlowPolicies.cpp
@@ -1,7 +1,7 @@
 // Scenario "flow-policies": compares target selection policies on the load
 // model in simulated time.
 
-#include "measure/LoadModel.h"
+#include "measure/ModelLoads.h"
 #include "measure/Scenario.h"
 
 #include "bramleylock/Forward/FlowChoice.h"
@@ -113,25 +113,6 @@
 const Registration<FlowChoiceRegistry, TwoRandom> kTwoRandom("two-random");
 const Registration<FlowChoiceRegistry, RandomSubset> kSpreadChoice("spread");
 
-struct NamedLoad
-{
-  const char* name;
-  LoadOptions options;
-};
-
-/// The most demanding periods of the platform's standard day profiles.
-auto StressLoads() -> std::vector<NamedLoad>
-{
-  std::vector<NamedLoad> loads{ { "calm", {} },
-                                { "burst", {} },
-                                { "silent_targets", {} },
-                                { "loss_of_power", {} } };
-  loads[1].options.requestsPerSecond = 740;
-  loads[2].options.silentTargets = 4;
-  loads[3].options.outage = Milliseconds(1800);
-  return loads;
-}
-
 class FlowPolicies : public Scenario
 {
 public:
--- a/measure/LoadClients.cpp
+++ b/measure/LoadClients.cpp
@@ -15,6 +15,10 @@
 
 static constexpr std::uint32_t kAnswerBytes = 1000;
 
+/// When the burst begins and ends, from the start of the load.
+static constexpr Milliseconds kBurstBegin{ 3000 };
+static constexpr Milliseconds kBurstEnd{ 9000 };
+
 auto LoadModel::RandomDelay(double aMeanMs) -> std::chrono::nanoseconds
 {
   std::exponential_distribution<double> pause(1 / aMeanMs);
@@ -24,8 +28,10 @@
 auto LoadModel::SendNextRequest() -> void
 {
   if (m_now < m_start + m_options.length) {
-    ScheduleAfter(RandomDelay(1000 / m_options.requestsPerSecond),
-                  [this] { SendNextRequest(); });
+    const auto rate =
+      m_options.requestsPerSecond *
+      (IsBetween(kBurstBegin, kBurstEnd) ? m_options.burstFactor : 1);
+    ScheduleAfter(RandomDelay(1000 / rate), [this] { SendNextRequest(); });
     m_requests.push_back({ m_now });
     StartAttempt(m_requests.size() - 1);
   }
@@ -79,7 +85,7 @@
   if (request.ended || flow.open || request.port != aPort) {
     return;
   }
-  auto opening = MakeOpening(aPort, kModelService);
+  auto opening = OpeningOf(aPort);
   opening.acknowledgement = static_cast<std::uint32_t>(aCopy);
   SendToBalancer(opening);
 }
@@ -103,8 +109,8 @@
 {
   const auto& flow = m_flows[aPort];
   const auto request = flow.request;
-  auto requestPacket = MakeFollowing(MakeOpening(aPort, kModelService),
-                                     flow.tag, flow.acknowledged);
+  auto requestPacket =
+    MakeFollowing(OpeningOf(aPort), flow.tag, flow.acknowledged);
   requestPacket.sequence = flow.sequence;
   requestPacket.carriesData = true;
   SendToBalancer(requestPacket);
@@ -139,8 +145,7 @@
     EndRequest(flow.request);
   }
   flow.acknowledged += kAnswerBytes;
-  auto answer = MakeFollowing(MakeOpening(aPort, kModelService), flow.tag,
-                              flow.acknowledged);
+  auto answer = MakeFollowing(OpeningOf(aPort), flow.tag, flow.acknowledged);
   answer.sequence = flow.sequence + 1;
   answer.ends = request.user == kNoUser || aCloses;
   SendToBalancer(answer);
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -37,8 +37,9 @@
   return set;
 }
 
-static auto MakeTargetRecord(const std::string& aId, std::uint64_t aRevision,
-                             TargetState aState) -> TargetRecord
+static auto MakeTargetRecord(const std::string& aId, std::uint32_t aSlots,
+                             std::uint64_t aRevision, TargetState aState)
+  -> TargetRecord
 {
   TargetRecord record;
   record.id = aId;
@@ -47,7 +48,7 @@
   record.ip = 0x0a000000U + static_cast<unsigned char>(aId[0]);
   record.port = 80;
   record.failureDomain = "here";
-  record.slots = 2;
+  record.slots = aSlots;
   record.revision = aRevision;
   record.state = static_cast<std::uint8_t>(aState);
   return record;
@@ -81,6 +82,8 @@
                             model.OnHealthChecked(id);
                           });
     });
+    forwarder.SetSilentTargetListener(
+      [this](DirectoryEntry& aTarget) { model.OnFoundSilent(aTarget); });
     forwarder.SetBalancers(aOptions.balancers);
   }
 
@@ -96,9 +99,9 @@
 
   auto SendToClient(const Address& aClient, std::string) -> void override
   {
-    model.ScheduleAfter(kClientDelay, [&model = model, aClient] {
-      model.OnAttemptFailed(aClient.port);
-    });
+    model.ScheduleAfter(
+      model.ClientDelay(aClient.port),
+      [&model = model, aClient] { model.OnAttemptFailed(aClient.port); });
   }
 
   auto Flush() -> void override {}
@@ -129,6 +132,35 @@
 
 LoadModel::~LoadModel() = default;
 
+/// Returns the client that uses aPort. A user is always the same client.
+auto LoadModel::ClientOf(std::uint16_t aPort) const -> std::size_t
+{
+  const auto index = m_flows[aPort].request;
+  const auto user = m_requests[index].user;
+  return (user == kNoUser ? index : user) % kClients;
+}
+
+auto LoadModel::ClientDelay(std::uint16_t aPort) const
+  -> std::chrono::nanoseconds
+{
+  const std::chrono::nanoseconds spread =
+    m_options.maxClientDelay - m_options.minClientDelay;
+  return m_options.minClientDelay +
+         spread * static_cast<long>(ClientOf(aPort)) / (kClients - 1);
+}
+
+auto LoadModel::OpeningOf(std::uint16_t aPort) const -> Packet
+{
+  auto opening = MakeOpening(aPort, kModelService);
+  opening.flow.client.ip += static_cast<std::uint32_t>(ClientOf(aPort));
+  return opening;
+}
+
+auto LoadModel::IsBetween(Milliseconds aFrom, Milliseconds aTo) const -> bool
+{
+  return m_now >= m_start + aFrom && m_now < m_start + aTo;
+}
+
 auto LoadModel::StateOf(const Target& aTarget) -> TargetState
 {
   if (aTarget.gone) {
@@ -143,7 +175,8 @@
   balancer = std::make_unique<Balancer>(*this, m_options, m_random());
   for (const auto& target : m_targets) {
     balancer->targets.Apply(
-      MakeTargetRecord(target.id, m_revision, StateOf(target)), m_now);
+      MakeTargetRecord(target.id, m_options.slots, m_revision, StateOf(target)),
+      m_now);
   }
 }
 
@@ -232,8 +265,9 @@
     { std::string(1, static_cast<char>('a' + m_targets.size())) });
   ForEachBalancer([&, this](Balancer& aBalancer) {
     for (const auto& target : { m_targets.back(), old }) {
-      aBalancer.targets.Apply(
-        MakeTargetRecord(target.id, m_revision, StateOf(target)), m_now);
+      aBalancer.targets.Apply(MakeTargetRecord(target.id, m_options.slots,
+                                               m_revision, StateOf(target)),
+                              m_now);
     }
   });
   ScheduleAfter(kDrainDuration, [this, &old] {
@@ -250,7 +284,7 @@
 /// Returns the balancer that receives the packets of a flow. The platform
 /// hashes over the balancers in rotation, or over all of them while fewer than
 /// half are in rotation.
-auto LoadModel::SelectBalancer(const FlowId& aFlow) -> Balancer*
+auto LoadModel::SelectBalancer(const FlowId& aFlow) const -> std::size_t
 {
   std::vector<std::size_t> inRotation;
   for (std::size_t i = 0; i < m_options.balancers; ++i) {
@@ -260,24 +294,43 @@
   }
   const auto hash = FlowIdHash{}(aFlow);
   return 2 * inRotation.size() < m_options.balancers
-           ? m_balancers[hash % m_balancers.size()].get()
-           : m_balancers[inRotation[hash % inRotation.size()]].get();
+           ? hash % m_balancers.size()
+           : inRotation[hash % inRotation.size()];
 }
 
-auto LoadModel::Run() -> LoadResult
+/// Processes the packets that waited for balancers that did not run.
+auto LoadModel::Thaw() -> void
 {
-  ScheduleAfter({}, [this] { SendNextRequest(); });
-  for (std::size_t user = 0; user < m_options.users; ++user) {
-    const auto beginSpread = static_cast<std::uint64_t>(
-      std::max<long>(1, m_options.usersStartPeriod.count()));
-    ScheduleAfter(Milliseconds(m_random() % beginSpread),
-                  [this, user] { SendNextUserRequest(user); });
+  m_frozen = 0;
+  for (; !m_packetsOfFrozen.empty(); m_packetsOfFrozen.pop_front()) {
+    const auto& packet = m_packetsOfFrozen.front();
+    if (auto* balancer = m_balancers[SelectBalancer(packet.flow)].get()) {
+      ProcessPacket(*balancer, packet);
+    }
   }
-  ScheduleAfter({}, [this] { Tick(); });
+}
+
+auto LoadModel::ScheduleFaults() -> void
+{
   ScheduleAfter(Milliseconds(4000), [this] {
     for (std::size_t i = 0; i < m_options.silentTargets; ++i) {
       m_targets[i].silent = true;
     }
+    for (std::size_t i = 0; i < m_options.slowTargets; ++i) {
+      m_targets[i].slow = true;
+    }
+    m_frozen = m_options.frozenBalancers;
+  });
+  ScheduleAfter(Milliseconds(6000), [this] {
+    for (auto& target : m_targets) {
+      target.silent = false;
+    }
+  });
+  ScheduleAfter(Milliseconds(7000), [this] { Thaw(); });
+  ScheduleAfter(Milliseconds(8000), [this] {
+    for (auto& target : m_targets) {
+      target.slow = false;
+    }
   });
   if (m_options.outage.count() > 0) {
     ScheduleAfter(Milliseconds(3000), [this] { StartOutage(); });
@@ -287,11 +340,19 @@
   }
   ScheduleAfter(Milliseconds(3000),
                 [this] { ReplaceTargets(m_options.replacedTargets); });
-  ScheduleAfter(Milliseconds(6000), [this] {
-    for (auto& target : m_targets) {
-      target.silent = false;
-    }
-  });
+}
+
+auto LoadModel::Run() -> LoadResult
+{
+  ScheduleAfter({}, [this] { SendNextRequest(); });
+  for (std::size_t user = 0; user < m_options.users; ++user) {
+    const auto beginSpread = static_cast<std::uint64_t>(
+      std::max<long>(1, m_options.usersStartPeriod.count()));
+    ScheduleAfter(Milliseconds(m_random() % beginSpread),
+                  [this, user] { SendNextUserRequest(user); });
+  }
+  ScheduleAfter({}, [this] { Tick(); });
+  ScheduleFaults();
   const auto end = m_start + m_options.length + m_options.deadline;
   while (!m_events.empty() && m_events.top().at < end) {
     const auto event = m_events.top();
@@ -312,19 +373,30 @@
 /// Delivers a client's packet to the balancer that receives its flow.
 auto LoadModel::SendToBalancer(Packet aPacket) -> void
 {
-  ScheduleAfter(kClientDelay, [this, aPacket] {
-    auto* balancer = SelectBalancer(aPacket.flow);
-    if (balancer == nullptr) {
-      return;
-    }
-    auto data = PlainCodec::Bytes(aPacket);
-    balancer->forwarder.OnDatagram(data.data(), data.size(), m_now);
-    if (m_options.resendsUnanswered) {
-      balancer->forwarder.ResendUnanswered(m_now);
+  if (m_options.lossShare > 0 &&
+      std::bernoulli_distribution(m_options.lossShare)(m_random)) {
+    return;
+  }
+  ScheduleAfter(ClientDelay(aPacket.flow.client.port), [this, aPacket] {
+    const auto index = SelectBalancer(aPacket.flow);
+    if (index < m_frozen) {
+      m_packetsOfFrozen.push_back(aPacket);
+    } else if (m_balancers[index]) {
+      ProcessPacket(*m_balancers[index], aPacket);
     }
   });
 }
 
+auto LoadModel::ProcessPacket(Balancer& aBalancer, const Packet& aPacket)
+  -> void
+{
+  auto data = PlainCodec::Bytes(aPacket);
+  aBalancer.forwarder.OnDatagram(data.data(), data.size(), m_now);
+  if (m_options.resendsUnanswered) {
+    aBalancer.forwarder.ResendUnanswered(m_now);
+  }
+}
+
 auto LoadModel::DeliverToTarget(const std::string& aId, const Packet& aPacket)
   -> void
 {
@@ -335,26 +407,55 @@
   const auto port = aPacket.flow.client.port;
   auto& flow = m_flows[port];
   if (aPacket.opens) {
-    ScheduleAfter(kClientDelay, [=, this] { OnOpened(port, aPacket.tag); });
+    ScheduleAfter(ClientDelay(port),
+                  [=, this] { OnOpened(port, aPacket.tag); });
   } else if (aPacket.carriesData && aPacket.sequence > flow.received) {
     flow.received = aPacket.sequence;
     Execute(target, port);
   }
 }
 
+auto LoadModel::WorkTime(const Target& aTarget) -> std::chrono::nanoseconds
+{
+  std::gamma_distribution<double> work(4, m_options.meanWorkMs / 4);
+  auto workMs = work(m_random) * (aTarget.slow ? m_options.slowFactor : 1);
+  if (m_options.longRequestShare > 0 &&
+      std::bernoulli_distribution(m_options.longRequestShare)(m_random)) {
+    workMs *= m_options.longRequestFactor;
+  }
+  return std::chrono::nanoseconds(static_cast<long>(workMs * 1e6));
+}
+
+/// Counts wrong verdicts. The health check that follows a verdict finds a
+/// responding target at once.
+auto LoadModel::OnFoundSilent(const DirectoryEntry& aTarget) -> void
+{
+  const auto& id = aTarget.record.id;
+  const auto& target = m_targets[static_cast<std::size_t>(id[0] - 'a')];
+  if (target.silent || target.gone) {
+    return;
+  }
+  ++m_result.falseSilences;
+  ScheduleAfter(Milliseconds(5), [this, id] {
+    ForEachBalancer([&id](Balancer& aBalancer) {
+      if (auto* entry = aBalancer.targets.Find(id)) {
+        entry->stats.silentSince = {};
+      }
+    });
+  });
+}
+
 auto LoadModel::Execute(Target& aTarget, std::uint16_t aPort) -> void
 {
-  if (aTarget.executing < kSlots) {
+  if (aTarget.executing < m_options.slots) {
     ++aTarget.executing;
-    std::gamma_distribution<double> work(4, m_options.meanWorkMs / 4);
-    ScheduleAfter(
-      std::chrono::nanoseconds(static_cast<long>(work(m_random) * 1e6)),
-      [this, &aTarget, aPort] { OnExecuted(aTarget, aPort); });
-  } else if (aTarget.queue.size() < kQueueCapacity) {
+    ScheduleAfter(WorkTime(aTarget),
+                  [this, &aTarget, aPort] { OnExecuted(aTarget, aPort); });
+  } else if (aTarget.queue.size() < m_options.queueCapacity) {
     aTarget.queue.push_back(aPort);
   } else {
     ++m_result.shed;
-    ScheduleAfter(kClientDelay, [=, this] { OnAttemptFailed(aPort); });
+    ScheduleAfter(ClientDelay(aPort), [=, this] { OnAttemptFailed(aPort); });
   }
 }
 
@@ -367,7 +468,7 @@
     Execute(aTarget, next);
   }
   if (!aTarget.silent) {
-    ScheduleAfter(kClientDelay,
+    ScheduleAfter(ClientDelay(aPort),
                   [this, id = aTarget.id, aPort, closes = aTarget.draining] {
                     OnAnswered(aPort, id, closes);
                   });
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -33,6 +33,27 @@
   Milliseconds onTimeLimit{ 150 };
   Milliseconds deadline{ 1500 };
   Milliseconds length{ 10000 };
+  /// One-way delay to the nearest and to the farthest client; the delays of the
+  /// others are spread evenly between them.
+  Milliseconds minClientDelay{ 3 };
+  Milliseconds maxClientDelay{ 3 };
+  /// Requests that a target executes concurrently, and that it queues.
+  std::uint32_t slots = 2;
+  std::size_t queueCapacity = 8;
+  /// Fraction of the requests that take longRequestFactor times as long.
+  double longRequestShare = 0;
+  double longRequestFactor = 1;
+  /// From 3 s to 9 s after the start, requestsPerSecond is multiplied by this.
+  double burstFactor = 1;
+  /// Balancers that do not run between 4 s and 7 s after the start. Their
+  /// packets wait and are processed at the end.
+  std::size_t frozenBalancers = 0;
+  /// Targets that take slowFactor times as long from 4 s to 8 s after the
+  /// start.
+  std::size_t slowTargets = 0;
+  double slowFactor = 1;
+  /// Fraction of the packets of clients that are lost.
+  double lossShare = 0;
   /// Users with one persistent flow each, who pause between their requests.
   /// Their requests are in addition to requestsPerSecond, which use a flow per
   /// request.
@@ -71,6 +92,8 @@
   std::size_t failed = 0;
   /// Times that a target refused a request because its queue was full.
   std::size_t shed = 0;
+  /// Times that a balancer took a responding target for silent.
+  std::size_t falseSilences = 0;
   /// Answers by target.
   std::map<std::string, std::size_t> answersByTarget{};
   /// For each request, when it was sent, from the start of the load, and
@@ -110,11 +133,9 @@
   auto Run() -> LoadResult;
 
 private:
-  static constexpr Milliseconds kClientDelay{ 3 };
+  static constexpr std::size_t kClients = 32;
   static constexpr Milliseconds kMembershipDelay{ 2000 };
   static constexpr Milliseconds kMemberCountInterval{ 250 };
-  static constexpr std::size_t kSlots = 2;
-  static constexpr std::size_t kQueueCapacity = 8;
   static constexpr int kRetries = 2;
 
   static constexpr std::size_t kNoUser = ~std::size_t{ 0 };
@@ -147,6 +168,7 @@
   {
     std::string id;
     bool silent = false;
+    bool slow = false;
     bool draining = false;
     bool gone = false;
     /// Requests in execution.
@@ -170,14 +192,23 @@
   {
     m_events.push({ m_now + aDelay, m_order++, std::move(aRun) });
   }
+  auto ClientOf(std::uint16_t aPort) const -> std::size_t;
+  auto ClientDelay(std::uint16_t aPort) const -> std::chrono::nanoseconds;
+  auto OpeningOf(std::uint16_t aPort) const -> Packet;
   auto StartBalancer(std::size_t aIndex) -> void;
+  auto ScheduleFaults() -> void;
+  auto Thaw() -> void;
+  auto IsBetween(Milliseconds aFrom, Milliseconds aTo) const -> bool;
+  auto WorkTime(const Target& aTarget) -> std::chrono::nanoseconds;
+  auto ProcessPacket(Balancer& aBalancer, const Packet& aPacket) -> void;
   auto StartOutage() -> void;
   auto SetAssumedBalancers(std::size_t aIndex, Milliseconds aSinceStart)
     -> void;
   static auto StateOf(const Target& aTarget) -> TargetState;
-  auto SelectBalancer(const FlowId& aFlow) -> Balancer*;
+  auto SelectBalancer(const FlowId& aFlow) const -> std::size_t;
   auto RestartSequentially() -> void;
   auto ReplaceTargets(std::size_t aRemaining) -> void;
+  auto OnFoundSilent(const DirectoryEntry& aTarget) -> void;
   auto OnHealthChecked(const std::string& aId) -> void;
   auto ForEachBalancer(const std::function<void(Balancer&)>& aAction) -> void;
   auto SendToBalancer(Packet aPacket) -> void;
@@ -208,6 +239,10 @@
   /// Null while the balancer is down.
   std::vector<std::unique_ptr<Balancer>> m_balancers;
   std::vector<bool> m_inRotation;
+  /// The first balancers, as many as are frozen, and the packets that wait for
+  /// them.
+  std::size_t m_frozen = 0;
+  std::deque<Packet> m_packetsOfFrozen;
   /// A deque, because references must stay valid when targets are added.
   std::deque<Target> m_targets;
   std::uint64_t m_revision = 5;
