Keep the old token key until all balancers sign with the new one

Cause: a balancer removed the old key a fixed time after its own switch.

Change: heartbeats and domain summaries carry the key with which a balancer signs. The overlap runs from when all reachable balancers sign with the new key, and a balancer that gets the key late signs with it at once when a peer does.

Tests without timing luck: OldKeyStaysWhileAPeerSignsWithIt and BalancerThatReceivesTheKeyLateSignsWithItAtOnce.

--- a/include/bramleylock/Kernel/TokenKeyManager.h
+++ b/include/bramleylock/Kernel/TokenKeyManager.h
@@ -28,14 +28,15 @@
 /// while this balancer does not read the store or the store is down. Two keys
 /// overlap: a new key signs only when every reachable failure domain reports
 /// that all its balancers have it, and the old key is removed when no flow can
-/// still need it.
+/// still need it: aOverlap after the last of them was seen to sign with it.
 class TokenKeyManager
 {
 public:
   /// Minimum time between installing a new key and signing with it.
   static constexpr Milliseconds kSettlingTime{ 6000 };
 
-  /// aOverlap is how long the old key is kept after the new one starts to sign.
+  /// aOverlap is how long the old key is kept after all reachable balancers
+  /// sign with the new one.
   TokenKeyManager(asio::io_context& aContext, lists::PlatformStore& aStore,
                   wire::KeyRing& aKeys, peer::PeerLinks& aLinks,
                   peer::Membership& aMembers, Metrics& aMetrics,
@@ -70,6 +71,7 @@
   auto RotationLoop() -> awaitable<void>;
   auto SwitchSigningKey() -> void;
   auto ExpireOldKeys() -> void;
+  auto AnyPeerSignsWith(std::uint32_t aKey) const -> bool;
   auto InstallKey(std::uint32_t aId, const std::string& aHexKey) -> void;
   auto InstallKeys(const std::string& aDocument) -> void;
   auto SendKeys(const std::string& aAddress) -> void;
@@ -84,7 +86,9 @@
   Milliseconds m_settlingTime;
   Clock::time_point m_startedAt{};
   Clock::time_point m_newestInstalledAt{};
-  Clock::time_point m_signingSwitchedAt{};
+  /// Since when all reachable balancers sign with the newest key; the epoch
+  /// while some do not.
+  Clock::time_point m_allSignSince{};
   /// Keys with lower ids have expired and are not installed again.
   std::uint32_t m_expiredBelow = 0;
   std::function<bool()> m_mayReadStore;
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -84,6 +84,10 @@
   /// computed from the members' heartbeats, the others come from the summaries.
   auto LowestKeyIdByDomain() const -> std::map<std::string, std::uint32_t>;
 
+  /// The same for the token keys with which the balancers sign.
+  auto LowestSigningKeyIdByDomain() const
+    -> std::map<std::string, std::uint32_t>;
+
   auto AllMembers() const -> std::vector<Member>;
 
   auto Self() const -> const wire::Hello&;
@@ -105,6 +109,11 @@
   auto Leave() -> void;
 
 private:
+  /// The fields of a heartbeat and of a domain's summary that hold the id of a
+  /// token key.
+  using KeyIdField = std::uint32_t wire::Heartbeat::*;
+  using KeyIdSummaryField = std::uint32_t wire::DomainSummary::*;
+
   struct PendingProbe;
   struct ConnectFailures
   {
@@ -150,7 +159,9 @@
   auto ExpireDomains() -> void;
   auto UpdateOwnSummary() -> void;
   auto MakeSummary() -> wire::DomainSummary;
-  auto LowestKeyIdInOwnDomain() const -> std::uint32_t;
+  auto LowestInOwnDomain(KeyIdField aField) const -> std::uint32_t;
+  auto LowestByDomain(KeyIdField aField, KeyIdSummaryField aSummaryField) const
+    -> std::map<std::string, std::uint32_t>;
   auto DemoteMembersOf(const std::vector<std::string>& aDomains) -> void;
   auto DropStaleData() -> void;
   auto NextMemberToProbe() -> std::string;
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -120,8 +120,11 @@
   /// Number of running and waiting requests by service. Services without any
   /// are omitted.
   std::vector<std::pair<std::string, std::uint32_t>> demand;
+  /// Id of the token key with which the sender signs; 0 if it has none.
+  std::uint32_t signingKeyId = 0;
   MSGPACK_DEFINE_ARRAY(listsRevision, newestKeyId, draining, inFlight,
-                       requestRates, drainingTargets, listsDigest, demand)
+                       requestRates, drainingTargets, listsDigest, demand,
+                       signingKeyId)
 };
 
 /// The state of a balancer as reported by another one or by itself.
@@ -155,8 +158,10 @@
   std::vector<MemberRecord> members;
   /// The lowest id among the newest token keys of the live balancers.
   std::uint32_t lowestKeyId = 0;
+  /// The lowest id among the keys with which the live balancers sign.
+  std::uint32_t lowestSigningKeyId = 0;
   MSGPACK_DEFINE_ARRAY(failureDomain, version, contentsHash, aliveCount,
-                       members, lowestKeyId)
+                       members, lowestKeyId, lowestSigningKeyId)
 };
 
 /// The body of heartbeats; also part of probes and their answers.
--- a/lib/Kernel/Balancer.cpp
+++ b/lib/Kernel/Balancer.cpp
@@ -175,6 +175,7 @@
   aHeartbeat.listsRevision = lists.Revision();
   aHeartbeat.listsDigest = lists.Digest();
   aHeartbeat.newestKeyId = tokenKeyManager->NewestKey();
+  aHeartbeat.signingKeyId = tokenKeyManager->SigningKey();
   aHeartbeat.draining = draining;
   capacityAllocator->FillHeartbeat(aHeartbeat);
   for (const auto& [address, target] : targets->All()) {
--- a/lib/Kernel/TokenKeyManager.cpp
+++ b/lib/Kernel/TokenKeyManager.cpp
@@ -208,26 +208,43 @@
   }
 }
 
+/// Returns whether every domain of aLowestKeys reports aKey or a newer one.
+static auto AllReached(const std::map<std::string, std::uint32_t>& aLowestKeys,
+                       std::uint32_t aKey) -> bool
+{
+  return std::all_of(
+    aLowestKeys.begin(), aLowestKeys.end(),
+    [aKey](const auto& aDomain) { return aDomain.second >= aKey; });
+}
+
+auto TokenKeyManager::AnyPeerSignsWith(std::uint32_t aKey) const -> bool
+{
+  const auto alive = m_members.AliveMembers();
+  return std::any_of(alive.begin(), alive.end(), [aKey](const auto& aMember) {
+    return aMember.latestHeartbeat.signingKeyId >= aKey;
+  });
+}
+
+/// A balancer that received the newest key later than others, for example after
+/// it was unreachable, does not wait again: the others already sign with that
+/// key and will remove the old one.
 auto TokenKeyManager::SwitchSigningKey() -> void
 {
   const auto newest = NewestKey();
   if (newest == SigningKey() ||
-      Clock::now() - m_newestInstalledAt < m_settlingTime) {
+      (Clock::now() - m_newestInstalledAt < m_settlingTime &&
+       !AnyPeerSignsWith(newest))) {
     return;
   }
   // Unreachable failure domains do not delay the switch: it is unknown when
   // they will be reachable again, and their balancers receive the key after the
   // first heartbeat from then on. Until then they drop packets whose token is
   // signed with a key they do not have, and the callers resend.
-  const auto lowestKeys = m_members.LowestKeyIdByDomain();
-  const bool isDistributed = std::all_of(
-    lowestKeys.begin(), lowestKeys.end(),
-    [newest](const auto& aDomain) { return aDomain.second >= newest; });
-  if (!isDistributed) {
+  if (!AllReached(m_members.LowestKeyIdByDomain(), newest)) {
     return;
   }
   m_keys.SelectSigningKey(newest);
-  m_signingSwitchedAt = Clock::now();
+  m_allSignSince = {};
   m_metrics.Add(Counter::KeysRotated);
   LogInfo("token-key-signs", { { "id", std::to_string(newest) } });
 }
@@ -235,8 +252,19 @@
 auto TokenKeyManager::ExpireOldKeys() -> void
 {
   const auto signing = SigningKey();
-  if (m_keys.Keys().size() < kMaxStoredKeys || signing != NewestKey() ||
-      Clock::now() - m_signingSwitchedAt < m_overlap) {
+  if (m_keys.Keys().size() < kMaxStoredKeys || signing != NewestKey()) {
+    return;
+  }
+  if (!AllReached(m_members.LowestSigningKeyIdByDomain(), signing)) {
+    // Another balancer still issues tokens that are signed with the old key.
+    m_allSignSince = {};
+    return;
+  }
+  const auto now = Clock::now();
+  if (m_allSignSince == Clock::time_point{}) {
+    m_allSignSince = now;
+  }
+  if (now - m_allSignSince < m_overlap) {
     return;
   }
   m_expiredBelow = signing;
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -84,33 +84,48 @@
   return count;
 }
 
-auto Membership::LowestKeyIdInOwnDomain() const -> std::uint32_t
+auto Membership::LowestInOwnDomain(KeyIdField aField) const -> std::uint32_t
 {
   wire::Heartbeat own;
   m_fillHeartbeat(own);
-  auto lowest = own.newestKeyId;
+  auto lowest = own.*aField;
   for (const auto& [address, member] : m_table.Members()) {
     if (IsReachable(member.state) &&
         member.failureDomain == Self().failureDomain) {
-      lowest = std::min(lowest, member.latestHeartbeat.newestKeyId);
+      lowest = std::min(lowest, member.latestHeartbeat.*aField);
     }
   }
   return lowest;
 }
 
-auto Membership::LowestKeyIdByDomain() const
+auto Membership::LowestByDomain(KeyIdField aField,
+                                KeyIdSummaryField aSummaryField) const
   -> std::map<std::string, std::uint32_t>
 {
   std::map<std::string, std::uint32_t> lowest;
-  lowest[Self().failureDomain] = LowestKeyIdInOwnDomain();
+  lowest[Self().failureDomain] = LowestInOwnDomain(aField);
   for (const auto& [domain, view] : m_domains.Views()) {
     if (domain != Self().failureDomain && !view.lost) {
-      lowest[domain] = view.summary.lowestKeyId;
+      lowest[domain] = view.summary.*aSummaryField;
     }
   }
   return lowest;
 }
 
+auto Membership::LowestKeyIdByDomain() const
+  -> std::map<std::string, std::uint32_t>
+{
+  return LowestByDomain(&wire::Heartbeat::newestKeyId,
+                        &wire::DomainSummary::lowestKeyId);
+}
+
+auto Membership::LowestSigningKeyIdByDomain() const
+  -> std::map<std::string, std::uint32_t>
+{
+  return LowestByDomain(&wire::Heartbeat::signingKeyId,
+                        &wire::DomainSummary::lowestSigningKeyId);
+}
+
 auto Membership::LostDomains() const -> std::vector<std::string>
 {
   std::vector<std::string> lost;
@@ -249,7 +264,9 @@
   const auto* last = m_domains.Find(Self().failureDomain);
   summary.version = last == nullptr ? 1 : last->summary.version + 1;
   summary.aliveCount = static_cast<std::uint32_t>(m_rankedAddresses.size());
-  summary.lowestKeyId = LowestKeyIdInOwnDomain();
+  summary.lowestKeyId = LowestInOwnDomain(&wire::Heartbeat::newestKeyId);
+  summary.lowestSigningKeyId =
+    LowestInOwnDomain(&wire::Heartbeat::signingKeyId);
   for (const auto& address : m_rankedAddresses) {
     if (summary.members.size() == DomainTable::kMaxSummaryMembers) {
       break;
@@ -264,9 +281,9 @@
     }
     summary.members.push_back(std::move(record));
   }
-  summary.contentsHash = std::hash<std::string>{}(
-    fmt::format("{}/{}/{}", wire::PackBody(summary.members), summary.aliveCount,
-                summary.lowestKeyId));
+  summary.contentsHash = std::hash<std::string>{}(fmt::format(
+    "{}/{}/{}/{}", wire::PackBody(summary.members), summary.aliveCount,
+    summary.lowestKeyId, summary.lowestSigningKeyId));
   return summary;
 }
 
--- a/unittests/Kernel/TokenKeyManagerTest.cpp
+++ b/unittests/Kernel/TokenKeyManagerTest.cpp
@@ -21,6 +21,9 @@
 /// Longer than a write to the store takes.
 static constexpr Milliseconds kStoreWriteTime{ 200 };
 
+/// Longer than the interval at which the key manager checks the keys.
+static constexpr Milliseconds kKeyCheckTime{ 1200 };
+
 static auto TwoKeys() -> std::string
 {
   const nlohmann::json keys{
@@ -43,6 +46,7 @@
     members =
       &network.Add("a", "north", 1, [this](wire::Heartbeat& aHeartbeat) {
         aHeartbeat.newestKeyId = keyRing.NewestKeyId();
+        aHeartbeat.signingKeyId = keyRing.SigningKeyId();
       });
   }
 
@@ -55,11 +59,23 @@
     });
   }
 
-  auto RunKeyManager(Milliseconds aTime) -> void
+  /// Adds a peer that has key 2 and signs with aSigning.
+  auto AddSigningPeer(const std::string& aName, const std::string& aDomain,
+                      const std::uint32_t& aSigning) -> void
+  {
+    network.Add(aName, aDomain, 1, [&aSigning](wire::Heartbeat& aHeartbeat) {
+      aHeartbeat.newestKeyId = 2;
+      aHeartbeat.signingKeyId = aSigning;
+    });
+  }
+
+  auto RunKeyManager(Milliseconds aTime,
+                     std::chrono::seconds aOverlap = kOverlap,
+                     Milliseconds aSettlingTime = kNoSettlingTime) -> void
   {
     keyManager = std::make_unique<TokenKeyManager>(
       network.context, store, keyRing, *network.links["a:1"], *members,
-      network.metrics, kOverlap, kNoSettlingTime);
+      network.metrics, aOverlap, aSettlingTime);
     keyManager->Start();
     network.RunFor(aTime);
   }
@@ -145,3 +161,36 @@
   cr_assert_eq(fixture.keyManager->NewestKey(), 1);
   cr_assert_eq(fixture.store.writtenValues.size(), 1);
 }
+
+/// A peer that received the new key late still issues tokens that are signed
+/// with the old one. Their flows must not break.
+Test(TokenKeyManager, OldKeyStaysWhileAPeerSignsWithIt)
+{
+  for (const std::string domain : { "north", "south" }) {
+    Fixture fixture;
+    fixture.store.stored = { TwoKeys(), 1 };
+    std::uint32_t peersKey = 1;
+    fixture.AddSelf();
+    fixture.AddSigningPeer("b", domain, peersKey);
+    fixture.network.RunFor(kSummaryExchangeTime);
+    fixture.RunKeyManager(kSummaryExchangeTime, std::chrono::seconds(0));
+    cr_assert_eq(fixture.keyManager->SigningKey(), 2);
+    cr_assert(fixture.keyRing.Keys().contains(1), "%s", domain.c_str());
+    peersKey = 2;
+    fixture.network.RunFor(kSummaryExchangeTime);
+    cr_assert(!fixture.keyRing.Keys().contains(1), "%s", domain.c_str());
+  }
+}
+
+/// The peers already sign with the new key and will remove the old one.
+Test(TokenKeyManager, BalancerThatReceivesTheKeyLateSignsWithItAtOnce)
+{
+  Fixture fixture;
+  fixture.store.stored = { TwoKeys(), 1 };
+  const std::uint32_t peersKey = 2;
+  fixture.AddSelf();
+  fixture.AddSigningPeer("b", "north", peersKey);
+  fixture.network.RunFor(kSummaryExchangeTime);
+  fixture.RunKeyManager(kKeyCheckTime, kOverlap, std::chrono::hours(1));
+  cr_assert_eq(fixture.keyManager->SigningKey(), 2);
+}
