--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -67,6 +67,11 @@
   /// balancer stops waiting for the response.
   bool lastRequestUnanswered = true;
   bool ended = false;
+  /// Whether the first packet was sent more than once, so that it is unknown
+  /// which copy the client's reaction belongs to.
+  bool repeated = false;
+  /// When the first packet was sent to any target for the first time.
+  Clock::time_point firstSentAt{};
   /// The first packet of the flow; cleared once a target has responded to it.
   std::string firstPacket;
 };
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -1,13 +1,13 @@
 // Processes the packets of clients and forwards them to targets.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "bramleylock/Estimate/RoundTripTable.h"
 #include "bramleylock/Forward/FlowChoice.h"
 #include "bramleylock/Forward/FlowTable.h"
 #include "bramleylock/Forward/PendingFlowQueue.h"
@@ -85,6 +85,7 @@
                     std::map<std::string, std::size_t> aByDomain = {}) -> void;
 
   auto Flows() const -> const FlowTable&;
+  auto RoundTrips() const -> const estimate::RoundTripTable&;
   auto PendingFlowCount() const -> std::size_t;
 
 private:
@@ -102,6 +103,13 @@
     bool resent = false;
   };
 
+  auto ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
+                    Clock::time_point aNow) -> void;
+  auto AwaitFirstResponse(const FlowId& aFlow, bool aResent,
+                          Clock::time_point aNow) -> void;
+  auto RecordRoundTrip(const TrackedFlow& aFlow, Clock::time_point aNow)
+    -> void;
+
   auto OnFirstPacket(const Packet& aPacket, char* aData, std::size_t aSize,
                      Clock::time_point aNow) -> void;
   auto OnOpenFlowPacket(const Packet& aPacket, char* aData, std::size_t aSize,
@@ -167,8 +175,11 @@
   std::map<std::string, PendingFlowQueue> m_pendingFlows;
   std::size_t m_balancers = 1;
   std::map<std::string, std::size_t> m_balancersByDomain;
-  /// Flows whose first packet was sent to a target, the oldest first.
-  std::deque<UnansweredFirstPacket> m_unansweredFirstPackets;
+  estimate::RoundTripTable m_roundTrips;
+  /// First packets that were sent to a target, by the time at which a response
+  /// is overdue.
+  std::multimap<Clock::time_point, UnansweredFirstPacket>
+    m_unansweredFirstPackets;
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
--- /dev/null
+++ b/lib/Estimate/RoundTripTable.cpp
@@ -0,0 +1,96 @@
+// Keeps the clients in the order of their last sample.
+
+#include "bramleylock/Estimate/RoundTripTable.h"
+
+#include <algorithm>
+
+namespace bramleylock::estimate {
+
+/// Minimum time between two samples of a client for the typical round trip.
+static constexpr std::chrono::seconds kContributionInterval{ 1 };
+
+/// Number of mean deviations after which a reaction is overdue, as in RFC 6298.
+static constexpr double kTimeoutDeviations = 4;
+
+/// Timeout before the first sample: the time after which clients themselves
+/// repeat a packet.
+static constexpr Milliseconds kInitialTimeout{ 200 };
+
+/// Lower limit of the timeout. Balancers on slow machines lose the processor
+/// for tens of milliseconds.
+static constexpr Milliseconds kMinTimeout{ 60 };
+
+/// Upper limit of samples and timeouts. Longer round trips are due to
+/// retransmissions or to clients that respond late.
+static constexpr Milliseconds kMaxTimeout{ 1000 };
+
+auto RoundTripTable::Remove(std::list<Client>::iterator aPosition) -> void
+{
+  m_byAddress.erase(aPosition->address);
+  m_clients.erase(aPosition);
+}
+
+auto RoundTripTable::Record(std::uint32_t aClient, Duration aSample,
+                            Clock::time_point aNow) -> void
+{
+  const auto sample = std::min<Duration>(aSample, kMaxTimeout);
+  const auto found = m_byAddress.find(aClient);
+  if (found != m_byAddress.end()) {
+    m_clients.splice(m_clients.end(), m_clients, found->second);
+  } else {
+    if (m_clients.size() >= kMaxClients) {
+      Remove(m_clients.begin());
+    }
+    m_clients.push_back({ aClient });
+    m_byAddress[aClient] = std::prev(m_clients.end());
+  }
+  auto& client = m_clients.back();
+  client.estimate.Record(sample);
+  client.recordedAt = aNow;
+  if (client.contributedAt == Clock::time_point{} ||
+      aNow - client.contributedAt >= kContributionInterval) {
+    client.contributedAt = aNow;
+    m_typical.Record(sample);
+  }
+}
+
+auto RoundTripTable::EstimateFor(std::uint32_t aClient) const
+  -> const TimeEstimate&
+{
+  const auto found = m_byAddress.find(aClient);
+  return found == m_byAddress.end() ? m_typical : found->second->estimate;
+}
+
+auto RoundTripTable::Mean(std::uint32_t aClient) const -> Duration
+{
+  return EstimateFor(aClient).Mean();
+}
+
+auto RoundTripTable::Timeout(std::uint32_t aClient) const -> Duration
+{
+  const auto& estimate = EstimateFor(aClient);
+  if (!estimate.HasSamples()) {
+    return kInitialTimeout;
+  }
+  return std::clamp<Duration>(estimate.UpperBound(kTimeoutDeviations),
+                              kMinTimeout, kMaxTimeout);
+}
+
+auto RoundTripTable::Contains(std::uint32_t aClient) const -> bool
+{
+  return m_byAddress.contains(aClient);
+}
+
+auto RoundTripTable::RemoveUnusedSince(Clock::time_point aLimit) -> void
+{
+  while (!m_clients.empty() && m_clients.front().recordedAt < aLimit) {
+    Remove(m_clients.begin());
+  }
+}
+
+auto RoundTripTable::Size() const -> std::size_t
+{
+  return m_clients.size();
+}
+
+} // namespace bramleylock::estimate
--- a/lib/Forward/FlowTable.cpp
+++ b/lib/Forward/FlowTable.cpp
@@ -48,6 +48,7 @@
   position->target = &aTarget;
   position->route = &route;
   position->openedAt = aNow;
+  position->firstSentAt = aNow;
   position->lastPacketAt = aNow;
   position->phaseSince = aNow;
   m_byId[aFlow] = position;
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -19,11 +19,6 @@
 /// of three others.
 static constexpr std::size_t kMaxTrackedFlows = 32768;
 
-/// Time after which a first packet counts as unanswered. The client's reaction
-/// to a target's first packet arrives within two round trips; the platform's
-/// clients are 3 ms away.
-static constexpr Milliseconds kFirstResponseTimeout{ 60 };
-
 /// A request without a response for this long has lost its target, or its
 /// response was seen by another balancer. The longest requests of the platform
 /// take 430 ms, and a target queues up to four requests per slot.
@@ -176,7 +171,8 @@
   const bool hasResponded = target.stats.lastResponseAt >= aFlow.openedAt;
   const bool acceptsFlows = target.AcceptsNewFlows(aNow);
   if (acceptsFlows &&
-      (hasResponded || aNow - aFlow.openedAt < kFirstResponseTimeout)) {
+      (hasResponded ||
+       aNow - aFlow.openedAt < m_roundTrips.Timeout(aFlow.id.client.ip))) {
     m_metrics.Add(Counter::FlowCopies);
     return &target;
   }
@@ -195,18 +191,41 @@
   return other;
 }
 
+/// Sends a flow that its first target did not open to another one.
+auto Forwarder::ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
+                             Clock::time_point aNow) -> void
+{
+  const auto before = aFlow;
+  auto& flow = m_flows.Open(before.id, aTarget, aNow);
+  flow.firstPacket = before.firstPacket;
+  flow.firstSentAt = before.firstSentAt;
+  flow.repeated = true;
+}
+
+auto Forwarder::AwaitFirstResponse(const FlowId& aFlow, bool aResent,
+                                   Clock::time_point aNow) -> void
+{
+  m_unansweredFirstPackets.emplace(
+    aNow + m_roundTrips.Timeout(aFlow.client.ip),
+    UnansweredFirstPacket{ aFlow, aNow, aResent });
+}
+
 auto Forwarder::OpenFlowAt(DirectoryEntry& aTarget, const Packet& aPacket,
                            char* aData, std::size_t aSize,
                            Clock::time_point aNow) -> void
 {
   auto* known = m_flows.Find(aPacket.flow);
-  if (known == nullptr || known->confirmed || known->target != &aTarget) {
+  if (known == nullptr || known->confirmed) {
     m_flows.Open(aPacket.flow, aTarget, aNow).firstPacket.assign(aData, aSize);
     m_metrics.Add(Counter::FlowsOpened);
+  } else if (known->target != &aTarget) {
+    ReopenFlowAt(aTarget, *known, aNow);
+    m_metrics.Add(Counter::FlowsOpened);
   } else {
     m_flows.SetBusy(*known, aNow);
+    known->repeated = true;
   }
-  m_unansweredFirstPackets.push_back({ aPacket.flow, aNow, false });
+  AwaitFirstResponse(aPacket.flow, false, aNow);
   m_codec.SetTag(aData, aTarget.tag);
   m_metrics.Add(Counter::PacketsForwarded);
   m_sink.SendToTarget(aTarget, aData, aSize);
@@ -274,7 +293,9 @@
   }
   m_metrics.Add(Counter::FlowRepeated);
   if (nextTarget != &target) {
-    m_flows.Open(packet->flow, *nextTarget, aNow).firstPacket = data;
+    ReopenFlowAt(*nextTarget, aFlow, aNow);
+  } else {
+    aFlow.repeated = true;
   }
   m_codec.SetTag(data.data(), nextTarget->tag);
   m_sink.SendToTarget(*nextTarget, data.data(), data.size());
@@ -285,10 +306,10 @@
 {
   DeactivateMovedFlows(aNow);
   while (!m_unansweredFirstPackets.empty() &&
-         aNow - m_unansweredFirstPackets.front().sentAt >
-           kFirstResponseTimeout) {
-    const auto unanswered = m_unansweredFirstPackets.front();
-    m_unansweredFirstPackets.pop_front();
+         m_unansweredFirstPackets.begin()->first < aNow) {
+    const auto unanswered =
+      m_unansweredFirstPackets.extract(m_unansweredFirstPackets.begin())
+        .mapped();
     auto* flow = m_flows.Find(unanswered.flow);
     if (flow == nullptr || flow->confirmed) {
       continue;
@@ -300,7 +321,7 @@
       continue;
     }
     ResendFirstPacket(*flow, aNow);
-    m_unansweredFirstPackets.push_back({ unanswered.flow, aNow, true });
+    AwaitFirstResponse(unanswered.flow, true, aNow);
   }
 }
 
@@ -391,6 +412,7 @@
       m_targets.HasDepartedBefore(limit)) {
     m_flows.RemoveFlowsOfTargetsDepartedBefore(limit);
   }
+  m_roundTrips.RemoveUnusedSince(aNow - m_options.maxFlowLifetime);
   m_targets.Expire(keep, aNow);
   m_routes.Expire(keep, aNow);
   RetryPendingFlows(aNow);
@@ -402,4 +424,9 @@
   return m_flows;
 }
 
+auto Forwarder::RoundTrips() const -> const estimate::RoundTripTable&
+{
+  return m_roundTrips;
+}
+
 } // namespace bramleylock::forward
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -44,6 +44,19 @@
   return static_cast<std::int32_t>(aLeft - aRight);
 }
 
+/// Records the time from the flow's first packet to the client's reaction. If
+/// the first packet was repeated, that time may be too long. It is used only if
+/// nothing is known about the client: one whose round trip exceeds the interval
+/// of its own repetitions gives no other sample.
+auto Forwarder::RecordRoundTrip(const TrackedFlow& aFlow,
+                                Clock::time_point aNow) -> void
+{
+  const auto client = aFlow.id.client.ip;
+  if (!aFlow.repeated || !m_roundTrips.Contains(client)) {
+    m_roundTrips.Record(client, aNow - aFlow.firstSentAt, aNow);
+  }
+}
+
 /// Handles the first packet after the one that opened the flow: it shows which
 /// target the client accepted.
 auto Forwarder::ConfirmTarget(TrackedFlow& aFlow, DirectoryEntry& aTarget,
@@ -54,6 +67,7 @@
   }
   aFlow.confirmed = true;
   aFlow.firstPacket.clear();
+  RecordRoundTrip(aFlow, aNow);
   m_flows.AssignTarget(aFlow, aTarget);
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
 }
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -229,6 +229,7 @@
   test.forwarder.SetSilentTargetListener([&silent](DirectoryEntry& aTarget) {
     silent.push_back(aTarget.record.id);
   });
+  test.LearnRoundTrip(Milliseconds(6));
   test.Send(TestForward::Opening(1));
   const auto first = test.sink.toTargets[0].target;
   test.AdvanceTime(Milliseconds(61));
@@ -243,11 +244,48 @@
   }
 }
 
+/// The client is 80 ms away, so its reaction takes longer than that of a near
+/// client to a target that does not respond.
+Test(Forwarder, TargetOfADistantClientIsNotTakenForSilent)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.targets.Apply(MakeTarget("b", 5), test.now);
+  test.LearnRoundTrip(Milliseconds(160));
+  test.Send(TestForward::Opening(1));
+  test.AdvanceTime(Milliseconds(170));
+  test.forwarder.ResendUnanswered(test.now);
+  cr_assert(test.sink.toTargets.size() == 1);
+  const auto& target = *test.targets.Find(test.sink.toTargets[0].target);
+  cr_assert(target.stats.silentSince == Clock::time_point{});
+  // Nothing has shown yet how much the round trips vary.
+  test.AdvanceTime(Milliseconds(400));
+  test.forwarder.ResendUnanswered(test.now);
+  cr_assert(target.stats.silentSince == test.now);
+}
+
+/// Before the first round trip of any client, a target is not judged earlier
+/// than a client sends its next copy.
+Test(Forwarder, NoTargetIsTakenForSilentBeforeRoundTripsAreKnown)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.Send(TestForward::Opening(1));
+  test.AdvanceTime(Milliseconds(199));
+  test.forwarder.ResendUnanswered(test.now);
+  const auto& stats = test.targets.Find("a")->stats;
+  cr_assert(stats.silentSince == Clock::time_point{});
+  test.AdvanceTime(Milliseconds(2));
+  test.forwarder.ResendUnanswered(test.now);
+  cr_assert(stats.silentSince == test.now);
+}
+
 Test(Forwarder, LostFirstPacketIsResentToTargetThatAnswersOthers)
 {
   TestForward test;
   test.targets.Apply(MakeTarget("a", 5), test.now);
   test.targets.Apply(MakeTarget("b", 5), test.now);
+  test.LearnRoundTrip(Milliseconds(6));
   test.Send(TestForward::Opening(1));
   const auto first = test.sink.toTargets[0].target;
   test.AdvanceTime(Milliseconds(20));
@@ -263,6 +301,7 @@
   TestForward test;
   test.targets.Apply(MakeTarget("a", 5), test.now);
   test.targets.Apply(MakeTarget("b", 5), test.now);
+  test.LearnRoundTrip(Milliseconds(6));
   const auto opening = TestForward::Opening(1);
   test.Send(opening);
   test.AdvanceTime(Milliseconds(61));
@@ -420,12 +459,13 @@
   TestForward test;
   test.targets.Apply(MakeTarget("a", 5), test.now);
   test.targets.Apply(MakeTarget("b", 6), test.now);
+  test.LearnRoundTrip(Milliseconds(6));
   test.Send(TestForward::Opening(1));
   const auto& target = *test.targets.Find(test.sink.toTargets[0].target);
   test.AdvanceTime(Milliseconds(20));
   test.SendRequestOfForeignFlow(2);
   cr_assert(test.metrics.Get(Counter::FlowTakenOver) == 1);
-  cr_assert(test.forwarder.Flows().Size() == 2);
+  cr_assert(test.forwarder.Flows().Size() == 3, "with the one that ended");
   test.AdvanceTime(Milliseconds(60));
   test.forwarder.ResendUnanswered(test.now);
   cr_assert(test.sink.toTargets.size() == 2, "no opening packet is resent");
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -118,6 +118,20 @@
 
   auto AdvanceTime(Milliseconds aTime) -> void { now += aTime; }
 
+  /// Opens a flow whose client reacts after aRoundTrip, and ends it, so that
+  /// the round trip of the client is known.
+  auto LearnRoundTrip(Milliseconds aRoundTrip) -> void
+  {
+    const auto opening = Opening(60000);
+    Send(opening);
+    AdvanceTime(aRoundTrip);
+    auto ending = Following(opening, sink.toTargets.back().packet.tag);
+    ending.ends = true;
+    Send(ending);
+    sink.toTargets.clear();
+    AdvanceTime(Milliseconds(1));
+  }
+
   /// Adds target "a" and opens the four flows that it accepts, from the client
   /// ports 1 to 4.
   auto FillTargetA() -> void
