--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -16,8 +16,9 @@
 struct Candidate
 {
   std::uint32_t slots = 1;
-  /// Requests on this balancer's flows that have no response yet.
-  std::uint32_t inFlight = 0;
+  /// Expected number of slots used by the requests on this balancer's flows
+  /// that have no response yet.
+  double busyLoad = 0;
   /// Mean number of slots used by this balancer's idle flows.
   double idleLoad = 0;
   /// The target has reached this balancer's limit of open flows.
--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -57,6 +57,14 @@
   FlowPhase phase = FlowPhase::Busy;
   /// Contribution to the target's expected load while the flow is idle.
   double idleLoad = 0;
+  /// Contribution to the target's expected load while the flow is busy: the
+  /// fraction of that time in which its request occupies a slot.
+  double busyLoad = 1;
+  /// Time for which packets are in transit to the target, from there to the
+  /// client and back; zero if unknown.
+  estimate::Duration roundTrip{};
+  /// Number of requests that the client has sent on this flow.
+  std::uint32_t requests = 0;
   /// Highest acknowledgement number received from the client.
   std::uint32_t acknowledged = 0;
   /// Highest sequence number of the client's data.
@@ -86,9 +94,11 @@
 
   auto Find(const FlowId& aFlow) -> TrackedFlow*;
 
-  /// Starts tracking a flow to aTarget. Replaces an existing entry for aFlow.
+  /// Starts tracking a flow to aTarget with a client at aRoundTrip. Replaces an
+  /// existing entry for aFlow.
   auto Open(const FlowId& aFlow, DirectoryEntry& aTarget,
-            Clock::time_point aNow) -> TrackedFlow&;
+            estimate::Duration aRoundTrip, Clock::time_point aNow)
+    -> TrackedFlow&;
 
   /// Records that a packet of aFlow was received.
   auto RecordPacket(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
@@ -99,6 +109,13 @@
   /// Marks the flow as waiting for a response since aNow.
   auto SetBusy(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
 
+  /// Marks the flow as waiting for the response to a new request since aNow.
+  auto BeginRequest(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+
+  /// Counts the busy flows whose response is overdue as occupying a slot all
+  /// the time.
+  auto RaiseLoadOfOverdue(Clock::time_point aNow) -> void;
+
   /// Marks the flow as idle since aNow, after a response.
   auto SetIdle(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
 
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -183,6 +183,7 @@
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
+  Clock::time_point m_lastOverdueCheckAt{};
   std::function<void(DirectoryEntry&)> m_silentTargetListener =
     [](DirectoryEntry&) {};
   std::function<void(DirectoryEntry&)> m_unansweredRequestListener =
--- a/include/bramleylock/Forward/RouteRequestStats.h
+++ b/include/bramleylock/Forward/RouteRequestStats.h
@@ -2,20 +2,21 @@
 // packets. Independent of sockets and clocks.
 #pragma once
 
-#include <chrono>
+#include "bramleylock/Estimate/TimeEstimate.h"
 
 namespace bramleylock::forward {
 
-/// Estimates from client packets alone how long a target takes to respond, how
-/// long a client pauses between two requests, and how likely it is to send
-/// another request.
+/// Estimates from client packets alone how long a target takes to serve a
+/// request, how long a client pauses between two requests, and how likely it is
+/// to send another request.
 class RouteRequestStats
 {
 public:
-  using Duration = std::chrono::nanoseconds;
+  using Duration = estimate::Duration;
 
-  /// Records a response that began aResponseTime after its request.
-  auto RecordResponse(Duration aResponseTime) -> void;
+  /// Records a response that the client acknowledged aResponseTime after its
+  /// request. Of this time, the packets were in transit for aRoundTrip.
+  auto RecordResponse(Duration aResponseTime, Duration aRoundTrip) -> void;
 
   /// Records a further request on a flow, aThinkTime after the last response.
   auto RecordNextRequest(Duration aThinkTime) -> void;
@@ -23,8 +24,14 @@
   /// Records the end of a flow.
   auto RecordFlowEnd() -> void;
 
-  /// Returns the mean time from a request to its response.
-  auto MeanResponseTime() const -> Duration;
+  /// Time from a request's arrival at a target to its response, including the
+  /// time in the target's queue.
+  auto ServiceTime() const -> const estimate::TimeEstimate&;
+
+  /// Returns the fraction of the time in which a request occupies a slot, if
+  /// its packets are in transit for aTransitTime besides. Returns 1 before the
+  /// first response.
+  auto SlotUse(Duration aTransitTime) const -> double;
 
   /// Returns the expected number of further requests on a flow.
   auto ExpectedLaterRequests() const -> double;
@@ -35,7 +42,8 @@
   auto IdleLoad() const -> double;
 
 private:
-  Duration m_meanResponseTime = std::chrono::milliseconds(50);
+  estimate::TimeEstimate m_serviceTime;
+  estimate::TimeEstimate m_responseTime;
   Duration m_meanThinkTime = std::chrono::seconds(1);
   double m_nextRequestProbability = 0.5;
 };
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -67,6 +67,9 @@
 {
   /// Flows that are being opened or have an outstanding request.
   std::uint32_t inFlight = 0;
+  /// Expected number of slots used by the flows in flight: their packets are in
+  /// transit for a part of the time.
+  double busyLoad = 0;
   /// Open flows without an outstanding request.
   std::uint32_t idleFlows = 0;
   /// Mean number of slots used by the idle flows.
--- a/lib/Estimate/TimeEstimate.cpp
+++ b/lib/Estimate/TimeEstimate.cpp
@@ -45,9 +45,9 @@
 
 auto TimeEstimate::UpperBound(double aDeviations) const -> Duration
 {
-  return m_mean + std::chrono::duration_cast<Duration>(
-                    aDeviations *
-                    std::chrono::duration<double, std::nano>(m_deviation));
+  return m_mean +
+         std::chrono::duration_cast<Duration>(
+           aDeviations * std::chrono::duration<double, std::nano>(m_deviation));
 }
 
 } // namespace bramleylock::estimate
--- a/lib/Forward/FlowChoice.cpp
+++ b/lib/Forward/FlowChoice.cpp
@@ -52,7 +52,7 @@
   -> double
 {
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
-  const double requests = aCandidate.inFlight + aCandidate.idleLoad;
+  const double requests = aCandidate.busyLoad + aCandidate.idleLoad;
   const double serviceTime = aCandidate.warmingUp ? kWarmUpSlowdown : 1.0;
   const double waitTime =
     std::max(0.0, requests + 1 - slots) / slots * serviceTime;
@@ -76,7 +76,7 @@
   for (const auto& candidate : aInput.candidates) {
     if (!aSkipSilent || !candidate.silent) {
       slots += candidate.slots;
-      requests += candidate.inFlight;
+      requests += candidate.busyLoad;
     }
   }
   const double share = slots / static_cast<double>(aInput.balancers);
@@ -104,7 +104,7 @@
     for (std::size_t index = 0; index < aInput.candidates.size(); ++index) {
       const auto& candidate = aInput.candidates[index];
       if ((skipSilent && candidate.silent) || candidate.atFlowLimit ||
-          candidate.inFlight >= candidate.slots * kMaxRequestsPerSlot) {
+          candidate.busyLoad >= candidate.slots * kMaxRequestsPerSlot) {
         continue;
       }
       const auto cost = ExpectedCost(candidate, aInput.expectedLaterRequests);
--- a/lib/Forward/FlowTable.cpp
+++ b/lib/Forward/FlowTable.cpp
@@ -8,6 +8,10 @@
 
 namespace bramleylock::forward {
 
+/// Number of mean deviations beyond the mean service time after which a
+/// response is overdue.
+static constexpr double kOverdueDeviations = 2;
+
 FlowTable::FlowTable(std::size_t aCapacity)
   : m_capacity(aCapacity)
 {
@@ -30,8 +34,17 @@
   return found == m_byId.end() ? nullptr : &*found->second;
 }
 
+/// Returns the load of a busy flow. The time until the response to its first
+/// request includes the round trip that opens the flow.
+static auto BusyLoad(const TrackedFlow& aFlow) -> double
+{
+  return aFlow.route->requestStats.SlotUse(
+    aFlow.requests > 1 ? aFlow.roundTrip : 2 * aFlow.roundTrip);
+}
+
 auto FlowTable::Open(const FlowId& aFlow, DirectoryEntry& aTarget,
-                     Clock::time_point aNow) -> TrackedFlow&
+                     estimate::Duration aRoundTrip, Clock::time_point aNow)
+  -> TrackedFlow&
 {
   if (const auto found = m_byId.find(aFlow); found != m_byId.end()) {
     Remove(found->second);
@@ -51,6 +64,8 @@
   position->firstSentAt = aNow;
   position->lastPacketAt = aNow;
   position->phaseSince = aNow;
+  position->roundTrip = aRoundTrip;
+  position->busyLoad = BusyLoad(*position);
   m_byId[aFlow] = position;
   AddToTargetCounts(*position);
   return *position;
@@ -79,7 +94,10 @@
 {
   auto& stats = aFlow.target->stats;
   stats.openFlows += aFlow.ended ? 0 : 1;
-  stats.inFlight += aFlow.phase == FlowPhase::Busy ? 1 : 0;
+  if (aFlow.phase == FlowPhase::Busy) {
+    ++stats.inFlight;
+    stats.busyLoad += aFlow.busyLoad;
+  }
   if (aFlow.phase == FlowPhase::Idle) {
     ++stats.idleFlows;
     stats.idleLoad += aFlow.idleLoad;
@@ -90,11 +108,14 @@
 {
   auto& stats = aFlow.target->stats;
   stats.openFlows -= aFlow.ended ? 0 : 1;
-  stats.inFlight -= aFlow.phase == FlowPhase::Busy ? 1 : 0;
+  // Rounding errors accumulate in the sums, so they are reset to exactly zero
+  // when there are no flows.
+  if (aFlow.phase == FlowPhase::Busy) {
+    --stats.inFlight;
+    stats.busyLoad = stats.inFlight == 0 ? 0 : stats.busyLoad - aFlow.busyLoad;
+  }
   if (aFlow.phase == FlowPhase::Idle) {
     --stats.idleFlows;
-    // Rounding errors accumulate in the sum, so it is reset to exactly zero
-    // when there are no idle flows.
     stats.idleLoad = stats.idleFlows == 0 ? 0 : stats.idleLoad - aFlow.idleLoad;
   }
 }
@@ -108,6 +129,7 @@
   aFlow.phase = aPhase;
   aFlow.idleLoad =
     aPhase == FlowPhase::Idle ? aFlow.route->requestStats.IdleLoad() : 0;
+  aFlow.busyLoad = aPhase == FlowPhase::Busy ? BusyLoad(aFlow) : 0;
   AddToTargetCounts(aFlow);
 }
 
@@ -142,6 +164,29 @@
   aFlow.lastRequestUnanswered = true;
 }
 
+auto FlowTable::BeginRequest(TrackedFlow& aFlow, Clock::time_point aNow) -> void
+{
+  ++aFlow.requests;
+  SetBusy(aFlow, aNow);
+}
+
+/// Flows that are being opened are left out: a first packet without a reaction
+/// has a timeout of its own.
+auto FlowTable::RaiseLoadOfOverdue(Clock::time_point aNow) -> void
+{
+  for (auto& flow : FlowsIn(FlowPhase::Busy)) {
+    if (!flow.confirmed || flow.busyLoad >= 1 ||
+        aNow - flow.phaseSince <
+          flow.roundTrip + flow.route->requestStats.ServiceTime().UpperBound(
+                             kOverdueDeviations)) {
+      continue;
+    }
+    SubtractFromTargetCounts(flow);
+    flow.busyLoad = 1;
+    AddToTargetCounts(flow);
+  }
+}
+
 auto FlowTable::SetIdle(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
   SetPhase(aFlow, FlowPhase::Idle);
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -19,6 +19,9 @@
 /// of three others.
 static constexpr std::size_t kMaxTrackedFlows = 32768;
 
+/// Interval at which busy flows are checked for overdue responses.
+static constexpr Milliseconds kOverdueCheckInterval{ 25 };
+
 /// A request without a response for this long has lost its target, or its
 /// response was seen by another balancer. The longest requests of the platform
 /// take 430 ms, and a target queues up to four requests per slot.
@@ -146,7 +149,7 @@
   for (const auto* entry : entries) {
     const auto& stats = entry->stats;
     input.candidates.push_back(
-      { entry->record.slots, stats.inFlight, stats.idleLoad,
+      { entry->record.slots, stats.busyLoad, stats.idleLoad,
         stats.openFlows >= openFlowLimit,
         entry->record.failureDomain == m_options.failureDomain,
         entry->warmUpEndsAt > aNow, IsSilent(stats, aNow) });
@@ -196,7 +199,7 @@
                              Clock::time_point aNow) -> void
 {
   const auto before = aFlow;
-  auto& flow = m_flows.Open(before.id, aTarget, aNow);
+  auto& flow = m_flows.Open(before.id, aTarget, before.roundTrip, aNow);
   flow.firstPacket = before.firstPacket;
   flow.firstSentAt = before.firstSentAt;
   flow.repeated = true;
@@ -216,7 +219,10 @@
 {
   auto* known = m_flows.Find(aPacket.flow);
   if (known == nullptr || known->confirmed) {
-    m_flows.Open(aPacket.flow, aTarget, aNow).firstPacket.assign(aData, aSize);
+    m_flows
+      .Open(aPacket.flow, aTarget, m_roundTrips.Mean(aPacket.flow.client.ip),
+            aNow)
+      .firstPacket.assign(aData, aSize);
     m_metrics.Add(Counter::FlowsOpened);
   } else if (known->target != &aTarget) {
     ReopenFlowAt(aTarget, *known, aNow);
@@ -305,6 +311,10 @@
 auto Forwarder::ResendUnanswered(Clock::time_point aNow) -> void
 {
   DeactivateMovedFlows(aNow);
+  if (aNow - m_lastOverdueCheckAt > kOverdueCheckInterval) {
+    m_lastOverdueCheckAt = aNow;
+    m_flows.RaiseLoadOfOverdue(aNow);
+  }
   while (!m_unansweredFirstPackets.empty() &&
          m_unansweredFirstPackets.begin()->first < aNow) {
     const auto unanswered =
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -68,6 +68,7 @@
   aFlow.confirmed = true;
   aFlow.firstPacket.clear();
   RecordRoundTrip(aFlow, aNow);
+  aFlow.roundTrip = m_roundTrips.Mean(aFlow.id.client.ip);
   m_flows.AssignTarget(aFlow, aTarget);
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
 }
@@ -76,7 +77,8 @@
 auto Forwarder::OnResponse(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
   if (aFlow.phase == FlowPhase::Busy) {
-    aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince);
+    aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince,
+                                             aFlow.roundTrip);
     m_flows.SetIdle(aFlow, aNow);
   }
 }
@@ -128,12 +130,12 @@
     // More data of a request for which the balancer no longer waits.
     return;
   }
-  if (aFlow.phase == FlowPhase::Idle) {
+  if (aFlow.phase == FlowPhase::Idle && aFlow.requests > 0) {
     aFlow.route->requestStats.RecordNextRequest(aNow - aFlow.phaseSince);
   }
   // The only acknowledgement of a response may be in the next request.
   if (aFlow.phase != FlowPhase::Busy || aHasNewAcknowledgement) {
-    m_flows.SetBusy(aFlow, aNow);
+    m_flows.BeginRequest(aFlow, aNow);
   }
 }
 
@@ -159,7 +161,7 @@
   if (confirmsTarget) {
     aFlow.sequence = aPacket.sequence;
     if (aPacket.carriesData) {
-      m_flows.SetBusy(aFlow, aNow);
+      m_flows.BeginRequest(aFlow, aNow);
     } else {
       // The client has not sent a request yet.
       m_flows.SetIdle(aFlow, aNow);
@@ -194,11 +196,16 @@
   if (aPacket.ends || aPacket.resets) {
     return;
   }
-  auto& flow = m_flows.Open(aPacket.flow, aTarget, aNow);
+  auto& flow = m_flows.Open(aPacket.flow, aTarget,
+                            m_roundTrips.Mean(aPacket.flow.client.ip), aNow);
   flow.confirmed = true;
+  // Earlier requests were seen by other balancers.
+  flow.requests = 1;
   flow.acknowledged = aPacket.acknowledgement;
   flow.sequence = aPacket.sequence;
-  if (!aPacket.carriesData) {
+  if (aPacket.carriesData) {
+    m_flows.BeginRequest(flow, aNow);
+  } else {
     // The request is in progress or complete, and its response may not be
     // visible here.
     m_flows.SetIdle(flow, aNow);
--- a/lib/Forward/RouteRequestStats.cpp
+++ b/lib/Forward/RouteRequestStats.cpp
@@ -23,9 +23,11 @@
   return aMean + (aSample - aMean) / kAveragingSamples;
 }
 
-auto RouteRequestStats::RecordResponse(Duration aResponseTime) -> void
+auto RouteRequestStats::RecordResponse(Duration aResponseTime,
+                                       Duration aRoundTrip) -> void
 {
-  m_meanResponseTime = UpdateAverage(m_meanResponseTime, aResponseTime);
+  m_serviceTime.Record(aResponseTime - aRoundTrip);
+  m_responseTime.Record(aResponseTime);
 }
 
 auto RouteRequestStats::RecordNextRequest(Duration aThinkTime) -> void
@@ -40,9 +42,18 @@
   m_nextRequestProbability -= m_nextRequestProbability / kAveragingSamples;
 }
 
-auto RouteRequestStats::MeanResponseTime() const -> Duration
+auto RouteRequestStats::ServiceTime() const -> const estimate::TimeEstimate&
 {
-  return m_meanResponseTime;
+  return m_serviceTime;
+}
+
+auto RouteRequestStats::SlotUse(Duration aTransitTime) const -> double
+{
+  const auto service = static_cast<double>(m_serviceTime.Mean().count());
+  const auto transit = static_cast<double>(aTransitTime.count());
+  return m_serviceTime.HasSamples() && service + transit > 0
+           ? service / (service + transit)
+           : 1;
 }
 
 auto RouteRequestStats::ExpectedLaterRequests() const -> double
@@ -54,10 +65,13 @@
 
 auto RouteRequestStats::IdleLoad() const -> double
 {
-  const auto responseTime = static_cast<double>(m_meanResponseTime.count());
+  if (!m_responseTime.HasSamples()) {
+    return 0;
+  }
+  const auto serviceTime = static_cast<double>(m_serviceTime.Mean().count());
   const auto cycle =
-    responseTime + static_cast<double>(m_meanThinkTime.count());
-  return cycle > 0 ? m_nextRequestProbability * responseTime / cycle
+    static_cast<double>((m_responseTime.Mean() + m_meanThinkTime).count());
+  return cycle > 0 ? m_nextRequestProbability * serviceTime / cycle
                    : m_nextRequestProbability;
 }
 
--- a/measure/FlowPolicies.cpp
+++ b/measure/FlowPolicies.cpp
@@ -25,7 +25,7 @@
 
 auto FlowsPerSlot(const Candidate& aCandidate) -> double
 {
-  return static_cast<double>(aCandidate.inFlight) / aCandidate.slots;
+  return aCandidate.busyLoad / aCandidate.slots;
 }
 
 auto UsableTargets(const std::vector<Candidate>& aCandidates)
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -103,7 +103,7 @@
   }
   const auto requestStats =
     test.forwarder.Flows().RequestStatsOf(kOrdersAddress);
-  cr_assert(requestStats.MeanResponseTime() == Milliseconds(50));
+  cr_assert(requestStats.ServiceTime().Mean() == Milliseconds(50));
   cr_assert(requestStats.ExpectedLaterRequests() > 1);
 }
 
@@ -407,7 +407,7 @@
 {
   RouteRequestStats requestStats;
   for (int i = 0; i < 200; ++i) {
-    requestStats.RecordResponse(Milliseconds(100));
+    requestStats.RecordResponse(Milliseconds(100), Milliseconds(0));
     requestStats.RecordNextRequest(Milliseconds(900));
   }
   cr_assert(requestStats.IdleLoad() > 0.09 && requestStats.IdleLoad() < 0.11);
@@ -419,3 +419,53 @@
   cr_assert(requestStats.IdleLoad() < 0.001);
   cr_assert(requestStats.ExpectedLaterRequests() < 0.001);
 }
+
+/// Clients 40 ms away: their requests take 50 ms at the target and are in
+/// transit for 80 ms. Most of them occupy no slot at a given time, so many more
+/// than two per slot may be in flight.
+Test(OpenFlows, RequestsInTransitOccupyNoSlots)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.LearnRoundTrip(Milliseconds(80));
+  PersistentFlow first(test, 1);
+  test.AdvanceTime(Milliseconds(80));
+  for (int request = 0; request < 20; ++request) {
+    first.SendRequest();
+    test.AdvanceTime(Milliseconds(130));
+    first.AcknowledgeAnswer();
+  }
+  const auto requestStats =
+    test.forwarder.Flows().RequestStatsOf(kOrdersAddress);
+  cr_assert(requestStats.ServiceTime().Mean() == Milliseconds(50));
+  for (std::uint16_t port = 2; port <= 9; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  cr_assert(test.forwarder.PendingFlowCount() == 0);
+  cr_assert(StatsOfTargetA(test).inFlight == 8);
+  cr_assert(StatsOfTargetA(test).busyLoad < 2.5, "%f",
+            StatsOfTargetA(test).busyLoad);
+}
+
+/// A response that takes much longer than usual shows that the request occupies
+/// a slot, however far away the client is.
+Test(OpenFlows, OverdueRequestOccupiesASlot)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.LearnRoundTrip(Milliseconds(80));
+  PersistentFlow flow(test, 1);
+  test.AdvanceTime(Milliseconds(80));
+  for (int request = 0; request < 20; ++request) {
+    flow.SendRequest();
+    test.AdvanceTime(Milliseconds(130));
+    flow.AcknowledgeAnswer();
+  }
+  flow.SendRequest();
+  cr_assert(StatsOfTargetA(test).busyLoad < 0.5);
+  test.AdvanceTime(Milliseconds(300));
+  test.forwarder.ResendUnanswered(test.now);
+  cr_assert(StatsOfTargetA(test).busyLoad == 1);
+  flow.AcknowledgeAnswer();
+  cr_assert(StatsOfTargetA(test).busyLoad == 0);
+}
