--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -125,16 +125,18 @@
   /// Marks the flow as ended.
   auto MarkEnded(TrackedFlow& aFlow) -> void;
 
-  /// Marks as inactive the busy flows whose request was sent before aLimit and
-  /// has had no response. Returns their number.
-  auto DeactivateBusySince(Clock::time_point aLimit) -> std::size_t;
+  /// Marks as inactive the busy flows whose request has had no response within
+  /// the timeout of their route. Returns their number.
+  auto DeactivateTimedOut(Clock::time_point aNow) -> std::size_t;
 
   /// Marks as inactive the idle flows whose last packet was received before
   /// aLimit.
   auto DeactivateIdleSince(Clock::time_point aLimit) -> void;
 
-  /// Marks as inactive the busy flows without a packet since aLimit.
-  auto DeactivateBusyWithoutPacketSince(Clock::time_point aLimit) -> void;
+  /// Marks as inactive the busy flows without a packet since aMovedAt whose
+  /// response would usually have arrived.
+  auto DeactivateMovedBusy(Clock::time_point aMovedAt, Clock::time_point aNow)
+    -> void;
 
   /// Removes the flows whose last packet was received before aLimit, and the
   /// statistics of routes unused since then.
@@ -148,6 +150,9 @@
   /// assumptions if there are none.
   auto RequestStatsOf(const Address& aService) const -> RouteRequestStats;
 
+  /// Returns the longest mean think time of the tracked routes.
+  auto LongestThinkTime() const -> estimate::Duration;
+
   auto Size() const -> std::size_t;
   auto CountIn(FlowPhase aPhase) const -> std::size_t;
 
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -103,6 +103,8 @@
     bool resent = false;
   };
 
+  auto TrackFlow(const Packet& aPacket, DirectoryEntry& aTarget,
+                 Clock::time_point aNow) -> TrackedFlow&;
   auto ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
                     Clock::time_point aNow) -> void;
   auto AwaitFirstResponse(const FlowId& aFlow, bool aResent,
@@ -184,6 +186,8 @@
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
   Clock::time_point m_lastOverdueCheckAt{};
+  /// Longest mean think time of the routes, as of the last Expire.
+  estimate::Duration m_longestThinkTime = std::chrono::seconds(1);
   std::function<void(DirectoryEntry&)> m_silentTargetListener =
     [](DirectoryEntry&) {};
   std::function<void(DirectoryEntry&)> m_unansweredRequestListener =
--- a/include/bramleylock/Forward/RouteRequestStats.h
+++ b/include/bramleylock/Forward/RouteRequestStats.h
@@ -24,6 +24,20 @@
   /// Records the end of a flow.
   auto RecordFlowEnd() -> void;
 
+  /// Sets the time within which the configuration expects a response; longer
+  /// ones are not waited for. Zero if it is not configured.
+  auto SetTimeLimit(Duration aLimit) -> void;
+
+  /// Returns the time from a request after which its response has probably been
+  /// seen by another balancer, or its target is lost.
+  auto ResponseTimeout() const -> Duration;
+
+  /// Returns the time from a request within which most responses arrive.
+  auto UsualResponseTime() const -> Duration;
+
+  /// Returns the mean pause of a client between two requests.
+  auto MeanThinkTime() const -> Duration;
+
   /// Time from a request's arrival at a target to its response, including the
   /// time in the target's queue.
   auto ServiceTime() const -> const estimate::TimeEstimate&;
@@ -44,7 +58,8 @@
 private:
   estimate::TimeEstimate m_serviceTime;
   estimate::TimeEstimate m_responseTime;
-  Duration m_meanThinkTime = std::chrono::seconds(1);
+  estimate::TimeEstimate m_thinkTime;
+  Duration m_timeLimit{};
   double m_nextRequestProbability = 0.5;
 };
 
--- a/lib/Forward/FlowTable.cpp
+++ b/lib/Forward/FlowTable.cpp
@@ -3,6 +3,7 @@
 
 #include "bramleylock/Forward/FlowTable.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -218,12 +219,16 @@
   FlowsIn(aPosition->phase).erase(aPosition);
 }
 
-auto FlowTable::DeactivateBusySince(Clock::time_point aLimit) -> std::size_t
+auto FlowTable::DeactivateTimedOut(Clock::time_point aNow) -> std::size_t
 {
   auto& busy = FlowsIn(FlowPhase::Busy);
   std::size_t count = 0;
-  for (; !busy.empty() && busy.front().phaseSince < aLimit; ++count) {
-    SetInactive(busy.front());
+  for (auto position = busy.begin(); position != busy.end();) {
+    auto& flow = *position++;
+    if (aNow - flow.phaseSince > flow.route->requestStats.ResponseTimeout()) {
+      SetInactive(flow);
+      ++count;
+    }
   }
   return count;
 }
@@ -236,14 +241,16 @@
   }
 }
 
-auto FlowTable::DeactivateBusyWithoutPacketSince(Clock::time_point aLimit)
-  -> void
+auto FlowTable::DeactivateMovedBusy(Clock::time_point aMovedAt,
+                                    Clock::time_point aNow) -> void
 {
   auto& busy = FlowsIn(FlowPhase::Busy);
   for (auto position = busy.begin();
-       position != busy.end() && position->phaseSince < aLimit;) {
+       position != busy.end() && position->phaseSince < aMovedAt;) {
     auto& flow = *position++;
-    if (flow.lastPacketAt < aLimit) {
+    if (flow.lastPacketAt < aMovedAt &&
+        aNow - flow.lastPacketAt >
+          flow.route->requestStats.UsualResponseTime()) {
       SetInactive(flow);
     }
   }
@@ -251,7 +258,6 @@
 
 auto FlowTable::RemoveInactiveSince(Clock::time_point aLimit) -> void
 {
-  DeactivateBusySince(aLimit);
   DeactivateIdleSince(aLimit);
   // The list is ordered by when the flows became inactive or last had a packet.
   // A flow deactivated above may be behind a flow that ended with a later last
@@ -289,6 +295,15 @@
                                  : found->second.requestStats;
 }
 
+auto FlowTable::LongestThinkTime() const -> estimate::Duration
+{
+  estimate::Duration longest{};
+  for (const auto& [address, route] : m_routes) {
+    longest = std::max(longest, route.requestStats.MeanThinkTime());
+  }
+  return longest;
+}
+
 auto FlowTable::Size() const -> std::size_t
 {
   return m_byId.size();
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -22,14 +22,9 @@
 /// Interval at which busy flows are checked for overdue responses.
 static constexpr Milliseconds kOverdueCheckInterval{ 25 };
 
-/// A request without a response for this long has lost its target, or its
-/// response was seen by another balancer. The longest requests of the platform
-/// take 430 ms, and a target queues up to four requests per slot.
-static constexpr Milliseconds kResponseTimeout{ 800 };
-
-/// A flow without packets for this long is not expected to send further
-/// requests: the platform's clients pause for about one second on average.
-static constexpr Milliseconds kMaxThinkTime{ 5000 };
+/// A flow without packets for this many mean think times is not expected to
+/// send further requests.
+static constexpr int kMaxThinkTimes = 5;
 
 /// Additional time for which a flow is tracked beyond the idle timeout after
 /// which its ends may discard it, because packets may still be in transit.
@@ -194,6 +189,18 @@
   return other;
 }
 
+/// Starts tracking a flow with what is known about its client and its route.
+auto Forwarder::TrackFlow(const Packet& aPacket, DirectoryEntry& aTarget,
+                          Clock::time_point aNow) -> TrackedFlow&
+{
+  auto& flow = m_flows.Open(aPacket.flow, aTarget,
+                            m_roundTrips.Mean(aPacket.flow.client.ip), aNow);
+  if (const auto* route = m_routes.Find(aPacket.flow.service)) {
+    flow.route->requestStats.SetTimeLimit(Milliseconds(route->timeoutMs));
+  }
+  return flow;
+}
+
 /// Sends a flow that its first target did not open to another one.
 auto Forwarder::ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
                              Clock::time_point aNow) -> void
@@ -219,10 +226,7 @@
 {
   auto* known = m_flows.Find(aPacket.flow);
   if (known == nullptr || known->confirmed) {
-    m_flows
-      .Open(aPacket.flow, aTarget, m_roundTrips.Mean(aPacket.flow.client.ip),
-            aNow)
-      .firstPacket.assign(aData, aSize);
+    TrackFlow(aPacket, aTarget, aNow).firstPacket.assign(aData, aSize);
     m_metrics.Add(Counter::FlowsOpened);
   } else if (known->target != &aTarget) {
     ReopenFlowAt(aTarget, *known, aNow);
@@ -410,9 +414,9 @@
   RefuseExpired(aNow);
   std::erase_if(m_pendingFlows,
                 [](const auto& aRow) { return aRow.second.Size() == 0; });
-  m_metrics.Add(Counter::FlowAnswerUnseen,
-                m_flows.DeactivateBusySince(aNow - kResponseTimeout));
-  m_flows.DeactivateIdleSince(aNow - kMaxThinkTime);
+  m_metrics.Add(Counter::FlowAnswerUnseen, m_flows.DeactivateTimedOut(aNow));
+  m_longestThinkTime = m_flows.LongestThinkTime();
+  m_flows.DeactivateIdleSince(aNow - kMaxThinkTimes * m_longestThinkTime);
   m_metrics.Add(Counter::FlowEvicted, m_flows.ConsumeEvictedCount());
   m_flows.RemoveInactiveSince(aNow - InactiveFlowRetention());
   // The extra second ensures that no flow refers to a directory entry that has
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -18,14 +18,10 @@
 /// for this long before it.
 static constexpr Milliseconds kTakeoverLogInterval{ 1000 };
 
-/// While flows move between balancers, a request without a packet since the
-/// move is assumed to be handled by another balancer after this time. The
-/// platform's requests take 30 to 72 ms on average.
-static constexpr Milliseconds kMovedBusyTimeout{ 150 };
-
-/// Time after which an idle flow without a packet since the move is assumed to
-/// be at another balancer: most pauses between requests are shorter.
-static constexpr Milliseconds kMovedIdleTimeout{ 2000 };
+/// Number of mean think times after which an idle flow without a packet since
+/// the move is assumed to be at another balancer: most pauses between requests
+/// are shorter.
+static constexpr int kMovedIdleThinkTimes = 2;
 
 /// Clients retransmit data 200 ms after sending it without an acknowledgement.
 /// Repeated data that arrives sooner after the request had been delayed in this
@@ -73,10 +69,15 @@
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
 }
 
-/// Records that the request of aFlow received a response.
+/// Records that the request of aFlow received a response. One that arrives
+/// after its timeout is recorded as well, so that the timeout can grow, unless
+/// the beginning of the response may have been seen by another balancer.
 auto Forwarder::OnResponse(TrackedFlow& aFlow, Clock::time_point aNow) -> void
 {
-  if (aFlow.phase == FlowPhase::Busy) {
+  const bool timedOut = aFlow.phase == FlowPhase::Inactive &&
+                        aFlow.lastRequestUnanswered && !aFlow.ended &&
+                        m_lastTakeoverAt < aFlow.phaseSince;
+  if (aFlow.phase == FlowPhase::Busy || timedOut) {
     aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince,
                                              aFlow.roundTrip);
     m_flows.SetIdle(aFlow, aNow);
@@ -92,8 +93,12 @@
   auto& target = *aFlow.target;
   auto& stats = target.stats;
   m_metrics.Add(Counter::RequestRepeated);
+  // A client that is farther away than the interval of its retransmissions
+  // repeats each request before it can know of the response.
+  const auto minDelay = std::max<Clock::duration>(
+    kMinRetransmissionDelay, m_roundTrips.Timeout(aFlow.id.client.ip));
   if (stats.lastResponseAt >= aFlow.phaseSince ||
-      aNow - aFlow.phaseSince < kMinRetransmissionDelay) {
+      aNow - aFlow.phaseSince < minDelay) {
     return;
   }
   ++stats.retransmittedRequests;
@@ -130,7 +135,11 @@
     // More data of a request for which the balancer no longer waits.
     return;
   }
-  if (aFlow.phase == FlowPhase::Idle && aFlow.requests > 0) {
+  const bool wasIdle =
+    aFlow.phase == FlowPhase::Idle ||
+    (aFlow.phase == FlowPhase::Inactive && !aFlow.lastRequestUnanswered &&
+     !aFlow.ended && m_lastTakeoverAt < aFlow.phaseSince);
+  if (wasIdle && aFlow.requests > 0) {
     aFlow.route->requestStats.RecordNextRequest(aNow - aFlow.phaseSince);
   }
   // The only acknowledgement of a response may be in the next request.
@@ -196,8 +205,7 @@
   if (aPacket.ends || aPacket.resets) {
     return;
   }
-  auto& flow = m_flows.Open(aPacket.flow, aTarget,
-                            m_roundTrips.Mean(aPacket.flow.client.ip), aNow);
+  auto& flow = TrackFlow(aPacket, aTarget, aNow);
   flow.confirmed = true;
   // Earlier requests were seen by other balancers.
   flow.requests = 1;
@@ -217,10 +225,9 @@
 /// them now. Otherwise targets would appear busier than they are.
 auto Forwarder::DeactivateMovedFlows(Clock::time_point aNow) -> void
 {
-  m_flows.DeactivateBusyWithoutPacketSince(
-    std::min(m_lastTakeoverAt, aNow - kMovedBusyTimeout));
-  m_flows.DeactivateIdleSince(
-    std::min(m_lastTakeoverAt, aNow - kMovedIdleTimeout));
+  m_flows.DeactivateMovedBusy(m_lastTakeoverAt, aNow);
+  m_flows.DeactivateIdleSince(std::min(
+    m_lastTakeoverAt, aNow - kMovedIdleThinkTimes * m_longestThinkTime));
 }
 
 /// Resets a flow whose target is unreachable if its client may retry at another
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -114,7 +114,8 @@
   test.targets.Apply(MakeTarget("a", 5), test.now);
   PersistentFlow flow(test, 1);
   flow.SendRequest();
-  test.AdvanceTime(Milliseconds(700));
+  // The route allows 2 s for a response.
+  test.AdvanceTime(Milliseconds(1900));
   flow.acknowledged += 1000;
   flow.SendRequest();
   test.AdvanceTime(Milliseconds(200));
@@ -152,6 +153,7 @@
   test.targets.Apply(MakeTarget("a", 5), test.now);
   PersistentFlow flow(test, 1);
   flow.SendRequest();
+  test.AdvanceTime(Milliseconds(50));
   flow.AcknowledgeAnswer();
   cr_assert(StatsOfTargetA(test).idleLoad > 0);
   test.AdvanceTime(Milliseconds(20));
@@ -214,7 +216,7 @@
   TestForward test;
   test.targets.Apply(MakeTarget("a", 5), test.now);
   PersistentFlow flow(test, 1);
-  for (int piece = 0; piece < 10; ++piece) {
+  for (int piece = 0; piece < 22; ++piece) {
     flow.SendRequest();
     test.AdvanceTime(Milliseconds(100));
     test.forwarder.Expire(test.now);
