Assume the typical round trip of unknown clients only once it is settled

Cause: the nearest clients react first, so the first samples after a start gave distant clients a time-out that was too short: 70 wrong verdicts of silence in the load model with clients 1 to 80 ms away on one balancer.

--- a/include/bramleylock/Estimate/TimeEstimate.h
+++ b/include/bramleylock/Estimate/TimeEstimate.h
@@ -17,6 +17,8 @@
   auto Record(Duration aSample) -> void;
 
   auto HasSamples() const -> bool;
+  /// Returns whether the averages run over their full number of samples.
+  auto IsSettled() const -> bool;
   auto Mean() const -> Duration;
   auto Deviation() const -> Duration;
 
--- a/lib/Estimate/RoundTripTable.cpp
+++ b/lib/Estimate/RoundTripTable.cpp
@@ -66,14 +66,16 @@
   return EstimateFor(aClient).Mean();
 }
 
+/// The first clients to react are the nearest ones, so the typical round trip is
+/// used for other clients only once it is settled.
 auto RoundTripTable::Timeout(std::uint32_t aClient) const -> Duration
 {
-  const auto& estimate = EstimateFor(aClient);
-  if (!estimate.HasSamples()) {
-    return kInitialTimeout;
-  }
-  return std::clamp<Duration>(estimate.UpperBound(kTimeoutDeviations),
-                              kMinTimeout, kMaxTimeout);
+  const bool isMeasured =
+    Contains(aClient) || m_typical.IsSettled();
+  const auto timeout = std::clamp<Duration>(
+    EstimateFor(aClient).UpperBound(kTimeoutDeviations), kMinTimeout,
+    kMaxTimeout);
+  return isMeasured ? timeout : std::max<Duration>(timeout, kInitialTimeout);
 }
 
 auto RoundTripTable::Contains(std::uint32_t aClient) const -> bool
--- a/lib/Estimate/TimeEstimate.cpp
+++ b/lib/Estimate/TimeEstimate.cpp
@@ -33,6 +33,11 @@
   return m_samples > 0;
 }
 
+auto TimeEstimate::IsSettled() const -> bool
+{
+  return m_samples >= kAveragingSamples;
+}
+
 auto TimeEstimate::Mean() const -> Duration
 {
   return m_mean;
--- a/unittests/Estimate/EstimateTest.cpp
+++ b/unittests/Estimate/EstimateTest.cpp
@@ -56,6 +56,19 @@
             "the lower limit allows for the balancer's own delays");
 }
 
+/// Near clients react first. What they show must not be assumed of the others
+/// before enough clients are known.
+Test(RoundTripTable, FirstNearClientsDoNotDecideForDistantOnes)
+{
+  RoundTripTable table;
+  const Clock::time_point now{ std::chrono::hours(1) };
+  for (std::uint32_t client = 1; client <= 3; ++client) {
+    table.Record(client, Milliseconds(4), now);
+  }
+  cr_assert(table.Timeout(kOtherClient) == Milliseconds(200));
+  cr_assert(table.Timeout(1) == Milliseconds(60));
+}
+
 /// A client that responds late on purpose, on any number of flows, must not
 /// change the timeout of clients without samples by much.
 Test(RoundTripTable, OneLateClientDoesNotDecideForOthers)
