--- a/lib/Estimate/RoundTripTable.cpp
+++ b/lib/Estimate/RoundTripTable.cpp
@@ -66,15 +66,14 @@
   return EstimateFor(aClient).Mean();
 }
 
-/// The first clients to react are the nearest ones, so the typical round trip is
-/// used for other clients only once it is settled.
+/// The first clients to react are the nearest ones, so the typical round trip
+/// is used for other clients only once it is settled.
 auto RoundTripTable::Timeout(std::uint32_t aClient) const -> Duration
 {
-  const bool isMeasured =
-    Contains(aClient) || m_typical.IsSettled();
-  const auto timeout = std::clamp<Duration>(
-    EstimateFor(aClient).UpperBound(kTimeoutDeviations), kMinTimeout,
-    kMaxTimeout);
+  const bool isMeasured = Contains(aClient) || m_typical.IsSettled();
+  const auto timeout =
+    std::clamp<Duration>(EstimateFor(aClient).UpperBound(kTimeoutDeviations),
+                         kMinTimeout, kMaxTimeout);
   return isMeasured ? timeout : std::max<Duration>(timeout, kInitialTimeout);
 }
 
--- a/unittests/Forward/LoadModelTest.cpp
+++ b/unittests/Forward/LoadModelTest.cpp
@@ -2,7 +2,7 @@
 // The share of requests answered in time is compared with that of a policy
 // without the mechanism under test on the same load.
 
-#include "measure/LoadModel.h"
+#include "measure/ModelLoads.h"
 
 #include <criterion/criterion.h>
 
@@ -98,36 +98,104 @@
   }
 }
 
-/// Load of a day with persistent flows, which uses 60 % of the slots: 240 users
-/// who pause for one second between requests of 55 ms, and 80 requests per
-/// second in separate flows.
 static auto PersistentFlowOptions(std::uint64_t aSeed) -> LoadOptions
 {
-  LoadOptions options;
-  options.users = 240;
-  options.requestsPerSecond = 80;
-  options.meanWorkMs = 55;
-  options.onTimeLimit = Milliseconds(250);
-  options.deadline = Milliseconds(4000);
+  auto options = PersistentFlowLoad();
   options.seed = aSeed;
   return options;
 }
 
-/// Idle open flows occupy no slots, so all users can open their flows within
-/// half a second without waiting.
+/// Idle open flows occupy no slots, so all users can open their flows within a
+/// second without waiting.
 Test(LoadModel, PersistentFlowsOpenAtOnceWithoutWaiting)
 {
-  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    const auto result = RunModel(PersistentFlowOptions(seed));
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.OnTimeFraction() > 0.99, "%f at seed %zu",
+              result.OnTimeFraction(), std::size_t{ seed });
+  }
+}
+
+/// If all users open their flows within half a second, their first requests use
+/// 110 % of the slots. No requests fail, and balancers that each know only
+/// their own flows serve them as well as a single one that knows all flows.
+Test(LoadModel, PersistentFlowsOpenTogetherAsWithOneBalancer)
+{
+  constexpr std::uint64_t kSeeds = 8;
+  double severalBalancers = 0;
+  double oneBalancer = 0;
+  double imbalance = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto options = PersistentFlowOptions(seed);
     options.usersStartPeriod = Milliseconds(500);
     const auto result = RunModel(options);
     cr_assert(result.failed == 0, "%zu", result.failed);
-    cr_assert(result.OnTimeFraction() > 0.99, "%f at seed %zu",
+    severalBalancers += result.OnTimeFraction() / kSeeds;
+    imbalance += result.Imbalance() / kSeeds;
+    options.balancers = 1;
+    oneBalancer += RunModel(options).OnTimeFraction() / kSeeds;
+  }
+  cr_assert(severalBalancers > oneBalancer - 0.002, "%f, %f", severalBalancers,
+            oneBalancer);
+  cr_assert(imbalance < 1.25, "%f", imbalance);
+}
+
+/// Requests and answers of distant clients are in transit for longer than they
+/// are executed. Neither their first packets nor their requests may be mistaken
+/// for a fault or for load of the targets.
+Test(LoadModel, DistantClientsAreServedLikeNearOnes)
+{
+  const std::vector<std::pair<int, int>> delays{
+    { 20, 20 }, { 40, 40 }, { 60, 60 }, { 1, 80 }
+  };
+  for (const auto& [nearest, farthest] : delays) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      auto options =
+        DistantClientsLoad(Milliseconds(nearest), Milliseconds(farthest));
+      options.seed = seed;
+      const auto result = RunModel(options);
+      cr_assert(result.failed == 0, "%zu", result.failed);
+      cr_assert(result.OnTimeFraction() > 0.995, "%f at %d ms",
+                result.OnTimeFraction(), farthest);
+      cr_assert(result.falseSilences == 0, "%zu at %d ms", result.falseSilences,
+                farthest);
+    }
+  }
+}
+
+/// A burst that uses 90 % of the slots, from clients 40 ms away.
+Test(LoadModel, DistantClientsAreAnsweredInTimeInABurst)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto options = DistantClientsLoad(Milliseconds(40), Milliseconds(40));
+    options.requestsPerSecond = 230;
+    options.seed = seed;
+    const auto result = RunModel(options);
+    cr_assert(result.failed == 0, "%zu", result.failed);
+    cr_assert(result.OnTimeFraction() > 0.93, "%f at seed %zu",
               result.OnTimeFraction(), std::size_t{ seed });
-    cr_assert(result.Imbalance() < 1.25, "%f", result.Imbalance());
   }
 }
 
+/// Calm loads of deployments with shorter and longer requests.
+Test(LoadModel, RequestsOfAnyDurationAreAnsweredInTime)
+{
+  std::size_t playedLoads = 0;
+  for (auto& [name, options] : UnlikeLoads()) {
+    const std::string label(name);
+    if (label == "long_requests" || label == "long_requests_restarts" ||
+        label == "short_requests") {
+      const auto result = RunModel(options);
+      cr_assert(result.failed == 0, "%s: %zu", name, result.failed);
+      cr_assert(result.OnTimeFraction() > 0.995, "%s: %f", name,
+                result.OnTimeFraction());
+      ++playedLoads;
+    }
+  }
+  cr_assert_eq(playedLoads, 3);
+}
+
 /// Idle flows do not move to replacement targets on their own. The placement of
 /// new flows has to balance the load again.
 Test(LoadModel, PersistentFlowsSurviveReplacementOfTargets)
