Renew the token of a flow that is opened again after a key rotation

Change: the token is renewed before it is handed out, on each way. Rejected tokens are logged with their key, flow and sequence.

--- a/include/bramleylock/Flow/FlowRecord.h
+++ b/include/bramleylock/Flow/FlowRecord.h
@@ -30,6 +30,10 @@
 /// signing key.
 auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void;
 
+/// Renews the token of aFlow if it is signed with an earlier key. To be called
+/// before the token is sent to a caller.
+auto RenewOutdatedToken(const Environment& aEnvironment, Flow& aFlow) -> void;
+
 /// Whether aFlow was handed over with its record from aOwner, directly or by
 /// way of later owners.
 auto WasHandedOverFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool;
--- a/include/bramleylock/Wire/Token.h
+++ b/include/bramleylock/Wire/Token.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -77,6 +78,10 @@
 };
 
 /// Formats a key as hexadecimal digits.
+/// Returns the id of the key that aText claims to be signed with; nothing if it
+/// is not a token.
+auto ClaimedKeyId(const std::string& aText) -> std::optional<std::uint32_t>;
+
 auto KeyToHex(const SigningKey& aKey) -> std::string;
 
 /// Parses the format of KeyToHex; returns false when aText is not a valid key.
--- a/lib/Flow/Dispatcher.cpp
+++ b/lib/Flow/Dispatcher.cpp
@@ -202,6 +202,18 @@
                           ? Reason::KeyUnknown
                           : Reason::Forged;
     CountReason(m_environment.metrics, reason);
+    if (ShouldLog(LogLevel::Info, "token-rejected")) {
+      LogInfo(
+        "token-rejected",
+        { { "flow", std::to_string(packet.flow) },
+          { "sequence", std::to_string(packet.sequence) },
+          { "packet", std::to_string(static_cast<int>(packet.type)) },
+          { "hops", std::to_string(aIncoming.hops) },
+          { "why", error.message() },
+          { "key",
+            std::to_string(wire::ClaimedKeyId(packet.token).value_or(0)) },
+          { "newest_key", std::to_string(m_environment.keys.NewestKeyId()) } });
+    }
     // The owner may have run the request, so the outcome is unknown rather than
     // not run.
     Reply(aIncoming, PacketType::Unknown, reason);
--- a/lib/Flow/FlowRecord.cpp
+++ b/lib/Flow/FlowRecord.cpp
@@ -164,6 +164,13 @@
   aFlow.keyId = aEnvironment.keys.SigningKeyId();
 }
 
+auto RenewOutdatedToken(const Environment& aEnvironment, Flow& aFlow) -> void
+{
+  if (aFlow.keyId != aEnvironment.keys.SigningKeyId()) {
+    RenewToken(aEnvironment, aFlow);
+  }
+}
+
 auto WasHandedOverFrom(const Flow& aFlow, const wire::Owner& aOwner) -> bool
 {
   const auto& previousOwners = aFlow.previousOwners;
--- a/lib/Flow/OwnedFlows.cpp
+++ b/lib/Flow/OwnedFlows.cpp
@@ -26,6 +26,9 @@
   if (flow && HandleDuplicate(aIncoming, flow)) {
     return;
   }
+  if (flow) {
+    RenewOutdatedToken(m_environment, *flow);
+  }
   const bool atMostOnce = aIncoming.work.execution == Execution::AtMostOnce;
   if (flow && !atMostOnce) {
     StartRequest(aIncoming, flow);
@@ -155,9 +158,7 @@
     m_handOver.HoldPacket(flow->id, MakeForwarded(aIncoming));
     return;
   }
-  if (flow->keyId != m_environment.keys.SigningKeyId()) {
-    RenewToken(m_environment, *flow);
-  }
+  RenewOutdatedToken(m_environment, *flow);
   if (packet.token != flow->token) {
     // With the current token, later requests of the flow are routed directly to
     // this balancer and do not depend on a key that is about to be retired.
--- a/lib/Wire/Token.cpp
+++ b/lib/Wire/Token.cpp
@@ -134,6 +134,22 @@
   return token;
 }
 
+auto ClaimedKeyId(const std::string& aText) -> std::optional<std::uint32_t>
+{
+  try {
+    const msgpack::unpack_limit limits(kTokenFieldCount, 0, 255, 0, 0, 1);
+    const auto handle =
+      msgpack::unpack(aText.data(), aText.size(), nullptr, nullptr, limits);
+    const auto& body = handle.get();
+    if (body.type != msgpack::type::ARRAY || body.via.array.size == 0) {
+      return std::nullopt;
+    }
+    return body.via.array.ptr[0].as<std::uint32_t>();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 auto KeyToHex(const SigningKey& aKey) -> std::string
 {
   std::string text(aKey.size() * 2 + 1, '\0');
--- a/unittests/Flow/DispatcherTest.cpp
+++ b/unittests/Flow/DispatcherTest.cpp
@@ -89,3 +89,29 @@
   cr_assert(successor.sent.empty(), "the duplicate flow answered the request");
   cr_assert_eq(successor.metrics.Get(Counter::PacketsForwarded), 1);
 }
+
+/// A caller that has not heard from the owner for a while sends its next
+/// request without a token. If it reaches a balancer that has a record of the
+/// flow from before a key rotation, the token that it gets must be signed with
+/// the new key: the other balancers remove the old one.
+Test(Dispatcher, FlowOpenedAgainAfterKeyRotationGetsTokenOfTheNewKey)
+{
+  asio::io_context context(1);
+  TestNode node(context, "a", "north");
+  Dispatcher dispatcher(node.environment, kIdleTimeout);
+  node.keys.Add(1, wire::GenerateSigningKey());
+  node.lists.Install(MakeLists());
+  Deliver(dispatcher, MakeConfirmRequest(""));
+  cr_assert(LastTypeSent(node) == wire::PacketType::Opened);
+
+  node.keys.Add(2, wire::GenerateSigningKey());
+  node.keys.SelectSigningKey(2);
+  node.keys.Remove(1);
+  Deliver(dispatcher, MakeConfirmRequest(""));
+  cr_assert(LastTypeSent(node) == wire::PacketType::Opened);
+  std::error_code error;
+  const auto& datagram = node.sent.back();
+  const auto opened = wire::Decode(datagram.data(), datagram.size(), error);
+  node.keys.Verify(opened.token, kFlowId, error);
+  cr_assert(!error, "%s", error.message().c_str());
+}
