Limit how often one client adds to the service time of a route

Cause: a client with many flows, or one that acknowledges on purpose early or late, would decide what is assumed of the targets for all clients.

Change: a client address adds ten samples a second at most to the service time of a route; its own round trip is not limited. Test: RoundTripTable::ClientAddsFewSharedSamplesPerSecond.

--- a/include/bramleylock/Estimate/RoundTripTable.h
+++ b/include/bramleylock/Estimate/RoundTripTable.h
@@ -26,6 +26,11 @@
   auto Record(std::uint32_t aClient, Duration aSample, Clock::time_point aNow)
     -> void;
 
+  /// Returns whether a sample from aClient may be added to an estimate that
+  /// concerns other clients too, and notes that it was. A client may add ten
+  /// per second, so that one with many flows does not decide for the others.
+  auto AdmitSharedSample(std::uint32_t aClient, Clock::time_point aNow) -> bool;
+
   /// Returns the mean round trip of aClient, or zero before the first sample of
   /// any client.
   auto Mean(std::uint32_t aClient) const -> Duration;
@@ -48,6 +53,7 @@
     TimeEstimate estimate{};
     Clock::time_point recordedAt{};
     Clock::time_point contributedAt{};
+    Clock::time_point sharedSampleAt{};
   };
 
   auto EstimateFor(std::uint32_t aClient) const -> const TimeEstimate&;
--- a/lib/Estimate/RoundTripTable.cpp
+++ b/lib/Estimate/RoundTripTable.cpp
@@ -9,6 +9,9 @@
 /// Minimum time between two samples of a client for the typical round trip.
 static constexpr std::chrono::seconds kContributionInterval{ 1 };
 
+/// Minimum time between two samples of a client for other shared estimates.
+static constexpr Milliseconds kSharedSampleInterval{ 100 };
+
 /// Number of mean deviations after which a reaction is overdue, as in RFC 6298.
 static constexpr double kTimeoutDeviations = 4;
 
@@ -54,6 +57,21 @@
   }
 }
 
+auto RoundTripTable::AdmitSharedSample(std::uint32_t aClient,
+                                       Clock::time_point aNow) -> bool
+{
+  const auto found = m_byAddress.find(aClient);
+  if (found == m_byAddress.end()) {
+    return true;
+  }
+  auto& last = found->second->sharedSampleAt;
+  if (last != Clock::time_point{} && aNow - last < kSharedSampleInterval) {
+    return false;
+  }
+  last = aNow;
+  return true;
+}
+
 auto RoundTripTable::EstimateFor(std::uint32_t aClient) const
   -> const TimeEstimate&
 {
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -77,11 +77,14 @@
   const bool timedOut = aFlow.phase == FlowPhase::Inactive &&
                         aFlow.lastRequestUnanswered && !aFlow.ended &&
                         m_lastTakeoverAt < aFlow.phaseSince;
-  if (aFlow.phase == FlowPhase::Busy || timedOut) {
+  if (aFlow.phase != FlowPhase::Busy && !timedOut) {
+    return;
+  }
+  if (m_roundTrips.AdmitSharedSample(aFlow.id.client.ip, aNow)) {
     aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince,
                                              aFlow.roundTrip);
-    m_flows.SetIdle(aFlow, aNow);
   }
+  m_flows.SetIdle(aFlow, aNow);
 }
 
 /// Handles a retransmission of a request that the target has not acknowledged.
--- a/unittests/Estimate/EstimateTest.cpp
+++ b/unittests/Estimate/EstimateTest.cpp
@@ -103,3 +103,16 @@
   table.RemoveUnusedSince(now - std::chrono::seconds(60));
   cr_assert_eq(table.Size(), 1);
 }
+
+Test(RoundTripTable, ClientAddsFewSharedSamplesPerSecond)
+{
+  RoundTripTable table;
+  Clock::time_point now{ std::chrono::hours(1) };
+  table.Record(kClient, Milliseconds(5), now);
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    admitted += table.AdmitSharedSample(kClient, now) ? 1 : 0;
+    now += Milliseconds(1);
+  }
+  cr_assert_eq(admitted, 10);
+}
