--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -24,8 +24,8 @@
   /// The target has reached this balancer's limit of open flows.
   bool atFlowLimit = false;
   bool sameDomain = true;
-  /// The target is still warming up after its start.
-  bool warmingUp = false;
+  /// How many times as long as usual the target takes for a request.
+  double slowness = 1;
   /// The target did not respond to newly opened flows in time.
   bool silent = false;
 };
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -122,6 +122,10 @@
   auto SelectTarget(const Packet& aPacket, const Route& aRoute,
                     const DirectoryEntry* aExcludedTarget,
                     Clock::time_point aNow) -> TargetSelection;
+  auto SlownessOf(const DirectoryEntry& aTarget, Clock::time_point aNow) const
+    -> double;
+  auto RecordSlowness(DirectoryEntry& aTarget, double aRatio,
+                      Clock::time_point aNow) -> void;
   auto LogFlowOpened(const Packet& aPacket, const Route& aRoute,
                      const DirectoryEntry& aTarget, std::size_t aCandidates,
                      Clock::time_point aNow) -> void;
@@ -185,6 +189,9 @@
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
+  /// Slowness of targets that are warming up; half as slow again is assumed
+  /// until it is known.
+  double m_warmUpSlowness = 1.5;
   Clock::time_point m_lastOverdueCheckAt{};
   /// Longest mean think time of the routes, as of the last Expire.
   estimate::Duration m_longestThinkTime = std::chrono::seconds(1);
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -74,6 +74,10 @@
   std::uint32_t idleFlows = 0;
   /// Mean number of slots used by the idle flows.
   double idleLoad = 0;
+  /// Moving average of this target's service times divided by those of all
+  /// targets, and the time of its last sample.
+  double slowness = 1;
+  Clock::time_point slownessAt{};
   /// Flows that have not ended, as far as this balancer knows.
   std::uint32_t openFlows = 0;
   /// Requests of open flows that clients retransmitted since a client last
--- a/lib/Forward/FlowChoice.cpp
+++ b/lib/Forward/FlowChoice.cpp
@@ -7,10 +7,6 @@
 
 namespace bramleylock::forward {
 
-/// Factor by which a target that is warming up takes longer for a request (the
-/// platform's hosts take 1.6 times as long in their first seconds).
-static constexpr double kWarmUpSlowdown = 1.6;
-
 /// Cost of selecting a target in another failure domain, in mean service times:
 /// it adds two milliseconds of latency, and traffic between domains is billed.
 static constexpr double kOtherFailureDomainCost = 0.5;
@@ -53,7 +49,7 @@
 {
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
   const double requests = aCandidate.busyLoad + aCandidate.idleLoad;
-  const double serviceTime = aCandidate.warmingUp ? kWarmUpSlowdown : 1.0;
+  const double serviceTime = aCandidate.slowness;
   const double waitTime =
     std::max(0.0, requests + 1 - slots) / slots * serviceTime;
   // Among targets with a free slot, prefer the less loaded one, because some
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -30,6 +30,22 @@
 /// which its ends may discard it, because packets may still be in transit.
 static constexpr Milliseconds kIdleTimeoutMargin{ 1000 };
 
+/// Number of service times over which the slowness of one target, and of
+/// targets that are warming up, is averaged.
+static constexpr double kSlownessSamples = 4;
+static constexpr double kWarmUpSamples = 64;
+
+/// Range of a single sample; the ratio of two service times has no upper limit.
+static constexpr double kMinSlownessSample = 0.25;
+static constexpr double kMaxSlownessSample = 8;
+
+/// Targets below this slowness count as usual.
+static constexpr double kMinSlowness = 1.5;
+
+/// Time after which the slowness of a target without samples has faded to a
+/// third.
+static constexpr std::chrono::duration<double> kSlownessMemory{ 2 };
+
 /// Number of standard deviations of a random load by which a balancer may
 /// exceed its even share of a target's flow limit.
 static constexpr double kOpenFlowDeviations = 3;
@@ -125,6 +141,41 @@
   return static_cast<std::uint32_t>(std::min<double>(maxFlows, limit));
 }
 
+/// Returns the slowness of a target, which fades because a target that is
+/// avoided shows no further service times.
+static auto FadedSlowness(const TargetStats& aStats, Clock::time_point aNow)
+  -> double
+{
+  return 1 + (aStats.slowness - 1) * std::exp(-std::chrono::duration<double>(
+                                                aNow - aStats.slownessAt) /
+                                              kSlownessMemory);
+}
+
+/// Returns how many times as long as usual a target takes for a request.
+/// Individual service times vary, so only a clear difference counts.
+auto Forwarder::SlownessOf(const DirectoryEntry& aTarget,
+                           Clock::time_point aNow) const -> double
+{
+  const auto faded = FadedSlowness(aTarget.stats, aNow);
+  const auto slowness = faded < kMinSlowness ? 1 : faded;
+  return aTarget.warmUpEndsAt > aNow ? std::max(slowness, m_warmUpSlowness)
+                                     : slowness;
+}
+
+/// Records a service time of a target relative to the usual one.
+auto Forwarder::RecordSlowness(DirectoryEntry& aTarget, double aRatio,
+                               Clock::time_point aNow) -> void
+{
+  const auto ratio = std::clamp(aRatio, kMinSlownessSample, kMaxSlownessSample);
+  auto& stats = aTarget.stats;
+  const auto before = FadedSlowness(stats, aNow);
+  stats.slowness = before + (ratio - before) / kSlownessSamples;
+  stats.slownessAt = aNow;
+  if (aTarget.warmUpEndsAt > aNow) {
+    m_warmUpSlowness += (ratio - m_warmUpSlowness) / kWarmUpSamples;
+  }
+}
+
 auto Forwarder::SelectTarget(const Packet& aPacket, const Route& aRoute,
                              const DirectoryEntry* aExcludedTarget,
                              Clock::time_point aNow) -> TargetSelection
@@ -147,7 +198,7 @@
       { entry->record.slots, stats.busyLoad, stats.idleLoad,
         stats.openFlows >= openFlowLimit,
         entry->record.failureDomain == m_options.failureDomain,
-        entry->warmUpEndsAt > aNow, IsSilent(stats, aNow) });
+        SlownessOf(*entry, aNow), IsSilent(stats, aNow) });
   }
   const auto decision = m_choice.Choose(input, m_random);
   if (!decision.chosen) {
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -80,6 +80,14 @@
   if (aFlow.phase != FlowPhase::Busy && !timedOut) {
     return;
   }
+  const auto& usual = aFlow.route->requestStats.ServiceTime();
+  if (usual.IsSettled() && usual.Mean().count() > 0) {
+    RecordSlowness(
+      *aFlow.target,
+      std::chrono::duration<double>(aNow - aFlow.phaseSince - aFlow.roundTrip) /
+        usual.Mean(),
+      aNow);
+  }
   if (m_roundTrips.AdmitSharedSample(aFlow.id.client.ip, aNow)) {
     aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince,
                                              aFlow.roundTrip);
