--- a/include/bramleylock/Forward/PendingFlowQueue.h
+++ b/include/bramleylock/Forward/PendingFlowQueue.h
@@ -26,6 +26,8 @@
   Clock::time_point arrivedAt{};
   /// Arrival time of the last copy.
   Clock::time_point lastCopyAt{};
+  /// When the packet is refused if no target has become free.
+  Clock::time_point refuseAt{};
 };
 
 /// Queue of one service. More urgent packets are served first. Within one
@@ -47,9 +49,8 @@
   /// Puts back the packet that Pop returned last.
   auto Requeue(PendingFlow aFlow) -> void;
 
-  /// Removes and returns the packets that arrived before aLimit, whose clients
-  /// have given up.
-  auto ExtractOlderThan(Clock::time_point aLimit) -> std::vector<PendingFlow>;
+  /// Removes and returns the packets that are to be refused by aNow.
+  auto ExtractExpired(Clock::time_point aNow) -> std::vector<PendingFlow>;
 
   /// Returns the queued packet of aFlow, or null.
   auto Find(const FlowId& aFlow) -> PendingFlow*;
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -9,9 +9,10 @@
 
 namespace bramleylock::forward {
 
-/// Maximum time in the queue. A client with the shortest deadline of 1.5 s
-/// still has time for another attempt after this refusal, and that attempt is
-/// served first as the newest.
+/// Maximum time in the queue: a fraction of the time that the route allows for
+/// a request, so that its client still has time for another attempt after the
+/// refusal, and at most kMaxQueueTime.
+static constexpr double kMaxQueueTimeShare = 0.4;
 static constexpr Milliseconds kMaxQueueTime{ 600 };
 
 /// Maximum number of first packets queued per slot of a balancer's share. A
@@ -74,6 +75,18 @@
   return queue != m_pendingFlows.end() && queue->second.Size() > 0;
 }
 
+/// Returns how long a first packet may wait for a target.
+static auto MaxQueueTime(const Route* aRoute) -> Clock::duration
+{
+  if (aRoute == nullptr || aRoute->timeoutMs == 0) {
+    return kMaxQueueTime;
+  }
+  const std::chrono::duration<double, std::milli> limit(aRoute->timeoutMs);
+  return std::min<Clock::duration>(
+    kMaxQueueTime,
+    std::chrono::duration_cast<Clock::duration>(kMaxQueueTimeShare * limit));
+}
+
 auto Forwarder::QueueLimit(const std::string& aService, Clock::time_point aNow)
   -> std::size_t
 {
@@ -105,11 +118,11 @@
                             { "waiting", std::to_string(queue.Size()) },
                             { "limit", std::to_string(limit) } });
   }
-  const auto refused =
-    queue.Push({ aPacket, std::string(aData, aSize),
-                 aRoute == nullptr ? 0 : aRoute->urgency,
-                 aNow - kCopySendOffset[CopyNumber(aPacket)], aNow, aNow },
-               limit);
+  const auto refused = queue.Push({ aPacket, std::string(aData, aSize),
+                                    aRoute == nullptr ? 0 : aRoute->urgency,
+                                    aNow - kCopySendOffset[CopyNumber(aPacket)],
+                                    aNow, aNow, aNow + MaxQueueTime(aRoute) },
+                                  limit);
   if (refused) {
     Refuse(refused->packet, Counter::FlowRefusedQueueFull, "queue-full");
   }
@@ -162,7 +175,7 @@
 auto Forwarder::RefuseExpired(Clock::time_point aNow) -> void
 {
   for (auto& [service, queue] : m_pendingFlows) {
-    for (const auto& expired : queue.ExtractOlderThan(aNow - kMaxQueueTime)) {
+    for (const auto& expired : queue.ExtractExpired(aNow)) {
       if (!DropIfMoved(expired, service, aNow)) {
         Refuse(expired.packet, Counter::FlowRefusedWaited, "waited-too-long");
       }
--- a/lib/Forward/PendingFlowQueue.cpp
+++ b/lib/Forward/PendingFlowQueue.cpp
@@ -79,14 +79,14 @@
   Insert(std::move(aFlow));
 }
 
-auto PendingFlowQueue::ExtractOlderThan(Clock::time_point aLimit)
+auto PendingFlowQueue::ExtractExpired(Clock::time_point aNow)
   -> std::vector<PendingFlow>
 {
   std::vector<PendingFlow> expired;
   for (auto position = m_byUrgency.begin(); position != m_byUrgency.end();) {
     auto& pending = position->second;
     for (auto flow = pending.begin(); flow != pending.end();) {
-      if (flow->arrivedAt >= aLimit) {
+      if (flow->refuseAt > aNow) {
         ++flow;
         continue;
       }
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -512,3 +512,23 @@
             "four flows opened here and one taken over");
   cr_assert(test.sink.resets.empty());
 }
+
+/// The time in the queue follows the route's time limit: a client that allows
+/// 500 ms is refused while it still has time for another attempt.
+Test(Forwarder, PendingFlowIsRefusedWithinTheTimeLimitOfItsRoute)
+{
+  TestForward test;
+  auto routes = MakeRoutes(2);
+  routes.routes[0].timeoutMs = 500;
+  test.routes.Install(routes, test.now);
+  test.FillTargetA();
+  test.Send(TestForward::Opening(5));
+  cr_assert(test.forwarder.PendingFlowCount() == 1);
+  test.AdvanceTime(Milliseconds(199));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.sink.resets.empty());
+  test.AdvanceTime(Milliseconds(2));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.sink.resets.size() == 1);
+  cr_assert(test.metrics.Get(Counter::FlowRefusedWaited) == 1);
+}
