Rank health probers independently of the build, and test equal tags

HealthProber ranked by std::hash, which differs between standard libraries, so balancers of two builds could leave a target without a prober. It ranks by SipHash now; a test fixes the ranks. A test shows that of two targets with one tag only the lower id is used, until no flow to it can be open. One spelling of timeout.

--- a/include/bramleylock/Admission/FairQueue.h
+++ b/include/bramleylock/Admission/FairQueue.h
@@ -100,7 +100,7 @@
   auto RemoveWaiting(const std::shared_ptr<Ticket>& aTicket) -> void;
 
   /// How long the target may send nothing before the request of aTicket is
-  /// presumed lost. The time-out is a multiple of the usual slot time of its
+  /// presumed lost. The timeout is a multiple of the usual slot time of its
   /// kind of work.
   auto InactivityTimeout(const std::shared_ptr<Ticket>& aTicket) const
     -> Clock::duration;
--- a/lib/Target/HealthProber.cpp
+++ b/lib/Target/HealthProber.cpp
@@ -3,6 +3,7 @@
 #include "bramleylock/Target/HealthProber.h"
 
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Support/SipHash.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,10 +18,11 @@
 /// partitioned and another one with a wrong result.
 static constexpr std::size_t kProbersPerTarget = 3;
 
+/// The ranks must be the same on balancers of different builds.
 static auto RankOf(const std::string& aBalancer, const std::string& aTarget)
   -> std::uint64_t
 {
-  return std::hash<std::string>()(aBalancer + "|" + aTarget);
+  return SipHash(aBalancer + "|" + aTarget);
 }
 
 /// The balancers among which the probers of aTarget are chosen: those of its
--- a/unittests/Forward/TargetDirectoryTest.cpp
+++ b/unittests/Forward/TargetDirectoryTest.cpp
@@ -201,3 +201,29 @@
   cr_assert(kTargets - tags.size() <= 5);
   cr_assert(!tags.contains(0));
 }
+
+/// Two targets of one service whose tags are equal. A packet names its target
+/// by the tag alone, so only the one with the lower id may be given flows.
+Test(TargetDirectory, OnlyOneOfTwoTargetsWithTheSameTagIsUsed)
+{
+  const std::string lower = "b-2995";
+  const std::string higher = "b-72568";
+  cr_assert_eq(ComputeTag(lower, 1), ComputeTag(higher, 1));
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  RouteTable routes;
+  routes.Install(MakeRoutes(1), kNow);
+  for (const auto& id : { higher, lower }) {
+    cr_assert(targets.Apply(MakeTarget(id, 5), kNow));
+  }
+  const auto candidates = targets.Candidates("orders", kNow);
+  cr_assert_eq(candidates.size(), 1);
+  cr_assert(candidates[0]->record.id == lower);
+  cr_assert(targets.Lookup(ComputeTag(higher, 1), kOrdersAddress, routes) ==
+            candidates[0]);
+  // The other one is used once no flow to the first can be open.
+  targets.Remove(lower, 6, Milliseconds(0), kNow);
+  cr_assert(targets.Candidates("orders", kNow).empty());
+  targets.Expire(std::chrono::seconds(61), kNow + Milliseconds(62000));
+  cr_assert_eq(targets.Candidates("orders", kNow).size(), 1);
+}
--- a/unittests/Target/TableTest.cpp
+++ b/unittests/Target/TableTest.cpp
@@ -262,3 +262,22 @@
   cr_assert_leq(count("far-"), 3);
   cr_assert_gt(count("far-"), 0);
 }
+
+/// Balancers of different builds must agree on the probers, so the ranks do not
+/// depend on the standard library.
+Test(HealthProber, ProbersAreTheSameInEveryBuild)
+{
+  BalancersByDomain balancers;
+  std::string probers;
+  for (int i = 0; i < 9; ++i) {
+    balancers["a"].push_back("near-" + std::to_string(i));
+  }
+  Target target;
+  target.address = "10.0.0.1:80";
+  target.failureDomain = "a";
+  for (int i = 0; i < 9; ++i) {
+    const auto name = "near-" + std::to_string(i);
+    probers += IsProber(balancers, name, target) ? std::to_string(i) : "";
+  }
+  cr_assert(probers == "238", "%s", probers.c_str());
+}
