--- a/include/bramleylock/Flow/FlowRecord.h
+++ b/include/bramleylock/Flow/FlowRecord.h
@@ -26,10 +26,6 @@
               const std::string& aPlan, const std::string& aService)
   -> std::shared_ptr<Flow>;
 
-/// Gives aFlow a token that names this balancer and is signed with the current
-/// signing key.
-auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void;
-
 /// Renews the token of aFlow if it is signed with an earlier key. To be called
 /// before the token is sent to a caller.
 auto RenewOutdatedToken(const Environment& aEnvironment, Flow& aFlow) -> void;
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -85,7 +85,6 @@
                     std::map<std::string, std::size_t> aByDomain = {}) -> void;
 
   auto Flows() const -> const FlowTable&;
-  auto RoundTrips() const -> const estimate::RoundTripTable&;
   auto PendingFlowCount() const -> std::size_t;
 
 private:
@@ -159,6 +158,9 @@
   auto OnClientData(TrackedFlow& aFlow, const Packet& aPacket,
                     bool aHasNewAcknowledgement, Clock::time_point aNow)
     -> void;
+  auto RecordResponseTime(const TrackedFlow& aFlow,
+                          estimate::Duration aResponseTime,
+                          Clock::time_point aNow) -> void;
   auto OnResponse(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto OnRetransmission(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto ResetIfUnreachable(const Packet& aPacket, const DirectoryEntry& aTarget,
@@ -189,9 +191,8 @@
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
-  /// Slowness of targets that are warming up; half as slow again is assumed
-  /// until it is known.
-  double m_warmUpSlowness = 1.5;
+  /// Slowness of targets that are warming up.
+  double m_warmUpSlowness;
   Clock::time_point m_lastOverdueCheckAt{};
   /// Longest mean think time of the routes, as of the last Expire.
   estimate::Duration m_longestThinkTime = std::chrono::seconds(1);
--- a/include/bramleylock/Wire/Token.h
+++ b/include/bramleylock/Wire/Token.h
@@ -77,11 +77,11 @@
   std::uint32_t m_signing = 0;
 };
 
-/// Formats a key as hexadecimal digits.
 /// Returns the id of the key that aText claims to be signed with; nothing if it
 /// is not a token.
 auto ClaimedKeyId(const std::string& aText) -> std::optional<std::uint32_t>;
 
+/// Formats a key as hexadecimal digits.
 auto KeyToHex(const SigningKey& aKey) -> std::string;
 
 /// Parses the format of KeyToHex; returns false when aText is not a valid key.
--- a/lib/Flow/FlowRecord.cpp
+++ b/lib/Flow/FlowRecord.cpp
@@ -145,6 +145,14 @@
   return record;
 }
 
+/// Gives aFlow a token that names this balancer and is signed with the current
+/// signing key.
+static auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void
+{
+  aFlow.token = SignFlow(aEnvironment, aFlow.service, aFlow.id);
+  aFlow.keyId = aEnvironment.keys.SigningKeyId();
+}
+
 auto MakeFlow(const Environment& aEnvironment, std::uint64_t aId,
               const std::string& aPlan, const std::string& aService)
   -> std::shared_ptr<Flow>
@@ -158,12 +166,6 @@
   return flow;
 }
 
-auto RenewToken(const Environment& aEnvironment, Flow& aFlow) -> void
-{
-  aFlow.token = SignFlow(aEnvironment, aFlow.service, aFlow.id);
-  aFlow.keyId = aEnvironment.keys.SigningKeyId();
-}
-
 auto RenewOutdatedToken(const Environment& aEnvironment, Flow& aFlow) -> void
 {
   if (aFlow.keyId != aEnvironment.keys.SigningKeyId()) {
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -35,9 +35,14 @@
 static constexpr double kSlownessSamples = 4;
 static constexpr double kWarmUpSamples = 64;
 
-/// Range of a single sample; the ratio of two service times has no upper limit.
+/// Slowness of targets that are warming up before it is known.
+static constexpr double kInitialWarmUpSlowness = 1.5;
+
+/// Range of a single sample. The upper limit keeps one sample below
+/// kMinSlowness, so that one client that acknowledges late does not make a
+/// target appear slow.
 static constexpr double kMinSlownessSample = 0.25;
-static constexpr double kMaxSlownessSample = 8;
+static constexpr double kMaxSlownessSample = 2.9;
 
 /// Targets below this slowness count as usual.
 static constexpr double kMinSlowness = 1.5;
@@ -63,6 +68,7 @@
   , m_options(std::move(aOptions))
   , m_flows(kMaxTrackedFlows)
   , m_random(m_options.seed)
+  , m_warmUpSlowness(kInitialWarmUpSlowness)
 {
 }
 
@@ -489,9 +495,4 @@
   return m_flows;
 }
 
-auto Forwarder::RoundTrips() const -> const estimate::RoundTripTable&
-{
-  return m_roundTrips;
-}
-
 } // namespace bramleylock::forward
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -69,6 +69,21 @@
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
 }
 
+/// Adds a response time to the estimates of the route and of the target.
+auto Forwarder::RecordResponseTime(const TrackedFlow& aFlow,
+                                   estimate::Duration aResponseTime,
+                                   Clock::time_point aNow) -> void
+{
+  auto& requestStats = aFlow.route->requestStats;
+  const auto& usual = requestStats.ServiceTime();
+  if (usual.IsSettled() && usual.Mean().count() > 0) {
+    const std::chrono::duration<double> serviceTime =
+      aResponseTime - aFlow.roundTrip;
+    RecordSlowness(*aFlow.target, serviceTime / usual.Mean(), aNow);
+  }
+  requestStats.RecordResponse(aResponseTime, aFlow.roundTrip);
+}
+
 /// Records that the request of aFlow received a response. One that arrives
 /// after its timeout is recorded as well, so that the timeout can grow, unless
 /// the beginning of the response may have been seen by another balancer.
@@ -80,17 +95,8 @@
   if (aFlow.phase != FlowPhase::Busy && !timedOut) {
     return;
   }
-  const auto& usual = aFlow.route->requestStats.ServiceTime();
-  if (usual.IsSettled() && usual.Mean().count() > 0) {
-    RecordSlowness(
-      *aFlow.target,
-      std::chrono::duration<double>(aNow - aFlow.phaseSince - aFlow.roundTrip) /
-        usual.Mean(),
-      aNow);
-  }
   if (m_roundTrips.AdmitSharedSample(aFlow.id.client.ip, aNow)) {
-    aFlow.route->requestStats.RecordResponse(aNow - aFlow.phaseSince,
-                                             aFlow.roundTrip);
+    RecordResponseTime(aFlow, aNow - aFlow.phaseSince, aNow);
   }
   m_flows.SetIdle(aFlow, aNow);
 }
--- a/unittests/Forward/SlownessTest.cpp
+++ b/unittests/Forward/SlownessTest.cpp
@@ -81,3 +81,18 @@
   // While the other targets have free slots, one that is slower is not used.
   cr_assert_eq(requests.CountAtA(50, kSlowTime), 0);
 }
+
+/// One client acknowledges its answers a second late on purpose, at one target
+/// after the other. No target is avoided because of it.
+Test(Slowness, OneLateClientDoesNotMakeTargetsAppearSlow)
+{
+  Requests requests;
+  for (const auto* id : { "a", "b" }) {
+    requests.test.targets.Apply(MakeTarget(id, 5), requests.test.now);
+  }
+  requests.CountAtA(50, kUsualTime);
+  requests.Serve(Milliseconds(1000));
+  for (const auto* id : { "a", "b" }) {
+    cr_assert(requests.test.targets.Find(id)->stats.slowness < 1.5);
+  }
+}
