--- a/measure/FlowLoads.cpp
+++ b/measure/FlowLoads.cpp
@@ -65,12 +65,7 @@
     for (std::uint64_t seed = aSeed; seed < aSeed + kSeeds; ++seed) {
       aOptions.seed = seed;
       const auto result = LoadModel(aOptions).Run();
-      sum.requests += result.requests;
-      sum.onTime += result.onTime;
-      sum.late += result.late;
-      sum.failed += result.failed;
-      sum.shed += result.shed;
-      sum.falseSilences += result.falseSilences;
+      sum.AddCounts(result);
       goodput += Goodput(aOptions, result) / kSeeds;
     }
     const auto requests = static_cast<double>(sum.requests);
--- a/measure/FlowPolicies.cpp
+++ b/measure/FlowPolicies.cpp
@@ -155,11 +155,7 @@
     LoadResult sum;
     for (std::uint64_t seed = aSeed; seed < aSeed + kSeeds; ++seed) {
       aOptions.seed = seed;
-      const auto result = LoadModel(aOptions).Run();
-      sum.requests += result.requests;
-      sum.onTime += result.onTime;
-      sum.late += result.late;
-      sum.failed += result.failed;
+      sum.AddCounts(LoadModel(aOptions).Run());
     }
     const auto requests = static_cast<double>(sum.requests);
     aReport.Add(aLabel + "_in_aim", sum.OnTimeFraction());
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -54,6 +54,16 @@
   return record;
 }
 
+auto LoadResult::AddCounts(const LoadResult& aOther) -> void
+{
+  requests += aOther.requests;
+  onTime += aOther.onTime;
+  late += aOther.late;
+  failed += aOther.failed;
+  shed += aOther.shed;
+  falseSilences += aOther.falseSilences;
+}
+
 auto LoadResult::Imbalance() const -> double
 {
   std::size_t most = 0;
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -100,6 +100,9 @@
   /// whether it was answered on time.
   std::vector<std::pair<Milliseconds, bool>> outcomes{};
 
+  /// Adds the counts of requests, refusals and verdicts of aOther.
+  auto AddCounts(const LoadResult& aOther) -> void;
+
   /// Answers of the busiest target divided by the mean over all targets.
   auto Imbalance() const -> double;
 
