--- a/measure/ModelLoads.cpp
+++ b/measure/ModelLoads.cpp
@@ -2,6 +2,8 @@
 
 #include "measure/ModelLoads.h"
 
+#include <functional>
+
 namespace bramleylock::forward {
 
 auto StressLoads() -> std::vector<NamedLoad>
@@ -100,56 +102,61 @@
   return options;
 }
 
+/// Returns aOptions after aChange.
+static auto With(LoadOptions aOptions,
+                 const std::function<void(LoadOptions&)>& aChange)
+  -> LoadOptions
+{
+  aChange(aOptions);
+  return aOptions;
+}
+
+static auto RestartBalancers(LoadOptions& aOptions) -> void
+{
+  aOptions.rollingRestart = true;
+  aOptions.length = Milliseconds(14000);
+}
+
 auto UnlikeLoads() -> std::vector<NamedLoad>
 {
-  const Milliseconds near(1);
-  const Milliseconds far(40);
-  std::vector<NamedLoad> loads{
+  const auto at20Ms = DistantClientsLoad(Milliseconds(20), Milliseconds(20));
+  const auto at40Ms = DistantClientsLoad(Milliseconds(40), Milliseconds(40));
+  const auto at60Ms = DistantClientsLoad(Milliseconds(60), Milliseconds(60));
+  const auto mixed = DistantClientsLoad(Milliseconds(1), Milliseconds(80));
+  return {
     { "persistent", PersistentFlowLoad() },
-    { "clients_20ms", DistantClientsLoad(Milliseconds(20), Milliseconds(20)) },
-    { "clients_40ms", DistantClientsLoad(far, far) },
-    { "clients_60ms", DistantClientsLoad(Milliseconds(60), Milliseconds(60)) },
-    { "clients_1_to_80ms", DistantClientsLoad(near, Milliseconds(80)) },
-    { "clients_40ms_burst", DistantClientsLoad(far, far) },
-    { "clients_40ms_outage", DistantClientsLoad(far, far) },
-    { "clients_40ms_silent_targets", DistantClientsLoad(far, far) },
-    { "clients_40ms_release", DistantClientsLoad(far, far) },
-    { "clients_40ms_restarts", DistantClientsLoad(far, far) },
+    { "clients_20ms", at20Ms },
+    { "clients_40ms", at40Ms },
+    { "clients_60ms", at60Ms },
+    { "clients_1_to_80ms", mixed },
+    { "clients_40ms_burst",
+      With(at40Ms, [](auto& aOptions) { aOptions.requestsPerSecond = 230; }) },
+    { "clients_40ms_outage",
+      With(at40Ms,
+           [](auto& aOptions) { aOptions.outage = Milliseconds(1400); }) },
+    { "clients_40ms_silent_targets",
+      With(at40Ms, [](auto& aOptions) { aOptions.silentTargets = 4; }) },
+    { "clients_40ms_release",
+      With(at40Ms, [](auto& aOptions) { aOptions.replacedTargets = 6; }) },
+    { "clients_40ms_restarts", With(at40Ms, RestartBalancers) },
     { "long_requests", LongRequests() },
-    { "long_requests_restarts", LongRequests() },
+    { "long_requests_restarts", With(LongRequests(), RestartBalancers) },
     { "short_requests", ShortRequests() },
     { "long_tail", LongTail() },
     { "one_slot", OneSlot() },
-    { "slow_targets", PersistentFlowLoad() },
-    { "packet_loss", PersistentFlowLoad() },
+    { "slow_targets", With(PersistentFlowLoad(),
+                           [](auto& aOptions) {
+                             aOptions.slowTargets = 3;
+                             aOptions.slowFactor = 5;
+                           }) },
+    { "packet_loss", With(PersistentFlowLoad(),
+                          [](auto& aOptions) { aOptions.lossShare = 0.02; }) },
     { "burst_beside_frozen", BurstBesideFrozenBalancers() },
     { "overload_1", OverloadOf(1) },
     { "overload_1.5", OverloadOf(1.5) },
     { "overload_2.5", OverloadOf(2.5) },
     { "overload_4", OverloadOf(4) },
   };
-  for (auto& [name, options] : loads) {
-    const std::string label(name);
-    if (label == "clients_40ms_burst") {
-      options.requestsPerSecond = 230;
-    } else if (label == "clients_40ms_outage") {
-      options.outage = Milliseconds(1400);
-    } else if (label == "clients_40ms_silent_targets") {
-      options.silentTargets = 4;
-    } else if (label == "clients_40ms_release") {
-      options.replacedTargets = 6;
-    } else if (label == "clients_40ms_restarts" ||
-               label == "long_requests_restarts") {
-      options.rollingRestart = true;
-      options.length = Milliseconds(14000);
-    } else if (label == "slow_targets") {
-      options.slowTargets = 3;
-      options.slowFactor = 5;
-    } else if (label == "packet_loss") {
-      options.lossShare = 0.02;
-    }
-  }
-  return loads;
 }
 
 } // namespace bramleylock::forward
