Log which part of a health check failed and whether other targets answered

A connection that is not established in time is now reported as timed out, apart from a missing reply, and target-check-failed says whether another target of the failure domain answered a packet that was sent after the check began. No decision uses it yet.

--- a/include/bramleylock/Forward/SilentTargetProber.h
+++ b/include/bramleylock/Forward/SilentTargetProber.h
@@ -55,6 +55,10 @@
   /// Performs one health check; sets aReason unless the result is Healthy.
   auto CheckHealth(const TargetRecord& aTarget, std::string& aReason)
     -> awaitable<HealthResult>;
+  /// Returns whether another target of the failure domain of aTarget has
+  /// answered a packet that was sent after aSince.
+  auto OtherTargetAnswered(const TargetRecord& aTarget,
+                           Clock::time_point aSince) -> bool;
   auto StartProbe(const DirectoryEntry& aTarget) -> void;
   auto BroadcastUpdate(const SilenceUpdate& aUpdate) -> void;
   auto ApplyUpdate(const std::string& aPeer, const SilenceUpdate& aUpdate)
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -94,6 +94,9 @@
   Clock::time_point lastHealthyAt{};
   /// When a client's packet last showed that the target responds.
   Clock::time_point lastResponseAt{};
+  /// Latest time at which this balancer sent a packet or a health check that
+  /// the target has answered.
+  Clock::time_point answeredSendAt{};
 };
 
 struct DirectoryEntry
--- a/include/bramleylock/Http/Http.h
+++ b/include/bramleylock/Http/Http.h
@@ -32,8 +32,9 @@
 };
 
 /// Sends aRequest on a new connection. Sets aError after a connection or
-/// protocol error, or if no complete reply arrives within aTimeout. With aTls,
-/// the server has to present a trusted certificate for its IP address.
+/// protocol error, or if no complete reply arrives within aTimeout. The error
+/// is std::errc::timed_out if the connection was not established in time. With
+/// aTls, the server has to present a trusted certificate for its IP address.
 auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
            std::error_code& aError, TlsContext aTls = nullptr)
   -> awaitable<Reply>;
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -53,6 +53,13 @@
   }
 }
 
+/// Records that a target answered a packet that was sent at aSentAt or later.
+static auto RecordAnsweredSend(TargetStats& aStats, Clock::time_point aSentAt)
+  -> void
+{
+  aStats.answeredSendAt = std::max(aStats.answeredSendAt, aSentAt);
+}
+
 /// Handles the first packet after the one that opened the flow: it shows which
 /// target the client accepted.
 auto Forwarder::ConfirmTarget(TrackedFlow& aFlow, DirectoryEntry& aTarget,
@@ -64,6 +71,8 @@
   aFlow.confirmed = true;
   aFlow.firstPacket.clear();
   RecordRoundTrip(aFlow, aNow);
+  RecordAnsweredSend(aTarget.stats,
+                     aFlow.repeated ? aFlow.firstSentAt : aFlow.openedAt);
   aFlow.roundTrip = m_roundTrips.Mean(aFlow.id.client.ip);
   m_flows.AssignTarget(aFlow, aTarget);
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
@@ -176,6 +185,12 @@
   const bool hasNewAcknowledgement =
     !confirmsTarget &&
     SequenceDistance(aPacket.acknowledgement, aFlow.acknowledged) > 0;
+  // The request of a flow that has just been taken over may be a repetition,
+  // and the answer may belong to its first copy, which another balancer sent.
+  if (hasNewAcknowledgement && aFlow.phase == FlowPhase::Busy &&
+      aFlow.phaseSince > aFlow.openedAt) {
+    RecordAnsweredSend(aTarget.stats, aFlow.phaseSince);
+  }
   m_flows.RecordPacket(aFlow, aNow);
   ConfirmTarget(aFlow, aTarget, aNow);
   if (confirmsTarget || hasNewAcknowledgement) {
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -192,6 +192,17 @@
   co_return error ? HealthResult::NoResponse : HealthResult::Unhealthy;
 }
 
+auto SilentTargetProber::OtherTargetAnswered(const TargetRecord& aTarget,
+                                             Clock::time_point aSince) -> bool
+{
+  const auto all = m_targets.All();
+  return std::any_of(all.begin(), all.end(), [&](const auto* aEntry) {
+    return aEntry->record.failureDomain == aTarget.failureDomain &&
+           aEntry->record.id != aTarget.id &&
+           aEntry->stats.answeredSendAt > aSince;
+  });
+}
+
 auto SilentTargetProber::Probe(TargetTag aTag) -> awaitable<void>
 {
   co_await ProbeLoop(aTag);
@@ -209,6 +220,7 @@
     m_metrics.Add(Counter::TargetProbes);
     const auto record = target->record;
     std::string reason;
+    const auto sentAt = Clock::now();
     const auto health = co_await CheckHealth(record, reason);
     target = m_targets.FindByTag(aTag);
     if (target == nullptr) {
@@ -219,6 +231,9 @@
     stats.unansweredChecks =
       health == HealthResult::NoResponse ? stats.unansweredChecks + 1 : 0;
     stats.lastCheckAt = now;
+    if (health != HealthResult::NoResponse) {
+      stats.answeredSendAt = std::max(stats.answeredSendAt, sentAt);
+    }
     if (health == HealthResult::Healthy) {
       LogInfo("target-answers",
               { { "from", "health-check" }, { "target", record.id } });
@@ -235,6 +250,8 @@
               { "address", FormatAddress(record.EndpointAddress()) },
               { "why", reason },
               { "unanswered", std::to_string(stats.unansweredChecks) },
+              { "others_answered",
+                OtherTargetAnswered(record, sentAt) ? "true" : "false" },
               { "next_ms", std::to_string(interval.count()) } });
     co_await Sleep(interval);
     interval = std::min(2 * interval, kMaxCheckInterval);
--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -71,6 +71,20 @@
   co_return reply;
 }
 
+/// Connects and starts the timeout of the whole exchange. A connection that is
+/// not established in time fails like one that the kernel gives up, which tells
+/// it apart from a missing reply.
+static auto Connect(beast::tcp_stream& aStream, Tcp::endpoint aServer,
+                    Milliseconds aTimeout, boost::system::error_code& aFailure)
+  -> awaitable<void>
+{
+  aStream.expires_after(aTimeout);
+  co_await aStream.async_connect(aServer, RedirectError(aFailure));
+  if (aFailure == beast::error::timeout) {
+    aFailure = asio::error::timed_out;
+  }
+}
+
 static auto FetchTls(Tcp::endpoint aServer,
                      beast::http::request<beast::http::string_body> aMessage,
                      Milliseconds aTimeout, TlsContext aTls,
@@ -79,8 +93,7 @@
   auto executor = co_await asio::this_coro::executor;
   TlsStream stream(executor, *aTls);
   auto& tcpStream = beast::get_lowest_layer(stream);
-  tcpStream.expires_after(aTimeout);
-  co_await tcpStream.async_connect(aServer, RedirectError(aFailure));
+  co_await Connect(tcpStream, aServer, aTimeout, aFailure);
   if (aFailure) {
     co_return Reply{};
   }
@@ -101,8 +114,7 @@
 {
   auto executor = co_await asio::this_coro::executor;
   beast::tcp_stream stream(executor);
-  stream.expires_after(aTimeout);
-  co_await stream.async_connect(aServer, RedirectError(aFailure));
+  co_await Connect(stream, aServer, aTimeout, aFailure);
   if (aFailure) {
     co_return Reply{};
   }
