Reset open flows only when the target, not the way to it, has failed

Callers on a deployment of 58 balancers saw open flows reset although their target served.

Cause: a balancer took a target for unreachable after two health checks without a response, and reset flows to it whose requests may be repeated. A check has no response as well when it waits in the queue of the balancer's own link, as on the first reader while it sends 1,645 routes to its peers every 0.3 s, or when the target is too busy to reply within 250 ms. Class: a failure detector that attributes its own congestion to what it observes.

Of 2,004 checks of dark targets that did not connect, 1,998 have an answer of another target to a packet that was sent later.

A check now counts against the target only if its port is closed, or if it does not connect while another target of the same failure domain answers a packet that was sent after the check began: packets leave a link in order, so that answer rules out the link and the way to the domain. A check that connects shows that the target's machine is reachable.

--- a/include/bramleylock/Forward/SilentTargetProber.h
+++ b/include/bramleylock/Forward/SilentTargetProber.h
@@ -47,11 +47,17 @@
     Healthy,
     /// The target responded that it is not healthy.
     Unhealthy,
-    NoResponse
+    /// The target's machine accepted the connection, but no reply arrived, or
+    /// the service has no health check.
+    Inconclusive,
+    NotConnected,
+    /// No process listens at the target's address.
+    Refused
   };
 
   auto Probe(TargetTag aTag) -> awaitable<void>;
   auto ProbeLoop(TargetTag aTag) -> awaitable<void>;
+  static auto ResultOf(const std::error_code& aError) -> HealthResult;
   /// Performs one health check; sets aReason unless the result is Healthy.
   auto CheckHealth(const TargetRecord& aTarget, std::string& aReason)
     -> awaitable<HealthResult>;
@@ -59,6 +65,10 @@
   /// answered a packet that was sent after aSince.
   auto OtherTargetAnswered(const TargetRecord& aTarget,
                            Clock::time_point aSince) -> bool;
+  /// Returns whether the result of a check that was sent at aSentAt shows that
+  /// aTarget cannot be reached.
+  auto ShowsUnreachable(HealthResult aResult, const TargetRecord& aTarget,
+                        Clock::time_point aSentAt) -> bool;
   auto StartProbe(const DirectoryEntry& aTarget) -> void;
   auto BroadcastUpdate(const SilenceUpdate& aUpdate) -> void;
   auto ApplyUpdate(const std::string& aPeer, const SilenceUpdate& aUpdate)
@@ -81,7 +91,7 @@
 auto IsSilent(const TargetStats& aStats, Clock::time_point aNow) -> bool;
 
 /// Returns whether a target responds to this balancer neither on open flows nor
-/// in its last health checks.
+/// in its last health checks, while the way to its failure domain works.
 auto IsUnreachable(const TargetStats& aStats, Clock::time_point aNow) -> bool;
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -83,8 +83,9 @@
   /// Requests of open flows that clients retransmitted since a client last
   /// showed that the target responds.
   std::uint32_t retransmittedRequests = 0;
-  /// Consecutive health checks by this balancer without any response.
-  std::uint32_t unansweredChecks = 0;
+  /// Consecutive health checks by this balancer that showed that the target
+  /// cannot be reached.
+  std::uint32_t unreachableChecks = 0;
   /// Completion time of the last health check.
   Clock::time_point lastCheckAt{};
   /// When the target was found silent; the epoch while it is not.
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -280,7 +280,7 @@
     LogInfo("target-unreachable",
             { { "flow", FormatFlow(aPacket.flow) },
               { "target", aTarget.record.id },
-              { "unanswered_checks", std::to_string(stats.unansweredChecks) },
+              { "unreachable_checks", std::to_string(stats.unreachableChecks) },
               { "checked_ms", FormatElapsedMs(stats.lastCheckAt, aNow) } });
   }
   Refuse(aPacket, Counter::FlowTargetUnreachable, "target-unreachable");
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -25,7 +25,7 @@
 static constexpr Milliseconds kInitialCheckInterval{ 200 };
 static constexpr Milliseconds kMaxCheckInterval{ 1600 };
 
-/// Consecutive checks without a response after which a target is considered
+/// Consecutive checks without a connection after which a target is considered
 /// unreachable. A single one may be due to a lost packet or a pause of this
 /// machine.
 static constexpr std::uint32_t kChecksUntilUnreachable = 2;
@@ -61,7 +61,7 @@
 
 auto IsUnreachable(const TargetStats& aStats, Clock::time_point aNow) -> bool
 {
-  return aStats.unansweredChecks >= kChecksUntilUnreachable &&
+  return aStats.unreachableChecks >= kChecksUntilUnreachable &&
          aStats.lastResponseAt < aStats.lastCheckAt &&
          aNow - aStats.lastCheckAt < kCheckValidity;
 }
@@ -129,7 +129,7 @@
 auto SilentTargetProber::OnPause() -> void
 {
   for (auto* target : m_targets.All()) {
-    target->stats.unansweredChecks = 0;
+    target->stats.unreachableChecks = 0;
     target->stats.retransmittedRequests = 0;
   }
 }
@@ -169,6 +169,17 @@
   }
 }
 
+auto SilentTargetProber::ResultOf(const std::error_code& aError) -> HealthResult
+{
+  if (aError == std::errc::connection_refused) {
+    return HealthResult::Refused;
+  }
+  const bool notConnected = aError == std::errc::timed_out ||
+                            aError == std::errc::host_unreachable ||
+                            aError == std::errc::network_unreachable;
+  return notConnected ? HealthResult::NotConnected : HealthResult::Inconclusive;
+}
+
 auto SilentTargetProber::CheckHealth(const TargetRecord& aTarget,
                                      std::string& aReason)
   -> awaitable<HealthResult>
@@ -178,7 +189,7 @@
   if (request.target.empty()) {
     aReason =
       "no health check path is configured for service " + aTarget.service;
-    co_return HealthResult::Unhealthy;
+    co_return HealthResult::Inconclusive;
   }
   const Tcp::endpoint address(asio::ip::address_v4(aTarget.ip), aTarget.port);
   std::error_code error;
@@ -189,7 +200,7 @@
   }
   aReason = error ? error.message()
                   : "unexpected HTTP status " + std::to_string(reply.status);
-  co_return error ? HealthResult::NoResponse : HealthResult::Unhealthy;
+  co_return error ? ResultOf(error) : HealthResult::Unhealthy;
 }
 
 auto SilentTargetProber::OtherTargetAnswered(const TargetRecord& aTarget,
@@ -203,6 +214,19 @@
   });
 }
 
+/// A check that is not connected may wait in the queue of this machine's own
+/// link or on the way to the failure domain. An answer to a packet that was
+/// sent later shows that it does not. A target that accepts the connection is
+/// running, even if it is too busy to reply in time.
+auto SilentTargetProber::ShowsUnreachable(HealthResult aResult,
+                                          const TargetRecord& aTarget,
+                                          Clock::time_point aSentAt) -> bool
+{
+  return aResult == HealthResult::Refused ||
+         (aResult == HealthResult::NotConnected &&
+          OtherTargetAnswered(aTarget, aSentAt));
+}
+
 auto SilentTargetProber::Probe(TargetTag aTag) -> awaitable<void>
 {
   co_await ProbeLoop(aTag);
@@ -228,10 +252,11 @@
     }
     auto& stats = target->stats;
     const auto now = Clock::now();
-    stats.unansweredChecks =
-      health == HealthResult::NoResponse ? stats.unansweredChecks + 1 : 0;
+    stats.unreachableChecks = ShowsUnreachable(health, record, sentAt)
+                                ? stats.unreachableChecks + 1
+                                : 0;
     stats.lastCheckAt = now;
-    if (health != HealthResult::NoResponse) {
+    if (health <= HealthResult::Unhealthy) {
       stats.answeredSendAt = std::max(stats.answeredSendAt, sentAt);
     }
     if (health == HealthResult::Healthy) {
@@ -249,7 +274,7 @@
             { { "target", record.id },
               { "address", FormatAddress(record.EndpointAddress()) },
               { "why", reason },
-              { "unanswered", std::to_string(stats.unansweredChecks) },
+              { "unreachable", std::to_string(stats.unreachableChecks) },
               { "others_answered",
                 OtherTargetAnswered(record, sentAt) ? "true" : "false" },
               { "next_ms", std::to_string(interval.count()) } });
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -59,7 +59,7 @@
 auto MarkTargetAUnreachable(TestForward& aTest) -> void
 {
   auto& stats = aTest.targets.Find("a")->stats;
-  stats.unansweredChecks = 2;
+  stats.unreachableChecks = 2;
   stats.lastCheckAt = aTest.now;
 }
 
@@ -393,7 +393,7 @@
   test.targets.Apply(MakeTarget("a", 5, "proofs"), test.now);
   PersistentFlow flow(test, 1, kProofsAddress);
   MarkTargetAUnreachable(test);
-  test.targets.Find("a")->stats.unansweredChecks = 1;
+  test.targets.Find("a")->stats.unreachableChecks = 1;
   flow.SendRequest();
   MarkTargetAUnreachable(test);
   test.AdvanceTime(Milliseconds(2001));
@@ -405,6 +405,32 @@
   cr_assert(test.sink.resets.empty());
 }
 
+Test(OpenFlows, AnswerShowsThatTheWayWorkedWhenItsRequestWasSent)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  PersistentFlow flow(test, 1);
+  test.AdvanceTime(Milliseconds(100));
+  const auto sentAt = test.now;
+  flow.SendRequest();
+  test.AdvanceTime(Milliseconds(70));
+  flow.AcknowledgeAnswer();
+  cr_assert(StatsOfTargetA(test).answeredSendAt == sentAt);
+}
+
+/// The first copy of the request may have been sent by another balancer.
+Test(OpenFlows, AnswerToTakenOverRequestDoesNotShowThatTheWayWorks)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.SendRequestOfForeignFlow(1);
+  test.AdvanceTime(Milliseconds(70));
+  test.Send(
+    TestForward::Following(TestForward::Opening(1), ComputeTag("a", 1), 900));
+  cr_assert(StatsOfTargetA(test).lastResponseAt == test.now);
+  cr_assert(StatsOfTargetA(test).answeredSendAt == Clock::time_point{});
+}
+
 Test(RouteRequestStats, EstimatesLoadOfIdleFlows)
 {
   RouteRequestStats requestStats;
--- a/unittests/Forward/SilentTargetProberTest.cpp
+++ b/unittests/Forward/SilentTargetProberTest.cpp
@@ -7,11 +7,43 @@
 
 #include <criterion/criterion.h>
 
+#include <deque>
+
 using namespace bramleylock;
 using namespace bramleylock::forward;
 
 namespace {
 
+/// A listener on loopback whose queue of connections is full, so that no
+/// further connection is established.
+class BlackHole
+{
+public:
+  explicit BlackHole(asio::io_context& aContext)
+    : m_acceptor(aContext)
+  {
+    m_acceptor.open(Tcp::v4());
+    m_acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+    m_acceptor.listen(0);
+    for (int i = 0; i < kFillingConnections; ++i) {
+      m_filling.emplace_back(aContext).async_connect(
+        m_acceptor.local_endpoint(), [](const boost::system::error_code&) {});
+    }
+  }
+
+  auto Port() const -> std::uint16_t
+  {
+    return m_acceptor.local_endpoint().port();
+  }
+
+private:
+  static constexpr int kFillingConnections = 4;
+
+  Tcp::acceptor m_acceptor;
+  /// A deque, since sockets must not move while they connect.
+  std::deque<Tcp::socket> m_filling;
+};
+
 /// A target "a" whose health check endpoint starts accepting on request.
 struct ProbedTarget
 {
@@ -50,8 +82,41 @@
     context.run_for(Milliseconds(aMilliseconds));
   }
 
+  /// Gives the target an address at which connections are not established.
+  auto StopConnecting() -> void { SetPort(blackHole.Port()); }
+
+  /// Gives the target an address at which no process listens.
+  auto StopListening() -> void
+  {
+    Tcp::acceptor unused(context, { asio::ip::address_v4::loopback(), 0 });
+    SetPort(unused.local_endpoint().port());
+  }
+
+  auto ResumeServing() -> void
+  {
+    server->Start();
+    SetPort(server->Endpoint().port());
+  }
+
+  /// Adds target "b" of the same failure domain, which has answered a packet
+  /// that was sent aLater after now.
+  auto AddAnsweringTarget(Clock::duration aLater) -> void
+  {
+    test.targets.Apply(MakeTarget("b", 6, "proofs"), Clock::now());
+    test.targets.Find("b")->stats.answeredSendAt = Clock::now() + aLater;
+  }
+
+  auto SetPort(std::uint16_t aPort) -> void
+  {
+    auto record = Entry().record;
+    record.port = aPort;
+    ++record.revision;
+    test.targets.Apply(record, Clock::now());
+  }
+
   unsigned status;
   asio::io_context context{ 1 };
+  BlackHole blackHole{ context };
   TestForward test;
   SilentTargetProber prober;
   std::unique_ptr<http::Server> server;
@@ -59,16 +124,16 @@
 
 } // namespace
 
-/// The health check's socket listens but does not accept, so checks get no
-/// answer, as with a machine whose process is gone.
 Test(SilentTargetProber, TargetIsUnreachableUntilItAnswers)
 {
   ProbedTarget target(200);
+  target.StopConnecting();
+  target.AddAnsweringTarget(std::chrono::seconds(2));
   target.ReportUnanswered();
   target.RunFor(1200);
-  cr_assert(target.Entry().stats.unansweredChecks >= 2);
+  cr_assert(target.Entry().stats.unreachableChecks >= 2);
   cr_assert(IsUnreachable(target.Entry().stats, Clock::now()));
-  target.server->Start();
+  target.ResumeServing();
   target.RunFor(2500);
   cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
   cr_assert(target.Entry().stats.retransmittedRequests == 0);
@@ -78,6 +143,51 @@
             "no client waits for the target");
 }
 
+Test(SilentTargetProber, ClosedPortMakesTargetUnreachable)
+{
+  ProbedTarget target(200);
+  target.StopListening();
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(IsUnreachable(target.Entry().stats, Clock::now()));
+}
+
+/// No packet that was sent after the checks has been answered.
+Test(SilentTargetProber,
+     CongestedBalancerDoesNotTakeServingTargetForUnreachable)
+{
+  ProbedTarget target(200);
+  target.StopConnecting();
+  target.AddAnsweringTarget(std::chrono::seconds(-1));
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) >= 2);
+  cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
+}
+
+Test(SilentTargetProber, AnswerFromAnotherDomainDoesNotMakeTargetUnreachable)
+{
+  ProbedTarget target(200);
+  target.StopConnecting();
+  target.AddAnsweringTarget(std::chrono::seconds(2));
+  target.test.targets.Find("b")->record.failureDomain = "elsewhere";
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) >= 2);
+  cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
+}
+
+/// The target's machine accepts connections, but the check waits for a slot.
+Test(SilentTargetProber, BusyTargetThatAcceptsConnectionsIsNotUnreachable)
+{
+  ProbedTarget target(200);
+  target.AddAnsweringTarget(std::chrono::seconds(2));
+  target.ReportUnanswered();
+  target.RunFor(1200);
+  cr_assert(target.test.metrics.Get(Counter::TargetProbes) >= 2);
+  cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
+}
+
 /// A target that answers with an error status is running and keeps its flows.
 Test(SilentTargetProber, TargetThatReportsAnErrorIsReachable)
 {
@@ -86,7 +196,7 @@
   target.ReportUnanswered();
   target.RunFor(1000);
   cr_assert(target.test.metrics.Get(Counter::TargetProbes) >= 2);
-  cr_assert(target.Entry().stats.unansweredChecks == 0);
+  cr_assert(target.Entry().stats.unreachableChecks == 0);
   cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
 }
 
@@ -94,6 +204,7 @@
 Test(SilentTargetProber, DepartedTargetIsCheckedWhileItHasOpenFlows)
 {
   ProbedTarget target(200);
+  target.StopListening();
   target.test.targets.Remove("a", 9, Milliseconds(0), Clock::now());
   target.ReportUnanswered();
   target.RunFor(1200);
@@ -111,7 +222,7 @@
 {
   ProbedTarget target(200);
   auto& stats = target.Entry().stats;
-  stats.unansweredChecks = 3;
+  stats.unreachableChecks = 3;
   stats.lastCheckAt = Clock::now();
   cr_assert(IsUnreachable(stats, Clock::now()));
   target.prober.OnPause();
@@ -125,10 +236,10 @@
   TargetStats stats;
   const Clock::time_point start{ std::chrono::hours(1) };
   cr_assert(MarkSilent(stats, start));
-  stats.unansweredChecks = 3;
+  stats.unreachableChecks = 3;
   stats.lastCheckAt = start + Milliseconds(4500);
   cr_assert(IsSilent(stats, start + Milliseconds(5000)));
   cr_assert(!IsSilent(stats, start + Milliseconds(6501)));
-  stats.unansweredChecks = 0;
+  stats.unreachableChecks = 0;
   cr_assert(!IsSilent(stats, start + Milliseconds(5000)));
 }
