Do not reset flows to a target that a peer found healthy

What callers saw: while nothing was wrong, an open flow was reset, its first request with it, though its target had just accepted the flow and served. Seen in test/forwarding-targets.sh as "cut is 2, expected 1" in the step "Draining target"; the draining target has no part in it.

Each balancer had failed checks of its own (three), and one of them found the target healthy again and told the others. They ended its silence, so that it got new flows again, but kept their own failed checks, which make a target unreachable for another 2 s; and as the target was no longer silent they did not check it again. The first request of each new flow to it was reset until then.

Why it works: the report of a successful check by a peer now discards the failed checks, as a successful check by the balancer itself does. A target that gets new flows is then not unreachable. If only the peer reaches the target, requests that stay unanswered lead to two new checks, after which flows are reset as before.

The new test SilentTargetProber/HealthyTargetOfPeerIsNotUnreachable fails without the change of SilentTargetProber.cpp.

--- a/include/bramleylock/Forward/SilentTargetProber.h
+++ b/include/bramleylock/Forward/SilentTargetProber.h
@@ -40,6 +40,10 @@
   /// been missed.
   auto OnPause() -> void;
 
+  /// Handles an update of the peer aPeer.
+  auto ApplyUpdate(const std::string& aPeer, const SilenceUpdate& aUpdate)
+    -> void;
+
 private:
   /// Result of a health check.
   enum class HealthResult
@@ -71,8 +75,6 @@
                         Clock::time_point aSentAt) -> bool;
   auto StartProbe(const DirectoryEntry& aTarget) -> void;
   auto BroadcastUpdate(const SilenceUpdate& aUpdate) -> void;
-  auto ApplyUpdate(const std::string& aPeer, const SilenceUpdate& aUpdate)
-    -> void;
 
   asio::io_context& m_context;
   const RouteTable& m_routes;
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -141,6 +141,9 @@
   }
 }
 
+/// A check by a peer that found the target healthy outweighs this balancer's
+/// own failed checks. The target gets new flows again, so its open flows must
+/// not be reset because of those checks either.
 auto SilentTargetProber::ApplyUpdate(const std::string& aPeer,
                                      const SilenceUpdate& aUpdate) -> void
 {
@@ -153,6 +156,7 @@
   if (!aUpdate.silent) {
     stats.silentSince = {};
     stats.lastHealthyAt = now;
+    stats.unreachableChecks = 0;
   } else if (now - stats.lastResponseAt < kRecentResponse ||
              !MarkSilent(stats, now)) {
     return;
--- a/unittests/Forward/SilentTargetProberTest.cpp
+++ b/unittests/Forward/SilentTargetProberTest.cpp
@@ -229,6 +229,21 @@
   cr_assert(!IsUnreachable(stats, Clock::now()));
 }
 
+/// Regression test: a balancer opened new flows to a target that a peer had
+/// found healthy and reset them because of its own earlier checks.
+Test(SilentTargetProber, HealthyTargetOfPeerIsNotUnreachable)
+{
+  ProbedTarget target(200);
+  auto& stats = target.Entry().stats;
+  stats.silentSince = Clock::now();
+  stats.unreachableChecks = 3;
+  stats.lastCheckAt = Clock::now();
+  cr_assert(IsUnreachable(stats, Clock::now()));
+  target.prober.ApplyUpdate("entry-2", { target.Entry().tag, false });
+  cr_assert(!IsSilent(stats, Clock::now()));
+  cr_assert(!IsUnreachable(stats, Clock::now()));
+}
+
 /// An unreachable target remains silent beyond the time for which a single sign
 /// of silence holds.
 Test(SilentTargetProber, TargetStaysSilentWhileChecksAreUnanswered)
