Do not reset a flow that its target opened after the last failed check

What callers saw: the first request of a new flow was reset although the target had just accepted the flow. This happens when all targets of a service are unreachable and so are used in spite of it, for example when the only target of a service returns: until the next health check, up to 1.6 s later, each flow that it opens is reset once.

Cause: the balancer decided on the reset before it looked at what the packet shows. The client of a flow that is being opened sends a request only after the target's answer to the first packet. If the balancer sent that first packet after it sent the last health check, the answer is the later evidence.

Why it works: such a packet is forwarded, and then counts as a response of the target, which ends the verdict for all its flows. A flow that was opened before the last check is reset as before (OpenFlows/FlowThatWasOpenedBeforeFailedChecksIsReset), because its target may have failed since.

--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -86,7 +86,8 @@
   /// Consecutive health checks by this balancer that showed that the target
   /// cannot be reached.
   std::uint32_t unreachableChecks = 0;
-  /// Completion time of the last health check.
+  /// When the last health check was sent, and when it was completed.
+  Clock::time_point lastCheckSentAt{};
   Clock::time_point lastCheckAt{};
   /// When the target was found silent; the epoch while it is not.
   Clock::time_point silentSince{};
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -262,6 +262,16 @@
     m_lastTakeoverAt, aNow - kMovedIdleThinkTimes * m_longestThinkTime));
 }
 
+/// Returns whether the client of aFlow reacts to a first packet that aTarget
+/// answered although it was sent after the last health check.
+static auto ShowsAnswerSinceCheck(const TrackedFlow& aFlow,
+                                  const DirectoryEntry& aTarget) -> bool
+{
+  const auto sentAt =
+    aFlow.target == &aTarget ? aFlow.openedAt : aFlow.firstSentAt;
+  return !aFlow.confirmed && sentAt >= aTarget.stats.lastCheckSentAt;
+}
+
 /// Resets a flow whose target is unreachable if its client may retry at another
 /// target; otherwise the client would retransmit its request until its
 /// deadline. At-most-once requests are not retried once the flow was open, so
@@ -336,7 +346,9 @@
     }
     return;
   }
-  if (ResetIfUnreachable(aPacket, *target, aNow)) {
+  const bool hasAnswered =
+    flow != nullptr && ShowsAnswerSinceCheck(*flow, *target);
+  if (!hasAnswered && ResetIfUnreachable(aPacket, *target, aNow)) {
     return;
   }
   if (flow != nullptr) {
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -259,6 +259,7 @@
     stats.unreachableChecks = ShowsUnreachable(health, record, sentAt)
                                 ? stats.unreachableChecks + 1
                                 : 0;
+    stats.lastCheckSentAt = sentAt;
     stats.lastCheckAt = now;
     if (health <= HealthResult::Unhealthy) {
       stats.answeredSendAt = std::max(stats.answeredSendAt, sentAt);
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -257,6 +257,7 @@
     ForEachBalancer([&, this](Balancer& aBalancer) {
       if (auto* entry = aBalancer.targets.Find(aId)) {
         entry->stats.unreachableChecks = 2;
+        entry->stats.lastCheckSentAt = m_now;
         entry->stats.lastCheckAt = m_now;
       }
     });
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -60,6 +60,7 @@
 {
   auto& stats = aTest.targets.Find("a")->stats;
   stats.unreachableChecks = 2;
+  stats.lastCheckSentAt = aTest.now;
   stats.lastCheckAt = aTest.now;
 }
 
@@ -372,6 +373,33 @@
   cr_assert(StatsOfTargetA(test).openFlows == 0);
 }
 
+/// Regression test: the only target of a service answered a new flow after its
+/// failed checks, and the flow's first request was reset.
+Test(OpenFlows, FlowThatWasOpenedAfterFailedChecksIsNotReset)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5, "proofs"), test.now);
+  MarkTargetAUnreachable(test);
+  test.AdvanceTime(Milliseconds(100));
+  PersistentFlow flow(test, 1, kProofsAddress);
+  test.AdvanceTime(Milliseconds(10));
+  flow.SendRequest();
+  cr_assert(test.sink.resets.empty());
+  cr_assert(test.sink.toTargets.back().packet.carriesData);
+}
+
+/// The target may have become unreachable after it answered the first packet.
+Test(OpenFlows, FlowThatWasOpenedBeforeFailedChecksIsReset)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5, "proofs"), test.now);
+  PersistentFlow flow(test, 1, kProofsAddress);
+  test.AdvanceTime(Milliseconds(500));
+  MarkTargetAUnreachable(test);
+  flow.SendRequest();
+  cr_assert(test.sink.resets.size() == 1);
+}
+
 /// The client would not retry the request, and may still receive its answer.
 Test(OpenFlows, AtMostOnceFlowToUnreachableTargetIsNotReset)
 {
