Let an answer between two health checks outweigh the checks

Callers could still see an open flow reset although its target served: two checks that failed counted in a row also when the target had answered a packet that was sent between them, as with a queue at its own link or with two lost packets of the checks.

An answer to a packet that was sent after the first of the failed checks now starts their count anew, and ends the verdict. A target that accepts connections and never replies stays silent for new flows, as it did before the check of connections: silence follows all unanswered checks again, only resets need the stricter ones. An answer to a first packet counts for the target that this balancer sent it to, and for no other.

The new tests SilentTargetProber.TargetThatAnswersBetweenChecksIsNotUnreachable and .HungTargetGetsNoNewFlowsWhileChecksAreUnanswered fail on the code before (run with the former conditions). TargetStaysSilentWhileChecksAreUnanswered sets the count of unanswered checks, from which silence follows, as it did before.

--- a/include/bramleylock/Forward/SilentTargetProber.h
+++ b/include/bramleylock/Forward/SilentTargetProber.h
@@ -73,6 +73,9 @@
   /// aTarget cannot be reached.
   auto ShowsUnreachable(HealthResult aResult, const TargetRecord& aTarget,
                         Clock::time_point aSentAt) -> bool;
+  /// Records the result of a check of aTarget that was sent at aSentAt.
+  auto RecordCheck(HealthResult aResult, DirectoryEntry& aTarget,
+                   Clock::time_point aSentAt, Clock::time_point aNow) -> void;
   auto StartProbe(const DirectoryEntry& aTarget) -> void;
   auto BroadcastUpdate(const SilenceUpdate& aUpdate) -> void;
 
@@ -93,7 +96,8 @@
 auto IsSilent(const TargetStats& aStats, Clock::time_point aNow) -> bool;
 
 /// Returns whether a target responds to this balancer neither on open flows nor
-/// in its last health checks, while the way to its failure domain works.
+/// in its last health checks, while other targets of its failure domain
+/// respond.
 auto IsUnreachable(const TargetStats& aStats, Clock::time_point aNow) -> bool;
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -83,9 +83,12 @@
   /// Requests of open flows that clients retransmitted since a client last
   /// showed that the target responds.
   std::uint32_t retransmittedRequests = 0;
-  /// Consecutive health checks by this balancer that showed that the target
-  /// cannot be reached.
+  /// Consecutive health checks by this balancer without any response.
+  std::uint32_t unansweredChecks = 0;
+  /// Consecutive health checks by this balancer that show that the target
+  /// cannot be reached, and when the first of them was sent.
   std::uint32_t unreachableChecks = 0;
+  Clock::time_point unreachableSince{};
   /// When the last health check was sent, and when it was completed.
   Clock::time_point lastCheckSentAt{};
   Clock::time_point lastCheckAt{};
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -71,8 +71,10 @@
   aFlow.confirmed = true;
   aFlow.firstPacket.clear();
   RecordRoundTrip(aFlow, aNow);
-  RecordAnsweredSend(aTarget.stats,
-                     aFlow.repeated ? aFlow.firstSentAt : aFlow.openedAt);
+  if (aFlow.target == &aTarget) {
+    RecordAnsweredSend(aTarget.stats,
+                       aFlow.repeated ? aFlow.firstSentAt : aFlow.openedAt);
+  }
   aFlow.roundTrip = m_roundTrips.Mean(aFlow.id.client.ip);
   m_flows.AssignTarget(aFlow, aTarget);
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -25,9 +25,9 @@
 static constexpr Milliseconds kInitialCheckInterval{ 200 };
 static constexpr Milliseconds kMaxCheckInterval{ 1600 };
 
-/// Consecutive checks without a connection after which a target is considered
-/// unreachable. A single one may be due to a lost packet or a pause of this
-/// machine.
+/// Consecutive checks that show that a target cannot be reached after which it
+/// is considered unreachable. A single one may be due to a lost packet or a
+/// pause of this machine.
 static constexpr std::uint32_t kChecksUntilUnreachable = 2;
 
 /// Time for which the result of a health check is considered valid: the longest
@@ -52,18 +52,28 @@
   return !wasSilent;
 }
 
+/// Returns whether the last health check is recent and no response has been
+/// received since.
+static auto LastCheckIsValid(const TargetStats& aStats, Clock::time_point aNow)
+  -> bool
+{
+  return aStats.lastResponseAt < aStats.lastCheckAt &&
+         aNow - aStats.lastCheckAt < kCheckValidity;
+}
+
 auto IsSilent(const TargetStats& aStats, Clock::time_point aNow) -> bool
 {
   return aStats.silentSince != Clock::time_point{} &&
          (aNow - aStats.silentSince < kSilenceDuration ||
-          IsUnreachable(aStats, aNow));
+          (aStats.unansweredChecks >= kChecksUntilUnreachable &&
+           LastCheckIsValid(aStats, aNow)));
 }
 
 auto IsUnreachable(const TargetStats& aStats, Clock::time_point aNow) -> bool
 {
   return aStats.unreachableChecks >= kChecksUntilUnreachable &&
-         aStats.lastResponseAt < aStats.lastCheckAt &&
-         aNow - aStats.lastCheckAt < kCheckValidity;
+         aStats.answeredSendAt < aStats.unreachableSince &&
+         LastCheckIsValid(aStats, aNow);
 }
 
 /// Returns whether the result of a health check of aTarget is needed, for new
@@ -129,6 +139,7 @@
 auto SilentTargetProber::OnPause() -> void
 {
   for (auto* target : m_targets.All()) {
+    target->stats.unansweredChecks = 0;
     target->stats.unreachableChecks = 0;
     target->stats.retransmittedRequests = 0;
   }
@@ -156,6 +167,7 @@
   if (!aUpdate.silent) {
     stats.silentSince = {};
     stats.lastHealthyAt = now;
+    stats.unansweredChecks = 0;
     stats.unreachableChecks = 0;
   } else if (now - stats.lastResponseAt < kRecentResponse ||
              !MarkSilent(stats, now)) {
@@ -218,10 +230,10 @@
   });
 }
 
-/// A check that is not connected may wait in the queue of this machine's own
-/// link or on the way to the failure domain. An answer to a packet that was
-/// sent later shows that it does not. A target that accepts the connection is
-/// running, even if it is too busy to reply in time.
+/// A connection that is not established in time may be delayed in the queue of
+/// this machine's own link or on the path to the failure domain. An answer to a
+/// packet that was sent later rules out both. A target whose machine accepts
+/// the connection is reachable, even if it is too busy to reply in time.
 auto SilentTargetProber::ShowsUnreachable(HealthResult aResult,
                                           const TargetRecord& aTarget,
                                           Clock::time_point aSentAt) -> bool
@@ -231,6 +243,32 @@
           OtherTargetAnswered(aTarget, aSentAt));
 }
 
+auto SilentTargetProber::RecordCheck(HealthResult aResult,
+                                     DirectoryEntry& aTarget,
+                                     Clock::time_point aSentAt,
+                                     Clock::time_point aNow) -> void
+{
+  auto& stats = aTarget.stats;
+  const bool responds =
+    aResult == HealthResult::Healthy || aResult == HealthResult::Unhealthy;
+  stats.unansweredChecks = responds ? 0 : stats.unansweredChecks + 1;
+  if (!ShowsUnreachable(aResult, aTarget.record, aSentAt)) {
+    stats.unreachableChecks = 0;
+  } else if (stats.unreachableChecks == 0 ||
+             stats.answeredSendAt >= stats.unreachableSince) {
+    // The target has answered a packet that was sent after the earlier checks.
+    stats.unreachableChecks = 1;
+    stats.unreachableSince = aSentAt;
+  } else {
+    ++stats.unreachableChecks;
+  }
+  if (responds) {
+    stats.answeredSendAt = std::max(stats.answeredSendAt, aSentAt);
+  }
+  stats.lastCheckSentAt = aSentAt;
+  stats.lastCheckAt = aNow;
+}
+
 auto SilentTargetProber::Probe(TargetTag aTag) -> awaitable<void>
 {
   co_await ProbeLoop(aTag);
@@ -256,14 +294,7 @@
     }
     auto& stats = target->stats;
     const auto now = Clock::now();
-    stats.unreachableChecks = ShowsUnreachable(health, record, sentAt)
-                                ? stats.unreachableChecks + 1
-                                : 0;
-    stats.lastCheckSentAt = sentAt;
-    stats.lastCheckAt = now;
-    if (health <= HealthResult::Unhealthy) {
-      stats.answeredSendAt = std::max(stats.answeredSendAt, sentAt);
-    }
+    RecordCheck(health, *target, sentAt, now);
     if (health == HealthResult::Healthy) {
       LogInfo("target-answers",
               { { "from", "health-check" }, { "target", record.id } });
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -256,7 +256,9 @@
   if (m_targets[static_cast<std::size_t>(aId[0] - 'a')].gone) {
     ForEachBalancer([&, this](Balancer& aBalancer) {
       if (auto* entry = aBalancer.targets.Find(aId)) {
+        entry->stats.unansweredChecks = 2;
         entry->stats.unreachableChecks = 2;
+        entry->stats.unreachableSince = m_now;
         entry->stats.lastCheckSentAt = m_now;
         entry->stats.lastCheckAt = m_now;
       }
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -60,6 +60,7 @@
 {
   auto& stats = aTest.targets.Find("a")->stats;
   stats.unreachableChecks = 2;
+  stats.unreachableSince = aTest.now;
   stats.lastCheckSentAt = aTest.now;
   stats.lastCheckAt = aTest.now;
 }
--- a/unittests/Forward/SilentTargetProberTest.cpp
+++ b/unittests/Forward/SilentTargetProberTest.cpp
@@ -16,10 +16,10 @@
 
 /// A listener on loopback whose queue of connections is full, so that no
 /// further connection is established.
-class BlackHole
+class FullListener
 {
 public:
-  explicit BlackHole(asio::io_context& aContext)
+  explicit FullListener(asio::io_context& aContext)
     : m_acceptor(aContext)
   {
     m_acceptor.open(Tcp::v4());
@@ -83,7 +83,7 @@
   }
 
   /// Gives the target an address at which connections are not established.
-  auto StopConnecting() -> void { SetPort(blackHole.Port()); }
+  auto UseFullListener() -> void { SetPort(fullListener.Port()); }
 
   /// Gives the target an address at which no process listens.
   auto StopListening() -> void
@@ -116,7 +116,7 @@
 
   unsigned status;
   asio::io_context context{ 1 };
-  BlackHole blackHole{ context };
+  FullListener fullListener{ context };
   TestForward test;
   SilentTargetProber prober;
   std::unique_ptr<http::Server> server;
@@ -127,7 +127,7 @@
 Test(SilentTargetProber, TargetIsUnreachableUntilItAnswers)
 {
   ProbedTarget target(200);
-  target.StopConnecting();
+  target.UseFullListener();
   target.AddAnsweringTarget(std::chrono::seconds(2));
   target.ReportUnanswered();
   target.RunFor(1200);
@@ -157,7 +157,7 @@
      CongestedBalancerDoesNotTakeServingTargetForUnreachable)
 {
   ProbedTarget target(200);
-  target.StopConnecting();
+  target.UseFullListener();
   target.AddAnsweringTarget(std::chrono::seconds(-1));
   target.ReportUnanswered();
   target.RunFor(1200);
@@ -165,10 +165,34 @@
   cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
 }
 
+Test(SilentTargetProber, TargetThatAnswersBetweenChecksIsNotUnreachable)
+{
+  ProbedTarget target(200);
+  target.UseFullListener();
+  target.AddAnsweringTarget(std::chrono::seconds(2));
+  target.ReportUnanswered();
+  target.RunFor(350);
+  cr_assert(target.Entry().stats.unreachableChecks == 1);
+  target.Entry().stats.answeredSendAt = Clock::now();
+  target.RunFor(550);
+  cr_assert(target.Entry().stats.unansweredChecks == 2);
+  cr_assert(!IsUnreachable(target.Entry().stats, Clock::now()));
+}
+
+/// The target's process accepts connections but never replies.
+Test(SilentTargetProber, HungTargetGetsNoNewFlowsWhileChecksAreUnanswered)
+{
+  ProbedTarget target(200);
+  MarkSilent(target.Entry().stats, Clock::now() - std::chrono::seconds(5));
+  target.ReportUnanswered();
+  target.RunFor(900);
+  cr_assert(IsSilent(target.Entry().stats, Clock::now()));
+}
+
 Test(SilentTargetProber, AnswerFromAnotherDomainDoesNotMakeTargetUnreachable)
 {
   ProbedTarget target(200);
-  target.StopConnecting();
+  target.UseFullListener();
   target.AddAnsweringTarget(std::chrono::seconds(2));
   target.test.targets.Find("b")->record.failureDomain = "elsewhere";
   target.ReportUnanswered();
@@ -223,6 +247,7 @@
   ProbedTarget target(200);
   auto& stats = target.Entry().stats;
   stats.unreachableChecks = 3;
+  stats.unreachableSince = Clock::now();
   stats.lastCheckAt = Clock::now();
   cr_assert(IsUnreachable(stats, Clock::now()));
   target.prober.OnPause();
@@ -237,6 +262,7 @@
   auto& stats = target.Entry().stats;
   stats.silentSince = Clock::now();
   stats.unreachableChecks = 3;
+  stats.unreachableSince = Clock::now();
   stats.lastCheckAt = Clock::now();
   cr_assert(IsUnreachable(stats, Clock::now()));
   target.prober.ApplyUpdate("entry-2", { target.Entry().tag, false });
@@ -251,10 +277,10 @@
   TargetStats stats;
   const Clock::time_point start{ std::chrono::hours(1) };
   cr_assert(MarkSilent(stats, start));
-  stats.unreachableChecks = 3;
+  stats.unansweredChecks = 3;
   stats.lastCheckAt = start + Milliseconds(4500);
   cr_assert(IsSilent(stats, start + Milliseconds(5000)));
   cr_assert(!IsSilent(stats, start + Milliseconds(6501)));
-  stats.unreachableChecks = 0;
+  stats.unansweredChecks = 0;
   cr_assert(!IsSilent(stats, start + Milliseconds(5000)));
 }
