Print the records of reset flows when an expectation of a report fails

What is expected is unchanged.

Shown with a copy of the script that expects 99: it still fails, and now prints target-silent, target-check-failed and the rest.

--- a/test/forwarding.bash
+++ b/test/forwarding.bash
@@ -98,10 +98,23 @@
   wait_for_field pending 0
 }
 
+# Prints the records that explain why flows were reset or moved: the directory
+# with the logs is removed at the end.
+print_flow_records() {
+  local events='flow-refused|flow-moved|flow-left|request-repeated'
+  events+='|target-(silent|answers|check-failed|unreachable|changed|departed)'
+  grep -hE "event=($events) " "$run_dir"/entry-*.out | sort || true
+}
+
 expect_field() { # name of a report field, expected value
   local found
   found=$(report_field "$1")
-  [ "$found" = "$2" ] || { echo "$1 is $found, expected $2" >&2; post_control report >&2; return 1; }
+  [ "$found" = "$2" ] || {
+    echo "$1 is $found, expected $2" >&2
+    post_control report >&2
+    print_flow_records >&2
+    return 1
+  }
 }
 
 # Checks the report for violations that no fault may cause.
