Skip unreadable rows of the platform's VM list

Operators would have seen task-failed for watch-vms, once, and from then on a balancer that no longer followed the VM list: a row that is no object, or with a field of another type, made nlohmann-json throw, the exception left the coroutine, and Spawn ends a task that throws. A stored value of another type ended the task watch-lists in the same way.

Rows without a usable address are skipped, counted in vm_row_unreadable and the first one is logged when it changes. Other fields of another type are ignored. A list without any readable row is malformed, so it does not remove all targets. A stored value or revision of another type is malformed.

--- a/lib/Lists/HttpStore.cpp
+++ b/lib/Lists/HttpStore.cpp
@@ -2,9 +2,10 @@
 
 #include "bramleylock/Http/Http.h"
 #include "bramleylock/Lists/PlatformStore.h"
+#include "bramleylock/Support/Json.h"
+#include "bramleylock/Support/Log.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace bramleylock::lists {
 
@@ -13,6 +14,24 @@
 /// Timeout of a call, in addition to the wait that a watch requests.
 static constexpr Milliseconds kCallTimeout{ 4000 };
 
+/// Reads one row of the VM list. Returns false if the row names no address that
+/// can be reached. Other fields of a wrong type are ignored.
+static auto ReadVm(const json& aRow, PlatformVm& aVm) -> bool
+{
+  aVm.address = StringField(aRow, "address");
+  std::error_code error;
+  if (ParseTcpEndpoint(aVm.address, error).port() == 0 || error) {
+    return false;
+  }
+  aVm.name = StringField(aRow, "name");
+  aVm.role =
+    ValueOf(kVmRoleNames, StringField(aRow, "role")).value_or(VmRole::Target);
+  aVm.service = StringField(aRow, "service");
+  aVm.failureDomain = StringField(aRow, "failure_domain");
+  aVm.leaving = BooleanField(aRow, "leaving");
+  return true;
+}
+
 namespace {
 
 class HttpStore : public PlatformStore
@@ -100,42 +119,59 @@
       aError = StoreError::Conflict;
       return {};
     }
-    const auto document = json::parse(aReply.body, nullptr, false);
-    if (!document.is_object() || !document.contains("revision")) {
+    const auto document = ParseForeignJson(aReply.body);
+    if (!document.is_object() || !document.contains("revision") ||
+        !document["revision"].is_number_unsigned() ||
+        (document.contains("value") && !document["value"].is_string())) {
       aError = StoreError::Malformed;
       return {};
     }
-    return { document.value("value", ""),
-             document.value("revision", std::uint64_t{ 0 }) };
+    return { StringField(document, "value"),
+             document["revision"].get<std::uint64_t>() };
   }
 
-  static auto ParseVms(const http::Reply& aReply, std::error_code& aError)
+  /// Parses the VM list without its unreadable rows, which must not hide the
+  /// others.
+  auto ParseVms(const http::Reply& aReply, std::error_code& aError)
     -> std::vector<PlatformVm>
   {
     std::vector<PlatformVm> vms;
     if (aError) {
       return vms;
     }
-    const auto document = json::parse(aReply.body, nullptr, false);
+    const auto document = ParseForeignJson(aReply.body);
     if (!document.is_array()) {
       aError = StoreError::Malformed;
       return vms;
     }
+    std::string unreadable;
     for (const auto& row : document) {
       PlatformVm vm;
-      vm.name = row.value("name", "");
-      vm.role = ValueOf(kVmRoleNames, row.value("role", std::string()))
-                  .value_or(VmRole::Target);
-      vm.service = row.value("service", "");
-      vm.failureDomain = row.value("failure_domain", "");
-      vm.address = row.value("address", "");
-      vm.leaving = row.value("leaving", false);
-      vms.push_back(std::move(vm));
+      if (ReadVm(row, vm)) {
+        vms.push_back(std::move(vm));
+        continue;
+      }
+      m_metrics.Add(Counter::VmRowUnreadable);
+      if (unreadable.empty()) {
+        unreadable = FormatJsonExcerpt(row);
+      }
+    }
+    // The list is read every second, so the same row is logged only once.
+    if (unreadable != m_lastUnreadable && !unreadable.empty()) {
+      LogWarning("vm-row-unreadable", { { "row", unreadable } });
+    }
+    m_lastUnreadable = unreadable;
+    if (vms.empty() && !unreadable.empty()) {
+      // Without a single readable row this is not a list of VMs, and must not
+      // remove all targets.
+      aError = StoreError::Malformed;
     }
     return vms;
   }
 
   Tcp::endpoint m_endpoint;
+  /// The first unreadable row of the last list; empty if there was none.
+  std::string m_lastUnreadable;
   Metrics& m_metrics;
 };
 
