Reject deeply nested lists before they are parsed

Operators would have seen a balancer end (stack overflow) after an edit or a value in the store whose lists are nested some 100,000 levels deep: reading an object of the lists copies it, and copying, comparing and formatting of nlohmann-json values recurse. Texts nested deeper than 32 levels are now refused as a syntax error; the body of a PATCH of the administration API is parsed with the same limit, and found values are quoted as excerpts.

On the code before, OddLists::DeeplyNestedListsAreRejected and OddNumbersAreRejected crash. OddTextsAreRejected passes there and stays as a guard. Numbers beyond their range were refused before, since ReadNumber compares them as doubles with the limits of each field.

--- a/lib/Kernel/AdminLists.cpp
+++ b/lib/Kernel/AdminLists.cpp
@@ -2,10 +2,9 @@
 
 #include "bramleylock/Kernel/AdminApi.h"
 
+#include "bramleylock/Support/Json.h"
 #include "bramleylock/Support/Random.h"
 
-#include <nlohmann/json.hpp>
-
 namespace bramleylock::kernel {
 
 using lists::EditMode;
@@ -194,7 +193,7 @@
 /// nullopt for any other form.
 static auto ReadEdit(const std::string& aBody) -> std::optional<lists::Edit>
 {
-  const auto body = json::parse(aBody, nullptr, false);
+  const auto body = ParseForeignJson(aBody);
   if (!body.is_object() || !body.contains("edit") ||
       !body["edit"].is_string() || !body.contains("changes") ||
       !body["changes"].is_array()) {
--- a/lib/Lists/ListMerge.cpp
+++ b/lib/Lists/ListMerge.cpp
@@ -2,10 +2,10 @@
 
 #include "bramleylock/Lists/ListMerge.h"
 
+#include "bramleylock/Support/Json.h"
 #include "bramleylock/Support/Random.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -13,8 +13,6 @@
 
 namespace bramleylock::lists {
 
-using nlohmann::json;
-
 /// Number of hexadecimal digits of the document's hash that form the digest.
 static constexpr std::size_t kDigestDigits = 16;
 
@@ -297,8 +295,7 @@
 static auto EqualJson(const std::string& aLeft, const std::string& aRight)
   -> bool
 {
-  return json::parse(aLeft, nullptr, false) ==
-         json::parse(aRight, nullptr, false);
+  return ParseForeignJson(aLeft) == ParseForeignJson(aRight);
 }
 
 /// Returns aEntry as FormatEntry formats it, with defaults filled in.
--- a/lib/Lists/PlanLists.cpp
+++ b/lib/Lists/PlanLists.cpp
@@ -2,8 +2,9 @@
 
 #include "bramleylock/Lists/PlanLists.h"
 
+#include "bramleylock/Support/Json.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -55,7 +56,8 @@
     if (!value->is_number() || value->get<double>() < double(aMinimum) ||
         value->get<double>() > double(aMaximum)) {
       ThrowFieldError(aKey, fmt::format("found {}, allowed {} to {}",
-                                        value->dump(), aMinimum, aMaximum));
+                                        FormatJsonExcerpt(*value), aMinimum,
+                                        aMaximum));
     }
     return value->get<Number>();
   }
@@ -105,8 +107,8 @@
         allowed += allowed.empty() ? "" : ", ";
         allowed += name;
       }
-      ThrowFieldError(
-        aKey, fmt::format("found {}, allowed {}", value->dump(), allowed));
+      ThrowFieldError(aKey, fmt::format("found {}, allowed {}",
+                                        FormatJsonExcerpt(*value), allowed));
     }
     return *found;
   }
@@ -286,6 +288,17 @@
   return edits;
 }
 
+/// Parses aText; throws on malformed or too deeply nested texts.
+static auto ParseBounded(const std::string& aText) -> json
+{
+  if (ExceedsMaxJsonDepth(aText)) {
+    throw ParseError{ ListsError::Syntax,
+                      fmt::format("nested deeper than {} levels",
+                                  kMaxJsonDepth) };
+  }
+  return json::parse(aText);
+}
+
 static auto ReadDocument(const json& aDocument, ReferenceCheck aReferenceCheck)
   -> PlanLists
 {
@@ -332,7 +345,7 @@
     return {};
   }
   try {
-    return ReadDocument(json::parse(aDocument), aReferenceCheck);
+    return ReadDocument(ParseBounded(aDocument), aReferenceCheck);
   } catch (const json::exception& failure) {
     aError = ListsError::Syntax;
     aDetail = failure.what();
@@ -357,7 +370,7 @@
   const auto plan = EntryName(aPath, kPlanPrefix);
   const auto service = EntryName(aPath, kServicePrefix);
   try {
-    const auto entry = json::parse(aEntry);
+    const auto entry = ParseBounded(aEntry);
     if (!plan.empty()) {
       ValidateEntryName("plans", plan);
       aLists.plans[plan] = ReadPlan(plan, entry);
