Skip token keys in the store whose id is no number

Operators would have seen task-failed for the task that polls the store for token keys: std::stoul threw at an id that is no number or exceeds 64 bits, and an id beyond 32 bits was cut to another key's id. From then on the balancer took no new keys from the store and wrote none to it. Such ids are now skipped.

TokenKeyManager::OddKeysInTheStoreDoNotEndThePolling fails on the code before.

--- a/lib/Kernel/TokenKeyManager.cpp
+++ b/lib/Kernel/TokenKeyManager.cpp
@@ -2,11 +2,11 @@
 
 #include "bramleylock/Kernel/TokenKeyManager.h"
 
+#include "bramleylock/Support/Json.h"
 #include "bramleylock/Support/Log.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <charconv>
 
 namespace bramleylock::kernel {
 
@@ -112,22 +112,24 @@
 auto TokenKeyManager::ContainsNewestKey(const std::string& aDocument) const
   -> bool
 {
-  const auto document = json::parse(aDocument, nullptr, false);
+  const auto document = ParseForeignJson(aDocument);
   return !document.is_object() || m_keys.Empty() ||
          document.contains(std::to_string(NewestKey()));
 }
 
 auto TokenKeyManager::InstallKeys(const std::string& aDocument) -> void
 {
-  const auto document = json::parse(aDocument, nullptr, false);
+  const auto document = ParseForeignJson(aDocument);
   if (!document.is_object()) {
     LogError("token-keys-invalid", {});
     return;
   }
   for (const auto& [id, hexKey] : document.items()) {
-    if (hexKey.is_string()) {
-      InstallKey(static_cast<std::uint32_t>(std::stoul(id)),
-                 hexKey.get<std::string>());
+    std::uint32_t number = 0;
+    const char* end = id.data() + id.size();
+    const auto parsed = std::from_chars(id.data(), end, number);
+    if (hexKey.is_string() && parsed.ec == std::errc() && parsed.ptr == end) {
+      InstallKey(number, hexKey.get<std::string>());
     }
   }
 }
@@ -291,12 +293,12 @@
   }
   const auto current = std::to_string(newest);
   const auto next = newest + 1;
-  const auto document = json::parse(stored.value, nullptr, false);
+  const auto document = ParseForeignJson(stored.value);
   if (!document.is_object() || document.contains(std::to_string(next))) {
     aError = RotationError::Superseded;
     co_return newest;
   }
-  const json rotated{ { current, document.value(current, "") },
+  const json rotated{ { current, StringField(document, current.c_str()) },
                       { std::to_string(next),
                         wire::KeyToHex(wire::GenerateSigningKey()) } };
   co_await m_store.CompareAndSwap(lists::kTokenKeysKey, stored.revision,
--- a/unittests/Kernel/TokenKeyManagerTest.cpp
+++ b/unittests/Kernel/TokenKeyManagerTest.cpp
@@ -5,6 +5,7 @@
 #include "unittests/Peer/TestNetwork.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <memory>
@@ -194,3 +195,24 @@
   fixture.RunKeyManager(kKeyCheckTime, kOverlap, std::chrono::hours(1));
   cr_assert_eq(fixture.keyManager->SigningKey(), 2);
 }
+
+/// The exception ended the task that polls the store for keys.
+Test(TokenKeyManager, OddKeysInTheStoreDoNotEndThePolling)
+{
+  for (const auto* odd :
+       { R"("a":"00")", R"("":"00")", R"("99999999999999999999":"00")",
+         R"("4294967297":"00")", R"("-1":"00")", R"("2 ":"00")", R"("2":7)",
+         R"("2":[])" }) {
+    Fixture fixture;
+    const auto key = wire::KeyToHex(wire::GenerateSigningKey());
+    fixture.store.stored = { fmt::format(R"({{{},"9":"{}"}})", odd, key), 1 };
+    fixture.keyRing.Add(10, wire::GenerateSigningKey());
+    fixture.AddSelf();
+    fixture.RunKeyManager(kStoreWriteTime);
+    cr_assert(fixture.keyRing.Keys().contains(9), "%s", odd);
+    cr_assert_eq(fixture.keyRing.Keys().size(), 2, "%s", odd);
+    // The store lacks the newest key, which the polling adds.
+    cr_assert(nlohmann::json::parse(fixture.store.stored.value).contains("10"),
+              "%s", odd);
+  }
+}
