Record a health check whose answer has an odd field

The answer {"draining":"yes"} of a target made the probe throw before its result was recorded, so a target that answered 500 kept its old state; the log had task-failed for probe at each check. The field is now ignored unless it is a Boolean, and the status alone counts.

HealthProber::OddAnswerCountsByItsStatus fails on the code before.

--- a/lib/Target/HealthProber.cpp
+++ b/lib/Target/HealthProber.cpp
@@ -3,10 +3,9 @@
 #include "bramleylock/Target/HealthProber.h"
 
 #include "bramleylock/Http/Http.h"
+#include "bramleylock/Support/Json.h"
 #include "bramleylock/Support/SipHash.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace bramleylock::target {
@@ -94,9 +93,8 @@
   request.target = "/health";
   const auto reply =
     co_await http::Fetch(endpoint, std::move(request), kProbeTimeout, error);
-  const auto document = nlohmann::json::parse(reply.body, nullptr, false);
   const bool draining =
-    !error && document.is_object() && document.value("draining", false);
+    !error && BooleanField(ParseForeignJson(reply.body), "draining");
   m_targets.RecordProbe(aAddress, !error && reply.status == 200, draining);
 }
 
