--- a/lib/Support/Json.cpp
+++ b/lib/Support/Json.cpp
@@ -1,7 +1,7 @@
 // nlohmann-json parses without recursion, but copies, compares and formats
-// values recursively. A text of 1 MiB can be nested a million levels deep, which
-// overflows the stack there and needs about 64 bytes of memory per level, so
-// its depth is checked before it is parsed.
+// values recursively. A text of 1 MiB can be nested a million levels deep,
+// which overflows the stack there and needs about 64 bytes of memory per level,
+// so its depth is checked before it is parsed.
 
 #include "bramleylock/Support/Json.h"
 
--- a/unittests/Lists/OddAnswersTest.cpp
+++ b/unittests/Lists/OddAnswersTest.cpp
@@ -81,12 +81,11 @@
 Test(OddAnswers, OddRowOfTheVmListIsSkipped)
 {
   Fixture fixture;
-  for (const auto* row :
-       { "7", "null", "[]", "{}", R"("a")", R"({"name":7})",
-         R"({"name":"t-2","address":[]})",
-         R"({"name":"t-2","address":"10.0.0.2:99999"})",
-         R"({"name":"t-2","address":"10.0.0.2:0"})",
-         R"({"name":"t-2","address":"10.0.0.2"})" }) {
+  for (const auto* row : { "7", "null", "[]", "{}", R"("a")", R"({"name":7})",
+                           R"({"name":"t-2","address":[]})",
+                           R"({"name":"t-2","address":"10.0.0.2:99999"})",
+                           R"({"name":"t-2","address":"10.0.0.2:0"})",
+                           R"({"name":"t-2","address":"10.0.0.2"})" }) {
     const auto vms = fixture.ListVms(fmt::format("[{},{}]", row, kVm));
     cr_assert(!fixture.error, "%s", row);
     cr_assert(vms.size() == 1 && vms[0].name == "t-1", "%s", row);
--- a/unittests/Lists/OddListsTest.cpp
+++ b/unittests/Lists/OddListsTest.cpp
@@ -54,9 +54,9 @@
         number.starts_with("0.")) {
       continue;
     }
-    ParseLists(fmt::format(R"({{"revision":{},"plans":{{}},"services":{{}}}})",
-                           number),
-               error, detail);
+    ParseLists(
+      fmt::format(R"({{"revision":{},"plans":{{}},"services":{{}}}})", number),
+      error, detail);
     cr_assert(error, "%.60s", number.c_str());
     PlanLists lists;
     ParseEntry("services/a",
--- a/unittests/Platform/OddEntriesTest.cpp
+++ b/unittests/Platform/OddEntriesTest.cpp
@@ -17,10 +17,14 @@
 static constexpr long kMaxDecodingKiB = 24576;
 
 static const std::vector<std::pair<std::string, std::string>> kFields{
-  { "service", R"("orders")" }, { "addr", R"("10.1.2.3:8080")" },
-  { "zone", R"("here")" },      { "version", R"("v1")" },
-  { "slots", "2" },             { "state", R"("ready")" },
-  { "coldLeftMs", "700" },      { "seq", "4" },
+  { "service", R"("orders")" },
+  { "addr", R"("10.1.2.3:8080")" },
+  { "zone", R"("here")" },
+  { "version", R"("v1")" },
+  { "slots", "2" },
+  { "state", R"("ready")" },
+  { "coldLeftMs", "700" },
+  { "seq", "4" },
   { "born", "1778339777027" }
 };
 
@@ -121,13 +125,13 @@
 {
   for (const auto* address :
        { "10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:99999", "10.1.2.3:-1",
-         "10.1.2.3:+80", "10.1.2.3: 80", "10.1.2.3:80 ", "10.1.2.3:",
-         "10.1.2.3:18446744073709551696", "10.1.2.3", ":80", "10.1.2.3:0x50",
-         "10.1.2.3:8e1", "256.1.2.3:80", "[::1]:80", "::1:80",
+         "10.1.2.3:+80", "10.1.2.3: 80", "10.1.2.3:80 ",
+         "10.1.2.3:", "10.1.2.3:18446744073709551696", "10.1.2.3", ":80",
+         "10.1.2.3:0x50", "10.1.2.3:8e1", "256.1.2.3:80", "[::1]:80", "::1:80",
          "10.1.2.3:80\\u0000" }) {
-    cr_assert(!IsAccepted("i-1", EntryWith("addr", fmt::format(R"("{}")",
-                                                              address))),
-              "%s", address);
+    cr_assert(
+      !IsAccepted("i-1", EntryWith("addr", fmt::format(R"("{}")", address))),
+      "%s", address);
   }
 }
 
--- a/unittests/Support/JsonTest.cpp
+++ b/unittests/Support/JsonTest.cpp
@@ -38,8 +38,8 @@
 Test(Json, FieldsOfAnotherTypeAreIgnored)
 {
   for (const auto* value : { "7", "null", "[]", "{}", "1.5" }) {
-    const auto document = ParseForeignJson(R"({"field":)" +
-                                           std::string(value) + "}");
+    const auto document =
+      ParseForeignJson(R"({"field":)" + std::string(value) + "}");
     cr_assert(document.is_object());
     cr_assert(StringField(document, "field").empty());
     cr_assert(!BooleanField(document, "field"));
--- a/unittests/Target/HealthProberTest.cpp
+++ b/unittests/Target/HealthProberTest.cpp
@@ -1,7 +1,7 @@
 // Odd answers of a target to health checks.
 
-#include "bramleylock/Http/Http.h"
 #include "bramleylock/Target/HealthProber.h"
+#include "bramleylock/Http/Http.h"
 #include "unittests/TestOddInputs.h"
 
 #include <criterion/criterion.h>
@@ -17,11 +17,9 @@
 static auto ProbedTarget(const http::Reply& aReply) -> Target
 {
   asio::io_context context{ 1 };
-  http::Server server(context,
-                      Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
-                      [&](const http::Request&) -> awaitable<http::Reply> {
-                        co_return aReply;
-                      });
+  http::Server server(
+    context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+    [&](const http::Request&) -> awaitable<http::Reply> { co_return aReply; });
   server.Start();
   const auto endpoint = server.Endpoint();
   const auto address = FormatEndpoint(endpoint.address(), endpoint.port());
