Bound the numbers of targets and the version of the configuration

One odd entry with a valid address could take effect with numbers that no host has. Operators would have seen one target receive all flows of its service, and waiting first packets without a limit ('slots' near 2^32: the share of the slots and the limit of the queue grow with it), or a host that could not return until the balancer restarted, since a 'born' of 2^64-1 makes every later start of the host an earlier one. A configuration of version 2^64-1 would have made every later one older. Peers passed such records on unchecked; a route with port 0 or an unknown kind in a peer's update was installed.

Targets have at most 65,536 slots, and start before 2^48 ms, which also refuses times in other units; versions are at most 2^53. The same check skips the record in a peer's update and keeps the others, as the peer may run a version without these limits.

An entry that claims a real host's address with a later start marks that host dead until its next renewal, as HostWhoseAddressAnOddEntryClaimsReturnsWithItsNextRenewal shows; the store gives no means to tell such an entry from a new host at that address.

--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -3,6 +3,7 @@
 
 #include "bramleylock/Forward/RoutingState.h"
 
+#include "bramleylock/Forward/RecordLimits.h"
 #include "bramleylock/Support/Log.h"
 
 #include <fmt/format.h>
@@ -25,7 +26,8 @@
 auto IsValid(const RoutingUpdate& aUpdate) -> bool
 {
   const auto routeIsValid = [](const Route& aRoute) {
-    return !aRoute.shares.empty();
+    return !aRoute.shares.empty() && aRoute.port != 0 &&
+           aRoute.kind < kRequestKindNames.size();
   };
   return std::all_of(aUpdate.routes.begin(), aUpdate.routes.end(),
                      [&routeIsValid](const RouteSet& aSet) {
@@ -254,6 +256,13 @@
     InstallRoutes(routes, "peer", aNow);
   }
   for (const auto& record : aUpdate.targets) {
+    if (!IsInRange(record)) {
+      // A peer of a version without these limits took an odd entry from the
+      // store. The other records of its update are still needed.
+      m_metrics.Add(Counter::TargetEntryUnreadable);
+      LogWarning("target-record-out-of-range", { { "entry", record.id } });
+      continue;
+    }
     if (!IsKnownRemoved(record)) {
       ApplyTarget(record, "peer", aNow);
     }
--- a/unittests/Platform/OddEntriesTest.cpp
+++ b/unittests/Platform/OddEntriesTest.cpp
@@ -121,6 +121,29 @@
   cr_assert(!IsAccepted("i-1", EntryWith("coldLeftMs", "4294967296")));
 }
 
+/// Such a host received all flows, or no later start of it was accepted and
+/// another host at its address was taken for dead.
+Test(OddEntries, NumberThatNoHostHasIsRejected)
+{
+  for (const auto* slots : { "65537", "1000000000", "4294967295" }) {
+    cr_assert(!IsAccepted("i-1", EntryWith("slots", slots)), "%s", slots);
+  }
+  for (const auto* born :
+       { "281474976710656", "1778339777027000000", "18446744073709551615" }) {
+    cr_assert(!IsAccepted("i-1", EntryWith("born", born)), "%s", born);
+  }
+  cr_assert(IsAccepted("i-1", EntryWith("slots", "65536")));
+  cr_assert(IsAccepted("i-1", EntryWith("born", "281474976710655")));
+}
+
+/// All later configurations were refused as older.
+Test(OddEntries, VersionWithoutSuccessorIsRejected)
+{
+  auto text = ConfigurationWith(RouteWith("", ""), "", "{}");
+  text.replace(text.find("7"), 1, "18446744073709551615");
+  cr_assert(!RoutesIn(text));
+}
+
 Test(OddEntries, PortOutOfRangeIsRejected)
 {
   for (const auto* address :
--- a/unittests/Platform/OddPagesTest.cpp
+++ b/unittests/Platform/OddPagesTest.cpp
@@ -28,8 +28,9 @@
                ++calls;
                const bool later =
                  aRequest.target.find("after=") != std::string::npos;
-               co_return http::Reply{ status, later ? laterPage : page,
-                                      "application/json", {} };
+               co_return http::Reply{
+                 status, later ? laterPage : page, "application/json", {}
+               };
              })
   {
     server.Start();
@@ -214,8 +215,8 @@
   }
 }
 
-/// Reads a store in which one of 23 hosts has aValue, then the change of another
-/// one to aValue.
+/// Reads a store in which one of 23 hosts has aValue, then the change of
+/// another one to aValue.
 static auto CheckThatOnlyItsHostIsLost(const std::string& aValue) -> void
 {
   asio::io_context context{ 1 };
