Take a state that is older than the machine's start for complete

A balancer that starts soon after its machine, while the store is away, would have stayed unready although a seed or peer had sent it routes and targets: the steady clock counts from the start of the machine, a reading older than that lies before its epoch, and the epoch means that nothing was read. The time of a reading is now at least one tick after the epoch.

OddUpdates::StateOlderThanTheClockIsComplete fails on the code before.

--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -83,7 +83,10 @@
                                    Clock::time_point aReadAt) -> void
 {
   m_revision = std::max(m_revision, aRevision);
-  m_readAt = std::max(m_readAt, aReadAt);
+  // The clock counts from the start of the machine, and the epoch means that
+  // nothing was read. A peer's reading may be older than that.
+  constexpr Clock::time_point kEarliestReading{ Clock::duration(1) };
+  m_readAt = std::max({ m_readAt, aReadAt, kEarliestReading });
   m_metrics.SetGauge("state_revision", static_cast<double>(m_revision));
 }
 
--- a/unittests/Forward/OddUpdatesTest.cpp
+++ b/unittests/Forward/OddUpdatesTest.cpp
@@ -167,6 +167,22 @@
   cr_assert(sent.targets[1].warmUpMs == ~std::uint32_t{ 0 });
 }
 
+/// The clock counts from the start of the machine. A state that was read before
+/// then was taken for none, so that the balancer never became ready.
+Test(OddUpdates, StateOlderThanTheClockIsComplete)
+{
+  Node node;
+  node.now = Clock::time_point{ std::chrono::seconds(10) };
+  auto update = UpdateWith(MakeTarget("b", 6));
+  update.ageMs = 60000;
+  cr_assert(node.state.ApplyUpdate(update, node.now));
+  cr_assert(node.state.IsComplete());
+  update.ageMs = ~std::uint32_t{ 0 };
+  Node other;
+  cr_assert(other.state.ApplyUpdate(update, other.now));
+  cr_assert(other.state.IsComplete());
+}
+
 /// An odd entry with the address of a real host.
 Test(OddUpdates, HostWhoseAddressAnOddEntryClaimsReturnsWithItsNextRenewal)
 {
