Escape odd bytes in the text format of the log

A name from a peer that is no valid UTF-8 made the text format of the log throw, if it also had a space, a quote or an equals sign. The exception ended the task that logged: operators would have seen task-failed for peer-incoming, and a link that was neither closed nor counted. Without such a character the bytes, control characters included, were written to the log as they are. All such values are now quoted, and invalid UTF-8 is replaced as in the JSON format.

Log::OddBytesInAFieldAreEscaped fails on the code before with an exception.

--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -161,6 +161,23 @@
   return record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+/// Returns whether aValue needs no quotes: no separators, control characters or
+/// bytes outside of ASCII, which may be no UTF-8.
+static auto IsPlain(std::string_view aValue) -> bool
+{
+  return std::all_of(aValue.begin(), aValue.end(), [](char aCharacter) {
+    return aCharacter > ' ' && aCharacter < '\x7f' && aCharacter != '"' &&
+           aCharacter != '=';
+  });
+}
+
+/// Values may come from other programs, so invalid UTF-8 is replaced.
+static auto Quote(std::string_view aValue) -> std::string
+{
+  return nlohmann::json(aValue).dump(-1, ' ', false,
+                                     nlohmann::json::error_handler_t::replace);
+}
+
 static auto FormatText(LogLevel aLevel, std::string_view aEvent,
                        const std::string& aTime,
                        std::initializer_list<LogField> aFields, int aDropped)
@@ -179,8 +196,7 @@
   append(" event", aEvent);
   for (const auto& [key, value] : aFields) {
     line += ' ';
-    const bool plain = value.find_first_of(" \"=\n") == std::string::npos;
-    append(key, plain ? value : nlohmann::json(value).dump());
+    append(key, IsPlain(value) ? std::string(value) : Quote(value));
   }
   if (aDropped > 0) {
     append(" dropped_before", std::to_string(aDropped));
--- a/unittests/Support/LogTest.cpp
+++ b/unittests/Support/LogTest.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace bramleylock;
@@ -69,3 +70,25 @@
             std::string::npos);
   cr_assert(text.find("event=second\n") != std::string::npos);
 }
+
+/// A peer's name that is no UTF-8 made the text format throw, which ended the
+/// task that logged it; control characters were written as they are.
+Test(Log, OddBytesInAFieldAreEscaped)
+{
+  for (const bool json : { false, true }) {
+    int ends[2];
+    cr_assert(::pipe(ends) == 0);
+    ConfigureLog({ LogLevel::Info, json, "vm", ends[1], 1000 });
+    for (const auto& value :
+         { std::string("a \xff\xfe"), std::string("\xc3\x28"),
+           std::string("a\0b", 3), std::string("a\rb"), std::string("\x1b[2J"),
+           std::string("a\nb=c") }) {
+      LogInfo("odd", { { "peer", value } });
+    }
+    const auto text = ReadAll(ends[0]);
+    cr_assert(std::count(text.begin(), text.end(), '\n') == 6);
+    for (const char character : { '\0', '\r', '\x1b', '\xff' }) {
+      cr_assert(text.find(character) == std::string::npos);
+    }
+  }
+}
