Replace invalid UTF-8 in replies of the status queries

A peer's name that is no valid UTF-8 made every reply that shows it throw: operators would have seen status and metrics queries cut off without an answer, and task-failed for http-connection. Invalid bytes are now replaced.

AdminReply::NameThatIsNoUtf8IsReplaced fails on the code before with an exception.

--- a/lib/Kernel/AdminApi.cpp
+++ b/lib/Kernel/AdminApi.cpp
@@ -14,7 +14,9 @@
 {
   http::Reply reply;
   reply.status = aStatus;
-  reply.body = aBody.dump() + "\n";
+  // Names of peers may be no valid UTF-8.
+  reply.body =
+    aBody.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
   return reply;
 }
 
