Test one odd entry of each kind with real processes

The stand-in puts an entry nested a million levels deep, one with a number beyond 64 bits and one with a port beyond 16 bits in place of a host's entry. Only that host departs, it returns with its next proper entry, no request fails, no task of a balancer fails and none loses the store.

--- a/test/forwarding-targets.sh
+++ b/test/forwarding-targets.sh
@@ -60,3 +60,33 @@
 inject_host_fault b-005 listed
 wait_until_logged 1 'event=target-changed .*target=b-005'
 expect_no_violations
+
+# One odd entry: no balancer ends or stops following the list, and the other
+# targets continue to serve.
+wait_until_logged_again() { # regular expression, number of records before
+  local tries=0
+  until [ "$(grep -c "$1" "$run_dir/entry-1.out")" -gt "$2" ]; do
+    tries=$((tries + 1))
+    [ $tries -lt 400 ] || { echo "entry-1 did not log again: $1" >&2; exit 1; }
+    sleep 0.05
+  done
+}
+departed='event=target-departed .*target=b-005'
+changed='event=target-changed .*target=b-005'
+for fault in deep number port; do
+  failed_before=$(report_field failed)
+  before=$(grep -c "$departed" "$run_dir/entry-1.out")
+  inject_host_fault b-005 $fault
+  wait_until_logged_again "$departed" "$before"
+  start_traffic 1000 100
+  wait_until_idle
+  expect_field failed "$failed_before"
+  before=$(grep -c "$changed" "$run_dir/entry-1.out")
+  inject_host_fault b-005 listed
+  wait_until_logged_again "$changed" "$before"
+done
+for i in 1 2 3; do
+  ! has_logged $i 'event=task-failed' || { echo "a task of entry-$i failed" >&2; exit 1; }
+  ! has_logged $i 'event=store-lost' || { echo "entry-$i lost the store" >&2; exit 1; }
+done
+expect_no_violations
