--- a/unittests/Platform/OddEntriesTest.cpp
+++ b/unittests/Platform/OddEntriesTest.cpp
@@ -140,7 +140,7 @@
 Test(OddEntries, VersionWithoutSuccessorIsRejected)
 {
   auto text = ConfigurationWith(RouteWith("", ""), "", "{}");
-  text.replace(text.find("7"), 1, "18446744073709551615");
+  text.replace(text.find('7'), 1, "18446744073709551615");
   cr_assert(!RoutesIn(text));
 }
 
--- a/unittests/Platform/OddPagesTest.cpp
+++ b/unittests/Platform/OddPagesTest.cpp
@@ -151,7 +151,8 @@
   Fixture fixture;
   for (const auto& odd : OddRows()) {
     const auto good = Row("servers/h-1", kEntry);
-    for (const auto& rows : { odd + "," + good, good + "," + odd }) {
+    for (const auto& rows :
+         { fmt::format("{},{}", odd, good), fmt::format("{},{}", good, odd) }) {
       const auto reading = fixture.ReadAll(Page(rows));
       cr_assert(!fixture.error, "%s", odd.c_str());
       cr_assert(reading.targets.size() == 1, "%s", odd.c_str());
@@ -165,8 +166,8 @@
   Fixture fixture;
   for (const auto& odd : OddRows()) {
     const auto good = Row("servers/h-1", kEntry);
-    const auto reading =
-      fixture.ReadChanges(Page(odd + "," + good + "," + odd, "events"));
+    const auto reading = fixture.ReadChanges(
+      Page(fmt::format("{0},{1},{0}", odd, good), "events"));
     cr_assert(!fixture.error, "%s", odd.c_str());
     cr_assert(reading.targets.size() == 1, "%s", odd.c_str());
     cr_assert(reading.revision == 9, "the next watch starts elsewhere");
