--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -275,6 +275,15 @@
     co_return;
   }
   m_needFullRead = false;
+  if (full) {
+    LogInfo("state-read-in-full",
+            { { "revision", std::to_string(reading.revision) },
+              { "known", std::to_string(m_state.Revision()) },
+              { "routes",
+                std::to_string(reading.routes ? reading.routes->version : 0) },
+              { "routes_known", std::to_string(m_state.RoutesVersion()) },
+              { "targets", std::to_string(reading.targets.size()) } });
+  }
   const bool storeFailedRecently =
     m_lastFailureAt != Clock::time_point{} &&
     now - m_lastFailureAt < kOutageEffectDuration;
