Order the store's revisions by its generation first

Cause: a revision was taken as a counter that only grows. RoutingState kept the highest one and watched from a number of the lost history; the watch was rejected until the new history had passed that number, and then skipped the changes before it.

StoreRevision is a pair of generation and number, in memory and in peer messages, where the new fields follow the old ones. A higher generation in any response leads to one full reading. Entries that the copy lacks are used for the grace period of expired ones. Records of one incarnation from different generations are ordered by the target's own count of its writes, so a target that was draining or gone does not become ready from the copy. State of an older generation does not count as a reading.

StateReader::UpdatesOfOtherVersionsAreAccepted sent a later field in the place that a generation now has; it sends it after the two generations instead, which is as strict.

--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -11,6 +11,7 @@
 #include <msgpack.hpp>
 
 #include "bramleylock/Forward/Packet.h"
+#include "bramleylock/Forward/StoreRevision.h"
 #include "bramleylock/Support/Asio.h"
 #include "bramleylock/Support/Names.h"
 
@@ -70,11 +71,12 @@
 {
   std::uint64_t version = 0;
   /// Store revision of this configuration.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::uint32_t idleTimeoutMs = 0;
   std::vector<Route> routes;
   std::vector<ServiceInfo> services;
-  MSGPACK_DEFINE_ARRAY(version, revision, idleTimeoutMs, routes, services)
+  MSGPACK_DEFINE_ARRAY(version, revision.number, idleTimeoutMs, routes,
+                       services, revision.generation)
 };
 
 enum class RouteState
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -17,8 +17,8 @@
 {
   /// Revision on which this update builds. A receiver with an older revision
   /// lacks changes and has to request a full update; 0 marks a full update.
-  std::uint64_t baseRevision = 0;
-  std::uint64_t revision = 0;
+  StoreRevision baseRevision;
+  StoreRevision revision;
   /// Version of the routes in force at the sender.
   std::uint64_t routesVersion = 0;
   /// Age of the sender's last reading of the store.
@@ -30,8 +30,9 @@
   /// Number of balancers recorded in the store, as known to the sender; 0 if
   /// unknown.
   std::uint32_t balancers = 0;
-  MSGPACK_DEFINE_ARRAY(baseRevision, revision, routesVersion, ageMs, routes,
-                       targets, removed, balancers)
+  MSGPACK_DEFINE_ARRAY(baseRevision.number, revision.number, routesVersion,
+                       ageMs, routes, targets, removed, balancers,
+                       baseRevision.generation, revision.generation)
 };
 
 /// Requests the changes after a known state from a peer.
@@ -39,9 +40,9 @@
 {
   /// Revision up to which the requester has all changes; 0 requests the full
   /// state.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::uint64_t routesVersion = 0;
-  MSGPACK_DEFINE_ARRAY(revision, routesVersion)
+  MSGPACK_DEFINE_ARRAY(revision.number, routesVersion, revision.generation)
 };
 
 /// Returns whether all records of aUpdate are valid. A peer of another version
@@ -49,7 +50,9 @@
 auto IsValid(const RoutingUpdate& aUpdate) -> bool;
 
 /// Applies store readings and peer updates to the route table and the target
-/// directory, and notifies a listener.
+/// directory, and notifies a listener. A full reading or update of a higher
+/// generation of the store replaces the state of lower ones; entries that it
+/// lacks may be written again, so their targets are kept for a grace period.
 class RoutingState
 {
 public:
@@ -82,7 +85,7 @@
   /// Returns the time as of which this state reflects the store; the epoch if
   /// nothing was read.
   auto ReadAt() const -> Clock::time_point;
-  auto Revision() const -> std::uint64_t;
+  auto Revision() const -> const StoreRevision&;
   auto RoutesVersion() const -> std::uint64_t;
 
   /// Returns the number of balancers recorded in the store; 0 if unknown.
@@ -96,20 +99,29 @@
   auto RemoveTarget(const RemovedTarget& aRemoved, const char* aSource,
                     Clock::time_point aNow) -> bool;
   auto FindMissing(const std::vector<TargetRecord>& aListed,
-                   std::uint64_t aRevision, bool aMayReturn)
-    -> std::vector<RemovedTarget>;
+                   const StoreRevision& aRevision, bool aMayReturn,
+                   Clock::time_point aNow) -> std::vector<RemovedTarget>;
   auto IsKnownRemoved(const TargetRecord& aRecord) const -> bool;
   auto LogFirstReading() -> void;
-  auto AdvanceRevision(std::uint64_t aRevision, Clock::time_point aReadAt)
+  auto AdvanceRevision(const StoreRevision& aRevision,
+                       Clock::time_point aReadAt) -> void;
+  auto IsRestored(const StoreRevision& aRevision) const -> bool;
+  auto BeginHistory(const StoreRevision& aRevision, const char* aSource)
     -> void;
+  auto WithGeneration(const StoreRevision& aRevision) const -> StoreRevision;
+  auto MayReturn(const TargetRecord& aRecord) -> bool;
+  auto KnownRecord(const TargetRecord& aRecord) -> TargetRecord;
 
   RouteTable& m_routes;
   TargetDirectory& m_targets;
   Metrics& m_metrics;
   std::function<void()> m_listener = [] {};
-  std::uint64_t m_revision = 0;
+  StoreRevision m_revision;
+  /// Generation of the first revision. Peers that name no generation are
+  /// assumed to have this one.
+  std::uint64_t m_firstGeneration = 0;
   /// All removals of targets after this revision are known here.
-  std::uint64_t m_removalsKnownSince = 0;
+  StoreRevision m_removalsKnownSince;
   Clock::time_point m_readAt{};
   std::uint32_t m_recordedBalancers = 0;
 };
--- a/include/bramleylock/Forward/StateSource.h
+++ b/include/bramleylock/Forward/StateSource.h
@@ -37,18 +37,18 @@
 struct RemovedTarget
 {
   std::string id;
-  std::uint64_t revision = 0;
-  /// Whether the entry may have expired because of a store outage while the
-  /// target is still running.
+  StoreRevision revision;
+  /// Whether the entry may have expired because of a store outage, or was lost
+  /// in a restore, while the target is still running.
   bool mayReturn = false;
-  MSGPACK_DEFINE_ARRAY(id, revision, mayReturn)
+  MSGPACK_DEFINE_ARRAY(id, revision.number, mayReturn, revision.generation)
 };
 
 /// Result of reading the store.
 struct StateReading
 {
   /// Store revision up to which the reading is complete.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   /// The configured routes, if the reading contains them.
   std::optional<RouteSet> routes;
   std::vector<TargetRecord> targets;
@@ -67,11 +67,17 @@
   /// Reads the full current state.
   virtual auto ReadAll(std::error_code& aError) -> awaitable<StateReading> = 0;
 
-  /// Reads the changes after aRevision; waits at most aWait for a change.
-  virtual auto ReadChanges(std::uint64_t aRevision, Milliseconds aWait,
+  /// Reads the changes after aRevision; waits at most aWait for a change. If
+  /// the generation of the result is not that of aRevision, the result is not
+  /// complete and the full state has to be read.
+  virtual auto ReadChanges(const StoreRevision& aRevision, Milliseconds aWait,
                            std::error_code& aError)
     -> awaitable<StateReading> = 0;
 
+  /// Returns the highest generation of the store that any response named,
+  /// including responses that report an error; 0 if none did.
+  virtual auto Generation() const -> std::uint64_t = 0;
+
   /// Reads the secret shared by the balancers of this deployment, as
   /// hexadecimal digits. The first balancer that requests it creates it.
   virtual auto ClusterSecret(std::error_code& aError)
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -53,9 +53,14 @@
   /// Remaining warm-up time, in which the target is slower.
   std::uint32_t warmUpMs = 0;
   /// Store revision of this record.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
+  /// The target's own count of its writes in this incarnation, which orders
+  /// them independently of the store; 0 if unknown. A removal counts as one
+  /// more write unless the entry may return.
+  std::uint64_t sequence = 0;
   MSGPACK_DEFINE_ARRAY(id, incarnation, service, ip, port, failureDomain, slots,
-                       state, warmUpMs, revision)
+                       state, warmUpMs, revision.number, revision.generation,
+                       sequence)
 
   auto EndpointAddress() const -> Address { return { ip, port }; }
   auto State() const -> TargetState { return static_cast<TargetState>(state); }
@@ -118,7 +123,9 @@
   -> TargetTag;
 
 /// Directory of targets. Entries are merged by store revision, so updates from
-/// the store and from peers may arrive in any order and repeatedly.
+/// the store and from peers may arrive in any order and repeatedly. Records of
+/// one incarnation from different generations of the store are merged by the
+/// target's own count of its writes.
 class TargetDirectory
 {
 public:
@@ -131,7 +138,7 @@
   /// Merges the removal of an entry at aRevision. If aGracePeriod is above
   /// zero, the entry may be registered again, and the target keeps accepting
   /// flows for that long.
-  auto Remove(const std::string& aId, std::uint64_t aRevision,
+  auto Remove(const std::string& aId, const StoreRevision& aRevision,
               Milliseconds aGracePeriod, Clock::time_point aNow) -> bool;
 
   /// Discards departed targets and removal records that are older than aKeep.
@@ -166,7 +173,7 @@
 
   /// Returns the records that changed after aRevision, with the states in force
   /// here, for transmission to a peer.
-  auto RecordsAfter(std::uint64_t aRevision, Clock::time_point aNow)
+  auto RecordsAfter(const StoreRevision& aRevision, Clock::time_point aNow)
     -> std::vector<TargetRecord>;
 
   auto Size() const -> std::size_t;
@@ -177,7 +184,7 @@
   /// A removal of an entry.
   struct Removal
   {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     Clock::time_point at{};
   };
 
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 #include <string_view>
 
@@ -62,7 +63,7 @@
   return m_readAt;
 }
 
-auto RoutingState::Revision() const -> std::uint64_t
+auto RoutingState::Revision() const -> const StoreRevision&
 {
   return m_revision;
 }
@@ -77,12 +78,63 @@
   return m_recordedBalancers;
 }
 
-auto RoutingState::AdvanceRevision(std::uint64_t aRevision,
+auto RoutingState::AdvanceRevision(const StoreRevision& aRevision,
                                    Clock::time_point aReadAt) -> void
 {
   m_revision = std::max(m_revision, aRevision);
   m_readAt = std::max(m_readAt, aReadAt);
-  m_metrics.SetGauge("state_revision", static_cast<double>(m_revision));
+  m_metrics.SetGauge("state_revision", static_cast<double>(m_revision.number));
+  m_metrics.SetGauge("state_generation",
+                     static_cast<double>(m_revision.generation));
+}
+
+/// Returns whether the store was restored between the state known here and
+/// aRevision.
+auto RoutingState::IsRestored(const StoreRevision& aRevision) const -> bool
+{
+  return m_readAt != Clock::time_point{} &&
+         aRevision.generation > m_revision.generation;
+}
+
+/// Records that full state of aRevision begins a history: it is the first state
+/// known here, or the store was restored. Removals before it are not known.
+auto RoutingState::BeginHistory(const StoreRevision& aRevision,
+                                const char* aSource) -> void
+{
+  m_removalsKnownSince = aRevision;
+  if (m_readAt == Clock::time_point{}) {
+    m_firstGeneration = aRevision.generation;
+    return;
+  }
+  m_metrics.Add(Counter::StateRestored);
+  LogWarning("state-restored", { { "from", aSource },
+                                 { "revision", FormatRevision(aRevision) },
+                                 { "before", FormatRevision(m_revision) } });
+}
+
+/// Adds the generation to a revision from a peer of a build that names none.
+/// Before a restore this is the generation of all state, and after a restore
+/// the state of such a peer is to be older than the restored one, because it
+/// cannot distinguish the two.
+auto RoutingState::WithGeneration(const StoreRevision& aRevision) const
+  -> StoreRevision
+{
+  return aRevision.generation != 0 || aRevision.number == 0
+           ? aRevision
+           : StoreRevision(aRevision.number, m_firstGeneration);
+}
+
+/// Returns whether a peer's record of a departed target lacks a listed one only
+/// since the store was restored. A removal that is certain has a higher count
+/// than the listed record.
+auto RoutingState::MayReturn(const TargetRecord& aRecord) -> bool
+{
+  const auto* entry = m_targets.Find(aRecord.id);
+  return aRecord.State() == TargetState::Departed && entry != nullptr &&
+         entry->record.incarnation == aRecord.incarnation &&
+         entry->record.State() == TargetState::Ready &&
+         entry->record.revision.generation < aRecord.revision.generation &&
+         entry->record.sequence >= aRecord.sequence;
 }
 
 auto RoutingState::InstallRoutes(const RouteSet& aRoutes, const char* aSource,
@@ -96,7 +148,7 @@
                  { { "from", aSource },
                    { "version", std::to_string(aRoutes.version) },
                    { "in_force", std::to_string(before) },
-                   { "revision", std::to_string(aRoutes.revision) } });
+                   { "revision", FormatRevision(aRoutes.revision) } });
     }
     return false;
   }
@@ -106,7 +158,7 @@
           { { "from", aSource },
             { "version", std::to_string(aRoutes.version) },
             { "before", std::to_string(before) },
-            { "revision", std::to_string(aRoutes.revision) },
+            { "revision", FormatRevision(aRoutes.revision) },
             { "routes", std::to_string(aRoutes.routes.size()) } });
   return true;
 }
@@ -126,7 +178,7 @@
       { "address", FormatAddress(aRecord.EndpointAddress()) },
       { "state", std::string(NameOf(kTargetStateNames, aRecord.State())) },
       { "cold_ms", std::to_string(aRecord.warmUpMs) },
-      { "revision", std::to_string(aRecord.revision) } });
+      { "revision", FormatRevision(aRecord.revision) } });
   return true;
 }
 
@@ -146,25 +198,28 @@
           { { "from", aSource },
             { "target", aRemoved.id },
             { "may_return", aRemoved.mayReturn ? "true" : "false" },
-            { "revision", std::to_string(aRemoved.revision) } });
+            { "revision", FormatRevision(aRemoved.revision) } });
   return true;
 }
 
-/// Returns the listed targets that a full update of aRevision no longer
+/// Returns the targets in use that a full update of aRevision no longer
 /// contains. Entries with a newer revision came with later updates and stay.
 auto RoutingState::FindMissing(const std::vector<TargetRecord>& aListed,
-                               std::uint64_t aRevision, bool aMayReturn)
+                               const StoreRevision& aRevision, bool aMayReturn,
+                               Clock::time_point aNow)
   -> std::vector<RemovedTarget>
 {
-  std::set<std::string_view> listedIds;
+  std::set<std::pair<std::string_view, std::uint64_t>> listed;
   for (const auto& record : aListed) {
-    listedIds.insert(record.id);
+    listed.emplace(record.id, record.incarnation);
   }
   std::vector<RemovedTarget> missing;
   for (const auto* entry : m_targets.All()) {
     const auto& record = entry->record;
-    if (record.State() < TargetState::Departed && record.revision < aRevision &&
-        !listedIds.contains(record.id)) {
+    const bool inUse =
+      record.State() < TargetState::Departed || entry->AcceptsNewFlows(aNow);
+    if (inUse && record.revision < aRevision &&
+        !listed.contains({ record.id, record.incarnation })) {
       missing.push_back({ record.id, aRevision, aMayReturn });
     }
   }
@@ -184,38 +239,52 @@
                   FormatAddress(entry->record.EndpointAddress()), state);
   }
   LogInfo("state-read",
-          { { "revision", std::to_string(m_revision) },
+          { { "revision", FormatRevision(m_revision) },
             { "routes", std::to_string(m_routes.Current().version) },
             { "known", std::to_string(all.size()) },
             { "targets", targets } });
 }
 
+/// Returns the record to send to the peers for one that was read: that in
+/// force, which is later if an older copy of the store was read.
+auto RoutingState::KnownRecord(const TargetRecord& aRecord) -> TargetRecord
+{
+  const auto* entry = m_targets.Find(aRecord.id);
+  const bool later = entry != nullptr &&
+                     entry->record.incarnation == aRecord.incarnation &&
+                     entry->record.revision == aRecord.revision &&
+                     entry->record.sequence > aRecord.sequence;
+  return later ? entry->record : aRecord;
+}
+
 auto RoutingState::ApplyReading(StateReading aReading, bool aFull,
                                 bool aStoreFailedRecently,
                                 Clock::time_point aReadAt,
                                 Clock::time_point aNow) -> RoutingUpdate
 {
   RoutingUpdate update;
-  update.baseRevision = aFull ? 0 : m_revision;
+  update.baseRevision = aFull ? StoreRevision() : m_revision;
   update.revision = aReading.revision;
   if (aReading.routes && InstallRoutes(*aReading.routes, "store", aNow)) {
     update.routes.push_back(*aReading.routes);
   }
   const bool isFirstReading = m_readAt == Clock::time_point{};
-  if (isFirstReading) {
-    m_removalsKnownSince = aReading.revision;
+  const bool restored = IsRestored(aReading.revision);
+  assert(aFull || !restored);
+  if (isFirstReading || restored) {
+    BeginHistory(aReading.revision, "store");
   }
   for (const auto& record : aReading.targets) {
     // The first reading is logged as a single change.
     const bool changed = isFirstReading ? m_targets.Apply(record, aNow)
                                         : ApplyTarget(record, "store", aNow);
     if (changed || aFull) {
-      update.targets.push_back(record);
+      update.targets.push_back(KnownRecord(record));
     }
   }
   if (aFull) {
-    const auto missing =
-      FindMissing(aReading.targets, aReading.revision, aStoreFailedRecently);
+    const auto missing = FindMissing(aReading.targets, aReading.revision,
+                                     aStoreFailedRecently || restored, aNow);
     aReading.removed.insert(aReading.removed.end(), missing.begin(),
                             missing.end());
   }
@@ -225,7 +294,9 @@
       update.removed.push_back(removed);
     }
   }
-  m_recordedBalancers = aReading.balancers.value_or(m_recordedBalancers);
+  // A number that a restore has lost has to be recorded again.
+  m_recordedBalancers =
+    aReading.balancers.value_or(restored ? 0 : m_recordedBalancers);
   AdvanceRevision(aReading.revision, aReadAt);
   m_metrics.Observe(Latency::StateInForce, aNow - aReadAt);
   if (isFirstReading) {
@@ -250,35 +321,52 @@
 auto RoutingState::ApplyUpdate(const RoutingUpdate& aUpdate,
                                Clock::time_point aNow) -> bool
 {
+  const auto revision = WithGeneration(aUpdate.revision);
+  const auto baseRevision = WithGeneration(aUpdate.baseRevision);
+  const bool full = aUpdate.baseRevision.number == 0;
+  const bool restored = IsRestored(revision);
   for (const auto& routes : aUpdate.routes) {
     InstallRoutes(routes, "peer", aNow);
   }
-  for (const auto& record : aUpdate.targets) {
-    if (!IsKnownRemoved(record)) {
+  for (auto record : aUpdate.targets) {
+    record.revision = WithGeneration(record.revision);
+    if (MayReturn(record)) {
+      RemoveTarget({ record.id, record.revision, true }, "peer", aNow);
+    } else if (!IsKnownRemoved(record)) {
       ApplyTarget(record, "peer", aNow);
     }
   }
-  for (const auto& removed : aUpdate.removed) {
+  for (auto removed : aUpdate.removed) {
+    removed.revision = WithGeneration(removed.revision);
     RemoveTarget(removed, "peer", aNow);
   }
-  if (aUpdate.baseRevision == 0) {
+  if (full) {
     for (const auto& missing :
-         FindMissing(aUpdate.targets, aUpdate.revision, false)) {
+         FindMissing(aUpdate.targets, revision, restored, aNow)) {
       RemoveTarget(missing, "peer", aNow);
     }
   }
-  if (aUpdate.baseRevision > m_revision ||
+  if ((restored && !full) || baseRevision > m_revision ||
       aUpdate.routesVersion > m_routes.Current().version) {
     return false;
   }
-  if (m_readAt == Clock::time_point{}) {
-    m_removalsKnownSince = aUpdate.revision;
+  if (revision.generation < m_revision.generation) {
+    // The sender does not know yet that the store was restored, so its reading
+    // does not show that this state is current.
+    m_metrics.Add(Counter::StateOutdated);
+    LogInfo("state-outdated", { { "from", "peer" },
+                                { "revision", FormatRevision(revision) },
+                                { "known", FormatRevision(m_revision) } });
+    return true;
+  }
+  if (m_readAt == Clock::time_point{} || restored) {
+    BeginHistory(revision, "peer");
   }
   if (m_recordedBalancers == 0) {
     m_recordedBalancers = aUpdate.balancers;
   }
   const Milliseconds age(aUpdate.ageMs);
-  AdvanceRevision(aUpdate.revision, aNow - age);
+  AdvanceRevision(revision, aNow - age);
   m_metrics.Observe(Latency::StateInForce, age);
   m_listener();
   return true;
@@ -288,9 +376,11 @@
                                 Clock::time_point aNow) -> RoutingUpdate
 {
   RoutingUpdate update;
-  const bool incremental =
-    aRequest.revision > 0 && aRequest.revision >= m_removalsKnownSince;
-  update.baseRevision = incremental ? aRequest.revision : 0;
+  const auto known = WithGeneration(aRequest.revision);
+  const bool incremental = known.number > 0 &&
+                           known.generation == m_revision.generation &&
+                           known >= m_removalsKnownSince;
+  update.baseRevision = incremental ? known : StoreRevision();
   update.revision = m_revision;
   update.routesVersion = m_routes.Current().version;
   update.ageMs = static_cast<std::uint32_t>(
--- a/lib/Forward/SeedStateFetcher.cpp
+++ b/lib/Forward/SeedStateFetcher.cpp
@@ -88,7 +88,7 @@
   if (wasIncomplete) {
     LogInfo("state-borrowed",
             { { "from", aSeed },
-              { "revision", std::to_string(m_state.Revision()) },
+              { "revision", FormatRevision(m_state.Revision()) },
               { "routes", std::to_string(m_state.RoutesVersion()) },
               { "age_ms", std::to_string(update->ageMs) },
               { "outcome", applied ? "taken" : "incomplete" } });
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -252,21 +252,24 @@
 auto StateReader::ReadOnce(std::size_t aRank) -> awaitable<void>
 {
   const auto readStartedAt = Clock::now();
-  const bool full = m_needFullRead;
+  // A response that names a new generation ends the history that is known here,
+  // so that no watch can continue it.
+  const auto known = m_state.Revision();
+  const bool full = m_needFullRead || m_source.Generation() > known.generation;
   std::error_code error;
   StateReading reading;
   if (full) {
     reading = co_await m_source.ReadAll(error);
   } else {
-    reading = co_await m_source.ReadChanges(m_state.Revision(),
-                                            CurrentWatchTimeout(aRank), error);
+    reading =
+      co_await m_source.ReadChanges(known, CurrentWatchTimeout(aRank), error);
   }
   const auto now = Clock::now();
   m_metrics.Add(Counter::StateReadings);
   if (error == make_error_code(SourceError::HistoryGone)) {
     m_metrics.Add(Counter::StateHistoryGone);
     LogInfo("state-history-gone",
-            { { "revision", std::to_string(m_state.Revision()) } });
+            { { "revision", FormatRevision(m_state.Revision()) } });
     m_needFullRead = true;
     co_return;
   }
@@ -274,11 +277,26 @@
     RecordFailure(error, now);
     co_return;
   }
+  const bool continuesKnown =
+    full || reading.revision.generation == known.generation;
+  if (!continuesKnown ||
+      reading.revision.generation < m_state.Revision().generation) {
+    // The store was restored while the call was in progress: the changes are
+    // those of another history than the known one, or the response is from
+    // before the restore that a peer has reported meanwhile.
+    m_metrics.Add(Counter::StateOutdated);
+    LogInfo("state-outdated",
+            { { "from", "store" },
+              { "revision", FormatRevision(reading.revision) },
+              { "known", FormatRevision(m_state.Revision()) } });
+    m_readImmediately = true;
+    co_return;
+  }
   m_needFullRead = false;
   if (full) {
     LogInfo("state-read-in-full",
-            { { "revision", std::to_string(reading.revision) },
-              { "known", std::to_string(m_state.Revision()) },
+            { { "revision", FormatRevision(reading.revision) },
+              { "known", FormatRevision(m_state.Revision()) },
               { "routes",
                 std::to_string(reading.routes ? reading.routes->version : 0) },
               { "routes_known", std::to_string(m_state.RoutesVersion()) },
@@ -302,7 +320,7 @@
   if (m_failedCalls == 0) {
     LogWarning("store-lost",
                { { "why", aError.message() },
-                 { "revision", std::to_string(m_state.Revision()) } });
+                 { "revision", FormatRevision(m_state.Revision()) } });
   }
   m_lastFailureAt = aNow;
   const auto pause = kInitialRetryDelay * (1 << std::min(m_failedCalls, 4));
@@ -341,7 +359,8 @@
 auto StateReader::CreateRequest(Clock::time_point aNow) const -> RoutingRequest
 {
   const bool incremental = aNow - m_state.ReadAt() < kMaxIncrementalAge;
-  return { incremental ? m_state.Revision() : 0, m_state.RoutesVersion() };
+  return { incremental ? m_state.Revision() : StoreRevision(),
+           m_state.RoutesVersion() };
 }
 
 auto StateReader::ApplyUpdate(const wire::Hello& aSender,
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -87,6 +87,13 @@
                             Key{ aEntry.record.id, aEntry.record.incarnation });
 }
 
+/// Counts a removal as a write of the target, so that the entry as it was
+/// before, in a copy from which the store was restored, is older than it.
+static auto CountRemoval(TargetRecord& aRecord) -> void
+{
+  aRecord.sequence += aRecord.sequence == 0 ? 0 : 1;
+}
+
 auto TargetDirectory::MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow)
   -> void
 {
@@ -97,6 +104,7 @@
     RecordDeparture(aEntry, aNow);
   }
   aEntry.record.state = static_cast<std::uint8_t>(TargetState::Dead);
+  CountRemoval(aEntry.record);
   aEntry.graceEndsAt = {};
 }
 
@@ -116,6 +124,27 @@
   }
 }
 
+/// Returns whether aRecord reflects a later write than aKnown, the known record
+/// of the same incarnation. The store's revisions order the writes of one
+/// generation. An entry in the copy from which the store was restored has a
+/// higher revision than later writes that were lost, so records of different
+/// generations are ordered by the target's own count. The same applies to
+/// listed records with equal revisions: one of them may be a lost write that
+/// was kept here.
+static auto IsLater(const TargetRecord& aRecord, const TargetRecord& aKnown)
+  -> bool
+{
+  const bool counted = aRecord.sequence != 0 && aKnown.sequence != 0 &&
+                       aRecord.sequence != aKnown.sequence;
+  const bool sameRevision = aRecord.revision == aKnown.revision &&
+                            aKnown.State() < TargetState::Departed;
+  if (counted && (sameRevision ||
+                  aRecord.revision.generation != aKnown.revision.generation)) {
+    return aRecord.sequence > aKnown.sequence;
+  }
+  return aRecord.revision > aKnown.revision;
+}
+
 auto TargetDirectory::Apply(const TargetRecord& aRecord, Clock::time_point aNow)
   -> bool
 {
@@ -133,7 +162,9 @@
   auto [position, isNew] =
     m_entries.try_emplace({ aRecord.id, aRecord.incarnation });
   auto& entry = position->second;
-  if (!isNew && entry.record.revision >= aRecord.revision) {
+  const auto revision = std::max(entry.record.revision, aRecord.revision);
+  if (!isNew && !IsLater(aRecord, entry.record)) {
+    entry.record.revision = revision;
     return false;
   }
   if (isNew) {
@@ -151,32 +182,48 @@
   if (!isNew && moved) {
     RemoveFromIndexes(entry);
   }
+  // A copy of the store lists a write that is known here once more.
+  const bool sameWrite = !isNew && aRecord.sequence != 0 &&
+                         aRecord.sequence == entry.record.sequence &&
+                         aRecord.state == entry.record.state;
   const bool wasListed = isNew || entry.record.State() < TargetState::Departed;
   entry.record = aRecord;
+  entry.record.revision = revision;
   if (wasListed && aRecord.State() >= TargetState::Departed) {
     RecordDeparture(entry, aNow);
   }
   if (isNew || moved) {
     AddToIndexes(entry);
   }
-  entry.lastUpdateAt = aNow;
   entry.graceEndsAt = {};
-  entry.warmUpEndsAt = aNow + Milliseconds(aRecord.warmUpMs);
+  if (!sameWrite) {
+    entry.lastUpdateAt = aNow;
+    entry.warmUpEndsAt = aNow + Milliseconds(aRecord.warmUpMs);
+  }
   if (isNew && aRecord.State() < TargetState::Departed) {
     MarkFormerOwnersDead(entry, aNow);
   }
   return changed;
 }
 
-auto TargetDirectory::Remove(const std::string& aId, std::uint64_t aRevision,
+auto TargetDirectory::Remove(const std::string& aId,
+                             const StoreRevision& aRevision,
                              Milliseconds aGracePeriod, Clock::time_point aNow)
   -> bool
 {
   auto& removal = m_removed[aId];
   removal = { std::max(removal.revision, aRevision), aNow };
   auto* entry = Find(aId);
-  if (entry == nullptr || entry->record.revision >= aRevision ||
-      entry->record.State() >= TargetState::Departed) {
+  if (entry == nullptr || entry->record.revision >= aRevision) {
+    return false;
+  }
+  if (entry->record.State() >= TargetState::Departed) {
+    // The store was restored again before the entry could return.
+    if (entry->record.revision.generation < aRevision.generation &&
+        aNow < entry->graceEndsAt) {
+      entry->graceEndsAt = aNow + aGracePeriod;
+      entry->record.revision = aRevision;
+    }
     return false;
   }
   // A draining target does not return.
@@ -185,6 +232,9 @@
   }
   entry->record.state = static_cast<std::uint8_t>(TargetState::Departed);
   entry->record.revision = aRevision;
+  if (aGracePeriod.count() == 0) {
+    CountRemoval(entry->record);
+  }
   RecordDeparture(*entry, aNow);
   return true;
 }
@@ -276,7 +326,7 @@
   return all;
 }
 
-auto TargetDirectory::RecordsAfter(std::uint64_t aRevision,
+auto TargetDirectory::RecordsAfter(const StoreRevision& aRevision,
                                    Clock::time_point aNow)
   -> std::vector<TargetRecord>
 {
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -16,6 +16,7 @@
 struct FakeStore
 {
   std::uint64_t revision = 9;
+  std::uint64_t generation = 0;
   bool hasRoutes = true;
   bool fails = false;
   bool historyGone = false;
@@ -41,8 +42,13 @@
     co_return Answer(aError);
   }
 
-  auto ReadChanges(std::uint64_t, Milliseconds aWait, std::error_code& aError)
-    -> awaitable<StateReading> override
+  auto Generation() const -> std::uint64_t override
+  {
+    return m_store.generation;
+  }
+
+  auto ReadChanges(const StoreRevision&, Milliseconds aWait,
+                   std::error_code& aError) -> awaitable<StateReading> override
   {
     ++m_store.watches;
     co_await Sleep(m_store.fails ? Milliseconds(4) : aWait + Milliseconds(4));
@@ -75,7 +81,7 @@
       return {};
     }
     StateReading reading;
-    reading.revision = m_store.revision;
+    reading.revision = { m_store.revision, m_store.generation };
     reading.balancers = m_store.balancers;
     if (m_store.hasRoutes) {
       reading.routes = MakeRoutes(3);
@@ -293,10 +299,10 @@
   constexpr std::uint32_t kAge = 0;
   const std::vector<RouteSet> routes;
   std::vector<TargetRecord> targets{ MakeTarget("a", 20) };
-  receiver.ReceiveUpdate(wire::PackBody(
-    std::make_tuple(kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
-                    std::vector<RemovedTarget>(), std::uint32_t{ 6 },
-                    std::string("a later field"))));
+  receiver.ReceiveUpdate(wire::PackBody(std::make_tuple(
+    kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
+    std::vector<RemovedTarget>(), std::uint32_t{ 6 }, std::uint64_t{ 0 },
+    std::uint64_t{ 0 }, std::string("a later field"))));
   cr_assert(receiver.node.targets.Size() == 1);
   targets.front() = MakeTarget("c", 21);
   receiver.ReceiveUpdate(wire::PackBody(
@@ -331,3 +337,22 @@
     }
   }
 }
+
+/// Guards against full readings without end, and against skipping the changes
+/// before the number of the lost history.
+Test(StateReader, RestoredStoreIsReadInFullOnce)
+{
+  FakeStore store;
+  store.generation = 1;
+  store.revision = 25;
+  peer::TestNetwork network;
+  Node node(network, store, "a", "north");
+  network.RunFor(Milliseconds(100));
+  cr_assert(node.state.Revision() == StoreRevision(25, 1));
+  store.generation = 2;
+  store.revision = 20;
+  network.RunFor(Milliseconds(6000));
+  cr_assert(node.state.Revision() == StoreRevision(20, 2));
+  cr_assert(store.fullReadings == 2, "%d", store.fullReadings);
+  cr_assert(node.metrics.Get(Counter::StateRestored) == 1);
+}
--- a/unittests/Platform/PlatformStateTest.cpp
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -32,30 +32,45 @@
       metrics);
   }
 
+  auto ReadState() -> StateReading
+  {
+    StateReading reading;
+    RunTask(
+      [&]() -> awaitable<void> { reading = co_await source->ReadAll(error); });
+    return reading;
+  }
+
   /// Reads the full state and returns the number of targets read.
-  auto ReadAll() -> std::size_t
+  auto ReadAll() -> std::size_t { return ReadState().targets.size(); }
+
+  auto ReadChanges(const StoreRevision& aRevision) -> StateReading
+  {
+    error.clear();
+    StateReading reading;
+    RunTask([&]() -> awaitable<void> {
+      reading = co_await source->ReadChanges(aRevision, Milliseconds(0), error);
+    });
+    return reading;
+  }
+
+  auto ReadSecret(StateSource& aSource) -> std::string
   {
-    std::size_t targets = 0;
+    std::string secret;
     RunTask([&]() -> awaitable<void> {
-      const auto reading = co_await source->ReadAll(error);
-      targets = reading.targets.size();
+      secret = co_await aSource.ClusterSecret(error);
     });
-    return targets;
+    return secret;
   }
 
   /// Reads the cluster secret through a new source, as another balancer does
   /// when it starts.
   auto ReadSecretAsNewBalancer() -> std::string
   {
-    std::string secret;
     const auto endpoint = store.Endpoint();
     const auto newSource = StateSourceRegistry::Instance().Create(
       "bandeiras", context, FormatEndpoint(endpoint.address(), endpoint.port()),
       metrics);
-    RunTask([&]() -> awaitable<void> {
-      secret = co_await newSource->ClusterSecret(error);
-    });
-    return secret;
+    return ReadSecret(*newSource);
   }
 
   template<typename Task>
@@ -145,3 +160,25 @@
   cr_assert(!secret.empty() && !fixture.error);
   cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
 }
+
+/// Guards against watching the new history from a revision of the lost one.
+Test(PlatformState, RestoredStoreEndsTheWatchAndNamesItsGeneration)
+{
+  StoreFixture fixture(3);
+  fixture.store.SaveCopy();
+  fixture.store.Put("servers/h-0009", "{}");
+  const auto known = fixture.ReadState().revision;
+  fixture.store.Restore();
+  fixture.ReadChanges(known);
+  cr_assert(fixture.error == make_error_code(SourceError::HistoryGone));
+  fixture.error.clear();
+  const auto restored = fixture.ReadState();
+  cr_assert(!fixture.error && restored.targets.size() == 3);
+  cr_assert(known.generation == 1 && restored.revision.generation == 2);
+  cr_assert(fixture.source->Generation() == 2);
+  // The new history reaches the number of the lost one.
+  fixture.store.Put("servers/h-0009", "{}");
+  fixture.store.Put("servers/h-0009", "{}");
+  cr_assert(fixture.ReadChanges(known).revision.generation == 2);
+  cr_assert(!fixture.error);
+}
