--- a/unittests/Platform/PlatformStateTest.cpp
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -53,6 +53,13 @@
     return reading;
   }
 
+  auto RecordBalancers(std::uint32_t aCount) -> void
+  {
+    RunTask([&]() -> awaitable<void> {
+      co_await source->RecordBalancerCount(aCount, error);
+    });
+  }
+
   auto ReadSecret(StateSource& aSource) -> std::string
   {
     std::string secret;
@@ -182,3 +189,40 @@
   cr_assert(fixture.ReadChanges(known).revision.generation == 2);
   cr_assert(!fixture.error);
 }
+
+/// Guards against a second secret after a restore, which would keep balancers
+/// that start later apart from those that run.
+Test(PlatformState, SecretThatARestoreHasLostIsWrittenAgain)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  fixture.ReadState();
+  cr_assert(!secret.empty() && fixture.ReadSecretAsNewBalancer() == secret);
+}
+
+Test(PlatformState, SecretCreatedAfterARestoreIsReplacedByTheOneInUse)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  cr_assert(fixture.ReadSecretAsNewBalancer() != secret);
+  fixture.ReadState();
+  cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
+}
+
+/// Guards against conflicts without end from a revision of the lost history.
+Test(PlatformState, LostNumberOfBalancersIsRecordedAgain)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  fixture.RecordBalancers(8);
+  cr_assert(fixture.ReadState().balancers == 8U);
+  fixture.store.Restore();
+  cr_assert(!fixture.ReadState().balancers);
+  fixture.RecordBalancers(8);
+  cr_assert(!fixture.error);
+  cr_assert(fixture.ReadState().balancers == 8U);
+}
