--- a/unittests/Forward/RestoredStoreTest.cpp
+++ b/unittests/Forward/RestoredStoreTest.cpp
@@ -191,9 +191,9 @@
 Test(RestoredStore, LostEntriesAreUsedUntilTheyAreWrittenAgain)
 {
   Node node;
-  node.ReadFully(Revision(1, 25), 3,
-                 { Target("a", Revision(1, 5), 4),
-                   Target("b", Revision(1, 25), 1) });
+  node.ReadFully(
+    Revision(1, 25), 3,
+    { Target("a", Revision(1, 5), 4), Target("b", Revision(1, 25), 1) });
   node.ReadFully(Revision(2, 20), 3, { Target("a", Revision(2, 5), 4) });
   cr_assert(node.CandidateCount() == 2);
   node.now += Milliseconds(1900);
@@ -254,9 +254,9 @@
   Node reader;
   Node peer;
   for (auto* node : { &reader, &peer }) {
-    node->ReadFully(Revision(1, 25), 3,
-                    { Target("a", Revision(1, 5), 4),
-                      Target("b", Revision(1, 24), 1) });
+    node->ReadFully(
+      Revision(1, 25), 3,
+      { Target("a", Revision(1, 5), 4), Target("b", Revision(1, 24), 1) });
   }
   reader.ReadFully(Revision(2, 20), 3, { Target("a", Revision(2, 5), 4) });
   const auto change =
@@ -334,19 +334,18 @@
   update.revision = 27;
   update.routesVersion = 3;
   const auto added = MakeTarget("b", 26);
-  update.targets.push_back({ added.id, 1, added.service, added.ip, added.port,
-                             "here", 2, 0, 0, 26 });
+  update.targets.push_back(
+    { added.id, 1, added.service, added.ip, added.port, "here", 2, 0, 0, 26 });
   update.removed.push_back({ "a", 27, false });
-  const auto received =
-    wire::UnpackBody<RoutingUpdate>(wire::PackBody(update));
+  const auto received = wire::UnpackBody<RoutingUpdate>(wire::PackBody(update));
   cr_assert(received && IsValid(*received));
   cr_assert(node.state.ApplyUpdate(*received, node.now));
   cr_assert(node.state.Revision() == Revision(1, 27));
   cr_assert(node.StateOf("a") == TargetState::Departed);
   cr_assert(node.StateOf("b") == TargetState::Ready);
 
-  const auto request = wire::UnpackBody<RoutingRequest>(
-    wire::PackBody(PreviousRequest{ 25, 3 }));
+  const auto request =
+    wire::UnpackBody<RoutingRequest>(wire::PackBody(PreviousRequest{ 25, 3 }));
   const auto answer = node.state.CreateUpdate(*request, node.now);
   cr_assert(answer.baseRevision == Revision(1, 25));
   cr_assert(answer.targets.size() == 2);
--- a/unittests/Platform/PlatformStateTest.cpp
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -202,6 +202,27 @@
   cr_assert(!secret.empty() && fixture.ReadSecretAsNewBalancer() == secret);
 }
 
+/// Guards against a write after each reading.
+Test(PlatformState, SecretWrittenAgainByAnotherBalancerIsNotWrittenOnceMore)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  standin::StoreFaults faults;
+  faults.unansweredWrites = 1;
+  fixture.store.SetFaults(faults);
+  const auto known = fixture.ReadState().revision;
+  // From here on the readings do not contain the write.
+  const StoreRevision later{ known.number + 1, known.generation };
+  fixture.ReadChanges(later);
+  const auto writes = fixture.metrics.Get(Counter::StoreWrites);
+  fixture.ReadChanges(later);
+  cr_assert(!fixture.error);
+  cr_assert(fixture.metrics.Get(Counter::StoreWrites) == writes);
+  cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
+}
+
 Test(PlatformState, SecretCreatedAfterARestoreIsReplacedByTheOneInUse)
 {
   StoreFixture fixture(0);
