--- a/include/bramleylock/Forward/StoreRevision.h
+++ b/include/bramleylock/Forward/StoreRevision.h
@@ -20,6 +20,8 @@
   {
   }
 
+  // The check misreads the defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StoreRevision&) const = default;
 
   std::uint64_t generation;
