--- a/unittests/Forward/SilentTargetProberTest.cpp
+++ b/unittests/Forward/SilentTargetProberTest.cpp
@@ -110,7 +110,7 @@
   {
     auto record = Entry().record;
     record.port = aPort;
-    ++record.revision;
+    ++record.revision.number;
     test.targets.Apply(record, Clock::now());
   }
 
--- a/unittests/Platform/PlatformStateTest.cpp
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -32,30 +32,52 @@
       metrics);
   }
 
+  auto ReadState() -> StateReading
+  {
+    StateReading reading;
+    RunTask(
+      [&]() -> awaitable<void> { reading = co_await source->ReadAll(error); });
+    return reading;
+  }
+
   /// Reads the full state and returns the number of targets read.
-  auto ReadAll() -> std::size_t
+  auto ReadAll() -> std::size_t { return ReadState().targets.size(); }
+
+  auto ReadChanges(const StoreRevision& aRevision) -> StateReading
+  {
+    error.clear();
+    StateReading reading;
+    RunTask([&]() -> awaitable<void> {
+      reading = co_await source->ReadChanges(aRevision, Milliseconds(0), error);
+    });
+    return reading;
+  }
+
+  auto RecordBalancers(std::uint32_t aCount) -> void
+  {
+    RunTask([&]() -> awaitable<void> {
+      co_await source->RecordBalancerCount(aCount, error);
+    });
+  }
+
+  auto ReadSecret(StateSource& aSource) -> std::string
   {
-    std::size_t targets = 0;
+    std::string secret;
     RunTask([&]() -> awaitable<void> {
-      const auto reading = co_await source->ReadAll(error);
-      targets = reading.targets.size();
+      secret = co_await aSource.ClusterSecret(error);
     });
-    return targets;
+    return secret;
   }
 
   /// Reads the cluster secret through a new source, as another balancer does
   /// when it starts.
   auto ReadSecretAsNewBalancer() -> std::string
   {
-    std::string secret;
     const auto endpoint = store.Endpoint();
     const auto newSource = StateSourceRegistry::Instance().Create(
       "bandeiras", context, FormatEndpoint(endpoint.address(), endpoint.port()),
       metrics);
-    RunTask([&]() -> awaitable<void> {
-      secret = co_await newSource->ClusterSecret(error);
-    });
-    return secret;
+    return ReadSecret(*newSource);
   }
 
   template<typename Task>
@@ -145,3 +167,83 @@
   cr_assert(!secret.empty() && !fixture.error);
   cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
 }
+
+/// Guards against watching the new history from a revision of the lost one.
+Test(PlatformState, RestoredStoreEndsTheWatchAndNamesItsGeneration)
+{
+  StoreFixture fixture(3);
+  fixture.store.SaveCopy();
+  fixture.store.Put("servers/h-0009", "{}");
+  const auto known = fixture.ReadState().revision;
+  fixture.store.Restore();
+  fixture.ReadChanges(known);
+  cr_assert(fixture.error == make_error_code(SourceError::HistoryGone));
+  fixture.error.clear();
+  const auto restored = fixture.ReadState();
+  cr_assert(!fixture.error && restored.targets.size() == 3);
+  cr_assert(known.generation == 1 && restored.revision.generation == 2);
+  cr_assert(fixture.source->Generation() == 2);
+  // The new history reaches the number of the lost one.
+  fixture.store.Put("servers/h-0009", "{}");
+  fixture.store.Put("servers/h-0009", "{}");
+  cr_assert(fixture.ReadChanges(known).revision.generation == 2);
+  cr_assert(!fixture.error);
+}
+
+/// Guards against a second secret after a restore, which would keep balancers
+/// that start later apart from those that run.
+Test(PlatformState, SecretThatARestoreHasLostIsWrittenAgain)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  fixture.ReadState();
+  cr_assert(!secret.empty() && fixture.ReadSecretAsNewBalancer() == secret);
+}
+
+/// Guards against a write after each reading.
+Test(PlatformState, SecretWrittenAgainByAnotherBalancerIsNotWrittenOnceMore)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  standin::StoreFaults faults;
+  faults.unansweredWrites = 1;
+  fixture.store.SetFaults(faults);
+  const auto known = fixture.ReadState().revision;
+  // From here on the readings do not contain the write.
+  const StoreRevision later{ known.number + 1, known.generation };
+  fixture.ReadChanges(later);
+  const auto writes = fixture.metrics.Get(Counter::StoreWrites);
+  fixture.ReadChanges(later);
+  cr_assert(!fixture.error);
+  cr_assert(fixture.metrics.Get(Counter::StoreWrites) == writes);
+  cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
+}
+
+Test(PlatformState, SecretCreatedAfterARestoreIsReplacedByTheOneInUse)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  const auto secret = fixture.ReadSecret(*fixture.source);
+  fixture.store.Restore();
+  cr_assert(fixture.ReadSecretAsNewBalancer() != secret);
+  fixture.ReadState();
+  cr_assert(fixture.ReadSecretAsNewBalancer() == secret);
+}
+
+/// Guards against conflicts without end from a revision of the lost history.
+Test(PlatformState, LostNumberOfBalancersIsRecordedAgain)
+{
+  StoreFixture fixture(0);
+  fixture.store.SaveCopy();
+  fixture.RecordBalancers(8);
+  cr_assert(fixture.ReadState().balancers == 8U);
+  fixture.store.Restore();
+  cr_assert(!fixture.ReadState().balancers);
+  fixture.RecordBalancers(8);
+  cr_assert(!fixture.error);
+  cr_assert(fixture.ReadState().balancers == 8U);
+}
