Do not refuse or move a flow because of a late copy of its first packet

What callers could see: a reset of a flow that another copy of its first packet has opened, or its next packets at a second target.

Cause: a copy that arrives behind the flow's first request counted as a new flow, which replaced the tracked one; and a packet that left the queue because the queue was full or its time was over was refused without asking whether the flow had been opened meanwhile, as serving it does. Found by reading every place that refuses a first packet, while tracing the resets of open flows; not seen in a run.

A late copy of a confirmed flow is dropped: the flow goes on at its target. All ways out of the queue ask the same question now.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -151,6 +151,10 @@
   auto DeactivateMovedFlows(Clock::time_point aNow) -> void;
   auto DropIfMoved(const PendingFlow& aFlow, const std::string& aService,
                    Clock::time_point aNow) -> bool;
+  auto WasOpenedSinceArrival(const PendingFlow& aFlow) -> bool;
+  auto RefuseQueued(const PendingFlow& aFlow, const std::string& aService,
+                    Counter aCounter, const char* aReason,
+                    Clock::time_point aNow) -> void;
   auto ConfirmTarget(TrackedFlow& aFlow, DirectoryEntry& aTarget,
                      Clock::time_point aNow) -> void;
   auto UpdateFlow(TrackedFlow& aFlow, DirectoryEntry& aTarget,
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -51,6 +51,9 @@
 /// third.
 static constexpr std::chrono::duration<double> kSlownessMemory{ 2 };
 
+/// Time after which a client gives up a first packet and all its copies.
+static constexpr Milliseconds kFirstPacketLifetime{ 1400 };
+
 /// Number of standard deviations of a random load by which a balancer may
 /// exceed its even share of a target's flow limit.
 static constexpr double kOpenFlowDeviations = 3;
@@ -298,6 +301,16 @@
   m_sink.SendToTarget(aTarget, aData, aSize);
 }
 
+/// Returns whether a first packet is a copy that arrives behind later packets
+/// of its flow, which another copy has opened. In a first packet, the
+/// acknowledgement number is the number of the copy.
+static auto IsLateCopy(const Packet& aPacket, const TrackedFlow& aFlow,
+                       Clock::time_point aNow) -> bool
+{
+  return aFlow.confirmed && aPacket.acknowledgement > 0 &&
+         aNow - aFlow.openedAt < kFirstPacketLifetime;
+}
+
 auto Forwarder::OnFirstPacket(const Packet& aPacket, char* aData,
                               std::size_t aSize, Clock::time_point aNow) -> void
 {
@@ -305,13 +318,17 @@
     Enqueue(aPacket, aData, aSize, nullptr, aNow);
     return;
   }
+  auto* known = m_flows.Find(aPacket.flow);
+  if (known != nullptr && IsLateCopy(aPacket, *known, aNow)) {
+    m_metrics.Add(Counter::FlowCopies);
+    return;
+  }
   // Ignore the tag in the packet: the flow has no target yet.
   const auto* route = m_routes.Find(aPacket.flow.service);
   if (route == nullptr) {
     Refuse(aPacket, Counter::FlowRefusedNoRoute, "no-route");
     return;
   }
-  auto* known = m_flows.Find(aPacket.flow);
   if (known != nullptr && !known->confirmed) {
     if (auto* target = TargetForCopy(*known, aPacket, *route, aNow)) {
       OpenFlowAt(*target, aPacket, aData, aSize, aNow);
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -64,6 +64,25 @@
   return true;
 }
 
+/// Returns whether another copy of a queued packet has opened its flow, here or
+/// at a balancer from which the flow has moved here.
+auto Forwarder::WasOpenedSinceArrival(const PendingFlow& aFlow) -> bool
+{
+  const auto* known = m_flows.Find(aFlow.packet.flow);
+  return known != nullptr && known->openedAt >= aFlow.arrivedAt;
+}
+
+/// Refuses a queued packet unless its flow has been opened by another copy.
+auto Forwarder::RefuseQueued(const PendingFlow& aFlow,
+                             const std::string& aService, Counter aCounter,
+                             const char* aReason, Clock::time_point aNow)
+  -> void
+{
+  if (!WasOpenedSinceArrival(aFlow) && !DropIfMoved(aFlow, aService, aNow)) {
+    Refuse(aFlow.packet, aCounter, aReason);
+  }
+}
+
 auto Forwarder::HasQueuedPackets(const Route& aRoute,
                                  const Packet& aPacket) const -> bool
 {
@@ -124,7 +143,8 @@
                                     aNow, aNow, aNow + MaxQueueTime(aRoute) },
                                   limit);
   if (refused) {
-    Refuse(refused->packet, Counter::FlowRefusedQueueFull, "queue-full");
+    RefuseQueued(*refused, service, Counter::FlowRefusedQueueFull, "queue-full",
+                 aNow);
   }
 }
 
@@ -135,9 +155,7 @@
 {
   while (auto pendingFlow = aQueue.Pop()) {
     const auto& packet = pendingFlow->packet;
-    const auto* known = m_flows.Find(packet.flow);
-    if (known != nullptr && known->openedAt >= pendingFlow->arrivedAt) {
-      // A later copy of the packet was served before it.
+    if (WasOpenedSinceArrival(*pendingFlow)) {
       continue;
     }
     if (DropIfMoved(*pendingFlow, aService, aNow)) {
@@ -176,9 +194,8 @@
 {
   for (auto& [service, queue] : m_pendingFlows) {
     for (const auto& expired : queue.ExtractExpired(aNow)) {
-      if (!DropIfMoved(expired, service, aNow)) {
-        Refuse(expired.packet, Counter::FlowRefusedWaited, "waited-too-long");
-      }
+      RefuseQueued(expired, service, Counter::FlowRefusedWaited,
+                   "waited-too-long", aNow);
     }
   }
 }
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -383,3 +383,85 @@
   cr_assert(test.sink.resets.size() == 1);
   cr_assert(test.metrics.Get(Counter::FlowRefusedWaited) == 1);
 }
+
+namespace {
+
+/// The copy aNumber of the first packet of a flow from the client port aPort.
+auto CopyOfOpening(std::uint16_t aPort, std::uint32_t aNumber) -> Packet
+{
+  auto packet = TestForward::Opening(aPort);
+  packet.acknowledgement = aNumber;
+  return packet;
+}
+
+/// Opens a flow to target "a" whose client has sent its first request.
+auto OpenConfirmedFlow(TestForward& aTest, std::uint16_t aPort) -> void
+{
+  aTest.targets.Apply(MakeTarget("a", 5), aTest.now);
+  aTest.Send(CopyOfOpening(aPort, 0));
+  aTest.AdvanceTime(Milliseconds(210));
+  aTest.SendRequestOfForeignFlow(aPort);
+  aTest.AdvanceTime(Milliseconds(1));
+}
+
+} // namespace
+
+/// A second copy of a first packet arrives behind the flow's first request.
+Test(Forwarder, LateCopyOfOpenFlowIsNotRefused)
+{
+  TestForward test;
+  OpenConfirmedFlow(test, 1);
+  auto draining = MakeTarget("a", 6);
+  draining.state = static_cast<std::uint8_t>(TargetState::Draining);
+  test.targets.Apply(draining, test.now);
+  test.Send(CopyOfOpening(1, 1));
+  cr_assert(test.sink.resets.empty());
+}
+
+/// A second copy of a first packet arrives behind the flow's first request.
+Test(Forwarder, LateCopyOfOpenFlowDoesNotOpenItAtAnotherTarget)
+{
+  TestForward test;
+  OpenConfirmedFlow(test, 1);
+  test.targets.Apply(MakeTarget("b", 7), test.now);
+  test.Send(CopyOfOpening(1, 1));
+  cr_assert(test.sink.toTargets.back().target == "a");
+}
+
+/// As PendingFlowOpenedByAnotherBalancerIsDropped, but a full queue makes the
+/// pending packet leave it.
+Test(Forwarder, PendingFlowOpenedByAnotherBalancerIsNotRefusedByFullQueue)
+{
+  TestForward test;
+  test.FillTargetA();
+  test.Send(CopyOfOpening(5, 0));
+  test.AdvanceTime(Milliseconds(20));
+  test.SendRequestOfForeignFlow(9);
+  test.AdvanceTime(Milliseconds(260));
+  for (std::uint16_t port = 100; port < 400; ++port) {
+    test.Send(CopyOfOpening(port, 0));
+  }
+  cr_assert(test.metrics.Get(Counter::FlowRefusedQueueFull) > 0);
+  for (const auto& reset : test.sink.resets) {
+    cr_assert(reset.flow.client.port != 5);
+  }
+}
+
+/// A second copy of a first packet waits here while the client receives the
+/// answer to its first copy, which another balancer sent, and then sends its
+/// request to this balancer.
+Test(Forwarder, PendingCopyOfFlowThatWasTakenOverIsNotRefused)
+{
+  TestForward test;
+  auto routes = MakeRoutes(2);
+  routes.routes[0].timeoutMs = 1000;
+  test.routes.Install(routes, test.now);
+  test.FillTargetA();
+  test.Send(CopyOfOpening(5, 1));
+  cr_assert(test.forwarder.PendingFlowCount() == 1);
+  test.AdvanceTime(Milliseconds(100));
+  test.SendRequestOfForeignFlow(5);
+  test.AdvanceTime(Milliseconds(301));
+  test.forwarder.Expire(test.now);
+  cr_assert(test.sink.resets.empty());
+}
