review: show resets of flows at a host that started again under its id

A host that starts again under the id that it had takes new flows before the balancers have read its new entry. When they read the later start, they mark the earlier one as dead and reset these flows with the next packet, although the host that opened them lives and holds them.

At fault, as far as known: TargetDirectory::Apply and MarkDead, and Forwarder::OnOpenFlowPacket, which refuses every packet whose tracked target or tag belongs to an earlier incarnation.

--- /dev/null
+++ b/review/cases.cpp
@@ -0,0 +1,107 @@
+// The scripted cases: what happens when.
+#include "standin.h"
+
+#include <signal.h>
+
+#include <random>
+#include <thread>
+
+static const std::vector<std::pair<std::string, int>> kNodes{ { "tirol-ost-a", 3 }, { "tirol-ost-b", 2 }, { "tirol-ost-c", 2 } };
+
+/// Opens flows at a steady rate until aUntil, a time as of Now().
+static void Traffic(World& aWorld, double aUntil, double aPerSecond, int aRequests, double aPauseS)
+{
+  std::thread([&aWorld, aUntil, aPerSecond, aRequests, aPauseS] {
+    while (Now() < aUntil) {
+      aWorld.client->OpenFlow(aWorld.routeIp, kLongPort, aRequests, aPauseS);
+      SleepS(1 / aPerSecond);
+    }
+  }).detach();
+}
+
+/// Hosts crash, one at a time, and start again under the id that they had.
+static void SameIdRestart(World& aWorld, bool aTrouble)
+{
+  aWorld.Build(kNodes, 6, 2);
+  std::mt19937 random(aWorld.seed);
+  std::uniform_real_distribution<> downS(0.5, 1.5), registerS(0.1, 0.6);
+  SleepS(6);
+  const double start = Now();
+  Traffic(aWorld, start + 72, 40, 3, 5.0);
+  SleepS(4);
+  for (std::size_t i = 0; i < 20; ++i) {
+    const double next = Now() + 3;
+    if (aTrouble) {
+      auto& host = *aWorld.hosts[i % 6];
+      host.Crash();
+      SleepS(downS(random));
+      host.Start();
+      // A host listens first, and registers well within one heartbeat interval.
+      SleepS(registerS(random));
+      host.Beat();
+    }
+    SleepS(next - Now());
+  }
+  SleepS(start + 84 - Now());
+}
+
+/// Planned restarts of the nodes of one zone in turn, twice, while one of a
+/// hundred datagrams from hosts to clients is lost, with or without restarts.
+static void RollingRestart(World& aWorld, bool aTrouble)
+{
+  aWorld.loss = 0.01;
+  aWorld.Build(kNodes, 14, 4);
+  SleepS(6);
+  const double start = Now();
+  Traffic(aWorld, start + 64, 60, 3, 4.0);
+  SleepS(12);
+  for (std::size_t i = 0; aTrouble && i < 6; ++i) {
+    auto& node = *aWorld.nodes[i % 3];
+    node.Signal(SIGTERM);
+    node.Await(6);
+    SleepS(1.3);
+    node.Start(false);
+    SleepS(4);
+  }
+  SleepS(start + 76 - Now());
+}
+
+/// Another writer puts an entry whose service no desired state names. It gives
+/// the address of a machine on which a host runs.
+static void ForeignEntry(World& aWorld, bool aTrouble)
+{
+  aWorld.Build(kNodes, 6, 2);
+  SleepS(6);
+  const double start = Now();
+  Traffic(aWorld, start + 40, 30, 4, 2.0);
+  SleepS(8);
+  for (std::size_t i = 0; i < 6; ++i) {
+    if (aTrouble) {
+      auto& host = *aWorld.hosts[i];
+      json entry;
+      {
+        std::lock_guard lock(host.mutex);
+        entry = host.Entry();
+      }
+      entry["service"] = "node-exporter";
+      entry["seq"] = 1;
+      entry["born"] = UnixMs();
+      char id[32];
+      std::snprintf(id, sizeof id, "i-%08x", 0x11110000u + static_cast<unsigned>(i));
+      Record("another writer puts servers/%s: %s", id, entry.dump().c_str());
+      aWorld.store->Write(std::string("servers/") + id, entry.dump());
+    }
+    SleepS(5);
+  }
+  SleepS(start + 52 - Now());
+}
+
+const std::map<std::string, Case>& Cases()
+{
+  static const std::map<std::string, Case> cases{
+    { "same-id-restart", SameIdRestart },
+    { "rolling-restart", RollingRestart },
+    { "foreign-entry", ForeignEntry },
+  };
+  return cases;
+}
