review: show new flows at a draining host after a step of its clock

A host whose machine's time of day is set back by 2.4 s shortly after the host's start crashes and starts again under its id. Its start time is lower than the first one's, so the balancers ignore every entry of the second start, also the one that reports draining, and go on to open flows there until it ends.

At fault, as far as known: TargetDirectory::Apply, which ignores an entry with a lower incarnation whatever its revision in the store.

--- a/review/cases.cpp
+++ b/review/cases.cpp
@@ -73,7 +73,7 @@
   aWorld.Build(kNodes, 6, 2);
   SleepS(6);
   const double start = Now();
-  Traffic(aWorld, start + 40, 30, 4, 2.0);
+  Traffic(aWorld, start + 40, 60, 4, 2.0);
   SleepS(8);
   for (std::size_t i = 0; i < 6; ++i) {
     if (aTrouble) {
@@ -96,12 +96,74 @@
   SleepS(start + 52 - Now());
 }
 
+/// The time of day of a host's machine is corrected by 2.4 s shortly after the
+/// host has started; the host crashes and starts again under its id. Later it
+/// is emptied as planned. The next hosts follow in turn.
+static void ClockCorrected(World& aWorld, bool aTrouble)
+{
+  aWorld.Build(kNodes, 6, 2);
+  SleepS(6);
+  const double start = Now();
+  Traffic(aWorld, start + 66, 40, 1, 0.1);
+  SleepS(4);
+  for (std::size_t i = 0; i < 4; ++i) {
+    auto& host = *aWorld.hosts[i];
+    host.Crash();
+    SleepS(1.0);
+    host.Start();
+    host.Beat();
+    SleepS(0.8);
+    if (aTrouble) {
+      Record("the time of day on the machine of host %s jumps back by 2.4 s", host.id.c_str());
+      host.clockOffsetMs = -2400;
+      host.Crash();
+      SleepS(0.7);
+      host.Start();
+      host.Beat();
+    }
+    SleepS(4.5);
+    host.clockOffsetMs = 0;
+    SleepS(1.0);
+    host.Drain();
+    SleepS(6.0);
+    host.Leave();
+    SleepS(1.0);
+  }
+  SleepS(start + 72 - Now());
+}
+
+/// A node stands still for 3 s and goes on.
+static void FrozenNode(World& aWorld, bool aTrouble)
+{
+  aWorld.Build(kNodes, 14, 4);
+  SleepS(6);
+  const double start = Now();
+  Traffic(aWorld, start + 58, 18, 2, 7.0);
+  SleepS(8);
+  for (std::size_t i = 0; i < 3; ++i) { // the nodes of the zone in turn
+    auto& node = *aWorld.nodes[i];
+    if (aTrouble) {
+      node.Signal(SIGSTOP);
+      node.calmSince = 1e9;
+    }
+    SleepS(3);
+    if (aTrouble) {
+      node.Signal(SIGCONT);
+      node.calmSince = Now();
+    }
+    SleepS(14);
+  }
+  SleepS(start + 74 - Now());
+}
+
 const std::map<std::string, Case>& Cases()
 {
   static const std::map<std::string, Case> cases{
     { "same-id-restart", SameIdRestart },
     { "rolling-restart", RollingRestart },
     { "foreign-entry", ForeignEntry },
+    { "clock-corrected", ClockCorrected },
+    { "frozen-node", FrozenNode },
   };
   return cases;
 }
--- a/review/standin.h
+++ b/review/standin.h
@@ -27,8 +27,9 @@
 
 inline constexpr int kPacketPort = 8172, kReadinessPort = 8167, kControlPort = 8166, kHostPort = 8080, kStorePort = 8169;
 inline constexpr int kLongPort = 8443, kReportPort = 9443;
-/// The deployment's bounds stableWindowMs and maxFlowS.
+/// The deployment's bounds stableWindowMs, maxFlowS and drainMs.
 inline constexpr double kStableWindowS = 4.0, kMaxFlowS = 60.0;
+inline constexpr double kDrainS = 3.0;
 
 double Now();
 std::uint64_t UnixMs();
@@ -117,6 +118,10 @@
   Host(World& aWorld, std::string aId, std::string aService, std::string aZone, std::uint32_t aIp);
   void Start();
   void Crash();
+  /// Reports that the host is leaving; it goes on to accept SYNs.
+  void Drain();
+  /// Ends and removes the host's entry.
+  void Leave();
   /// Writes the host's entry in the store, as at each heartbeat.
   void Beat();
   json Entry();
@@ -129,13 +134,18 @@
   int lifetime = 0;
   std::uint64_t born = 0;
   double startedAt = 0;
+  /// Deviation of the time of day on the host's machine.
+  std::int64_t clockOffsetMs = 0;
+  bool draining = false;
+  /// When the store had accepted the report; 0 before.
+  double drainAckedAt = 0;
   /// Whether this lifetime has registered; it then writes each heartbeat.
   std::atomic<bool> registered{ false };
 
 private:
   void Loop(int aFd, int aLifetime);
   void Health(int aFd, int aLifetime);
-  void Take(const char* aData, std::size_t aSize);
+  void Take(const char* aData, std::size_t aSize, std::uint32_t aFrom);
   void Tick();
   void Send(const FlowKey& aKey, const HostFlow& aFlow, std::uint8_t aFlags, std::uint32_t aSeq, const std::string& aData);
   void Transmit(const FlowKey& aKey, HostFlow& aFlow, std::uint8_t aFlags, std::uint32_t aSeq, std::uint32_t aEnd, std::string aData);
@@ -200,6 +210,8 @@
   std::string name, zone;
   std::uint32_t ip;
   std::atomic<bool> inRotation{ false };
+  /// When the last unplanned disturbance of this node ended.
+  std::atomic<double> calmSince{ -1e9 };
   pid_t pid = 0;
 
 private:
@@ -221,7 +233,7 @@
   void OnOpen(ClientFlow& f, std::uint32_t aHostIp);
   void OnRun(const std::string& aId, Host& aHost);
   void OnSyn(Host& aHost, const Packet& p);
-  void OnStray(Host& aHost, const FlowKey& aKey);
+  void OnStray(const FlowKey& aKey, std::uint32_t aNodeIp);
   void OnReset(ClientFlow& f, std::uint32_t aClientIp, std::uint32_t aFrom, bool aOwn);
   std::uint32_t Ip(int aThird, int aFourth) const;
 
@@ -244,6 +256,9 @@
   int m_net = 0;
   int m_version = 0;
   std::mutex m_runsMutex;
+  std::mutex m_strayMutex;
+  /// The node that sent on the last packet of a flow to a host that does not hold it.
+  std::map<FlowKey, std::uint32_t> m_strayNode;
   std::map<std::string, int> m_runs;
 };
 
