--- a/review/cases.cpp
+++ b/review/cases.cpp
@@ -45,7 +45,7 @@
   SleepS(start + 84 - Now());
 }
 
-/// Planned restarts of the nodes of one zone in turn, twice, while one of a
+/// Planned restarts of the nodes of one zone in turn, three times, while one of a
 /// hundred datagrams from hosts to clients is lost, with or without restarts.
 static void RollingRestart(World& aWorld, bool aTrouble)
 {
@@ -55,13 +55,13 @@
   const double start = Now();
   Traffic(aWorld, start + 64, 60, 3, 4.0);
   SleepS(12);
-  for (std::size_t i = 0; aTrouble && i < 6; ++i) {
+  for (std::size_t i = 0; aTrouble && i < 9; ++i) {
     auto& node = *aWorld.nodes[i % 3];
     node.Signal(SIGTERM);
     node.Await(6);
     SleepS(1.3);
     node.Start(false);
-    SleepS(4);
+    SleepS(3);
   }
   SleepS(start + 76 - Now());
 }
