Review case 1: FLOW broken at a host that starts again under its id

Flows that a host takes after it has started again, and before the balancers read its later start, are reset by them (target-dead) while the host lives and holds them: TargetDirectory::Apply and MarkDead, Forwarder::OnOpenFlowPacket.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# run.sh [SEED]; TROUBLE=0 leaves out the disruption.
-export TROUBLE=${TROUBLE:-1}
-exec "$(dirname "$0")/../run-case.sh" late-syn-ack "$(cd "$(dirname "$0")" && pwd)" "${1:-1}"
+# TROUBLE: see run-case.sh.
+# Runs the case "same-id-restart"; TROUBLE=0 leaves the disruption out. Usage: run.sh [SEED]
+exec "$(dirname "$0")/../run-case.sh" same-id-restart "$(cd "$(dirname "$0")" && pwd)" "${1:-1}"
