Send flows of a restarted target to its later incarnation

Callers saw: a request in an open flow was answered with a reset although the target that had opened the flow served and held it (FLOW).

Cause: a flow is opened with the tag of the incarnation that the balancer knows. A target that has started again under its id and address takes new flows before its new record arrives, so these flows carry the tag of the earlier incarnation. When the record arrived, the earlier incarnation was marked dead and all its flows were reset, those of the new process too.

Why this works: at one id and address only the target knows which process opened a flow, and it resets the flows that it does not hold. Packets for a dead incarnation therefore go to the latest one of the id, if the address is the same and the route allows its service. Flows are still reset where the process has certainly ended: at another address, or where another target has the address.

Forwarder::FlowOfAnEarlierIncarnationIsReset asserted the fault. It is replaced by the opposite assertion and by tests of the two cases in which a reset is right; FlowOpenedBeforeTheLaterIncarnationWasKnownIsNotReset and CopyOfFirstPacketIsNotMovedWhenItsTargetHasRestarted fail without the change.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -115,6 +115,9 @@
                      Clock::time_point aNow) -> void;
   auto OnOpenFlowPacket(const Packet& aPacket, char* aData, std::size_t aSize,
                         Clock::time_point aNow) -> void;
+  auto ServingIncarnation(DirectoryEntry& aTarget, const Address& aService)
+    -> DirectoryEntry&;
+  auto FindTracked(const FlowId& aFlow) -> TrackedFlow*;
   auto TargetForCopy(TrackedFlow& aFlow, const Packet& aPacket,
                      const Route& aRoute, Clock::time_point aNow)
     -> DirectoryEntry*;
@@ -171,6 +174,8 @@
                           Clock::time_point aNow) -> bool;
   auto Refuse(const Packet& aPacket, Counter aCounter, const char* aReason)
     -> void;
+  auto LogDeadTarget(const Packet& aPacket, const DirectoryEntry& aTarget,
+                     Clock::time_point aNow) -> void;
   auto DropUnknownTag(const Packet& aPacket) -> void;
 
   const PacketCodec& m_codec;
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -168,6 +168,9 @@
   /// Returns the latest incarnation of aId, or null.
   auto Find(const std::string& aId) -> DirectoryEntry*;
 
+  /// Returns the target at aAddress that started last, or null.
+  auto OwnerOf(const Address& aAddress) -> DirectoryEntry*;
+
   /// Returns whether this incarnation of aId is in the directory, listed or
   /// departed.
   auto Contains(const std::string& aId, std::uint64_t aIncarnation) const
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -318,7 +318,7 @@
     Enqueue(aPacket, aData, aSize, nullptr, aNow);
     return;
   }
-  auto* known = m_flows.Find(aPacket.flow);
+  auto* known = FindTracked(aPacket.flow);
   if (known != nullptr && IsLateCopy(aPacket, *known, aNow)) {
     m_metrics.Add(Counter::FlowCopies);
     return;
@@ -398,7 +398,7 @@
     const auto unanswered =
       m_unansweredFirstPackets.extract(m_unansweredFirstPackets.begin())
         .mapped();
-    auto* flow = m_flows.Find(unanswered.flow);
+    auto* flow = FindTracked(unanswered.flow);
     if (flow == nullptr || flow->confirmed) {
       continue;
     }
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -302,6 +302,36 @@
   return true;
 }
 
+/// Logs why a packet is refused because its target has ended: the incarnation
+/// that the packet names, the latest one of its id and the present owner of its
+/// address.
+auto Forwarder::LogDeadTarget(const Packet& aPacket,
+                              const DirectoryEntry& aTarget,
+                              Clock::time_point aNow) -> void
+{
+  if (!ShouldLog(LogLevel::Info, "target-dead")) {
+    return;
+  }
+  const auto& record = aTarget.record;
+  const auto* latest = m_targets.Find(record.id);
+  const auto* owner = m_targets.OwnerOf(record.EndpointAddress());
+  const auto* flow = m_flows.Find(aPacket.flow);
+  LogInfo("target-dead",
+          { { "flow", FormatFlow(aPacket.flow) },
+            { "tag", fmt::format("{:08x}", aPacket.tag) },
+            { "target", record.id },
+            { "incarnation", std::to_string(record.incarnation) },
+            { "address", FormatAddress(record.EndpointAddress()) },
+            { "dead_ms", FormatElapsedMs(aTarget.departedAt, aNow) },
+            { "latest", latest == nullptr
+                          ? std::string()
+                          : std::to_string(latest->record.incarnation) },
+            { "owner", owner == nullptr ? std::string() : owner->record.id },
+            { "opened_ms", flow == nullptr
+                             ? std::string()
+                             : FormatElapsedMs(flow->openedAt, aNow) } });
+}
+
 auto Forwarder::DropUnknownTag(const Packet& aPacket) -> void
 {
   m_metrics.Add(Counter::PacketTagUnknown);
@@ -312,6 +342,37 @@
   }
 }
 
+/// Returns the incarnation that serves the flows of aTarget. A target that
+/// started again under its id and address may have opened flows before its new
+/// record arrived here, and only the target itself knows which ones: it resets
+/// the flows that it does not hold.
+auto Forwarder::ServingIncarnation(DirectoryEntry& aTarget,
+                                   const Address& aService) -> DirectoryEntry&
+{
+  const auto& record = aTarget.record;
+  if (record.State() != TargetState::Dead) {
+    return aTarget;
+  }
+  auto* latest = m_targets.Find(record.id);
+  const bool serves =
+    latest != nullptr &&
+    latest->record.EndpointAddress() == record.EndpointAddress() &&
+    m_routes.Allows(aService, latest->record.service);
+  return serves ? *latest : aTarget;
+}
+
+/// Returns the tracked flow, assigned to the incarnation that serves it, or
+/// null.
+auto Forwarder::FindTracked(const FlowId& aFlow) -> TrackedFlow*
+{
+  auto* flow = m_flows.Find(aFlow);
+  if (flow != nullptr) {
+    m_flows.AssignTarget(*flow,
+                         ServingIncarnation(*flow->target, aFlow.service));
+  }
+  return flow;
+}
+
 auto Forwarder::OnOpenFlowPacket(const Packet& aPacket, char* aData,
                                  std::size_t aSize, Clock::time_point aNow)
   -> void
@@ -329,7 +390,7 @@
     m_metrics.Add(Counter::PacketRouteUnknown);
     return;
   }
-  auto* flow = m_flows.Find(aPacket.flow);
+  auto* flow = FindTracked(aPacket.flow);
   DirectoryEntry* target = nullptr;
   if (flow != nullptr && flow->confirmed) {
     // A late response of the target that was tried first may have changed the
@@ -342,8 +403,14 @@
     DropUnknownTag(aPacket);
     return;
   }
+  auto& serving = ServingIncarnation(*target, aPacket.flow.service);
+  if (&serving != target) {
+    m_metrics.Add(Counter::PacketEarlierIncarnation);
+    target = &serving;
+  }
   if (target->record.State() == TargetState::Dead) {
     if (!aPacket.resets) {
+      LogDeadTarget(aPacket, *target, aNow);
       Refuse(aPacket, Counter::FlowTargetDead, "target-dead");
     }
     return;
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -42,6 +42,17 @@
   return latest->first.first == aId ? &latest->second : nullptr;
 }
 
+auto TargetDirectory::OwnerOf(const Address& aAddress) -> DirectoryEntry*
+{
+  const auto range = m_byAddress.equal_range(aAddress);
+  const auto owner = std::max_element(
+    range.first, range.second, [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second->record.incarnation <
+             aRight.second->record.incarnation;
+    });
+  return owner == range.second ? nullptr : owner->second;
+}
+
 auto TargetDirectory::Contains(const std::string& aId,
                                std::uint64_t aIncarnation) const -> bool
 {
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -116,17 +116,78 @@
   cr_assert(test.forwarder.Flows().Size() == 0);
 }
 
-Test(Forwarder, FlowOfAnEarlierIncarnationIsReset)
+/// A target that started again resets the flows that it does not hold; the ones
+/// that it opened before its record arrived here must reach it.
+Test(Forwarder, FlowOpenedBeforeTheLaterIncarnationWasKnownIsNotReset)
 {
   TestForward test;
   test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.Send(TestForward::Opening(1));
+  test.Send(
+    TestForward::Following(TestForward::Opening(1), ComputeTag("a", 1)));
   test.targets.Apply(MakeTarget("a", 8, "orders", 2), test.now);
+  // Tracked here, and moved here from another balancer.
+  for (const std::uint16_t port : { 1, 2 }) {
+    test.sink.toTargets.clear();
+    test.Send(
+      TestForward::Following(TestForward::Opening(port), ComputeTag("a", 1)));
+    cr_assert_eq(test.sink.toTargets.size(), 1);
+    cr_assert_eq(test.sink.toTargets[0].incarnation, 2);
+    cr_assert_eq(test.sink.toTargets[0].packet.tag, ComputeTag("a", 2));
+  }
+  cr_assert(test.sink.resets.empty());
+  cr_assert_eq(test.targets.Find("a")->stats.openFlows, 2);
+  test.Send(TestForward::Opening(3));
+  cr_assert(test.sink.toTargets.back().incarnation == 2);
+}
+
+/// The copy follows the first packet, which the restarted target may have
+/// answered; at another target it would open the flow twice.
+Test(Forwarder, CopyOfFirstPacketIsNotMovedWhenItsTargetHasRestarted)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  for (std::uint16_t port = 1; port <= 4; ++port) {
+    test.Send(TestForward::Opening(port));
+  }
+  test.targets.Apply(MakeTarget("a", 8, "orders", 2), test.now);
+  test.targets.Apply(MakeTarget("b", 9), test.now);
+  test.sink.toTargets.clear();
+  for (std::uint16_t port = 1; port <= 4; ++port) {
+    auto copy = TestForward::Opening(port);
+    copy.acknowledgement = 1;
+    test.Send(copy);
+  }
+  cr_assert_eq(test.sink.toTargets.size(), 4);
+  for (const auto& sent : test.sink.toTargets) {
+    cr_assert_str_eq(sent.target.c_str(), "a");
+    cr_assert_eq(sent.incarnation, 2);
+  }
+}
+
+Test(Forwarder, FlowOfAnEarlierIncarnationAtAnotherAddressIsReset)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  auto later = MakeTarget("a", 8, "orders", 2);
+  later.port += 1;
+  test.targets.Apply(later, test.now);
   test.Send(
     TestForward::Following(TestForward::Opening(1), ComputeTag("a", 1)));
   cr_assert(test.sink.toTargets.empty());
-  cr_assert(test.sink.resets.size() == 1);
-  test.Send(TestForward::Opening(2));
-  cr_assert(test.sink.toTargets.back().incarnation == 2);
+  cr_assert_eq(test.sink.resets.size(), 1);
+}
+
+/// The later incarnation may belong to another service.
+Test(Forwarder, FlowIsNotSentToALaterIncarnationOfAnotherService)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.targets.Apply(MakeTarget("a", 8, "proofs", 2), test.now);
+  test.Send(
+    TestForward::Following(TestForward::Opening(1), ComputeTag("a", 1)));
+  cr_assert(test.sink.toTargets.empty());
+  cr_assert_eq(test.sink.resets.size(), 1);
 }
 
 Test(Forwarder, ReusedAddressDoesNotReceiveOldFlows)
