Judge first packets by their arrival, not by when they are read

Callers saw: after a balancer had stood still for 3 s, requests in open flows were reset by a target that did not hold the flow, more than 4 s after the balancer went on (FLOW).

Cause: the forwarding path took the time at which it read a first packet for the time of its arrival. First packets from before the pause looked new, so their flows, which clients had opened through other balancers meanwhile, were opened at a second target. Its late SYN+ACK changed the tag at the client.

Why this works: the kernel tells the age of each datagram. A first packet whose next copy is overdue is dropped: that copy opens the flow, here or elsewhere. The same is applied to the first packets that were queued, or sent and not answered, before a pause: the socket reports a pause of more than 250 ms before anything is handled. The age is at most the time since the socket was last known to be empty, so setting the time of day does not make new packets look old.

PendingFlowQueue::ExtractExpired became ExtractIf, for the second condition.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -53,10 +53,15 @@
             TargetDirectory& aTargets, FlowChoice& aChoice, PacketSink& aSink,
             Metrics& aMetrics, ForwarderOptions aOptions);
 
-  /// Processes one datagram and may overwrite the tag in aData. Packets sent in
-  /// response are queued until the sink's Flush.
-  auto OnDatagram(char* aData, std::size_t aSize, Clock::time_point aNow)
-    -> void;
+  /// Processes one datagram, which waited in the socket for aAge, and may
+  /// overwrite the tag in aData. Packets sent in response are queued until the
+  /// sink's Flush.
+  auto OnDatagram(char* aData, std::size_t aSize, Clock::duration aAge,
+                  Clock::time_point aNow) -> void;
+
+  /// Records that no packets were processed for aPause before aNow, so that
+  /// clients may have sent the next copies of their first packets elsewhere.
+  auto OnPause(Clock::duration aPause, Clock::time_point aNow) -> void;
 
   /// Expires tracked flows, queued first packets, removed routes and departed
   /// targets.
@@ -112,7 +117,7 @@
     -> void;
 
   auto OnFirstPacket(const Packet& aPacket, char* aData, std::size_t aSize,
-                     Clock::time_point aNow) -> void;
+                     Clock::duration aAge, Clock::time_point aNow) -> void;
   auto OnOpenFlowPacket(const Packet& aPacket, char* aData, std::size_t aSize,
                         Clock::time_point aNow) -> void;
   auto ServingIncarnation(DirectoryEntry& aTarget, const Address& aService)
@@ -133,7 +138,7 @@
                      Clock::time_point aNow) -> void;
   /// aRoute is null as long as no routes are known.
   auto Enqueue(const Packet& aPacket, const char* aData, std::size_t aSize,
-               const Route* aRoute, Clock::time_point aNow) -> void;
+               const Route* aRoute, Clock::time_point aArrivedAt) -> void;
   auto HasQueuedPackets(const Route& aRoute, const Packet& aPacket) const
     -> bool;
   auto QueueLimit(const std::string& aService, Clock::time_point aNow)
@@ -152,6 +157,9 @@
   auto TakeOverFlow(const Packet& aPacket, DirectoryEntry& aTarget,
                     Clock::time_point aNow) -> void;
   auto DeactivateMovedFlows(Clock::time_point aNow) -> void;
+  auto LogFlowLeft(const PendingFlow& aFlow, const std::string& aService)
+    -> void;
+  auto DropIfStale(const Packet& aPacket, Clock::duration aAge) -> bool;
   auto DropIfMoved(const PendingFlow& aFlow, const std::string& aService,
                    Clock::time_point aNow) -> bool;
   auto WasOpenedSinceArrival(const PendingFlow& aFlow) -> bool;
@@ -200,6 +208,8 @@
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
+  /// End of the last pause of this process or machine.
+  Clock::time_point m_lastPauseAt{};
   /// Slowness of targets that are warming up.
   double m_warmUpSlowness;
   Clock::time_point m_lastOverdueCheckAt{};
--- a/include/bramleylock/Forward/PendingFlowQueue.h
+++ b/include/bramleylock/Forward/PendingFlowQueue.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,8 +50,9 @@
   /// Puts back the packet that Pop returned last.
   auto Requeue(PendingFlow aFlow) -> void;
 
-  /// Removes and returns the packets that are to be refused by aNow.
-  auto ExtractExpired(Clock::time_point aNow) -> std::vector<PendingFlow>;
+  /// Removes and returns the packets that meet aCondition.
+  auto ExtractIf(const std::function<bool(const PendingFlow&)>& aCondition)
+    -> std::vector<PendingFlow>;
 
   /// Returns the queued packet of aFlow, or null.
   auto Find(const FlowId& aFlow) -> PendingFlow*;
--- a/include/bramleylock/Kernel/PacketSocket.h
+++ b/include/bramleylock/Kernel/PacketSocket.h
@@ -16,9 +16,16 @@
 class PacketSocket : public forward::PacketSink
 {
 public:
-  /// Handles a datagram, whose data may be modified until the next Flush.
+  /// Handles a datagram, whose data may be modified until the next Flush. aAge
+  /// is the time for which it was waiting in the socket.
   using Handler =
-    std::function<void(char* aData, std::size_t aSize, Clock::time_point aNow)>;
+    std::function<void(char* aData, std::size_t aSize, Clock::duration aAge,
+                       Clock::time_point aNow)>;
+
+  /// Called if the socket was not read for aPause, which is longer than usual,
+  /// before the pending datagrams are handled.
+  using PauseHandler =
+    std::function<void(Clock::duration aPause, Clock::time_point aNow)>;
 
   PacketSocket(asio::io_context& aContext, Metrics& aMetrics);
   ~PacketSocket() override;
@@ -27,7 +34,10 @@
   /// which all datagrams that arrived have been handled.
   auto Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
              Handler aHandler, std::function<void(Clock::time_point)> aOnIdle,
-             std::error_code& aError) -> void;
+             PauseHandler aOnPause, std::error_code& aError) -> void;
+
+  /// Calls the pause handler if the socket was not read for longer than usual.
+  auto DetectPause() -> void;
 
   /// Handles the datagrams that are pending on the socket.
   auto ReadPending() -> void;
@@ -48,15 +58,21 @@
 
   auto ReceiveLoop() -> awaitable<void>;
   auto ReceiveBatch() -> std::size_t;
+  auto RequestTimestamps() -> void;
 
   asio::io_context& m_context;
   Metrics& m_metrics;
   Udp::socket m_socket;
   Handler m_handler;
   std::function<void(Clock::time_point)> m_onIdle;
+  PauseHandler m_onPause;
   std::unique_ptr<Buffers> m_buffers;
   std::uint16_t m_localPort = 0;
   Clock::time_point m_lastReceivedAt{};
+  /// Times by BootTime: when the socket was last read, and when the last read
+  /// began that left no datagram behind.
+  std::chrono::nanoseconds m_lastReadAt{};
+  std::chrono::nanoseconds m_lastEmptyAt{};
 };
 
 } // namespace bramleylock::kernel
--- a/include/bramleylock/Support/Asio.h
+++ b/include/bramleylock/Support/Asio.h
@@ -81,6 +81,10 @@
   asio::steady_timer m_timer;
 };
 
+/// Returns the time since the machine was started, including the time in which
+/// it was suspended. Clock does not advance while the machine is suspended.
+auto BootTime() -> std::chrono::nanoseconds;
+
 /// Formats the time from aSince to aNow in whole milliseconds, for log fields.
 inline auto FormatElapsedMs(Clock::time_point aSince, Clock::time_point aNow)
   -> std::string
--- a/lib/Flow/PauseDetector.cpp
+++ b/lib/Flow/PauseDetector.cpp
@@ -4,8 +4,6 @@
 
 #include "bramleylock/Support/Log.h"
 
-#include <ctime>
-
 namespace bramleylock::flow {
 
 static constexpr Milliseconds kTickInterval{ 50 };
@@ -17,15 +15,6 @@
 /// were queued during it.
 static constexpr Milliseconds kStaleAfterPause{ 300 };
 
-/// The time since boot, including time in suspension.
-static auto BootTime() -> std::chrono::nanoseconds
-{
-  timespec now{};
-  ::clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) +
-         std::chrono::nanoseconds(now.tv_nsec);
-}
-
 PauseDetector::PauseDetector(asio::io_context& aContext, Metrics& aMetrics)
   : m_context(aContext)
   , m_metrics(aMetrics)
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -75,7 +75,7 @@
 {
 }
 
-auto Forwarder::OnDatagram(char* aData, std::size_t aSize,
+auto Forwarder::OnDatagram(char* aData, std::size_t aSize, Clock::duration aAge,
                            Clock::time_point aNow) -> void
 {
   m_metrics.Add(Counter::PacketsReceived);
@@ -85,7 +85,7 @@
     return;
   }
   if (packet->opens) {
-    OnFirstPacket(*packet, aData, aSize, aNow);
+    OnFirstPacket(*packet, aData, aSize, aAge, aNow);
     return;
   }
   OnOpenFlowPacket(*packet, aData, aSize, aNow);
@@ -312,10 +312,14 @@
 }
 
 auto Forwarder::OnFirstPacket(const Packet& aPacket, char* aData,
-                              std::size_t aSize, Clock::time_point aNow) -> void
+                              std::size_t aSize, Clock::duration aAge,
+                              Clock::time_point aNow) -> void
 {
+  if (DropIfStale(aPacket, aAge)) {
+    return;
+  }
   if (m_routes.Current().version == 0) {
-    Enqueue(aPacket, aData, aSize, nullptr, aNow);
+    Enqueue(aPacket, aData, aSize, nullptr, aNow - aAge);
     return;
   }
   auto* known = FindTracked(aPacket.flow);
@@ -337,7 +341,7 @@
   }
   if (HasQueuedPackets(*route, aPacket)) {
     // Queue the packet behind those that are already waiting.
-    Enqueue(aPacket, aData, aSize, route, aNow);
+    Enqueue(aPacket, aData, aSize, route, aNow - aAge);
     RetryPendingFlows(aNow);
     return;
   }
@@ -345,7 +349,7 @@
   if (selection.target != nullptr) {
     OpenFlowAt(*selection.target, aPacket, aData, aSize, aNow);
   } else if (selection.refusal == RefusalReason::Overloaded) {
-    Enqueue(aPacket, aData, aSize, route, aNow);
+    Enqueue(aPacket, aData, aSize, route, aNow - aAge);
   } else {
     Refuse(aPacket, Counter::FlowRefusedNoTarget, "no-target");
   }
@@ -402,7 +406,8 @@
     if (flow == nullptr || flow->confirmed) {
       continue;
     }
-    if (unanswered.resent || m_lastTakeoverAt >= unanswered.sentAt) {
+    if (unanswered.resent || m_lastTakeoverAt >= unanswered.sentAt ||
+        m_lastPauseAt > unanswered.sentAt) {
       // The client may have gone away, or its packets may now arrive at another
       // balancer. If it still needs a response, its next copy will arrive here.
       m_flows.SetInactive(*flow);
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -44,6 +44,43 @@
                                kNextCopyInterval.size() - 1);
 }
 
+/// Returns the time after which the next copy of aFirstPacket is overdue. The
+/// client has then sent it, or has given up.
+static auto NextCopyOverdueAfter(const Packet& aFirstPacket) -> Clock::duration
+{
+  return kNextCopyInterval[CopyNumber(aFirstPacket)] + kCopyDelayMargin;
+}
+
+/// Drops a first packet that waited in the socket until its next copy was
+/// overdue. Another balancer may have opened the flow with that copy; if the
+/// copy is still in the socket, it opens the flow here.
+auto Forwarder::DropIfStale(const Packet& aPacket, Clock::duration aAge) -> bool
+{
+  if (aAge <= NextCopyOverdueAfter(aPacket)) {
+    return false;
+  }
+  m_metrics.Add(Counter::FlowStale);
+  if (ShouldLog(LogLevel::Info, "flow-stale")) {
+    LogInfo("flow-stale",
+            { { "flow", FormatFlow(aPacket.flow) },
+              { "sequence", std::to_string(aPacket.sequence) },
+              { "copy", std::to_string(aPacket.acknowledgement) },
+              { "age_ms",
+                std::to_string(
+                  std::chrono::duration_cast<Milliseconds>(aAge).count()) } });
+  }
+  return true;
+}
+
+auto Forwarder::LogFlowLeft(const PendingFlow& aFlow,
+                            const std::string& aService) -> void
+{
+  m_metrics.Add(Counter::FlowLeft);
+  LogInfo("flow-left", { { "flow", FormatFlow(aFlow.packet.flow) },
+                         { "sequence", std::to_string(aFlow.packet.sequence) },
+                         { "service", aService } });
+}
+
 /// Drops a queued packet if its next copy is overdue while flows are moving
 /// between balancers. The copy went to another balancer, and opening the flow
 /// here as well would give it two targets.
@@ -51,19 +88,31 @@
                             const std::string& aService, Clock::time_point aNow)
   -> bool
 {
-  const auto& packet = aFlow.packet;
-  const auto nextCopyAfter = kNextCopyInterval[CopyNumber(packet)];
   if (m_lastTakeoverAt < aFlow.lastCopyAt ||
-      aNow - aFlow.lastCopyAt <= nextCopyAfter + kCopyDelayMargin) {
+      aNow - aFlow.lastCopyAt <= NextCopyOverdueAfter(aFlow.packet)) {
     return false;
   }
-  m_metrics.Add(Counter::FlowLeft);
-  LogInfo("flow-left", { { "flow", FormatFlow(packet.flow) },
-                         { "sequence", std::to_string(packet.sequence) },
-                         { "service", aService } });
+  LogFlowLeft(aFlow, aService);
   return true;
 }
 
+/// Drops the queued packets whose next copies became overdue in the pause. A
+/// copy that is in the socket opens the flow here; any other may have gone to
+/// another balancer. The clock may not have advanced in the pause.
+auto Forwarder::OnPause(Clock::duration aPause, Clock::time_point aNow) -> void
+{
+  m_lastPauseAt = aNow;
+  for (auto& [service, queue] : m_pendingFlows) {
+    const auto left = queue.ExtractIf([aPause, aNow](const PendingFlow& aFlow) {
+      return std::max(aPause, aNow - aFlow.lastCopyAt) >
+             NextCopyOverdueAfter(aFlow.packet);
+    });
+    for (const auto& flow : left) {
+      LogFlowLeft(flow, service);
+    }
+  }
+}
+
 /// Returns whether another copy of a queued packet has opened its flow, here or
 /// at a balancer from which the flow has moved here.
 auto Forwarder::WasOpenedSinceArrival(const PendingFlow& aFlow) -> bool
@@ -116,18 +165,18 @@
   return std::max(kMinQueueLimit, slots * kQueuedPacketsPerSlot / m_balancers);
 }
 
-/// Queues a first packet until a target has capacity. The client waits up to
-/// 1.4 s for a response; if refused at once, it would retry into the same
-/// overload.
+/// Queues a first packet, which arrived at aArrivedAt, until a target has
+/// capacity. The client waits up to 1.4 s for a response; if refused at once,
+/// it would retry into the same overload.
 auto Forwarder::Enqueue(const Packet& aPacket, const char* aData,
                         std::size_t aSize, const Route* aRoute,
-                        Clock::time_point aNow) -> void
+                        Clock::time_point aArrivedAt) -> void
 {
   const auto service = aRoute == nullptr
                          ? std::string()
                          : m_routes.ServiceFor(*aRoute, aPacket.flow);
-  const auto limit =
-    aRoute == nullptr ? kQueueLimitWithoutRoutes : QueueLimit(service, aNow);
+  const auto limit = aRoute == nullptr ? kQueueLimitWithoutRoutes
+                                       : QueueLimit(service, aArrivedAt);
   auto& queue = m_pendingFlows[service];
   m_metrics.Add(Counter::FlowWaited);
   if (ShouldLog(LogLevel::Info, "flow-waits")) {
@@ -137,14 +186,15 @@
                             { "waiting", std::to_string(queue.Size()) },
                             { "limit", std::to_string(limit) } });
   }
-  const auto refused = queue.Push({ aPacket, std::string(aData, aSize),
-                                    aRoute == nullptr ? 0 : aRoute->urgency,
-                                    aNow - kCopySendOffset[CopyNumber(aPacket)],
-                                    aNow, aNow, aNow + MaxQueueTime(aRoute) },
-                                  limit);
+  const auto refused =
+    queue.Push({ aPacket, std::string(aData, aSize),
+                 aRoute == nullptr ? 0 : aRoute->urgency,
+                 aArrivedAt - kCopySendOffset[CopyNumber(aPacket)], aArrivedAt,
+                 aArrivedAt, aArrivedAt + MaxQueueTime(aRoute) },
+               limit);
   if (refused) {
     RefuseQueued(*refused, service, Counter::FlowRefusedQueueFull, "queue-full",
-                 aNow);
+                 aArrivedAt);
   }
 }
 
@@ -193,7 +243,10 @@
 auto Forwarder::RefuseExpired(Clock::time_point aNow) -> void
 {
   for (auto& [service, queue] : m_pendingFlows) {
-    for (const auto& expired : queue.ExtractExpired(aNow)) {
+    for (const auto& expired :
+         queue.ExtractIf([aNow](const PendingFlow& aFlow) {
+           return aFlow.refuseAt <= aNow;
+         })) {
       RefuseQueued(expired, service, Counter::FlowRefusedWaited,
                    "waited-too-long", aNow);
     }
--- a/lib/Forward/PendingFlowQueue.cpp
+++ b/lib/Forward/PendingFlowQueue.cpp
@@ -79,24 +79,25 @@
   Insert(std::move(aFlow));
 }
 
-auto PendingFlowQueue::ExtractExpired(Clock::time_point aNow)
+auto PendingFlowQueue::ExtractIf(
+  const std::function<bool(const PendingFlow&)>& aCondition)
   -> std::vector<PendingFlow>
 {
-  std::vector<PendingFlow> expired;
+  std::vector<PendingFlow> extracted;
   for (auto position = m_byUrgency.begin(); position != m_byUrgency.end();) {
     auto& pending = position->second;
     for (auto flow = pending.begin(); flow != pending.end();) {
-      if (flow->refuseAt > aNow) {
+      if (!aCondition(*flow)) {
         ++flow;
         continue;
       }
-      expired.push_back(std::move(*flow));
+      extracted.push_back(std::move(*flow));
       flow = pending.erase(flow);
     }
     position =
       pending.empty() ? m_byUrgency.erase(position) : std::next(position);
   }
-  return expired;
+  return extracted;
 }
 
 auto PendingFlowQueue::Size() const -> std::size_t
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -353,12 +353,16 @@
   const auto packetAddress = ParseUdpEndpoint(settings.packetAddress, aError);
   impl.packetSocket.Start(
     packetAddress, static_cast<int>(settings.receiveBufferBytes),
-    [&impl](char* aData, std::size_t aSize, Clock::time_point aNow) {
-      impl.forwarder.OnDatagram(aData, aSize, aNow);
+    [&impl](char* aData, std::size_t aSize, Clock::duration aAge,
+            Clock::time_point aNow) {
+      impl.forwarder.OnDatagram(aData, aSize, aAge, aNow);
     },
     [&impl](Clock::time_point aReadUntil) {
       impl.forwarder.ResendUnanswered(aReadUntil);
     },
+    [&impl](Clock::duration aPause, Clock::time_point aNow) {
+      impl.forwarder.OnPause(aPause, aNow);
+    },
     aError);
   if (aError) {
     aDetail = "listen.packets = " + settings.packetAddress;
@@ -391,6 +395,7 @@
                        { "peers", settings.peerAddress },
                        { "store", settings.storeAddress } });
   impl.state.SetChangeListener([&impl] {
+    impl.packetSocket.DetectPause();
     const auto now = Clock::now();
     impl.UpdateBalancers(now);
     impl.forwarder.RetryPendingFlows(now);
--- a/lib/Kernel/PacketSocket.cpp
+++ b/lib/Kernel/PacketSocket.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -21,6 +22,13 @@
 /// Maximum number of batches read before other coroutines run.
 static constexpr int kMaxBatchesPerTurn = 4;
 
+/// The socket is read at least every 50 ms. After a longer pause, clients may
+/// have sent their next copies to other balancers: the first one after 200 ms.
+static constexpr Milliseconds kPauseThreshold{ 250 };
+
+/// Space for the kernel's time of arrival of one datagram.
+using ControlBuffer = std::array<char, CMSG_SPACE(sizeof(timespec))>;
+
 struct PacketSocket::Buffers
 {
   struct OutgoingPacket
@@ -36,6 +44,7 @@
 
   std::array<std::array<char, forward::kMaxPacketBytes>, kMaxBatchSize>
     incoming;
+  alignas(cmsghdr) std::array<ControlBuffer, kMaxBatchSize> control;
   std::vector<OutgoingPacket> outgoing;
   /// Arguments of sendmmsg, kept between calls to reuse their memory.
   std::vector<mmsghdr> headers;
@@ -56,10 +65,11 @@
 auto PacketSocket::Start(const Udp::endpoint& aAddress, int aReceiveBufferBytes,
                          Handler aHandler,
                          std::function<void(Clock::time_point)> aOnIdle,
-                         std::error_code& aError) -> void
+                         PauseHandler aOnPause, std::error_code& aError) -> void
 {
   m_handler = std::move(aHandler);
   m_onIdle = std::move(aOnIdle);
+  m_onPause = std::move(aOnPause);
   boost::system::error_code failure;
   m_socket.open(aAddress.protocol(), failure);
   if (!failure) {
@@ -80,10 +90,46 @@
     aError = failure;
     return;
   }
+  RequestTimestamps();
+  m_lastReadAt = BootTime();
+  m_lastEmptyAt = m_lastReadAt;
   m_localPort = m_socket.local_endpoint().port();
   Spawn(m_context, "packets", ReceiveLoop());
 }
 
+/// Without timestamps, datagrams that waited in the socket are handled as if
+/// they had just arrived.
+auto PacketSocket::RequestTimestamps() -> void
+{
+  const int enable = 1;
+  if (::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS,
+                   &enable, sizeof enable) != 0) {
+    LogWarning("receive-timestamps", { { "why", std::strerror(errno) } });
+  }
+}
+
+/// Returns the time for which a datagram was waiting in the socket. The kernel
+/// records its arrival by the time of day, which may have been set since, so
+/// aMaxAge limits the result.
+static auto AgeOf(msghdr& aHeader, std::chrono::nanoseconds aTimeOfDay,
+                  std::chrono::nanoseconds aMaxAge) -> Clock::duration
+{
+  for (auto* control = CMSG_FIRSTHDR(&aHeader); control != nullptr;
+       control = CMSG_NXTHDR(&aHeader, control)) {
+    if (control->cmsg_level != SOL_SOCKET ||
+        control->cmsg_type != SCM_TIMESTAMPNS) {
+      continue;
+    }
+    timespec arrival{};
+    std::memcpy(&arrival, CMSG_DATA(control), sizeof arrival);
+    const auto age = aTimeOfDay - std::chrono::seconds(arrival.tv_sec) -
+                     std::chrono::nanoseconds(arrival.tv_nsec);
+    return std::clamp<std::chrono::nanoseconds>(
+      age, std::chrono::nanoseconds(0), aMaxAge);
+  }
+  return Clock::duration(0);
+}
+
 static auto ToSockaddr(const forward::Address& aAddress) -> sockaddr_in
 {
   sockaddr_in address{};
@@ -122,19 +168,29 @@
     iovecs[i] = { m_buffers->incoming[i].data(), forward::kMaxPacketBytes };
     headers[i].msg_hdr.msg_iov = &iovecs[i];
     headers[i].msg_hdr.msg_iovlen = 1;
+    headers[i].msg_hdr.msg_control = m_buffers->control[i].data();
+    headers[i].msg_hdr.msg_controllen = m_buffers->control[i].size();
   }
+  const auto began = BootTime();
   const int count = ::recvmmsg(m_socket.native_handle(), headers.data(),
                                kMaxBatchSize, MSG_DONTWAIT, nullptr);
-  if (count <= 0) {
+  const auto received = static_cast<std::size_t>(std::max(count, 0));
+  const auto maxAge = began - m_lastEmptyAt;
+  if (received < kMaxBatchSize) {
+    m_lastEmptyAt = began;
+  }
+  if (received == 0) {
     return 0;
   }
   const auto now = Clock::now();
+  const std::chrono::nanoseconds timeOfDay =
+    std::chrono::system_clock::now().time_since_epoch();
   m_lastReceivedAt = now;
-  for (int i = 0; i < count; ++i) {
-    m_handler(m_buffers->incoming[static_cast<std::size_t>(i)].data(),
-              headers[static_cast<std::size_t>(i)].msg_len, now);
+  for (std::size_t i = 0; i < received; ++i) {
+    m_handler(m_buffers->incoming[i].data(), headers[i].msg_len,
+              AgeOf(headers[i].msg_hdr, timeOfDay, maxAge), now);
   }
-  return static_cast<std::size_t>(count);
+  return received;
 }
 
 auto PacketSocket::Flush() -> void
@@ -195,8 +251,19 @@
   }
 }
 
+auto PacketSocket::DetectPause() -> void
+{
+  const auto now = BootTime();
+  const auto pause = now - m_lastReadAt;
+  m_lastReadAt = now;
+  if (pause > kPauseThreshold) {
+    m_onPause(pause, Clock::now());
+  }
+}
+
 auto PacketSocket::ReadPending() -> void
 {
+  DetectPause();
   for (int turn = 0; turn < kMaxBatchesPerTurn; ++turn) {
     // The clock is read first: the process may be preempted after receiving,
     // and datagrams that arrive then are not handled yet.
--- a/lib/Support/Asio.cpp
+++ b/lib/Support/Asio.cpp
@@ -4,8 +4,18 @@
 
 #include "bramleylock/Support/Log.h"
 
+#include <ctime>
+
 namespace bramleylock {
 
+auto BootTime() -> std::chrono::nanoseconds
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
+}
+
 auto Sleep(std::chrono::nanoseconds aDuration) -> awaitable<void>
 {
   auto executor = co_await asio::this_coro::executor;
--- a/measure/ForwardCost.cpp
+++ b/measure/ForwardCost.cpp
@@ -66,7 +66,7 @@
   {
     std::array<char, sizeof(Packet)> data;
     std::memcpy(data.data(), &aPacket, sizeof aPacket);
-    forwarder.OnDatagram(data.data(), data.size(), now);
+    forwarder.OnDatagram(data.data(), data.size(), {}, now);
   }
 
   /// Opens and ends flows; returns the CPU seconds per opening packet.
--- a/measure/ForwardSpeed.cpp
+++ b/measure/ForwardSpeed.cpp
@@ -163,10 +163,14 @@
     std::error_code error;
     port.Start(
       Udp::endpoint(asio::ip::address_v4::loopback(), 0), kReceiveBufferBytes,
-      [this](char* aData, std::size_t aSize, Clock::time_point aNow) {
-        forwarder.OnDatagram(aData, aSize, aNow);
+      [this](char* aData, std::size_t aSize, Clock::duration aAge,
+             Clock::time_point aNow) {
+        forwarder.OnDatagram(aData, aSize, aAge, aNow);
       },
       [this](Clock::time_point aUntil) { forwarder.ResendUnanswered(aUntil); },
+      [this](Clock::duration aPause, Clock::time_point aNow) {
+        forwarder.OnPause(aPause, aNow);
+      },
       error);
   }
 
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -404,7 +404,7 @@
   -> void
 {
   auto data = PlainCodec::Bytes(aPacket);
-  aBalancer.forwarder.OnDatagram(data.data(), data.size(), m_now);
+  aBalancer.forwarder.OnDatagram(data.data(), data.size(), {}, m_now);
   if (m_options.resendsUnanswered) {
     aBalancer.forwarder.ResendUnanswered(m_now);
   }
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -65,7 +65,7 @@
 {
   TestForward test;
   std::string data = "short";
-  test.forwarder.OnDatagram(data.data(), data.size(), test.now);
+  test.forwarder.OnDatagram(data.data(), data.size(), {}, test.now);
   cr_assert(test.metrics.Get(Counter::PacketMalformed) == 1);
   cr_assert(test.sink.toTargets.empty() && test.sink.resets.empty());
 }
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -98,10 +98,11 @@
     }
   }
 
-  auto Send(Packet aPacket) -> void
+  /// Sends a packet that waited in the balancer's socket for aAge.
+  auto Send(Packet aPacket, Milliseconds aAge = {}) -> void
   {
     auto data = PlainCodec::Bytes(aPacket);
-    forwarder.OnDatagram(data.data(), data.size(), now);
+    forwarder.OnDatagram(data.data(), data.size(), aAge, now);
   }
 
   static auto Opening(std::uint16_t aPort, Address aService = kOrdersAddress)
