Keep target records of unknown services out of the directory

Callers saw: after another program had written one entry into the store, every request in an open flow at a running target was answered with a reset, until the target changed its own entry (FLOW).

Cause: each new entry with all its fields entered the directory as a target, and a later target at an address marks the former ones as dead. Whether the entry's service is one that the routes name was asked only when a flow needed a target.

Why this works: a record whose service the routes do not name is held apart. It names no target, so it says nothing about the one at its address or the earlier one of its id. It is passed on to peers, ends with its entry, and takes effect when a version of the routes names its service, because a target may be listed before its routes.

Tests that fail when every record enters the directory: RoutingState:: EntryOfAnUnknownServiceDoesNotEndTheTargetAtItsAddress, EntryOfAnUnknownServiceDoesNotEndTheTargetWithItsId, TargetTakesEffectOnceItsServiceIsKnown.

--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -111,6 +112,10 @@
   auto Allows(const Address& aService, const std::string& aTargetService) const
     -> bool;
 
+  /// Returns whether the version in force names a service, on its own or as the
+  /// service of a route.
+  auto NamesService(const std::string& aService) const -> bool;
+
   /// Removes the services that no version has allowed within aKeep; no flow is
   /// older than that.
   auto Expire(Clock::duration aKeep, Clock::time_point aNow) -> void;
@@ -131,6 +136,7 @@
   Clock::time_point m_installedAt{};
   std::map<Address, std::size_t> m_byAddress;
   std::unordered_map<std::string, std::size_t> m_services;
+  std::unordered_set<std::string> m_namedServices;
   /// The time until which a version allowed a service, by route address and
   /// service; the maximum time point while the version in force allows it.
   std::map<Address, std::map<std::string, Clock::time_point>> m_allowedUntil;
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "bramleylock/Forward/HeldTargets.h"
 #include "bramleylock/Forward/StateSource.h"
 
 namespace bramleylock::forward {
@@ -94,6 +95,8 @@
 private:
   auto InstallRoutes(const RouteSet& aRoutes, const char* aSource,
                      Clock::time_point aNow) -> bool;
+  auto MergeTarget(const TargetRecord& aRecord, const char* aSource,
+                   Clock::time_point aNow) -> bool;
   auto ApplyTarget(const TargetRecord& aRecord, const char* aSource,
                    Clock::time_point aNow) -> bool;
   auto RemoveTarget(const RemovedTarget& aRemoved, const char* aSource,
@@ -115,6 +118,7 @@
   RouteTable& m_routes;
   TargetDirectory& m_targets;
   Metrics& m_metrics;
+  HeldTargets m_heldTargets;
   std::function<void()> m_listener = [] {};
   StoreRevision m_revision;
   /// Generation of the first revision. Peers that name no generation are
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -22,8 +22,10 @@
   m_routeSet = std::move(aSet);
   m_installedAt = aNow;
   m_services.clear();
+  m_namedServices.clear();
   for (std::size_t index = 0; index < m_routeSet.services.size(); ++index) {
     m_services.emplace(m_routeSet.services[index].name, index);
+    m_namedServices.insert(m_routeSet.services[index].name);
   }
   m_byAddress.clear();
   for (std::size_t index = 0; index < m_routeSet.routes.size(); ++index) {
@@ -32,6 +34,7 @@
     for (const auto& share : route.shares) {
       m_allowedUntil[route.EndpointAddress()][share.service] =
         Clock::time_point::max();
+      m_namedServices.insert(share.service);
     }
   }
   return true;
@@ -83,6 +86,11 @@
          found->second.contains(aTargetService);
 }
 
+auto RouteTable::NamesService(const std::string& aService) const -> bool
+{
+  return m_namedServices.contains(aService);
+}
+
 auto RouteTable::Expire(Clock::duration aKeep, Clock::time_point aNow) -> void
 {
   const auto limit = aNow - aKeep;
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -165,15 +165,46 @@
             { "before", std::to_string(before) },
             { "revision", FormatRevision(aRoutes.revision) },
             { "routes", std::to_string(aRoutes.routes.size()) } });
+  for (const auto& record : m_heldTargets.Release(m_routes)) {
+    ApplyTarget(record, aSource, aNow);
+  }
+  return true;
+}
+
+/// Merges a record into the directory, or keeps it out while the routes do not
+/// name its service. Another program may have written it, so it must not show
+/// that the target at its address has ended, or an earlier one of its id. The
+/// service may also be new, and its routes not known here yet.
+auto RoutingState::MergeTarget(const TargetRecord& aRecord, const char* aSource,
+                               Clock::time_point aNow) -> bool
+{
+  if (m_routes.NamesService(aRecord.service) ||
+      aRecord.State() >= TargetState::Departed) {
+    m_heldTargets.Discard(aRecord.id, aRecord.revision);
+    return m_targets.Apply(aRecord, aNow);
+  }
+  if (!m_heldTargets.Hold(aRecord)) {
+    return false;
+  }
+  m_metrics.Add(Counter::TargetServiceUnknown);
+  LogWarning("target-service-unknown",
+             { { "from", aSource },
+               { "entry", aRecord.id },
+               { "service", aRecord.service },
+               { "address", FormatAddress(aRecord.EndpointAddress()) },
+               { "revision", FormatRevision(aRecord.revision) } });
   return true;
 }
 
 auto RoutingState::ApplyTarget(const TargetRecord& aRecord, const char* aSource,
                                Clock::time_point aNow) -> bool
 {
-  if (!m_targets.Apply(aRecord, aNow)) {
+  if (!MergeTarget(aRecord, aSource, aNow)) {
     return false;
   }
+  if (m_heldTargets.Contains(aRecord.id, aRecord.incarnation)) {
+    return true;
+  }
   LogInfo(
     "target-changed",
     { { "from", aSource },
@@ -191,10 +222,11 @@
                                 const char* aSource, Clock::time_point aNow)
   -> bool
 {
+  const bool discarded = m_heldTargets.Discard(aRemoved.id, aRemoved.revision);
   const auto gracePeriod =
     aRemoved.mayReturn ? kExpiredEntryGrace : Milliseconds(0);
   if (!m_targets.Remove(aRemoved.id, aRemoved.revision, gracePeriod, aNow)) {
-    return false;
+    return discarded;
   }
   if (aRemoved.mayReturn) {
     m_metrics.Add(Counter::TargetsLapsed);
@@ -281,13 +313,14 @@
   }
   for (const auto& record : aReading.targets) {
     // The first reading is logged as a single change.
-    const bool changed = isFirstReading ? m_targets.Apply(record, aNow)
+    const bool changed = isFirstReading ? MergeTarget(record, "store", aNow)
                                         : ApplyTarget(record, "store", aNow);
     if (changed || aFull) {
       update.targets.push_back(KnownRecord(record));
     }
   }
   if (aFull) {
+    m_heldTargets.DiscardMissing(aReading.targets, aReading.revision);
     const auto missing = FindMissing(aReading.targets, aReading.revision,
                                      aStoreFailedRecently || restored, aNow);
     aReading.removed.insert(aReading.removed.end(), missing.begin(),
@@ -320,7 +353,8 @@
 {
   return aRecord.State() < TargetState::Departed &&
          aRecord.revision <= m_revision &&
-         !m_targets.Contains(aRecord.id, aRecord.incarnation);
+         !m_targets.Contains(aRecord.id, aRecord.incarnation) &&
+         !m_heldTargets.Contains(aRecord.id, aRecord.incarnation);
 }
 
 auto RoutingState::ApplyUpdate(const RoutingUpdate& aUpdate,
@@ -353,6 +387,7 @@
     RemoveTarget(removed, "peer", aNow);
   }
   if (full) {
+    m_heldTargets.DiscardMissing(aUpdate.targets, revision);
     for (const auto& missing :
          FindMissing(aUpdate.targets, revision, restored, aNow)) {
       RemoveTarget(missing, "peer", aNow);
@@ -401,6 +436,9 @@
     update.routes.push_back(m_routes.Current());
   }
   update.targets = m_targets.RecordsAfter(update.baseRevision, aNow);
+  for (auto& record : m_heldTargets.RecordsAfter(update.baseRevision)) {
+    update.targets.push_back(std::move(record));
+  }
   update.balancers = m_recordedBalancers;
   return update;
 }
--- a/unittests/Forward/PausesTest.cpp
+++ b/unittests/Forward/PausesTest.cpp
@@ -86,7 +86,8 @@
   cr_assert_eq(test.forwarder.PendingFlowCount(), 1);
 }
 
-/// A second target would hold a flow that its client opened elsewhere meanwhile.
+/// A second target would hold a flow that its client opened elsewhere
+/// meanwhile.
 Test(Pauses, UnansweredFirstPacketIsNotResentAfterAPause)
 {
   TestForward test;
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -7,6 +7,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace bramleylock;
 using namespace bramleylock::forward;
 
@@ -263,3 +265,114 @@
   other.targets.Expire(std::chrono::seconds(61), other.now);
   cr_assert(lookup() == nullptr);
 }
+
+/// An entry of another program at the address of a running target.
+static auto ForeignRecord(const TargetRecord& aTarget, std::uint64_t aRevision)
+  -> TargetRecord
+{
+  auto record = aTarget;
+  record.id = "m";
+  record.service = "node-metrics";
+  record.incarnation = aTarget.incarnation + 1;
+  record.revision = aRevision;
+  return record;
+}
+
+static auto ReadyTargetCount(Node& aNode) -> std::size_t
+{
+  const auto all = aNode.targets.All();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [](const auto* aEntry) {
+      return aEntry->record.State() == TargetState::Ready;
+    }));
+}
+
+/// Flows to a target that is taken for dead are reset.
+Test(RoutingState, EntryOfAnUnknownServiceDoesNotEndTheTargetAtItsAddress)
+{
+  const auto target = MakeTarget("a", 5);
+  const auto foreign = ForeignRecord(target, 8);
+  Node reader;
+  reader.ApplyReading(FullReading(9, { target, foreign }), true);
+  cr_assert_eq(ReadyTargetCount(reader), 1);
+
+  Node watcher;
+  Node peer;
+  watcher.ApplyReading(FullReading(7, { target }), true);
+  peer.state.ApplyUpdate(watcher.state.CreateUpdate({}, watcher.now), peer.now);
+  const auto update =
+    watcher.ApplyReading({ 8, std::nullopt, { foreign }, {} }, false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  for (auto* node : { &watcher, &peer }) {
+    cr_assert_eq(ReadyTargetCount(*node), 1);
+    cr_assert_eq(node->CandidateCount(), 1);
+    cr_assert_eq(node->metrics.Get(Counter::TargetServiceUnknown), 1);
+  }
+}
+
+/// The same under the id of the running target: its own records have an earlier
+/// incarnation and must still be taken.
+Test(RoutingState, EntryOfAnUnknownServiceDoesNotEndTheTargetWithItsId)
+{
+  const auto target = MakeTarget("a", 5);
+  auto foreign = ForeignRecord(target, 8);
+  foreign.id = "a";
+  Node node;
+  node.ApplyReading(FullReading(7, { target }), true);
+  node.ApplyReading({ 8, std::nullopt, { foreign }, {} }, false);
+  cr_assert_eq(ReadyTargetCount(node), 1);
+  auto draining = MakeTarget("a", 9);
+  draining.state = static_cast<std::uint8_t>(TargetState::Draining);
+  node.ApplyReading({ 9, std::nullopt, { draining }, {} }, false);
+  cr_assert_eq(node.CandidateCount(), 0);
+  cr_assert(node.targets.Find("a")->record.State() == TargetState::Draining);
+}
+
+/// A target may be listed before the version of the routes that names its
+/// service, and then uses the address of one that has ended.
+Test(RoutingState, TargetTakesEffectOnceItsServiceIsKnown)
+{
+  const auto former = MakeTarget("a", 5);
+  auto record = ForeignRecord(former, 8);
+  record.service = "prints";
+  auto routes = MakeRoutes(4);
+  routes.services.push_back({ "prints", "/health", 0 });
+  Node watcher;
+  watcher.ApplyReading(FullReading(7, { former }), true);
+  watcher.ApplyReading({ 8, std::nullopt, { record }, {} }, false);
+  cr_assert(watcher.targets.Candidates("prints", watcher.now).empty());
+  // A balancer that knows the entry only from a peer's full state.
+  Node late;
+  cr_assert(late.state.ApplyUpdate(watcher.state.CreateUpdate({}, watcher.now),
+                                   late.now));
+  const auto update = watcher.ApplyReading({ 9, routes, {}, {} }, false);
+  cr_assert(late.state.ApplyUpdate(update, late.now));
+  for (auto* node : { &watcher, &late }) {
+    cr_assert_eq(node->targets.Candidates("prints", node->now).size(), 1);
+    cr_assert(node->targets.Find("a")->record.State() == TargetState::Dead);
+  }
+}
+
+Test(RoutingState, RemovedEntryOfAnUnknownServiceDoesNotTakeEffectLater)
+{
+  auto record = ForeignRecord(MakeTarget("a", 5), 8);
+  record.service = "prints";
+  auto routes = MakeRoutes(4);
+  routes.services.push_back({ "prints", "/health", 0 });
+  Node watcher;
+  Node peer;
+  watcher.ApplyReading(FullReading(8, { record }), true);
+  peer.state.ApplyUpdate(watcher.state.CreateUpdate({}, watcher.now), peer.now);
+  peer.state.ApplyUpdate(
+    watcher.ApplyReading({ 9, std::nullopt, {}, { { "m", 9, false } } }, false),
+    peer.now);
+  peer.state.ApplyUpdate(watcher.ApplyReading({ 10, routes, {}, {} }, false),
+                         peer.now);
+  // One that reads the full state after the removal.
+  Node reader;
+  reader.ApplyReading(FullReading(8, { record }), true);
+  reader.ApplyReading({ 10, routes, {}, {} }, true);
+  for (auto* node : { &watcher, &peer, &reader }) {
+    cr_assert(node->targets.Candidates("prints", node->now).empty());
+  }
+}
