--- a/lib/Forward/HeldTargets.cpp
+++ b/lib/Forward/HeldTargets.cpp
@@ -80,8 +80,7 @@
                            std::uint64_t aIncarnation) const -> bool
 {
   const auto found = m_records.find(aId);
-  return found != m_records.end() &&
-         found->second.incarnation == aIncarnation;
+  return found != m_records.end() && found->second.incarnation == aIncarnation;
 }
 
 } // namespace bramleylock::forward
