--- a/include/bramleylock/Forward/HeldTargets.h
+++ b/include/bramleylock/Forward/HeldTargets.h
@@ -10,9 +10,9 @@
 
 namespace bramleylock::forward {
 
-/// Keeps the latest record of each id whose service no version of the routes
-/// has named so far. Such a record names no target to use and says nothing
-/// about other targets until a version names its service.
+/// Keeps the latest record of each id whose service the routes in force do not
+/// name. Such a record names no target to use and says nothing about other
+/// targets until a version of the routes names its service.
 class HeldTargets
 {
 public:
