Let restarted hosts of the soak register late

A host that starts again under its id now serves for 300 ms before its entry is written, as real hosts do.

--- a/measure/ForwardFaults.h
+++ b/measure/ForwardFaults.h
@@ -82,7 +82,7 @@
   auto PickDomain() -> std::string;
   auto AddHost(const std::string& aService, const std::string& aDomain,
                int aAddress) -> void;
-  auto StartHost(const Host& aHost) -> void;
+  auto StartHost(const Host& aHost, int aRegistersAfterMs = 0) -> void;
   auto InjectHostFault(const std::string& aHost, const char* aFault) -> void;
   /// Marks aHost as unaffected, so that other events may select it.
   auto MarkUnaffected(const std::string& aHost) -> void;
--- a/measure/ForwardHostFaults.cpp
+++ b/measure/ForwardHostFaults.cpp
@@ -23,6 +23,9 @@
 /// host.
 static constexpr double kAddressReuseDelaySeconds = 2;
 
+/// Time for which a restarted host serves before it registers.
+static constexpr int kRegistrationDelayMs = 300;
+
 /// Minimum time that a host continues to serve after it reports draining.
 static constexpr double kDrainSeconds = 3;
 
@@ -34,12 +37,14 @@
   StartHost(m_hosts.back());
 }
 
-auto ForwardFaults::StartHost(const Host& aHost) -> void
+auto ForwardFaults::StartHost(const Host& aHost, int aRegistersAfterMs) -> void
 {
-  m_fleet.ControlPlatform("host", { { "id", aHost.id },
-                                    { "service", aHost.service },
-                                    { "failure_domain", aHost.failureDomain },
-                                    { "at", aHost.address } });
+  m_fleet.ControlPlatform("host",
+                          { { "id", aHost.id },
+                            { "service", aHost.service },
+                            { "failure_domain", aHost.failureDomain },
+                            { "at", aHost.address },
+                            { "registers_after_ms", aRegistersAfterMs } });
 }
 
 auto ForwardFaults::StartHosts() -> void
@@ -167,7 +172,7 @@
 auto ForwardFaults::RestartHost() -> void
 {
   if (auto* host = PickHost()) {
-    StartHost(*host);
+    StartHost(*host, kRegistrationDelayMs);
   }
 }
 
