Order targets by their writes to the store, not by their clocks

Callers saw: a target whose clock was set back started again under its id and was ignored by all balancers. Two unit tests showed a related fault: of two targets listed at one address, a later start time by another clock, or the order of reading, decided which one was taken for dead, and the open flows of the live one were reset.

Cause: TargetDirectory ordered the incarnations of an id, and the targets at an address, by start times, which are those of the targets' clocks.

The store's revisions have the right order.

The incarnation that was written last is in force now. Another target is the successor at an address only if its last write and its start time are both later: a reset cannot be undone, and a target that is not there only costs a resent first packet. Start times decide alone across generations of the store.

RecordOfAnEarlierIncarnationIsIgnored required that a record with a later revision and an earlier start time is ignored, which is the fault.

--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -121,6 +121,9 @@
   Clock::time_point graceEndsAt{};
   /// When the last change of the entry in the store was received.
   Clock::time_point lastUpdateAt{};
+  /// Store revision of the target's own last write that is known here; 0 if
+  /// only its departure is known.
+  StoreRevision lastWrite;
   TargetStats stats;
 
   auto AcceptsNewFlows(Clock::time_point aNow) const -> bool;
@@ -133,7 +136,9 @@
 /// Directory of targets. Entries are merged by store revision, so updates from
 /// the store and from peers may arrive in any order and repeatedly. Records of
 /// one incarnation from different generations of the store are merged by the
-/// target's own count of its writes.
+/// target's own count of its writes. Incarnations of one id are ordered by
+/// their writes as well, and by their start times across generations. A target
+/// is taken for the successor of another one at its address only if both agree.
 class TargetDirectory
 {
 public:
@@ -165,10 +170,11 @@
   auto Candidates(const std::string& aService, Clock::time_point aNow)
     -> std::vector<DirectoryEntry*>;
 
-  /// Returns the latest incarnation of aId, or null.
+  /// Returns the incarnation of aId that registered last, or null.
   auto Find(const std::string& aId) -> DirectoryEntry*;
 
-  /// Returns the target at aAddress that started last, or null.
+  /// Returns the target at aAddress that registered last, or null. Listed
+  /// targets precede departed ones.
   auto OwnerOf(const Address& aAddress) -> DirectoryEntry*;
 
   /// Returns whether this incarnation of aId is in the directory, listed or
@@ -203,11 +209,13 @@
   auto AddToIndexes(DirectoryEntry& aEntry) -> void;
   auto RemoveFromIndexes(DirectoryEntry& aEntry) -> void;
   auto MarkDead(DirectoryEntry& aEntry, Clock::time_point aNow) -> void;
-  auto MarkFormerOwnersDead(const DirectoryEntry& aNewEntry,
-                            Clock::time_point aNow) -> void;
+  auto MarkFormerOwnersDead(DirectoryEntry& aNewEntry, Clock::time_point aNow)
+    -> void;
 
   const PacketCodec& m_codec;
   std::map<Key, DirectoryEntry> m_entries;
+  /// The incarnation of each id that registered last.
+  std::unordered_map<std::string, DirectoryEntry*> m_latest;
   std::unordered_multimap<TargetTag, DirectoryEntry*> m_byTag;
   std::unordered_multimap<Address, DirectoryEntry*, AddressHash> m_byAddress;
   std::map<std::string, std::vector<DirectoryEntry*>> m_byService;
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace bramleylock::forward {
 
@@ -34,21 +35,20 @@
 
 auto TargetDirectory::Find(const std::string& aId) -> DirectoryEntry*
 {
-  const auto next = m_entries.upper_bound({ aId, ~std::uint64_t{ 0 } });
-  if (next == m_entries.begin()) {
-    return nullptr;
-  }
-  const auto latest = std::prev(next);
-  return latest->first.first == aId ? &latest->second : nullptr;
+  const auto found = m_latest.find(aId);
+  return found == m_latest.end() ? nullptr : found->second;
 }
 
 auto TargetDirectory::OwnerOf(const Address& aAddress) -> DirectoryEntry*
 {
+  const auto rank = [](const DirectoryEntry& aEntry) {
+    return std::tuple(aEntry.record.State() < TargetState::Departed,
+                      aEntry.lastWrite, aEntry.record.incarnation);
+  };
   const auto range = m_byAddress.equal_range(aAddress);
   const auto owner = std::max_element(
-    range.first, range.second, [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second->record.incarnation <
-             aRight.second->record.incarnation;
+    range.first, range.second, [&rank](const auto& aLeft, const auto& aRight) {
+      return rank(*aLeft.second) < rank(*aRight.second);
     });
   return owner == range.second ? nullptr : owner->second;
 }
@@ -119,18 +119,58 @@
   aEntry.graceEndsAt = {};
 }
 
-/// Marks earlier targets at the address of a new one as dead: the platform
-/// reassigns an address only after its previous target has ended.
-auto TargetDirectory::MarkFormerOwnersDead(const DirectoryEntry& aNewEntry,
+/// Returns whether the incarnation of aRecord registered after aLatest, another
+/// one of its id. A clock that was set back may give it an earlier start time,
+/// so start times decide only where the store does not: across generations, and
+/// for a departed target, whose record has the revision of its removal.
+static auto RegisteredAfter(const TargetRecord& aRecord,
+                            const DirectoryEntry& aLatest) -> bool
+{
+  const auto& lastWrite = aLatest.lastWrite;
+  if (lastWrite.number != 0 &&
+      lastWrite.generation == aRecord.revision.generation) {
+    if (aRecord.revision < lastWrite) {
+      return false;
+    }
+    if (aRecord.State() < TargetState::Departed &&
+        aRecord.revision > lastWrite) {
+      return true;
+    }
+  }
+  return aRecord.incarnation > aLatest.record.incarnation;
+}
+
+/// Returns whether aFormer had ended when aOwner registered at its address: the
+/// platform reassigns an address only after its previous target has ended. The
+/// start times alone do not show it, because the clocks of two targets differ,
+/// nor do the writes alone, because the store may carry out a write late.
+static auto EndedBefore(const DirectoryEntry& aFormer,
+                        const DirectoryEntry& aOwner) -> bool
+{
+  const bool comparable =
+    aFormer.lastWrite.number != 0 && aOwner.lastWrite.number != 0 &&
+    aFormer.lastWrite.generation == aOwner.lastWrite.generation;
+  return aFormer.record.incarnation < aOwner.record.incarnation &&
+         (!comparable || aFormer.lastWrite < aOwner.lastWrite);
+}
+
+/// Marks the earlier targets at the address of a new one as dead, or the new
+/// one itself if its record is read after that of a later target.
+auto TargetDirectory::MarkFormerOwnersDead(DirectoryEntry& aNewEntry,
                                            Clock::time_point aNow) -> void
 {
   const auto range =
     m_byAddress.equal_range(aNewEntry.record.EndpointAddress());
   for (auto entryIt = range.first; entryIt != range.second; ++entryIt) {
-    auto& entry = *entryIt->second;
-    if (&entry != &aNewEntry &&
-        entry.record.incarnation < aNewEntry.record.incarnation) {
-      MarkDead(entry, aNow);
+    auto& other = *entryIt->second;
+    if (other.record.id == aNewEntry.record.id) {
+      continue;
+    }
+    if (EndedBefore(other, aNewEntry)) {
+      MarkDead(other, aNow);
+    } else if (other.record.State() < TargetState::Departed &&
+               EndedBefore(aNewEntry, other)) {
+      MarkDead(aNewEntry, aNow);
     }
   }
 }
@@ -167,7 +207,9 @@
     return false;
   }
   auto* latest = Find(aRecord.id);
-  if (latest != nullptr && latest->record.incarnation > aRecord.incarnation) {
+  const bool replaces =
+    latest == nullptr || latest->record.incarnation != aRecord.incarnation;
+  if (latest != nullptr && replaces && !RegisteredAfter(aRecord, *latest)) {
     return false;
   }
   auto [position, isNew] =
@@ -178,10 +220,13 @@
     entry.record.revision = revision;
     return false;
   }
-  if (isNew) {
+  if (replaces) {
     if (latest != nullptr) {
       MarkDead(*latest, aNow);
     }
+    m_latest[aRecord.id] = &entry;
+  }
+  if (isNew) {
     entry.tag = ComputeTag(aRecord.id, aRecord.incarnation);
     entry.prefix = *prefix;
   }
@@ -200,6 +245,9 @@
   const bool wasListed = isNew || entry.record.State() < TargetState::Departed;
   entry.record = aRecord;
   entry.record.revision = revision;
+  if (aRecord.State() < TargetState::Departed) {
+    entry.lastWrite = aRecord.revision;
+  }
   if (wasListed && aRecord.State() >= TargetState::Departed) {
     RecordDeparture(entry, aNow);
   }
@@ -211,7 +259,7 @@
     entry.lastUpdateAt = aNow;
     entry.warmUpEndsAt = aNow + Milliseconds(aRecord.warmUpMs);
   }
-  if (isNew && aRecord.State() < TargetState::Departed) {
+  if (replaces && aRecord.State() < TargetState::Departed) {
     MarkFormerOwnersDead(entry, aNow);
   }
   return changed;
@@ -264,6 +312,10 @@
       continue;
     }
     RemoveFromIndexes(position->second);
+    const auto latest = m_latest.find(position->first.first);
+    if (latest != m_latest.end() && latest->second == &position->second) {
+      m_latest.erase(latest);
+    }
     m_entries.erase(position);
   }
   std::erase_if(m_removed, [aKeep, aNow](const auto& aRow) {
--- a/unittests/Forward/KnownRedTest.cpp
+++ b/unittests/Forward/KnownRedTest.cpp
@@ -31,28 +31,3 @@
   test.Send(copy);
   cr_assert(test.sink.resets.empty());
 }
-
-/// A former target at an address was started by a clock that was ahead, and its
-/// entry has not expired yet when a balancer reads both.
-Test(KnownRed, FormerOwnerWithALaterClockDoesNotEndTheTargetAtItsAddress)
-{
-  TestForward test;
-  const auto former = MakeTarget("b", 5, "orders", 9000);
-  auto present = MakeTarget("a", 8, "orders", 8000);
-  present.ip = former.ip;
-  test.targets.Apply(present, test.now);
-  test.targets.Apply(former, test.now);
-  cr_assert(test.targets.Find("a")->record.State() == TargetState::Ready);
-}
-
-/// The same with right clocks: the order of the entries decides.
-Test(KnownRed, FormerOwnerReadAfterThePresentOneGetsNoFlows)
-{
-  TestForward test;
-  const auto former = MakeTarget("b", 5, "orders", 7000);
-  auto present = MakeTarget("a", 8, "orders", 8000);
-  present.ip = former.ip;
-  test.targets.Apply(present, test.now);
-  test.targets.Apply(former, test.now);
-  cr_assert_eq(test.targets.Candidates("orders", test.now).size(), 1);
-}
--- a/unittests/Forward/TargetDirectoryTest.cpp
+++ b/unittests/Forward/TargetDirectoryTest.cpp
@@ -65,12 +65,71 @@
   cr_assert(targets.Candidates("orders", kNow).empty());
 }
 
-Test(TargetDirectory, RecordOfAnEarlierIncarnationIsIgnored)
+Test(TargetDirectory, EarlierRecordOfAnEarlierIncarnationIsIgnored)
 {
   PlainCodec codec;
   TargetDirectory targets(codec);
   targets.Apply(MakeTarget("a", 9, "orders", 2), kNow);
-  cr_assert(!targets.Apply(MakeTarget("a", 12, "orders", 1), kNow));
+  cr_assert(!targets.Apply(MakeTarget("a", 8, "orders", 1), kNow));
+  auto departed = MakeTarget("a", 12, "orders", 1);
+  departed.state = static_cast<std::uint8_t>(TargetState::Departed);
+  cr_assert(!targets.Apply(departed, kNow),
+            "the revision is that of the removal");
+  cr_assert(targets.Find("a")->record.incarnation == 2);
+  cr_assert_eq(targets.Candidates("orders", kNow).size(), 1);
+}
+
+/// A target whose clock was set back before it started again was ignored, and
+/// kept receiving flows after it had begun to drain.
+Test(TargetDirectory, IncarnationWithAnEarlierClockReplacesTheOneBefore)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  auto draining = MakeTarget("a", 15, "orders", 1);
+  draining.state = static_cast<std::uint8_t>(TargetState::Draining);
+  std::vector<TargetRecord> records{ MakeTarget("a", 9, "orders", 2),
+                                     MakeTarget("a", 12, "orders", 1),
+                                     draining };
+  const auto compare = [](const TargetRecord& aLeft,
+                          const TargetRecord& aRight) {
+    return aLeft.revision < aRight.revision;
+  };
+  do {
+    TargetDirectory directory(codec);
+    for (const auto& record : records) {
+      directory.Apply(record, kNow);
+    }
+    cr_assert(directory.Find("a")->record.incarnation == 1);
+    cr_assert(directory.Candidates("orders", kNow).empty());
+  } while (std::next_permutation(records.begin(), records.end(), compare));
+}
+
+/// The same at a balancer that knows the earlier incarnation, as dead, only
+/// from a peer's full state.
+Test(TargetDirectory, DeadIncarnationWithALaterClockDoesNotReplaceTheLatest)
+{
+  PlainCodec codec;
+  TargetDirectory peer(codec);
+  peer.Apply(MakeTarget("a", 9, "orders", 2), kNow);
+  peer.Apply(MakeTarget("a", 12, "orders", 1), kNow);
+  TargetDirectory targets(codec);
+  for (const auto& record : peer.RecordsAfter({}, kNow)) {
+    targets.Apply(record, kNow);
+  }
+  cr_assert(targets.Find("a")->record.incarnation == 1);
+  cr_assert_eq(targets.Candidates("orders", kNow).size(), 1);
+}
+
+/// An incarnation whose departure alone is known may be the latest one.
+Test(TargetDirectory, DepartedIncarnationReplacesAnEarlierOne)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  targets.Apply(MakeTarget("a", 5, "orders", 1), kNow);
+  targets.Remove("a", 20, Milliseconds(0), kNow);
+  auto departed = MakeTarget("a", 12, "orders", 2);
+  departed.state = static_cast<std::uint8_t>(TargetState::Departed);
+  cr_assert(targets.Apply(departed, kNow));
   cr_assert(targets.Find("a")->record.incarnation == 2);
 }
 
@@ -164,6 +223,64 @@
   cr_assert(targets.Find("a")->record.State() == TargetState::Dead);
 }
 
+/// A former target at an address was started by a clock that was ahead, and its
+/// entry has not expired yet when a balancer reads both.
+Test(TargetDirectory, FormerOwnerWithALaterClockDoesNotEndTheTargetAtItsAddress)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  const auto former = MakeTarget("b", 5, "orders", 9000);
+  auto present = MakeTarget("a", 8, "orders", 8000);
+  present.ip = former.ip;
+  targets.Apply(present, kNow);
+  targets.Apply(former, kNow);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Ready);
+}
+
+/// The same with right clocks: the order of the entries decided.
+Test(TargetDirectory, FormerOwnerReadAfterThePresentOneGetsNoFlows)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  const auto former = MakeTarget("b", 5, "orders", 7000);
+  auto present = MakeTarget("a", 8, "orders", 8000);
+  present.ip = former.ip;
+  targets.Apply(present, kNow);
+  targets.Apply(former, kNow);
+  cr_assert_eq(targets.Candidates("orders", kNow).size(), 1);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Ready);
+}
+
+/// The store may carry out a write of a target after the target has ended.
+Test(TargetDirectory, LateWriteOfAFormerOwnerDoesNotEndTheTargetAtItsAddress)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  auto present = MakeTarget("a", 8, "orders", 8000);
+  const auto former = MakeTarget("b", 9, "orders", 7000);
+  present.ip = former.ip;
+  targets.Apply(present, kNow);
+  targets.Apply(former, kNow);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Ready);
+}
+
+/// The copy from which a store was restored may list a former target under a
+/// later generation than that of the present one's last known write.
+Test(TargetDirectory, FormerOwnerInARestoredStoreDoesNotReplaceThePresentOne)
+{
+  PlainCodec codec;
+  TargetDirectory targets(codec);
+  auto present = MakeTarget("a", 8, "orders", 8000);
+  present.revision = { 8, 1 };
+  auto former = MakeTarget("b", 5, "orders", 7000);
+  former.revision = { 5, 2 };
+  present.ip = former.ip;
+  targets.Apply(present, kNow);
+  targets.Apply(former, kNow);
+  cr_assert(targets.Find("a")->record.State() == TargetState::Ready);
+  cr_assert_eq(targets.Candidates("orders", kNow).size(), 1);
+}
+
 /// Targets are added and removed over days; the records of departed ones must
 /// not accumulate.
 Test(TargetDirectory, DepartedTargetsAreDiscarded)
