Send the peers what the reader knew before its reading

Cause: the reader's update holds what a reading changed at the reader, and states that it is complete since the reader's revision. That revision is the one of the first page of its first reading. A change that it saw on a later page came again with the next reading, changed nothing and was left out, so that peers that had read the page earlier never heard of it.

An update now contains each change that the reader knew before, and all removals.

The three new tests of RoutingState fail without the change (19 of 22 pass).

--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -113,6 +113,7 @@
     -> void;
   auto WithGeneration(const StoreRevision& aRevision) const -> StoreRevision;
   auto MayReturn(const TargetRecord& aRecord) -> bool;
+  auto IsKnown(const TargetRecord& aRecord) -> bool;
   auto KnownRecord(const TargetRecord& aRecord) -> TargetRecord;
 
   RouteTable& m_routes;
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -294,6 +294,17 @@
   return later ? entry->record : aRecord;
 }
 
+/// Returns whether the state contains aRecord, or a later one of its id, before
+/// the reading that returned it: the record was on a later page of the first
+/// reading, or in a peer's update that was not accepted as a whole. The peers
+/// may not know it although it changes nothing here.
+auto RoutingState::IsKnown(const TargetRecord& aRecord) -> bool
+{
+  const auto* entry = m_targets.Find(aRecord.id);
+  return (entry != nullptr && entry->record.revision >= aRecord.revision) ||
+         m_heldTargets.Contains(aRecord.id, aRecord.incarnation);
+}
+
 auto RoutingState::ApplyReading(StateReading aReading, bool aFull,
                                 bool aStoreFailedRecently,
                                 Clock::time_point aReadAt,
@@ -312,10 +323,11 @@
     BeginHistory(aReading.revision, "store");
   }
   for (const auto& record : aReading.targets) {
+    const bool known = IsKnown(record);
     // The first reading is logged as a single change.
     const bool changed = isFirstReading ? MergeTarget(record, "store", aNow)
                                         : ApplyTarget(record, "store", aNow);
-    if (changed || aFull) {
+    if (changed || known || aFull) {
       update.targets.push_back(KnownRecord(record));
     }
   }
@@ -328,9 +340,9 @@
   }
   for (auto& removed : aReading.removed) {
     removed.mayReturn = removed.mayReturn || aStoreFailedRecently;
-    if (RemoveTarget(removed, "store", aNow) || aFull) {
-      update.removed.push_back(removed);
-    }
+    RemoveTarget(removed, "store", aNow);
+    // The peers may know an entry that was never known here.
+    update.removed.push_back(removed);
   }
   // A number that a restore has lost has to be recorded again.
   m_recordedBalancers =
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -115,6 +115,63 @@
   cr_assert(node.CandidateCount() == 0);
 }
 
+static auto DrainingTarget(const std::string& aId, std::uint64_t aRevision)
+  -> TargetRecord
+{
+  auto record = MakeTarget(aId, aRevision);
+  record.state = static_cast<std::uint8_t>(TargetState::Draining);
+  return record;
+}
+
+/// A reader that saw a change on a later page of its first reading left it out
+/// of its update, so that peers kept opening flows at a draining target.
+Test(RoutingState, ChangeFromALaterPageOfTheFirstReadingReachesThePeers)
+{
+  Node reader;
+  Node peer;
+  // The revision is that of the first page.
+  reader.ApplyReading(FullReading(9, { DrainingTarget("a", 12) }), true);
+  peer.ApplyReading(FullReading(10, { MakeTarget("a", 5) }), true);
+  const auto update = reader.ApplyReading(
+    { 13, std::nullopt, { DrainingTarget("a", 12) }, {} }, false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  cr_assert_eq(peer.CandidateCount(), 0);
+}
+
+/// The same for an entry that was removed before the page was read.
+Test(RoutingState, RemovalBeforeALaterPageOfTheFirstReadingReachesThePeers)
+{
+  Node reader;
+  Node peer;
+  reader.ApplyReading(FullReading(9, { MakeTarget("b", 6) }), true);
+  peer.ApplyReading(FullReading(10, { MakeTarget("a", 5), MakeTarget("b", 6) }),
+                    true);
+  const auto update = reader.ApplyReading(
+    { 13, std::nullopt, {}, { { "a", 12, false } } }, false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  cr_assert_eq(peer.CandidateCount(), 1);
+}
+
+/// The same for a change from a peer's update that does not continue the state
+/// of the reader: its records are taken, its revision is not.
+Test(RoutingState, ChangeFromAnUpdateThatIsNotAcceptedReachesThePeers)
+{
+  Node ahead;
+  Node reader;
+  Node peer;
+  ahead.ApplyReading(FullReading(11, { MakeTarget("a", 5) }), true);
+  for (auto* node : { &reader, &peer }) {
+    node->ApplyReading(FullReading(10, { MakeTarget("a", 5) }), true);
+  }
+  const auto unaccepted = ahead.ApplyReading(
+    { 12, std::nullopt, { DrainingTarget("a", 12) }, {} }, false);
+  cr_assert(!reader.state.ApplyUpdate(unaccepted, reader.now));
+  const auto update = reader.ApplyReading(
+    { 13, std::nullopt, { DrainingTarget("a", 12) }, {} }, false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  cr_assert_eq(peer.CandidateCount(), 0);
+}
+
 Test(RoutingState, PeerUpdateIsApplied)
 {
   Node reader;
