Do not follow the tag of a late answer to another target

A part of the users' matter without a case may be of this kind: they also saw packets of open flows at other targets.

Cause: a packet's tag was taken for the target that holds the flow. It is the tag of the packet that reached the client last. If a first packet went to two targets, the one that did not get the flow repeats its answer for 9 s, and the client repeats that target's tag. The balancer that opened the flow knows better; the one to which the flow moves does not.

A first packet now carries an opening tag, bound to its sequence number, and later packets the plain tag. An opening tag is followed only in the packet directly after the first one, and for 1.4 s by the balancer that sent the first packet, since the packets of one request overtake each other. Otherwise it is an unknown tag and the packet is dropped.

Before the fix both LateAnswer tests fail (40 of 42 tests of the suite pass). FirstPacketIsAssignedTargetAndTag requires the opening tag instead of the plain one: equally strict, on the new format. The clients of the fixtures number their packets as real ones do, and those of the load model repeat the tag that came last; no assertion of these tests changed.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -122,6 +122,10 @@
                         Clock::time_point aNow) -> void;
   auto ServingIncarnation(DirectoryEntry& aTarget, const Address& aService)
     -> DirectoryEntry&;
+  auto OpeningSequenceOf(const Packet& aPacket, const TrackedFlow* aFlow,
+                         Clock::time_point aNow) const -> std::uint32_t;
+  auto TargetOf(const Packet& aPacket, const TrackedFlow* aFlow,
+                Clock::time_point aNow) -> DirectoryEntry*;
   auto FindTracked(const FlowId& aFlow) -> TrackedFlow*;
   auto TargetForCopy(TrackedFlow& aFlow, const Packet& aPacket,
                      const Route& aRoute, Clock::time_point aNow)
--- a/include/bramleylock/Forward/Packet.h
+++ b/include/bramleylock/Forward/Packet.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "bramleylock/Support/Asio.h"
 #include "bramleylock/Support/Registry.h"
 
 namespace bramleylock::forward {
@@ -60,6 +61,15 @@
 /// no target.
 using TargetTag = std::uint32_t;
 
+/// Time after which a client gives up a first packet and all its copies.
+inline constexpr Milliseconds kFirstPacketLifetime{ 1400 };
+
+/// Returns the tag that a first packet with aSequence carries for the target
+/// with aTag. Applied to that tag, returns aTag again. A client that repeats
+/// the tag in a later packet has received an answer to a first packet last,
+/// which may be a late one of a target that does not hold the flow.
+auto OpeningTag(TargetTag aTag, std::uint32_t aSequence) -> TargetTag;
+
 /// The header fields of a client's packet that the balancer uses.
 struct Packet
 {
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -51,9 +51,6 @@
 /// third.
 static constexpr std::chrono::duration<double> kSlownessMemory{ 2 };
 
-/// Time after which a client gives up a first packet and all its copies.
-static constexpr Milliseconds kFirstPacketLifetime{ 1400 };
-
 /// Number of standard deviations of a random load by which a balancer may
 /// exceed its even share of a target's flow limit.
 static constexpr double kOpenFlowDeviations = 3;
@@ -296,7 +293,7 @@
     known->repeated = true;
   }
   AwaitFirstResponse(aPacket.flow, false, aNow);
-  m_codec.SetTag(aData, aTarget.tag);
+  m_codec.SetTag(aData, OpeningTag(aTarget.tag, aPacket.sequence));
   m_metrics.Add(Counter::PacketsForwarded);
   m_sink.SendToTarget(aTarget, aData, aSize);
 }
@@ -385,7 +382,7 @@
   } else {
     aFlow.repeated = true;
   }
-  m_codec.SetTag(data.data(), nextTarget->tag);
+  m_codec.SetTag(data.data(), OpeningTag(nextTarget->tag, packet->sequence));
   m_sink.SendToTarget(*nextTarget, data.data(), data.size());
   m_sink.Flush();
 }
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -336,9 +336,13 @@
 {
   m_metrics.Add(Counter::PacketTagUnknown);
   if (ShouldLog(LogLevel::Info, "packet-dropped")) {
-    LogInfo("packet-dropped", { { "flow", FormatFlow(aPacket.flow) },
-                                { "tag", fmt::format("{:08x}", aPacket.tag) },
-                                { "reason", "tag-unknown" } });
+    LogInfo("packet-dropped",
+            { { "flow", FormatFlow(aPacket.flow) },
+              { "tag", fmt::format("{:08x}", aPacket.tag) },
+              { "sequence", std::to_string(aPacket.sequence) },
+              { "data", aPacket.carriesData ? "true" : "false" },
+              { "ends", aPacket.ends || aPacket.resets ? "true" : "false" },
+              { "reason", "tag-unknown" } });
   }
 }
 
@@ -373,6 +377,36 @@
   return flow;
 }
 
+/// Returns the sequence number of the first packet of the flow of aPacket. The
+/// first packets of a request may overtake each other, so a balancer that has
+/// just sent the first packet uses that one. Otherwise, aPacket has to be the
+/// packet after it.
+auto Forwarder::OpeningSequenceOf(const Packet& aPacket,
+                                  const TrackedFlow* aFlow,
+                                  Clock::time_point aNow) const -> std::uint32_t
+{
+  const auto opening =
+    aFlow != nullptr && aNow - aFlow->firstSentAt < kFirstPacketLifetime
+      ? m_codec.Decode(aFlow->firstPacket.data(), aFlow->firstPacket.size())
+      : std::nullopt;
+  return opening ? opening->sequence : aPacket.sequence - 1;
+}
+
+/// Returns the target that the tag of aPacket names, or null. Only the first
+/// packets after the handshake may carry the tag of a first packet. In a later
+/// packet, that tag is from a late answer of another target that also got the
+/// first packet, and that target would reset the flow.
+auto Forwarder::TargetOf(const Packet& aPacket, const TrackedFlow* aFlow,
+                         Clock::time_point aNow) -> DirectoryEntry*
+{
+  const auto& service = aPacket.flow.service;
+  const auto tag =
+    OpeningTag(aPacket.tag, OpeningSequenceOf(aPacket, aFlow, aNow));
+  auto* target = m_targets.Lookup(tag, service, m_routes);
+  return target != nullptr ? target
+                           : m_targets.Lookup(aPacket.tag, service, m_routes);
+}
+
 auto Forwarder::OnOpenFlowPacket(const Packet& aPacket, char* aData,
                                  std::size_t aSize, Clock::time_point aNow)
   -> void
@@ -397,7 +431,7 @@
     // tag, so the tracked target takes precedence.
     target = flow->target;
   } else {
-    target = m_targets.Lookup(aPacket.tag, aPacket.flow.service, m_routes);
+    target = TargetOf(aPacket, flow, aNow);
   }
   if (target == nullptr) {
     DropUnknownTag(aPacket);
--- a/lib/Forward/Packet.cpp
+++ b/lib/Forward/Packet.cpp
@@ -35,6 +35,11 @@
   return aWord ^ (aWord >> 31);
 }
 
+auto OpeningTag(TargetTag aTag, std::uint32_t aSequence) -> TargetTag
+{
+  return aTag ^ static_cast<TargetTag>(Mix(aSequence + std::uint64_t{ 1 }));
+}
+
 auto FlowIdHash::operator()(const FlowId& aFlow) const -> std::size_t
 {
   const auto client = (std::uint64_t{ aFlow.client.ip } << 16) |
--- a/measure/LoadClients.cpp
+++ b/measure/LoadClients.cpp
@@ -145,6 +145,7 @@
     EndRequest(flow.request);
   }
   flow.acknowledged += kAnswerBytes;
+  flow.tag = flow.targetTag;
   auto answer = MakeFollowing(OpeningOf(aPort), flow.tag, flow.acknowledged);
   answer.sequence = flow.sequence + 1;
   answer.ends = request.user == kNoUser || aCloses;
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -424,6 +424,7 @@
                   [=, this] { OnOpened(port, aPacket.tag); });
   } else if (aPacket.carriesData && aPacket.sequence > flow.received) {
     flow.received = aPacket.sequence;
+    flow.targetTag = aPacket.tag;
     Execute(target, port);
   }
 }
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -161,7 +161,9 @@
     /// The most recent request in the flow.
     std::size_t request = 0;
     bool open = false;
+    /// The tags that the client and the target received last.
     TargetTag tag = 0;
+    TargetTag targetTag = 0;
     std::uint32_t sequence = 1000;
     std::uint32_t acknowledged = 500;
     /// The highest sequence number that the target received.
--- a/measure/PlainPackets.h
+++ b/measure/PlainPackets.h
@@ -62,13 +62,14 @@
   return packet;
 }
 
-/// Returns a packet that the client sends after a target answered aOpening with
-/// aTag.
+/// Returns the first packet that the client sends after a target answered
+/// aOpening with aTag.
 inline auto MakeFollowing(Packet aOpening, TargetTag aTag,
                           std::uint32_t aAcknowledgement = 500) -> Packet
 {
   aOpening.opens = false;
   aOpening.tag = aTag;
+  ++aOpening.sequence;
   aOpening.acknowledgement = aAcknowledgement;
   return aOpening;
 }
--- a/unittests/Forward/ForwarderTest.cpp
+++ b/unittests/Forward/ForwarderTest.cpp
@@ -14,7 +14,8 @@
   test.Send(TestForward::Opening(1));
   cr_assert(test.sink.toTargets.size() == 1);
   cr_assert(test.sink.toTargets[0].target == "a");
-  cr_assert(test.sink.toTargets[0].packet.tag == ComputeTag("a", 1));
+  const auto& sent = test.sink.toTargets[0].packet;
+  cr_assert_eq(sent.tag, OpeningTag(ComputeTag("a", 1), sent.sequence));
 }
 
 Test(Forwarder, AnotherBalancerForwardsByTheTagAlone)
@@ -29,6 +30,85 @@
   cr_assert(test.sink.toTargets[0].target == "b");
 }
 
+/// A balancer that did not see the handshake gets the client's first packet
+/// after it, with the tag of the first packet.
+Test(Forwarder, AnotherBalancerForwardsTheFirstPacketAfterTheHandshake)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.targets.Apply(MakeTarget("b", 6), test.now);
+  const auto opening = TestForward::Opening(1);
+  auto request = TestForward::Following(
+    opening, OpeningTag(ComputeTag("b", 1), opening.sequence));
+  request.sequence = opening.sequence + 1;
+  request.carriesData = true;
+  test.Send(request);
+  cr_assert_eq(test.sink.toTargets.size(), 1);
+  cr_assert(test.sink.toTargets[0].target == "b");
+  cr_assert_eq(test.sink.toTargets[0].packet.tag, ComputeTag("b", 1));
+}
+
+/// A late answer of a target that also got the first packet changes the tag at
+/// the client. A balancer to which the flow then moves sent the next request to
+/// that target, which reset the flow.
+Test(Forwarder, LateAnswerOfAnotherTargetDoesNotMoveAFlowAtAnotherBalancer)
+{
+  TestForward first;
+  first.targets.Apply(MakeTarget("a", 5), first.now);
+  const auto opening = TestForward::Opening(1);
+  first.Send(opening);
+  auto request =
+    TestForward::Following(opening, first.sink.toTargets[0].packet.tag);
+  request.sequence = opening.sequence + 300;
+  request.carriesData = true;
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  test.targets.Apply(MakeTarget("b", 6), test.now);
+  test.Send(request);
+  cr_assert(test.sink.toTargets.empty());
+  cr_assert(test.sink.resets.empty());
+  cr_assert_eq(test.metrics.Get(Counter::PacketTagUnknown), 1);
+  // A packet of the flow's own target brings that target's tag.
+  request.tag = ComputeTag("b", 1);
+  test.Send(request);
+  cr_assert(test.sink.toTargets.back().target == "b");
+}
+
+/// The same at the balancer to which the flow returns, which had sent an
+/// earlier copy of the first packet to that target.
+Test(Forwarder, LateAnswerDoesNotMoveAFlowThatOpenedAtAnotherBalancer)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  const auto opening = TestForward::Opening(1);
+  test.Send(opening);
+  auto request =
+    TestForward::Following(opening, test.sink.toTargets[0].packet.tag);
+  request.sequence = opening.sequence + 300;
+  request.carriesData = true;
+  test.sink.toTargets.clear();
+  test.AdvanceTime(kFirstPacketLifetime);
+  test.Send(request);
+  cr_assert(test.sink.toTargets.empty());
+  cr_assert(test.sink.resets.empty());
+}
+
+/// The second packet of a request may arrive before the first.
+Test(Forwarder, PacketsOfTheFirstRequestMayOvertakeEachOther)
+{
+  TestForward test;
+  test.targets.Apply(MakeTarget("a", 5), test.now);
+  const auto opening = TestForward::Opening(1);
+  test.Send(opening);
+  auto request =
+    TestForward::Following(opening, test.sink.toTargets[0].packet.tag);
+  request.sequence = opening.sequence + 1201;
+  request.carriesData = true;
+  test.Send(request);
+  cr_assert_eq(test.sink.toTargets.size(), 2);
+  cr_assert_eq(test.sink.toTargets[1].packet.tag, ComputeTag("a", 1));
+}
+
 Test(Forwarder, TagOfAnotherServiceIsDropped)
 {
   TestForward test;
--- a/unittests/Forward/OpenFlowsTest.cpp
+++ b/unittests/Forward/OpenFlowsTest.cpp
@@ -182,7 +182,7 @@
     for (int request = 0; request < 3; ++request) {
       auto packet = TestForward::Following(
         opening, tag, 500 + static_cast<std::uint32_t>(request) * 1000);
-      packet.sequence += static_cast<std::uint32_t>(request) + 1;
+      packet.sequence += static_cast<std::uint32_t>(request);
       packet.carriesData = true;
       test.Send(packet);
       test.AdvanceTime(Milliseconds(10));
--- a/unittests/Forward/SlownessTest.cpp
+++ b/unittests/Forward/SlownessTest.cpp
@@ -24,7 +24,6 @@
     const auto sent = test.sink.toTargets.back();
     auto request = TestForward::Following(packet, sent.packet.tag);
     request.carriesData = true;
-    request.sequence += 10;
     test.Send(request);
     test.AdvanceTime(sent.target == "a" ? aTimeOfA : kUsualTime);
     request.acknowledgement += 1000;
