Keep flows for several requests in the forwarding soak

A host repeats its answer to a first packet until the client has acknowledged it, and resets a flow that the client opened at another host.

--- a/measure/ForwardFaults.cpp
+++ b/measure/ForwardFaults.cpp
@@ -25,13 +25,14 @@
 /// packet that reaches the wrong host is not among them: an address may be
 /// assigned to a new host while the store is unavailable, and that host drops
 /// the packet.
-static constexpr std::array<const char*, 6> kViolationCounts{
+static constexpr std::array<const char*, 7> kViolationCounts{
   "wrong",
   "altered",
   "ran_twice",
   "not_run_untrue",
   "ran_at_other_service",
-  "cut_by_balancer"
+  "cut_by_balancer",
+  "cut_by_other_host"
 };
 
 ForwardFaults::ForwardFaults(ForwardFleet& aFleet, std::uint64_t aSeed)
--- a/measure/ForwardFleet.cpp
+++ b/measure/ForwardFleet.cpp
@@ -16,7 +16,7 @@
 static constexpr std::uint16_t kStatusPort = 8167;
 static constexpr std::uint16_t kPeerPort = 8166;
 static constexpr std::uint16_t kMetricsPort = 9464;
-static constexpr int kVmsPerDomain = 2;
+static constexpr int kDefaultVmsPerDomain = 2;
 static constexpr Milliseconds kControlTimeout{ 5000 };
 static constexpr Milliseconds kReadyTimeout{ 15000 };
 static constexpr Milliseconds kPollInterval{ 50 };
@@ -26,11 +26,15 @@
 static constexpr std::uint64_t kFirstNetOctet = 60;
 static constexpr std::uint64_t kNetOctets = 190;
 
-ForwardFleet::ForwardFleet(std::uint64_t aSeed)
+ForwardFleet::ForwardFleet(std::uint64_t aSeed, int aBalancers)
   : m_programs(ProgramDirectory())
   , m_net(fmt::format("127.{}", kFirstNetOctet + aSeed % kNetOctets))
   , m_seed(aSeed)
   , m_domains{ "north", "middle", "south" }
+  , m_vmsPerDomain(
+      aBalancers == 0
+        ? kDefaultVmsPerDomain
+        : std::max(1, aBalancers / static_cast<int>(m_domains.size())))
 {
 }
 
@@ -91,7 +95,7 @@
   };
   std::string balancers;
   for (const auto& domain : m_domains) {
-    for (int i = 1; i <= kVmsPerDomain; ++i) {
+    for (int i = 1; i <= m_vmsPerDomain; ++i) {
       const auto ip = Prefix(domain) + std::to_string(i);
       balancers += fmt::format("{}{}:{}@{}:{}", balancers.empty() ? "" : ",",
                                ip, kPacketPort, ip, kStatusPort);
--- a/measure/ForwardFleet.h
+++ b/measure/ForwardFleet.h
@@ -33,7 +33,9 @@
 public:
   /// aSeed also selects the loopback addresses, so that fleets can run
   /// concurrently on one machine.
-  explicit ForwardFleet(std::uint64_t aSeed);
+  /// Creates a fleet of aBalancers in three failure domains, or of the default
+  /// size if it is 0.
+  explicit ForwardFleet(std::uint64_t aSeed, int aBalancers = 0);
 
   /// Starts all processes and waits until each balancer is in rotation.
   auto Start() -> void;
@@ -88,6 +90,7 @@
   std::string m_net;
   std::uint64_t m_seed;
   std::vector<std::string> m_domains;
+  int m_vmsPerDomain;
   std::unique_ptr<Process> m_platform;
   std::map<std::string, std::unique_ptr<Process>> m_storeProxies;
   std::vector<ForwardVm> m_vms;
--- a/measure/ForwardSoak.cpp
+++ b/measure/ForwardSoak.cpp
@@ -14,6 +14,9 @@
 static constexpr double kLoadSeconds = 120;
 static constexpr double kRequestsPerSecond = 150;
 
+/// Flows per second that clients keep for several requests.
+static constexpr double kKeptFlowsPerSecond = 10;
+
 /// Time after the last fault within which all balancers are in rotation and
 /// serve.
 static constexpr Milliseconds kRecoveryLimit{ 12000 };
@@ -43,7 +46,7 @@
   {
     const double seconds =
       aOptions.seconds > 0 ? aOptions.seconds : kLoadSeconds;
-    ForwardFleet fleet(aOptions.seed);
+    ForwardFleet fleet(aOptions.seed, aOptions.nodes);
     fleet.Start();
     ForwardFaults faults(fleet, aOptions.seed);
     faults.StartHosts();
@@ -51,7 +54,8 @@
                             4 * (kChangeInForceLimit + kInFlightLimit);
     fleet.ControlPlatform(
       "traffic", { { "milliseconds", seconds * 1000 + checksTime.count() },
-                   { "per_second", kRequestsPerSecond } });
+                   { "per_second", kRequestsPerSecond },
+                   { "kept_per_second", kKeptFlowsPerSecond } });
     faults.Run(seconds);
     CheckRecovery(fleet, aReport);
     CheckRouteInForce(fleet, aReport);
@@ -133,11 +137,13 @@
     const auto report = aFleet.ControlPlatform("report");
     for (const auto* name :
          { "asked", "answered", "failed", "refused", "cut", "cut_by_balancer",
+           "cut_by_other_host", "kept_answered", "kept_unanswered",
            "misdirected", "opened_late", "store_calls" }) {
       aReport.Add(name, report.value(name, std::uint64_t{ 0 }));
     }
     aReport.Add("p99_ms", report.value("p99_ms", 0.0));
     aReport.Require("answered>0", report.value("answered", 0U) > 0);
+    aReport.Require("kept_answered>0", report.value("kept_answered", 0U) > 0);
     for (const auto& broken : aFaults.Violations()) {
       aReport.Require(broken, false);
     }
