Report why the simulated platform cannot start a host

The platform's stand-in had ended with an exception when the address of a new host was in use, and its log went with the run's folder.

--- a/measure/ForwardFleet.cpp
+++ b/measure/ForwardFleet.cpp
@@ -156,7 +156,10 @@
   std::error_code error;
   auto answer = PostJson(aAddress, aPath, aBody, error);
   if (error) {
-    throw std::runtime_error(aAddress + aPath + ": " + error.message());
+    const auto reason = answer.is_object()
+                          ? answer.value("error", error.message())
+                          : error.message();
+    throw std::runtime_error(aAddress + aPath + ": " + reason);
   }
   return answer;
 }
