Do not pass on removals of entries that were listed again

Callers saw: with, after an outage of the store in which entries expired, requests waited and were refused although all targets served.

Cause: put all removals of a reading into the update for the peers. An entry that expired and was listed again within one reading changes nothing at the reader, which left its record out: the peers heard of the removal only and stopped using the target after the grace period.

A removal is passed on only if the entry is not listed after it, and the record of an entry that the reading also removes is passed on, since a peer that read the store in between knows the removal already.

Both EntryListedAgain tests fail without this change (22 of 24 tests of the suite pass).

--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -113,7 +113,9 @@
     -> void;
   auto WithGeneration(const StoreRevision& aRevision) const -> StoreRevision;
   auto MayReturn(const TargetRecord& aRecord) -> bool;
-  auto IsKnown(const TargetRecord& aRecord) -> bool;
+  auto MayBeNewToPeers(const TargetRecord& aRecord,
+                       const std::vector<RemovedTarget>& aRemoved) -> bool;
+  auto IsListed(const std::string& aId) -> bool;
   auto KnownRecord(const TargetRecord& aRecord) -> TargetRecord;
 
   RouteTable& m_routes;
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -294,15 +294,29 @@
   return later ? entry->record : aRecord;
 }
 
-/// Returns whether the state contains aRecord, or a later one of its id, before
-/// the reading that returned it: the record was on a later page of the first
-/// reading, or in a peer's update that was not accepted as a whole. The peers
-/// may not know it although it changes nothing here.
-auto RoutingState::IsKnown(const TargetRecord& aRecord) -> bool
+/// Returns whether the peers have to hear of aRecord of an incremental reading
+/// even if it changes nothing here. Either the state contained it, or a later
+/// one of its id, before: the record was on a later page of the first reading,
+/// or in a peer's update that was not accepted as a whole. Or the reading
+/// contains a removal of the entry, which a peer may know already.
+auto RoutingState::MayBeNewToPeers(const TargetRecord& aRecord,
+                                   const std::vector<RemovedTarget>& aRemoved)
+  -> bool
 {
   const auto* entry = m_targets.Find(aRecord.id);
   return (entry != nullptr && entry->record.revision >= aRecord.revision) ||
-         m_heldTargets.Contains(aRecord.id, aRecord.incarnation);
+         m_heldTargets.Contains(aRecord.id, aRecord.incarnation) ||
+         std::any_of(aRemoved.begin(), aRemoved.end(),
+                     [&aRecord](const RemovedTarget& aRow) {
+                       return aRow.id == aRecord.id;
+                     });
+}
+
+/// Returns whether aId is listed here.
+auto RoutingState::IsListed(const std::string& aId) -> bool
+{
+  const auto* entry = m_targets.Find(aId);
+  return entry != nullptr && entry->record.State() < TargetState::Departed;
 }
 
 auto RoutingState::ApplyReading(StateReading aReading, bool aFull,
@@ -323,11 +337,11 @@
     BeginHistory(aReading.revision, "store");
   }
   for (const auto& record : aReading.targets) {
-    const bool known = IsKnown(record);
+    const bool newToPeers = MayBeNewToPeers(record, aReading.removed);
     // The first reading is logged as a single change.
     const bool changed = isFirstReading ? MergeTarget(record, "store", aNow)
                                         : ApplyTarget(record, "store", aNow);
-    if (changed || known || aFull) {
+    if (changed || newToPeers || aFull) {
       update.targets.push_back(KnownRecord(record));
     }
   }
@@ -341,8 +355,11 @@
   for (auto& removed : aReading.removed) {
     removed.mayReturn = removed.mayReturn || aStoreFailedRecently;
     RemoveTarget(removed, "store", aNow);
-    // The peers may know an entry that was never known here.
-    update.removed.push_back(removed);
+    // The peers may know an entry that was never known here. One that was
+    // listed again after its removal is still in use.
+    if (!IsListed(removed.id)) {
+      update.removed.push_back(removed);
+    }
   }
   // A number that a restore has lost has to be recorded again.
   m_recordedBalancers =
--- a/unittests/Forward/RoutingStateTest.cpp
+++ b/unittests/Forward/RoutingStateTest.cpp
@@ -152,6 +152,43 @@
   cr_assert_eq(peer.CandidateCount(), 1);
 }
 
+/// An entry that expired and was listed again within one reading was passed to
+/// the peers as removed only, so that they stopped using the target.
+Test(RoutingState, EntryListedAgainWithinOneReadingStaysInUseAtThePeers)
+{
+  Node reader;
+  Node peer;
+  for (auto* node : { &reader, &peer }) {
+    node->ApplyReading(FullReading(9, { MakeTarget("a", 5) }), true);
+  }
+  const auto update = reader.ApplyReading(
+    { 13, std::nullopt, { MakeTarget("a", 12) }, { { "a", 10, true } } },
+    false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  for (auto* node : { &reader, &peer }) {
+    node->now += Milliseconds(60000);
+    cr_assert_eq(node->CandidateCount(), 1);
+  }
+}
+
+/// The same at a peer that read the store between the two changes and knows the
+/// removal.
+Test(RoutingState, EntryListedAgainWithinOneReadingReturnsAtThePeers)
+{
+  Node reader;
+  Node peer;
+  for (auto* node : { &reader, &peer }) {
+    node->ApplyReading(FullReading(9, { MakeTarget("a", 5) }), true);
+  }
+  peer.ApplyReading(FullReading(11, {}), true);
+  cr_assert_eq(peer.CandidateCount(), 0);
+  const auto update = reader.ApplyReading(
+    { 13, std::nullopt, { MakeTarget("a", 12) }, { { "a", 10, true } } },
+    false);
+  cr_assert(peer.state.ApplyUpdate(update, peer.now));
+  cr_assert_eq(peer.CandidateCount(), 1);
+}
+
 /// The same for a change from a peer's update that does not continue the state
 /// of the reader: its records are taken, its revision is not.
 Test(RoutingState, ChangeFromAnUpdateThatIsNotAcceptedReachesThePeers)
