Move target selection out of the forwarder, and define the new records

Routing updates get fields for evacuations, for services that earlier routes allowed and for changes of the routes; nothing fills them yet. Settings get decimals, and rows for the capacity of the VM, the drain notice, the warm-up tolerance and the share of hedged packets.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "bramleylock/Estimate/RoundTripTable.h"
-#include "bramleylock/Forward/FlowChoice.h"
 #include "bramleylock/Forward/FlowTable.h"
 #include "bramleylock/Forward/PendingFlowQueue.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Forward/TargetDirectory.h"
+#include "bramleylock/Forward/TargetSelector.h"
 #include "bramleylock/Support/Counters.h"
 
 namespace bramleylock::forward {
@@ -93,13 +93,6 @@
   auto PendingFlowCount() const -> std::size_t;
 
 private:
-  /// The selected target, or the reason why there is none at present.
-  struct TargetSelection
-  {
-    DirectoryEntry* target = nullptr;
-    RefusalReason refusal = RefusalReason::None;
-  };
-
   struct UnansweredFirstPacket
   {
     FlowId flow;
@@ -130,16 +123,6 @@
   auto TargetForCopy(TrackedFlow& aFlow, const Packet& aPacket,
                      const Route& aRoute, Clock::time_point aNow)
     -> DirectoryEntry*;
-  auto SelectTarget(const Packet& aPacket, const Route& aRoute,
-                    const DirectoryEntry* aExcludedTarget,
-                    Clock::time_point aNow) -> TargetSelection;
-  auto SlownessOf(const DirectoryEntry& aTarget, Clock::time_point aNow) const
-    -> double;
-  auto RecordSlowness(DirectoryEntry& aTarget, double aRatio,
-                      Clock::time_point aNow) -> void;
-  auto LogFlowOpened(const Packet& aPacket, const Route& aRoute,
-                     const DirectoryEntry& aTarget, std::size_t aCandidates,
-                     Clock::time_point aNow) -> void;
   /// aRoute is null as long as no routes are known.
   auto Enqueue(const Packet& aPacket, const char* aData, std::size_t aSize,
                const Route* aRoute, Clock::time_point aArrivedAt) -> void;
@@ -154,9 +137,6 @@
                          Clock::time_point aNow) -> void;
   auto ResendFirstPacket(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto RefuseExpired(Clock::time_point aNow) -> void;
-  auto OpenFlowLimit(const std::string& aService) const -> std::uint32_t;
-  auto BalancersSharing(const std::vector<DirectoryEntry*>& aTargets,
-                        Clock::time_point aNow) const -> std::size_t;
   auto InactiveFlowRetention() const -> Clock::duration;
   auto TakeOverFlow(const Packet& aPacket, DirectoryEntry& aTarget,
                     Clock::time_point aNow) -> void;
@@ -193,17 +173,14 @@
   const PacketCodec& m_codec;
   RouteTable& m_routes;
   TargetDirectory& m_targets;
-  FlowChoice& m_choice;
   PacketSink& m_sink;
   Metrics& m_metrics;
   ForwarderOptions m_options;
   FlowTable m_flows;
-  Random m_random;
+  TargetSelector m_selector;
   /// Queued first packets by service. The empty name holds packets that arrived
   /// before any route was known.
   std::map<std::string, PendingFlowQueue> m_pendingFlows;
-  std::size_t m_balancers = 1;
-  std::map<std::string, std::size_t> m_balancersByDomain;
   estimate::RoundTripTable m_roundTrips;
   /// First packets that were sent to a target, by the time at which a response
   /// is overdue.
@@ -214,8 +191,6 @@
   Clock::time_point m_lastTakeoverAt{};
   /// End of the last pause of this process or machine.
   Clock::time_point m_lastPauseAt{};
-  /// Slowness of targets that are warming up.
-  double m_warmUpSlowness;
   Clock::time_point m_lastOverdueCheckAt{};
   /// Longest mean think time of the routes, as of the last Expire.
   estimate::Duration m_longestThinkTime = std::chrono::seconds(1);
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -80,6 +80,17 @@
                        services, revision.generation)
 };
 
+/// Service that an earlier version of the routes allowed at a route address.
+struct FormerShare
+{
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+  std::string service;
+  /// Time since the first version that did not allow the service any more.
+  std::uint32_t ageMs = 0;
+  MSGPACK_DEFINE_ARRAY(ip, port, service, ageMs)
+};
+
 enum class RouteState
 {
   InForce,
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bramleylock/Forward/HeldTargets.h"
+#include "bramleylock/Forward/RouteSetChange.h"
 #include "bramleylock/Forward/StateSource.h"
 
 namespace bramleylock::forward {
@@ -31,9 +32,16 @@
   /// Number of balancers recorded in the store, as known to the sender; 0 if
   /// unknown.
   std::uint32_t balancers = 0;
+  /// Evacuations in a full update, or their changes.
+  std::vector<EvacuationRecord> evacuations;
+  /// Services that earlier versions of the routes allowed.
+  std::vector<FormerShare> formerShares;
+  /// Changes of the routes, instead of the routes themselves.
+  std::vector<RouteSetChange> routeChanges;
   MSGPACK_DEFINE_ARRAY(baseRevision.number, revision.number, routesVersion,
                        ageMs, routes, targets, removed, balancers,
-                       baseRevision.generation, revision.generation)
+                       baseRevision.generation, revision.generation,
+                       evacuations, formerShares, routeChanges)
 };
 
 /// Requests the changes after a known state from a peer.
--- a/include/bramleylock/Forward/StateSource.h
+++ b/include/bramleylock/Forward/StateSource.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "bramleylock/Forward/EvacuationTable.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Forward/TargetDirectory.h"
 #include "bramleylock/Support/Counters.h"
@@ -56,6 +57,11 @@
   /// Number of balancers last recorded for the deployment, if the reading
   /// contains it.
   std::optional<std::uint32_t> balancers{};
+  /// Evacuations in a full reading, or their changes.
+  std::vector<EvacuationRecord> evacuations{};
+  /// Services that the routes allowed earlier, as the balancers recorded them
+  /// in the store, if the reading contains them.
+  std::optional<std::vector<FormerShare>> formerShares{};
 };
 
 /// Reads the platform's store. All calls report errors as SourceError.
--- a/include/bramleylock/Kernel/Settings.h
+++ b/include/bramleylock/Kernel/Settings.h
@@ -56,6 +56,12 @@
   std::int64_t longestFlowSeconds = 0;
   std::int64_t stopMs = 0;
   std::int64_t logRecordsPerSecond = 0;
+  std::int64_t drainNoticeMs = 0;
+  std::int64_t hedgePercent = 0;
+  double cpuShare = 0;
+  double linkMbps = 0;
+  double warmUpExcess = 0;
+  double warmUpSlack = 0;
 };
 
 enum class SettingsError
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -90,7 +90,7 @@
   if (usual.IsSettled() && usual.Mean().count() > 0) {
     const std::chrono::duration<double> serviceTime =
       aResponseTime - aFlow.roundTrip;
-    RecordSlowness(*aFlow.target, serviceTime / usual.Mean(), aNow);
+    m_selector.RecordSlowness(*aFlow.target, serviceTime / usual.Mean(), aNow);
   }
   requestStats.RecordResponse(aResponseTime, aFlow.roundTrip);
 }
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -162,7 +162,8 @@
   for (const auto* entry : m_targets.Candidates(aService, aNow)) {
     slots += entry->record.slots;
   }
-  return std::max(kMinQueueLimit, slots * kQueuedPacketsPerSlot / m_balancers);
+  return std::max(kMinQueueLimit,
+                  slots * kQueuedPacketsPerSlot / m_selector.Balancers());
 }
 
 /// Queues a first packet, which arrived at aArrivedAt, until a target has
@@ -216,7 +217,7 @@
       Refuse(packet, Counter::FlowRefusedNoRoute, "no-route");
       continue;
     }
-    const auto selection = SelectTarget(packet, *route, nullptr, aNow);
+    const auto selection = m_selector.Select(packet, *route, nullptr, aNow);
     if (selection.target != nullptr) {
       m_metrics.Observe(Latency::FlowWait, aNow - pendingFlow->arrivedAt);
       aServedFlows.push_back(std::move(*pendingFlow));
--- a/lib/Kernel/Settings.cpp
+++ b/lib/Kernel/Settings.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -63,20 +64,17 @@
 
   auto Read(const NumberSetting& aRow, Settings& aSettings) -> void
   {
-    const auto node = m_table.at_path(aRow.key);
-    if (!node) {
-      aSettings.*aRow.member = aRow.defaultValue;
-      return;
-    }
-    const auto number = node.value<std::int64_t>();
-    if (!node.is_integer() || *number < aRow.minimum ||
-        *number > aRow.maximum) {
-      AddProblem(node, aRow.key,
-                 fmt::format("allowed: {} to {} {}", aRow.minimum, aRow.maximum,
-                             aRow.unit));
-      return;
-    }
-    aSettings.*aRow.member = *number;
+    ReadInRange(aRow, aSettings, [](const auto& aNode) {
+      return aNode.is_integer() ? aNode.template value<std::int64_t>()
+                                : std::nullopt;
+    });
+  }
+
+  auto Read(const DecimalSetting& aRow, Settings& aSettings) -> void
+  {
+    ReadInRange(aRow, aSettings, [](const auto& aNode) {
+      return aNode.is_number() ? aNode.template value<double>() : std::nullopt;
+    });
   }
 
   /// Requires certificate and key together. Without them, allows only loopback
@@ -146,6 +144,28 @@
     return fmt::format("allowed: {}", fmt::join(aRow.choices(), ", "));
   }
 
+  /// Reads a number with aValueOf, which returns an empty value for a node of
+  /// another type.
+  template<typename Row, typename ValueOf>
+  auto ReadInRange(const Row& aRow, Settings& aSettings, ValueOf aValueOf)
+    -> void
+  {
+    const auto node = m_table.at_path(aRow.key);
+    if (!node) {
+      aSettings.*aRow.member = aRow.defaultValue;
+      return;
+    }
+    const auto number = aValueOf(node);
+    // The negated form also rejects a decimal that is not a number.
+    if (!number || !(*number >= aRow.minimum && *number <= aRow.maximum)) {
+      AddProblem(node, aRow.key,
+                 fmt::format("allowed: {} to {} {}", aRow.minimum, aRow.maximum,
+                             aRow.unit));
+      return;
+    }
+    aSettings.*aRow.member = *number;
+  }
+
   static auto IsRequired(const TextSetting& aRow, const Settings& aSettings)
     -> bool
   {
@@ -247,6 +267,10 @@
     knownKeys.insert(row.key);
     settingsReader.Read(row, settings);
   }
+  for (const auto& row : DecimalSettings()) {
+    knownKeys.insert(row.key);
+    settingsReader.Read(row, settings);
+  }
   settingsReader.CheckAdministrationTls(settings);
   settingsReader.RejectUnknownKeys(knownKeys);
   aError = aProblems.empty() ? std::error_code{}
@@ -288,11 +312,17 @@
                : fmt::format("\"\"  # required for {}", row.dataPath))
           : fmt::format("\"{}\"", row.defaultValue));
   }
+  const auto addNumber = [&add](const auto& aRow) {
+    add(aRow.key,
+        fmt::format("{} ({} to {} {})", aRow.help, aRow.minimum, aRow.maximum,
+                    aRow.unit),
+        fmt::format("{}", aRow.defaultValue));
+  };
   for (const auto& row : NumberSettings()) {
-    add(row.key,
-        fmt::format("{} ({} to {} {})", row.help, row.minimum, row.maximum,
-                    row.unit),
-        std::to_string(row.defaultValue));
+    addNumber(row);
+  }
+  for (const auto& row : DecimalSettings()) {
+    addNumber(row);
   }
   std::string text;
   for (const auto& [section, lines] : sections) {
--- a/lib/Kernel/SettingsSchema.cpp
+++ b/lib/Kernel/SettingsSchema.cpp
@@ -139,9 +139,9 @@
   return kRows;
 }
 
-auto NumberSettings() -> const std::array<NumberSetting, 7>&
+auto NumberSettings() -> const std::array<NumberSetting, 9>&
 {
-  static const std::array<NumberSetting, 7> kRows{ {
+  static const std::array<NumberSetting, 9> kRows{ {
     { "flows.idle_seconds", &Settings::idleFlowSeconds, 600, 1, 86400, "s",
       "idle time after which a flow without requests is removed" },
     { "flows.drain_seconds", &Settings::drainSeconds, 60, 1, 3600, "s",
@@ -152,6 +152,12 @@
       86400, "s", "maximum duration of a flow; older flows may be removed" },
     { "forward.stop_ms", &Settings::stopMs, 4000, 0, 600000, "ms",
       "maximum time that a planned stop continues forwarding" },
+    { "forward.drain_notice_ms", &Settings::drainNoticeMs, 3000, 500, 60000,
+      "ms",
+      "time within which every balancer has to know that a target drains" },
+    { "forward.hedge_percent", &Settings::hedgePercent, 0, 0, 100, "%",
+      "share of the first packets of idempotent routes that may also be sent "
+      "to a second target; 0 for none" },
     { "log.records_per_second", &Settings::logRecordsPerSecond, 20, 1, 100000,
       "1/s", "maximum number of log records of one event per second" },
     { "vm.seed", &Settings::seed, 0, 0, 9223372036854775807, "",
@@ -160,4 +166,21 @@
   return kRows;
 }
 
+auto DecimalSettings() -> const std::array<DecimalSetting, 4>&
+{
+  static const std::array<DecimalSetting, 4> kRows{ {
+    { "vm.cpu_share", &Settings::cpuShare, 0, 0, 1024, "cores",
+      "processor capacity of this VM; 0 if unknown" },
+    { "vm.link_mbps", &Settings::linkMbps, 0, 0, 1000000, "Mbit/s",
+      "network capacity of this VM; 0 if unknown" },
+    { "forward.warm_up_excess", &Settings::warmUpExcess, 1, 1, 100, "",
+      "factor by which the requests to a target that is warming up may exceed "
+      "its service's limit in one second" },
+    { "forward.warm_up_slack", &Settings::warmUpSlack, 0, 0, 1000000,
+      "requests",
+      "number of requests by which they may exceed it in addition" },
+  } };
+  return kRows;
+}
+
 } // namespace bramleylock::kernel
--- a/lib/Kernel/SettingsSchema.h
+++ b/lib/Kernel/SettingsSchema.h
@@ -44,8 +44,21 @@
   const char* help;
 };
 
+struct DecimalSetting
+{
+  const char* key;
+  double Settings::*member;
+  double defaultValue;
+  double minimum;
+  double maximum;
+  const char* unit;
+  const char* help;
+};
+
 auto TextSettings() -> const std::array<TextSetting, 29>&;
 
-auto NumberSettings() -> const std::array<NumberSetting, 7>&;
+auto NumberSettings() -> const std::array<NumberSetting, 9>&;
+
+auto DecimalSettings() -> const std::array<DecimalSetting, 4>&;
 
 } // namespace bramleylock::kernel
