Read the store on the fastest VMs and without superseded versions

What was seen: with 1,453 routes that changed several times a second, a target that began to drain got new flows for up to 5,340 ms (bound 5,000).

Cause: the reader was a VM of 0.028 cores and 10 Mbit/s. Each watch returned every version written during the previous one, so it fell further behind, and stand-by readers took its long responses for a lost store.

Change: reader ranks go by a capacity class that members gossip; values that a later row replaces are not decoded; a reader whose watch returned more than the full state reads that next; a call fails when bytes stop arriving, not when many arrive; the age of a reading counts from the first byte; intervals follow from forward.drain_notice_ms below 3 s.

UpdatesOfOtherVersionsAreAccepted names the new fields before its "later field", which stood in the place of the first of them; its assertions are unchanged.

Result: unit tests of the schedule, the calls and the superseded values; a daemon without fast VMs keeps the order of before.

--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "bramleylock/Forward/ReadSchedule.h"
 #include "bramleylock/Forward/RoutingState.h"
 #include "bramleylock/Peer/Broadcast.h"
 #include "bramleylock/Peer/Membership.h"
@@ -11,10 +12,6 @@
 
 namespace bramleylock::forward {
 
-/// Returns the delay after the last known reading at which the balancer of
-/// aRank reads the store.
-auto ReadDelay(std::size_t aRank) -> Milliseconds;
-
 /// Returns the number of balancers assumed to share the targets before the
 /// members are found, aSinceStart after this balancer started, when aRecorded
 /// were recorded last.
@@ -22,17 +19,21 @@
   -> std::size_t;
 
 /// Reads the store in turns by rank. The first balancer of the first failure
-/// domain watches the store and broadcasts the result of each watch, also when
-/// nothing changed. Each other balancer reads the store only if that update is
-/// late, by a delay that depends on its rank in its domain. No leader election
-/// or failure detection is needed.
+/// domain, one of those with the most capacity, watches the store and
+/// broadcasts the result of each watch, also when nothing changed. Each other
+/// balancer reads the store only if that update is late, by a delay that
+/// depends on its rank in its domain. No leader election or failure detection
+/// is needed.
 class StateReader
 {
 public:
+  static constexpr Milliseconds kDefaultDrainNotice{ 3000 };
+
   StateReader(asio::io_context& aContext, StateSource& aSource,
               RoutingState& aState, peer::PeerLinks& aLinks,
               peer::Membership& aMembers, peer::Broadcast& aBroadcast,
-              Metrics& aMetrics);
+              Metrics& aMetrics,
+              ReadIntervals aIntervals = IntervalsFor(kDefaultDrainNotice));
 
   /// Starts reading; continues from state that was received before, if any.
   auto Start() -> void;
@@ -47,6 +48,8 @@
   /// store.
   auto Rank() const -> std::size_t;
 
+  auto Intervals() const -> const ReadIntervals&;
+
   /// Reads the store as soon as possible, for example after a pause in which
   /// any state may have changed.
   auto ReadImmediately() -> void;
@@ -55,6 +58,7 @@
   auto ReadLoop() -> awaitable<void>;
   auto ReadOnce(std::size_t aRank) -> awaitable<void>;
   auto RecordBalancerCount() -> awaitable<void>;
+  auto RecordFormerShares() -> awaitable<void>;
   auto RecordedCountDeviates() const -> bool;
   auto NextReadTime(std::size_t aRank) -> Clock::time_point;
   auto CurrentWatchPause() const -> Milliseconds;
@@ -76,6 +80,8 @@
   Metrics& m_metrics;
   Random m_random;
   ConditionVariable m_wake;
+  ReadIntervals m_intervals;
+  ReadSizes m_readSizes;
   bool m_needFullRead = true;
   bool m_readImmediately = false;
   int m_failedCalls = 0;
@@ -87,6 +93,7 @@
   /// Time since which the recorded number of balancers has been inaccurate; the
   /// epoch while it is accurate.
   Clock::time_point m_countDeviatesSince{};
+  Clock::time_point m_sharesRecordedAt{};
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/StateSource.h
+++ b/include/bramleylock/Forward/StateSource.h
@@ -62,6 +62,12 @@
   /// Services that the routes allowed earlier, as the balancers recorded them
   /// in the store, if the reading contains them.
   std::optional<std::vector<FormerShare>> formerShares{};
+  /// Size of the store's responses.
+  std::size_t bytes = 0;
+  /// When the first byte of the response arrived, at the latest the time as of
+  /// which the reading reflects the store; the maximum if it is complete at
+  /// once.
+  Clock::time_point sentAt = Clock::time_point::max();
 };
 
 /// Reads the platform's store. All calls report errors as SourceError.
@@ -94,6 +100,12 @@
   virtual auto RecordBalancerCount(std::uint32_t aCount,
                                    std::error_code& aError)
     -> awaitable<void> = 0;
+
+  /// Records the services that routes allow or allowed recently. If another
+  /// balancer has recorded them since the last reading, its record is kept.
+  virtual auto RecordFormerShares(const std::vector<FormerShare>& aShares,
+                                  std::error_code& aError)
+    -> awaitable<void> = 0;
 };
 
 /// Registry of sources by name. They are constructed from the io_context, the
--- a/include/bramleylock/Http/Http.h
+++ b/include/bramleylock/Http/Http.h
@@ -19,6 +19,11 @@
   std::string target;
   std::string body;
   std::map<std::string, std::string> headers;
+  /// If above zero, the timeout of Fetch limits only the time until the first
+  /// byte of the reply. From then on, this is the maximum time between two
+  /// received bytes, and the reply has to be complete within transferTimeout.
+  Milliseconds progressTimeout{ 0 };
+  Milliseconds transferTimeout{ 0 };
   /// Set by the server: returns whether the client has closed the connection.
   std::function<bool()> hasClientClosed;
 };
@@ -29,6 +34,8 @@
   std::string body;
   std::string contentType = "application/json";
   std::map<std::string, std::string> headers;
+  /// When the first byte of the reply arrived; set by Fetch.
+  Clock::time_point firstByteAt{};
 };
 
 /// Sends aRequest on a new connection. Sets aError after a connection or
--- a/include/bramleylock/Peer/MemberTable.h
+++ b/include/bramleylock/Peer/MemberTable.h
@@ -46,6 +46,8 @@
   /// The most recent heartbeat of the member.
   wire::Heartbeat latestHeartbeat;
   std::uint64_t refutation = 0;
+  /// See wire::Hello.
+  std::uint8_t capacityClass = 0;
   /// When a record last changed the member.
   Clock::time_point changedAt{};
   /// Number of changes since changeWindowStart, for flap damping.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -80,7 +80,10 @@
   /// "ip:port" of the sender's peer listener.
   std::string address;
   std::uint64_t incarnation = 0;
-  MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation)
+  /// Class of the VM's processor and network capacity; higher is faster, and 0
+  /// is unknown.
+  std::uint8_t capacityClass = 0;
+  MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation, capacityClass)
 };
 
 /// Acknowledges messages: the number that the accepting end has read on this
@@ -140,8 +143,10 @@
   /// A peer::MemberState.
   std::uint8_t state = 0;
   bool draining = false;
+  /// See Hello.
+  std::uint8_t capacityClass = 0;
   MSGPACK_DEFINE_ARRAY(vm, failureDomain, address, incarnation, refutation,
-                       state, draining)
+                       state, draining, capacityClass)
 };
 
 /// A summary of a failure domain for the other domains.
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -10,20 +10,6 @@
 
 namespace bramleylock::forward {
 
-/// Timeout of a watch. Targets may receive new flows for at most 3 s after they
-/// begin to drain. This has to hold if the reader fails just after its last
-/// update, so the timeout, two rank steps and the calls stay below 3 s.
-static constexpr Milliseconds kWatchTimeout{ 2000 };
-
-/// Additional delay per rank. A reading takes a few milliseconds, and up to 250
-/// ms in a store that is fifty times slower than usual.
-static constexpr Milliseconds kRankDelayStep{ 250 };
-static constexpr std::size_t kMaxRankSteps = 6;
-
-/// Pause between two watches, so that changes in quick succession are read
-/// together.
-static constexpr Milliseconds kWatchPause{ 200 };
-
 /// Pause between two watches during startup, when members are not found yet and
 /// every balancer has rank 0. By the end of the pause, most balancers have
 /// found those with a better rank and do not read.
@@ -38,8 +24,7 @@
 /// of the outage.
 static constexpr Milliseconds kOutageEffectDuration{ 4000 };
 
-/// Age from which state is requested from a random peer of any failure domain.
-static constexpr Milliseconds kStaleAge{ 3500 };
+/// Interval of requests for state from a random peer of any failure domain.
 static constexpr Milliseconds kPeerRequestInterval{ 500 };
 
 /// Age from which the full state is requested: peers discard targets that
@@ -54,6 +39,9 @@
 /// is recorded again: restarts take several seconds.
 static constexpr Milliseconds kCountSettleTime{ 6000 };
 
+/// Minimum interval between two records of former shares.
+static constexpr Milliseconds kMinRecordInterval{ 1000 };
+
 /// Divisor for the tolerated deviation of the recorded number. A deviation of
 /// one in five changes each balancer's share of the targets by less than its
 /// uncertainty about the load from other balancers.
@@ -77,19 +65,11 @@
   return std::max<std::size_t>(aRecorded / divisor, 1);
 }
 
-auto ReadDelay(std::size_t aRank) -> Milliseconds
-{
-  if (aRank == 0) {
-    return kWatchPause;
-  }
-  return kWatchTimeout + kWatchPause +
-         kRankDelayStep * static_cast<int>(std::min(aRank, kMaxRankSteps));
-}
-
 StateReader::StateReader(asio::io_context& aContext, StateSource& aSource,
                          RoutingState& aState, peer::PeerLinks& aLinks,
                          peer::Membership& aMembers,
-                         peer::Broadcast& aBroadcast, Metrics& aMetrics)
+                         peer::Broadcast& aBroadcast, Metrics& aMetrics,
+                         ReadIntervals aIntervals)
   : m_context(aContext)
   , m_source(aSource)
   , m_state(aState)
@@ -99,6 +79,7 @@
   , m_metrics(aMetrics)
   , m_random(SecureRandomNumber())
   , m_wake(aContext)
+  , m_intervals(aIntervals)
 {
 }
 
@@ -139,6 +120,11 @@
            : found;
 }
 
+auto StateReader::Intervals() const -> const ReadIntervals&
+{
+  return m_intervals;
+}
+
 auto StateReader::RecordedCountDeviates() const -> bool
 {
   const auto found = m_members.AliveCount();
@@ -175,6 +161,25 @@
             { "outcome", error ? error.message() : "done" } });
 }
 
+/// Records which services routes allowed besides those in force, so that
+/// balancers know the targets of open flows after the loss of all balancers.
+auto StateReader::RecordFormerShares() -> awaitable<void>
+{
+  const auto now = Clock::now();
+  const auto shares = m_state.SharesToRecord();
+  if (Rank() != 0 || !shares || now - m_sharesRecordedAt < kMinRecordInterval) {
+    co_return;
+  }
+  m_sharesRecordedAt = now;
+  std::error_code error;
+  co_await m_source.RecordFormerShares(*shares, error);
+  m_metrics.Add(Counter::FormerSharesRecorded);
+  LogInfo("former-shares-recorded",
+          { { "shares", std::to_string(shares->size()) },
+            { "routes", std::to_string(m_state.RoutesVersion()) },
+            { "outcome", error ? error.message() : "done" } });
+}
+
 auto StateReader::ReadImmediately() -> void
 {
   m_readImmediately = true;
@@ -184,11 +189,12 @@
 auto StateReader::Rank() const -> std::size_t
 {
   const auto& self = m_members.Self();
-  auto addresses = m_members.AliveAddressesInDomain();
-  addresses.push_back(self.address);
-  const auto order = RendezvousOrder("state-reader", std::move(addresses));
-  const auto position = std::find(order.begin(), order.end(), self.address);
-  const auto rankInDomain = static_cast<std::size_t>(position - order.begin());
+  std::vector<ReaderCandidate> candidates{ { self.address,
+                                             self.capacityClass } };
+  for (const auto& member : m_members.AliveMembersInDomain()) {
+    candidates.push_back({ member.address, member.capacityClass });
+  }
+  const auto rankInDomain = RankInDomain(self.address, std::move(candidates));
   std::vector<std::string> domains;
   for (const auto& [domain, alive] : m_members.AliveByDomain()) {
     domains.push_back(domain);
@@ -204,14 +210,16 @@
 auto StateReader::CurrentWatchPause() const -> Milliseconds
 {
   const bool starting = Clock::now() - m_startedAt < kMemberDiscoveryTime;
-  return starting ? kStartupWatchPause : kWatchPause;
+  return starting ? std::min(kStartupWatchPause, m_intervals.watchTimeout)
+                  : m_intervals.watchPause;
 }
 
 auto StateReader::CurrentWatchTimeout(std::size_t aRank) const -> Milliseconds
 {
   // A balancer that replaces a late reader returns the current changes at once,
   // so that balancers with higher ranks need not read as well.
-  return aRank == 0 ? kWatchTimeout + kWatchPause - CurrentWatchPause()
+  return aRank == 0 ? m_intervals.watchTimeout + m_intervals.watchPause -
+                        CurrentWatchPause()
                     : Milliseconds(0);
 }
 
@@ -224,9 +232,11 @@
     m_lastRank = aRank;
     LogInfo("reader-rank",
             { { "rank", std::to_string(aRank) },
-              { "reads_after_ms", std::to_string(ReadDelay(aRank).count()) } });
+              { "reads_after_ms",
+                std::to_string(ReadDelay(aRank, m_intervals).count()) } });
   }
-  const auto delay = aRank == 0 ? CurrentWatchPause() : ReadDelay(aRank);
+  const auto delay =
+    aRank == 0 ? CurrentWatchPause() : ReadDelay(aRank, m_intervals);
   return std::max(m_retryAt, m_state.ReadAt() + delay);
 }
 
@@ -240,9 +250,10 @@
       m_readImmediately = false;
       co_await ReadOnce(rank);
       co_await RecordBalancerCount();
+      co_await RecordFormerShares();
       continue;
     }
-    if (now - m_state.ReadAt() > kStaleAge) {
+    if (now - m_state.ReadAt() > m_intervals.staleAge) {
       RequestFromRandomPeer(now);
     }
     co_await m_wake.WaitUntil(std::min(dueAt, now + kPeerRequestInterval));
@@ -255,7 +266,9 @@
   // A response that names a new generation ends the history that is known here,
   // so that no watch can continue it.
   const auto known = m_state.Revision();
-  const bool full = m_needFullRead || m_source.Generation() > known.generation;
+  const bool full = m_needFullRead ||
+                    m_source.Generation() > known.generation ||
+                    FullReadingIsSmaller(m_readSizes);
   std::error_code error;
   StateReading reading;
   if (full) {
@@ -266,6 +279,10 @@
   }
   const auto now = Clock::now();
   m_metrics.Add(Counter::StateReadings);
+  (full ? m_readSizes.full : m_readSizes.incremental) = reading.bytes;
+  if (full) {
+    m_readSizes.incremental = 0;
+  }
   if (error == make_error_code(SourceError::HistoryGone)) {
     m_metrics.Add(Counter::StateHistoryGone);
     LogInfo("state-history-gone",
@@ -306,11 +323,14 @@
     m_lastFailureAt != Clock::time_point{} &&
     now - m_lastFailureAt < kOutageEffectDuration;
   RecordSuccess();
-  // The response to a watch reflects the store at the time it was sent.
-  m_broadcast.SendToAll(wire::MessageType::Routing,
-                        wire::PackBody(m_state.ApplyReading(
-                          std::move(reading), full, storeFailedRecently,
-                          full ? readStartedAt : now, now)));
+  // The response to a watch reflects the store at the time it was sent, which
+  // is long past when a slow link has transferred it.
+  const auto sentAt =
+    full ? readStartedAt : std::clamp(reading.sentAt, readStartedAt, now);
+  m_broadcast.SendToAll(
+    wire::MessageType::Routing,
+    wire::PackBody(m_state.ApplyReading(std::move(reading), full,
+                                        storeFailedRecently, sentAt, now)));
 }
 
 auto StateReader::RecordFailure(const std::error_code& aError,
--- a/lib/Http/Http.cpp
+++ b/lib/Http/Http.cpp
@@ -43,10 +43,33 @@
   return message;
 }
 
+/// Time limits of an exchange; see Request.
+struct Timeouts
+{
+  Milliseconds reply{};
+  Milliseconds progress{};
+  Milliseconds transfer{};
+};
+
+/// Extends the timeout of a stream that has just received bytes of aReply.
+static auto RecordProgress(beast::tcp_stream& aStream,
+                           const Timeouts& aTimeouts, Reply& aReply) -> void
+{
+  const auto now = Clock::now();
+  if (aReply.firstByteAt == Clock::time_point{}) {
+    aReply.firstByteAt = now;
+  }
+  if (aTimeouts.progress.count() > 0) {
+    aStream.expires_at(std::min(now + aTimeouts.progress,
+                                aReply.firstByteAt + aTimeouts.transfer));
+  }
+}
+
 /// Sends aMessage on an open connection and reads the reply.
 template<typename Stream>
 static auto Exchange(Stream& aStream,
                      beast::http::request<beast::http::string_body> aMessage,
+                     const Timeouts& aTimeouts,
                      boost::system::error_code& aFailure) -> awaitable<Reply>
 {
   Reply reply;
@@ -57,10 +80,14 @@
   beast::flat_buffer buffer;
   beast::http::response_parser<beast::http::string_body> parser;
   parser.body_limit(kMaxBodyBytes);
-  co_await beast::http::async_read(aStream, buffer, parser,
-                                   RedirectError(aFailure));
-  if (aFailure) {
-    co_return reply;
+  auto& tcpStream = beast::get_lowest_layer(aStream);
+  while (!parser.is_done()) {
+    co_await beast::http::async_read_some(aStream, buffer, parser,
+                                          RedirectError(aFailure));
+    if (aFailure) {
+      co_return reply;
+    }
+    RecordProgress(tcpStream, aTimeouts, reply);
   }
   reply.status = parser.get().result_int();
   reply.body = std::move(parser.get().body());
@@ -87,13 +114,13 @@
 
 static auto FetchTls(Tcp::endpoint aServer,
                      beast::http::request<beast::http::string_body> aMessage,
-                     Milliseconds aTimeout, TlsContext aTls,
+                     Timeouts aTimeouts, TlsContext aTls,
                      boost::system::error_code& aFailure) -> awaitable<Reply>
 {
   auto executor = co_await asio::this_coro::executor;
   TlsStream stream(executor, *aTls);
   auto& tcpStream = beast::get_lowest_layer(stream);
-  co_await Connect(tcpStream, aServer, aTimeout, aFailure);
+  co_await Connect(tcpStream, aServer, aTimeouts.reply, aFailure);
   if (aFailure) {
     co_return Reply{};
   }
@@ -104,34 +131,36 @@
   if (aFailure) {
     co_return Reply{};
   }
-  co_return co_await Exchange(stream, std::move(aMessage), aFailure);
+  co_return co_await Exchange(stream, std::move(aMessage), aTimeouts, aFailure);
 }
 
 static auto FetchPlain(Tcp::endpoint aServer,
                        beast::http::request<beast::http::string_body> aMessage,
-                       Milliseconds aTimeout,
-                       boost::system::error_code& aFailure) -> awaitable<Reply>
+                       Timeouts aTimeouts, boost::system::error_code& aFailure)
+  -> awaitable<Reply>
 {
   auto executor = co_await asio::this_coro::executor;
   beast::tcp_stream stream(executor);
-  co_await Connect(stream, aServer, aTimeout, aFailure);
+  co_await Connect(stream, aServer, aTimeouts.reply, aFailure);
   if (aFailure) {
     co_return Reply{};
   }
-  co_return co_await Exchange(stream, std::move(aMessage), aFailure);
+  co_return co_await Exchange(stream, std::move(aMessage), aTimeouts, aFailure);
 }
 
 auto Fetch(Tcp::endpoint aServer, Request aRequest, Milliseconds aTimeout,
            std::error_code& aError, TlsContext aTls) -> awaitable<Reply>
 {
   boost::system::error_code failure;
+  const Timeouts timeouts{ aTimeout, aRequest.progressTimeout,
+                           aRequest.transferTimeout };
   auto message = MakeMessage(aServer, aRequest);
   Reply reply;
   if (aTls) {
-    reply = co_await FetchTls(aServer, std::move(message), aTimeout,
+    reply = co_await FetchTls(aServer, std::move(message), timeouts,
                               std::move(aTls), failure);
   } else {
-    reply = co_await FetchPlain(aServer, std::move(message), aTimeout, failure);
+    reply = co_await FetchPlain(aServer, std::move(message), timeouts, failure);
   }
   aError = failure;
   co_return reply;
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -118,7 +118,8 @@
               { settings.failureDomain,
                 std::chrono::seconds(settings.longestFlowSeconds),
                 settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
-                                   : SecureRandomNumber() })
+                                   : SecureRandomNumber(),
+                { settings.warmUpExcess, settings.warmUpSlack } })
   , silentTargetProber(context, routes, targets, metrics)
   , pauseDetector(context, metrics)
 {
@@ -145,8 +146,18 @@
       std::chrono::duration_cast<Milliseconds>(aNow - startedAt)));
     return;
   }
-  forwarder.SetBalancers(stateReader->BalancerCount(aNow),
-                         members->AliveByDomain());
+  const auto count = stateReader->BalancerCount(aNow);
+  const auto byDomain = members->AliveByDomain();
+  forwarder.SetBalancers(count, byDomain);
+  if (routes.HasWarmUpLimits()) {
+    auto addresses = members->AliveAddressesInDomain();
+    addresses.push_back(members->Self().address);
+    const auto recorded =
+      std::max<std::size_t>(state.RecordedBalancerCount(), 1);
+    forwarder.SetDomainBalancers(
+      { settings.failureDomain, members->Self().address, std::move(addresses),
+        std::max<std::size_t>(recorded / byDomain.size(), 1) });
+  }
 }
 
 auto ForwardingBalancer::Impl::UpdateGauges() -> void
@@ -230,15 +241,18 @@
   hub->OnKeylessRequest([this](const std::string& aRequest) {
     return forward::AnswerSeedStateRequest(state, aRequest, Clock::now());
   });
-  const wire::Hello self{ settings.vmName, settings.failureDomain,
-                          hub->Address(), NewIncarnation() };
+  const wire::Hello self{
+    settings.vmName, settings.failureDomain, hub->Address(), NewIncarnation(),
+    forward::CapacityClass(settings.cpuShare, settings.linkMbps)
+  };
   members = std::make_unique<peer::Membership>(context, *hub, self, metrics);
   // On the forwarding path the incarnation is used in membership records only,
   // so it may be renewed.
   members->AllowIncarnationRenewal();
   broadcast = std::make_unique<peer::Broadcast>(*hub, *members, metrics);
   stateReader = std::make_unique<forward::StateReader>(
-    context, *stateSource, state, *hub, *members, *broadcast, metrics);
+    context, *stateSource, state, *hub, *members, *broadcast, metrics,
+    forward::IntervalsFor(Milliseconds(settings.drainNoticeMs)));
   hub->Start(self);
   return true;
 }
--- a/lib/Kernel/ForwardingStatus.cpp
+++ b/lib/Kernel/ForwardingStatus.cpp
@@ -44,6 +44,19 @@
   return members;
 }
 
+static auto FormatEvacuations(const ForwardingStatusSources& aSources,
+                              Clock::time_point aNow) -> json
+{
+  json rows = json::array();
+  for (const auto& row : aSources.targets.Evacuations().InForce(aNow)) {
+    rows.push_back(
+      { { "failure_domain", row.failureDomain },
+        { "since_ms", AgeMs(row.since, aNow) },
+        { "open_flows", aSources.targets.OpenFlowsIn(row.failureDomain) } });
+  }
+  return rows;
+}
+
 static auto FormatStatus(const ForwardingStatusSources& aSources,
                          Clock::time_point aNow) -> json
 {
@@ -64,11 +77,13 @@
                { "targets_known", aSources.targets.Size() },
                { "flows_tracked", aSources.forwarder.Flows().Size() },
                { "flows_waiting", aSources.forwarder.PendingFlowCount() },
+               { "evacuations", FormatEvacuations(aSources, aNow) },
                { "members", FormatMembers(aSources) } };
   if (aSources.reader != nullptr) {
     const auto rank = aSources.reader->Rank();
     status["reader_rank"] = rank;
-    status["reads_after_ms"] = forward::ReadDelay(rank).count();
+    status["reads_after_ms"] =
+      forward::ReadDelay(rank, aSources.reader->Intervals()).count();
     status["balancers"] = aSources.reader->BalancerCount(aNow);
   }
   return status;
--- a/lib/Peer/MemberTable.cpp
+++ b/lib/Peer/MemberTable.cpp
@@ -48,7 +48,7 @@
   return { m_self.vm,      m_self.failureDomain,
            m_self.address, m_self.incarnation,
            m_refutation,   static_cast<std::uint8_t>(m_selfState),
-           m_selfDraining };
+           m_selfDraining, m_self.capacityClass };
 }
 
 auto MemberTable::SetSelfState(MemberState aState, bool aDraining) -> void
@@ -71,7 +71,8 @@
            aMember.incarnation,
            aMember.refutation,
            static_cast<std::uint8_t>(aMember.state),
-           aMember.latestHeartbeat.draining };
+           aMember.latestHeartbeat.draining,
+           aMember.capacityClass };
 }
 
 auto MemberTable::AllowIncarnationRenewal() -> void
@@ -142,6 +143,11 @@
   }
   if (aRecord.incarnation > member.incarnation) {
     member.latestHeartbeat = {};
+    member.capacityClass = 0;
+  }
+  // A relay of an older build does not pass the class on.
+  if (aRecord.capacityClass != 0) {
+    member.capacityClass = aRecord.capacityClass;
   }
   const bool reachabilityUnchanged =
     IsReachable(member.state) == IsReachable(state);
@@ -195,13 +201,14 @@
   Apply({ aSender.vm, aSender.failureDomain, aSender.address,
           aSender.incarnation, aGossip.refutation,
           static_cast<std::uint8_t>(MemberState::Alive),
-          aGossip.heartbeat.draining },
+          aGossip.heartbeat.draining, aSender.capacityClass },
         aNow);
   auto& member = m_members[aSender.address];
   if (!IsReachable(member.state)) {
     return false;
   }
   member.lastMessageAt = aNow;
+  member.capacityClass = aSender.capacityClass;
   auto inFlight = std::move(member.latestHeartbeat.inFlight);
   member.latestHeartbeat = aGossip.heartbeat;
   if (!aGossip.hasInFlight) {
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -24,6 +24,9 @@
   int fullReadings = 0;
   int watches = 0;
   std::vector<std::uint32_t> recorded;
+  RouteSet routes = MakeRoutes(3);
+  std::optional<std::vector<FormerShare>> formerShares;
+  int shareRecords = 0;
 };
 
 class FakeSource : public StateSource
@@ -73,6 +76,15 @@
     co_return;
   }
 
+  auto RecordFormerShares(const std::vector<FormerShare>& aShares,
+                          std::error_code&) -> awaitable<void> override
+  {
+    m_store.formerShares = aShares;
+    ++m_store.shareRecords;
+    ++m_store.revision;
+    co_return;
+  }
+
 private:
   auto Answer(std::error_code& aError) -> StateReading
   {
@@ -84,8 +96,9 @@
     reading.revision = { m_store.revision, m_store.generation };
     reading.balancers = m_store.balancers;
     if (m_store.hasRoutes) {
-      reading.routes = MakeRoutes(3);
+      reading.routes = m_store.routes;
     }
+    reading.formerShares = m_store.formerShares;
     return reading;
   }
 
@@ -302,7 +315,9 @@
   receiver.ReceiveUpdate(wire::PackBody(std::make_tuple(
     kBase, std::uint64_t{ 20 }, kVersion, kAge, routes, targets,
     std::vector<RemovedTarget>(), std::uint32_t{ 6 }, std::uint64_t{ 0 },
-    std::uint64_t{ 0 }, std::string("a later field"))));
+    std::uint64_t{ 0 }, std::vector<EvacuationRecord>(), false,
+    std::vector<FormerShare>(), std::vector<RouteSetChange>(),
+    std::string("a later field"))));
   cr_assert(receiver.node.targets.Size() == 1);
   targets.front() = MakeTarget("c", 21);
   receiver.ReceiveUpdate(wire::PackBody(
