--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -12,6 +12,7 @@
 
 #include <msgpack.hpp>
 
+#include "bramleylock/Forward/EvacuationTable.h"
 #include "bramleylock/Forward/Packet.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Support/Asio.h"
@@ -166,10 +167,27 @@
   auto Lookup(TargetTag aTag, const Address& aService,
               const RouteTable& aRoutes) -> DirectoryEntry*;
 
-  /// Returns the targets of a service that accept new flows.
+  /// Returns the targets of a service to which new flows may be opened.
   auto Candidates(const std::string& aService, Clock::time_point aNow)
     -> std::vector<DirectoryEntry*>;
 
+  /// Returns whether new flows may be opened to aEntry: it accepts them, and
+  /// its failure domain is not evacuated.
+  auto MayOpenFlows(const DirectoryEntry& aEntry, Clock::time_point aNow) const
+    -> bool;
+
+  /// Returns whether a service has targets that accept new flows, all of them
+  /// in evacuated failure domains.
+  auto IsEvacuated(const std::string& aService, Clock::time_point aNow) const
+    -> bool;
+
+  /// Returns the number of open flows to the targets of a failure domain, as
+  /// far as this balancer knows.
+  auto OpenFlowsIn(const std::string& aFailureDomain) const -> std::size_t;
+
+  auto Evacuations() -> EvacuationTable&;
+  auto Evacuations() const -> const EvacuationTable&;
+
   /// Returns the incarnation of aId that registered last, or null.
   auto Find(const std::string& aId) -> DirectoryEntry*;
 
@@ -213,6 +231,7 @@
     -> void;
 
   const PacketCodec& m_codec;
+  EvacuationTable m_evacuations;
   std::map<Key, DirectoryEntry> m_entries;
   /// The incarnation of each id that registered last.
   std::unordered_map<std::string, DirectoryEntry*> m_latest;
--- a/lib/Forward/TargetDirectory.cpp
+++ b/lib/Forward/TargetDirectory.cpp
@@ -318,6 +318,7 @@
     }
     m_entries.erase(position);
   }
+  m_evacuations.Expire(aKeep, aNow);
   std::erase_if(m_removed, [aKeep, aNow](const auto& aRow) {
     return aNow - aRow.second.at > aKeep;
   });
@@ -363,7 +364,7 @@
     return candidates;
   }
   for (auto* entry : found->second) {
-    if (!entry->AcceptsNewFlows(aNow)) {
+    if (!MayOpenFlows(*entry, aNow)) {
       continue;
     }
     const auto range = m_byTag.equal_range(entry->tag);
@@ -380,6 +381,52 @@
   return candidates;
 }
 
+auto TargetDirectory::MayOpenFlows(const DirectoryEntry& aEntry,
+                                   Clock::time_point aNow) const -> bool
+{
+  return aEntry.AcceptsNewFlows(aNow) &&
+         !m_evacuations.IsEvacuated(aEntry.record.failureDomain, aNow);
+}
+
+auto TargetDirectory::IsEvacuated(const std::string& aService,
+                                  Clock::time_point aNow) const -> bool
+{
+  const auto found = m_byService.find(aService);
+  if (found == m_byService.end()) {
+    return false;
+  }
+  bool anyAccepts = false;
+  for (const auto* entry : found->second) {
+    if (MayOpenFlows(*entry, aNow)) {
+      return false;
+    }
+    anyAccepts = anyAccepts || entry->AcceptsNewFlows(aNow);
+  }
+  return anyAccepts;
+}
+
+auto TargetDirectory::OpenFlowsIn(const std::string& aFailureDomain) const
+  -> std::size_t
+{
+  std::size_t flows = 0;
+  for (const auto& [key, entry] : m_entries) {
+    if (entry.record.failureDomain == aFailureDomain) {
+      flows += entry.stats.openFlows;
+    }
+  }
+  return flows;
+}
+
+auto TargetDirectory::Evacuations() -> EvacuationTable&
+{
+  return m_evacuations;
+}
+
+auto TargetDirectory::Evacuations() const -> const EvacuationTable&
+{
+  return m_evacuations;
+}
+
 auto TargetDirectory::All() -> std::vector<DirectoryEntry*>
 {
   std::vector<DirectoryEntry*> all;
--- a/unittests/Platform/PlatformStateTest.cpp
+++ b/unittests/Platform/PlatformStateTest.cpp
@@ -60,6 +60,14 @@
     });
   }
 
+  auto RecordFormerShares(const std::vector<FormerShare>& aShares) -> void
+  {
+    error.clear();
+    RunTask([&]() -> awaitable<void> {
+      co_await source->RecordFormerShares(aShares, error);
+    });
+  }
+
   auto ReadSecret(StateSource& aSource) -> std::string
   {
     std::string secret;
@@ -247,3 +255,79 @@
   cr_assert(!fixture.error);
   cr_assert(fixture.ReadState().balancers == 8U);
 }
+
+// Guards against decoding every version of a large configuration that changed
+// several times since the last watch, before the targets' entries.
+Test(PlatformState, SupersededVersionsAreNotDecoded)
+{
+  StoreFixture fixture(3);
+  const auto before = fixture.ReadState().revision;
+  for (const auto* version : { "7", "8", "9" }) {
+    fixture.store.Put("op/config", std::string(R"({"version":)") + version +
+                                     R"(,"routes":[],"services":[]})");
+  }
+  const auto reading = fixture.ReadChanges(before);
+  cr_assert(!fixture.error);
+  cr_assert(reading.routes && reading.routes->version == 9);
+  cr_assert(fixture.metrics.Get(Counter::StoreValuesSuperseded) == 2);
+  cr_assert(reading.bytes > 0);
+}
+
+// Guards against a removal that is hidden by a later entry of the same id.
+Test(PlatformState, RemovedAndRepeatedEntriesAreAllRead)
+{
+  StoreFixture fixture(3);
+  const auto before = fixture.ReadState().revision;
+  fixture.store.Put("op/evacuate/north", "{}");
+  fixture.store.Remove("op/evacuate/north");
+  fixture.store.Put("op/evacuate/south", "{}");
+  const auto reading = fixture.ReadChanges(before);
+  cr_assert(reading.evacuations.size() == 3);
+  cr_assert(reading.evacuations[0].evacuated);
+  cr_assert(!reading.evacuations[1].evacuated);
+  cr_assert(reading.evacuations[1].failureDomain == "north");
+  cr_assert(reading.evacuations[2].failureDomain == "south");
+  const auto full = fixture.ReadState();
+  cr_assert(full.evacuations.size() == 1);
+  cr_assert(full.evacuations[0].evacuated);
+}
+
+// Guards against a record of former shares that cannot be read back, and
+// against one that replaces the record of another balancer.
+Test(PlatformState, FormerSharesAreRecordedUnlessAnotherBalancerHas)
+{
+  StoreFixture fixture(3);
+  const std::vector<FormerShare> shares{ { 7, 443, "orders", 0 },
+                                         { 7, 443, "proofs", 0 } };
+  fixture.RecordFormerShares(shares);
+  cr_assert(!fixture.error);
+  cr_assert(fixture.ReadState().formerShares == shares);
+  fixture.RecordFormerShares({ shares.front() });
+  cr_assert(!fixture.error);
+  fixture.store.Put("bramleylock/former-shares", "not a record");
+  fixture.RecordFormerShares(shares);
+  cr_assert(fixture.error == make_error_code(SourceError::Conflict));
+  cr_assert(!fixture.ReadState().formerShares);
+  cr_assert(fixture.metrics.Get(Counter::FormerSharesUnreadable) == 1);
+  fixture.RecordFormerShares(shares);
+  cr_assert(fixture.ReadState().formerShares == shares);
+}
+
+// Guards against limits of a service that are out of range or of another type.
+Test(PlatformState, WarmUpLimitsAreReadIfTheyAreValid)
+{
+  StoreFixture fixture(3);
+  fixture.store.Put(
+    "op/config",
+    R"({"version":7,"routes":[],"limits":{"idleTimeoutMs":1},"services":[)"
+    R"({"name":"a","healthPath":"/h","coldStartS":2.5,"coldPerS":12},)"
+    R"({"name":"b","healthPath":"/h","coldStartS":-1,"coldPerS":"x"},)"
+    R"({"name":"c","healthPath":"/h"}]})");
+  const auto services = fixture.ReadState().routes->services;
+  cr_assert(services.size() == 3);
+  cr_assert(services[0].warmUpMs == 2500);
+  cr_assert(services[0].warmUpRequestsPerSecond == 12);
+  cr_assert(services[1].warmUpMs == 0);
+  cr_assert(services[1].warmUpRequestsPerSecond == 0);
+  cr_assert(services[2].warmUpRequestsPerSecond == 0);
+}
