Share what earlier routes allowed, and send changes of the routes

What was seen: after a version took a service off a route, balancers that started later dropped 4,643 packets of open flows in 19 s as tag-unknown; 2% to 4% of the requests were late or failed. Whole versions of 1,453 routes, some 150 KB each, delayed the changes of targets behind them on slow links.

Cause: only a balancer that had installed the earlier version knew it. Every version travelled as a whole.

Change: updates that carry routes also carry the services that earlier versions allowed; the first reader records them in the store for routes with more than one, for the loss of all balancers. Between peers the difference to the version before travels if it is small.

Result: BalancerThatStartsLaterLearnsThemFromAPeer and RecordInTheStoreReplacesLostPeers forward these packets, which were dropped before; a service that was never allowed still gets nothing.

--- a/include/bramleylock/Forward/RouteSetChange.h
+++ b/include/bramleylock/Forward/RouteSetChange.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -38,4 +40,13 @@
                        removedRoutes, services, removedServices)
 };
 
+/// Returns the changes from aBase to aNew, or nothing if they cannot be
+/// expressed or are not much smaller than aNew itself.
+auto DifferenceOf(const RouteSet& aBase, const RouteSet& aNew)
+  -> std::optional<RouteSetChange>;
+
+/// Returns the version that results from aChange, which must apply to aBase.
+auto ApplyChange(const RouteSet& aBase, const RouteSetChange& aChange)
+  -> RouteSet;
+
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -38,6 +38,8 @@
   std::string service;
   std::uint32_t weight = 1;
   MSGPACK_DEFINE_ARRAY(service, weight)
+
+  auto operator==(const RouteShare&) const -> bool = default;
 };
 
 struct Route
@@ -50,7 +52,13 @@
   /// 0 is the most urgent.
   std::uint32_t urgency = 0;
   std::uint32_t timeoutMs = 0;
-  MSGPACK_DEFINE_ARRAY(name, ip, port, shares, kind, urgency, timeoutMs)
+  /// Time within which the operators want a request to be answered; 0 if
+  /// unknown.
+  std::uint32_t latencyGoalMs = 0;
+  MSGPACK_DEFINE_ARRAY(name, ip, port, shares, kind, urgency, timeoutMs,
+                       latencyGoalMs)
+
+  auto operator==(const Route&) const -> bool = default;
 
   auto EndpointAddress() const -> Address { return { ip, port }; }
   auto Kind() const -> RequestKind { return static_cast<RequestKind>(kind); }
@@ -64,7 +72,15 @@
   std::string healthPath;
   /// Maximum number of flows of one of its targets; 0 if unknown.
   std::uint32_t maxFlowsPerTarget = 0;
-  MSGPACK_DEFINE_ARRAY(name, healthPath, maxFlowsPerTarget)
+  /// Time after its start in which a target is warming up.
+  std::uint32_t warmUpMs = 0;
+  /// Requests per second that a target bears while it is warming up, from all
+  /// balancers together; 0 for no limit.
+  double warmUpRequestsPerSecond = 0;
+  MSGPACK_DEFINE_ARRAY(name, healthPath, maxFlowsPerTarget, warmUpMs,
+                       warmUpRequestsPerSecond)
+
+  auto operator==(const ServiceInfo&) const -> bool = default;
 };
 
 /// One version of the operators' configuration.
@@ -89,8 +105,14 @@
   /// Time since the first version that did not allow the service any more.
   std::uint32_t ageMs = 0;
   MSGPACK_DEFINE_ARRAY(ip, port, service, ageMs)
+
+  auto operator==(const FormerShare&) const -> bool = default;
 };
 
+/// Maximum number of former shares that are sent to a peer or recorded in the
+/// store: some 100 KB, a tenth of the store's largest value.
+inline constexpr std::size_t kMaxFormerShares = 4096;
+
 enum class RouteState
 {
   InForce,
@@ -127,6 +149,19 @@
   /// service of a route.
   auto NamesService(const std::string& aService) const -> bool;
 
+  /// Returns the services that earlier versions allowed on routes in force and
+  /// the version in force does not; the latest kMaxFormerShares.
+  auto FormerShares(Clock::time_point aNow) const -> std::vector<FormerShare>;
+
+  /// Adds services that earlier versions allowed, as peers or the store know
+  /// them. What this balancer knows itself takes precedence.
+  auto AddFormerShares(const std::vector<FormerShare>& aShares,
+                       Clock::time_point aNow) -> void;
+
+  /// Returns all services that a route in force allows or allowed recently, for
+  /// the routes with more than one of them; at most kMaxFormerShares.
+  auto SharesToRecord() const -> std::vector<FormerShare>;
+
   /// Removes the services that no version has allowed within aKeep; no flow is
   /// older than that.
   auto Expire(Clock::duration aKeep, Clock::time_point aNow) -> void;
@@ -139,6 +174,14 @@
   /// unknown.
   auto MaxFlowsPerTarget(const std::string& aService) const -> std::uint32_t;
 
+  /// Returns the requests per second that a target of a service bears while it
+  /// is warming up; 0 for no limit.
+  auto WarmUpLimit(const std::string& aService) const -> double;
+
+  /// Returns whether any service limits the requests to targets that are
+  /// warming up.
+  auto HasWarmUpLimits() const -> bool;
+
   auto Current() const -> const RouteSet&;
   auto InForceSince() const -> Clock::time_point;
 
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -34,6 +34,8 @@
   std::uint32_t balancers = 0;
   /// Evacuations in a full update, or their changes.
   std::vector<EvacuationRecord> evacuations;
+  /// Whether the sender knows evacuations; older builds do not.
+  bool listsEvacuations = false;
   /// Services that earlier versions of the routes allowed.
   std::vector<FormerShare> formerShares;
   /// Changes of the routes, instead of the routes themselves.
@@ -41,7 +43,8 @@
   MSGPACK_DEFINE_ARRAY(baseRevision.number, revision.number, routesVersion,
                        ageMs, routes, targets, removed, balancers,
                        baseRevision.generation, revision.generation,
-                       evacuations, formerShares, routeChanges)
+                       evacuations, listsEvacuations, formerShares,
+                       routeChanges)
 };
 
 /// Requests the changes after a known state from a peer.
@@ -100,15 +103,34 @@
   /// Returns the number of balancers recorded in the store; 0 if unknown.
   auto RecordedBalancerCount() const -> std::uint32_t;
 
+  /// Returns the shares to record in the store, or nothing if the last reading
+  /// shows that it has them.
+  auto SharesToRecord() const -> std::optional<std::vector<FormerShare>>;
+
 private:
   auto InstallRoutes(const RouteSet& aRoutes, const char* aSource,
                      Clock::time_point aNow) -> bool;
+  auto ApplyReadRoutes(const StateReading& aReading, RoutingUpdate& aUpdate,
+                       Clock::time_point aNow) -> void;
+  auto ApplyPeerRoutes(const RoutingUpdate& aUpdate, Clock::time_point aNow)
+    -> void;
   auto MergeTarget(const TargetRecord& aRecord, const char* aSource,
                    Clock::time_point aNow) -> bool;
   auto ApplyTarget(const TargetRecord& aRecord, const char* aSource,
                    Clock::time_point aNow) -> bool;
   auto RemoveTarget(const RemovedTarget& aRemoved, const char* aSource,
                     Clock::time_point aNow) -> bool;
+  auto ApplyEvacuations(const std::vector<EvacuationRecord>& aRecords,
+                        const char* aSource, Clock::time_point aNow) -> void;
+  auto ApplyReadEvacuations(const StateReading& aReading, bool aFull,
+                            bool aRestored, Clock::time_point aNow) -> void;
+  auto ApplyPeerEvacuations(const RoutingUpdate& aUpdate,
+                            const StoreRevision& aRevision, bool aRestored,
+                            Clock::time_point aNow) -> void;
+  auto EndMissingEvacuations(const std::vector<EvacuationRecord>& aListed,
+                             const StoreRevision& aRevision, bool aMayReturn,
+                             const char* aSource, Clock::time_point aNow)
+    -> void;
   auto FindMissing(const std::vector<TargetRecord>& aListed,
                    const StoreRevision& aRevision, bool aMayReturn,
                    Clock::time_point aNow) -> std::vector<RemovedTarget>;
@@ -139,6 +161,8 @@
   StoreRevision m_removalsKnownSince;
   Clock::time_point m_readAt{};
   std::uint32_t m_recordedBalancers = 0;
+  /// Shares that the store has recorded, as of the last reading.
+  std::vector<FormerShare> m_recordedShares;
 };
 
 } // namespace bramleylock::forward
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -91,6 +91,70 @@
   return m_namedServices.contains(aService);
 }
 
+auto RouteTable::FormerShares(Clock::time_point aNow) const
+  -> std::vector<FormerShare>
+{
+  std::vector<FormerShare> shares;
+  for (const auto& [address, services] : m_allowedUntil) {
+    if (!m_byAddress.contains(address)) {
+      continue;
+    }
+    for (const auto& [service, until] : services) {
+      if (until <= aNow) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(aNow - until);
+        shares.push_back({ address.ip, address.port, service,
+                           static_cast<std::uint32_t>(age.count()) });
+      }
+    }
+  }
+  if (shares.size() > kMaxFormerShares) {
+    std::nth_element(shares.begin(), shares.begin() + kMaxFormerShares,
+                     shares.end(),
+                     [](const FormerShare& aLeft, const FormerShare& aRight) {
+                       return aLeft.ageMs < aRight.ageMs;
+                     });
+    shares.resize(kMaxFormerShares);
+  }
+  return shares;
+}
+
+auto RouteTable::AddFormerShares(const std::vector<FormerShare>& aShares,
+                                 Clock::time_point aNow) -> void
+{
+  for (const auto& share : aShares) {
+    const Address address{ share.ip, share.port };
+    if (!m_byAddress.contains(address)) {
+      continue;
+    }
+    const auto until = aNow - Milliseconds(share.ageMs);
+    const auto [position, isNew] =
+      m_allowedUntil[address].try_emplace(share.service, until);
+    if (isNew) {
+      m_earliestEnd = std::min(m_earliestEnd, until);
+      // Targets of a service that the version in force does not name would be
+      // kept out of the directory.
+      m_namedServices.insert(share.service);
+    }
+  }
+}
+
+auto RouteTable::SharesToRecord() const -> std::vector<FormerShare>
+{
+  std::vector<FormerShare> shares;
+  for (const auto& [address, services] : m_allowedUntil) {
+    if (services.size() < 2 || !m_byAddress.contains(address)) {
+      continue;
+    }
+    for (const auto& [service, until] : services) {
+      if (shares.size() == kMaxFormerShares) {
+        return shares;
+      }
+      shares.push_back({ address.ip, address.port, service, 0 });
+    }
+  }
+  return shares;
+}
+
 auto RouteTable::Expire(Clock::duration aKeep, Clock::time_point aNow) -> void
 {
   const auto limit = aNow - aKeep;
@@ -126,6 +190,22 @@
            : m_routeSet.services[found->second].maxFlowsPerTarget;
 }
 
+auto RouteTable::WarmUpLimit(const std::string& aService) const -> double
+{
+  const auto found = m_services.find(aService);
+  return found == m_services.end()
+           ? 0
+           : m_routeSet.services[found->second].warmUpRequestsPerSecond;
+}
+
+auto RouteTable::HasWarmUpLimits() const -> bool
+{
+  return std::any_of(m_routeSet.services.begin(), m_routeSet.services.end(),
+                     [](const ServiceInfo& aService) {
+                       return aService.warmUpRequestsPerSecond > 0;
+                     });
+}
+
 auto RouteTable::Current() const -> const RouteSet&
 {
   return m_routeSet;
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -24,17 +24,23 @@
 /// a small deployment. The status query "/targets" returns the full list.
 static constexpr std::size_t kMaxLoggedTargets = 64;
 
-auto IsValid(const RoutingUpdate& aUpdate) -> bool
+static auto AreValid(const std::vector<Route>& aRoutes) -> bool
 {
-  const auto routeIsValid = [](const Route& aRoute) {
+  return std::all_of(aRoutes.begin(), aRoutes.end(), [](const Route& aRoute) {
     return !aRoute.shares.empty() && aRoute.port != 0 &&
            aRoute.kind < kRequestKindNames.size();
+  });
+}
+
+auto IsValid(const RoutingUpdate& aUpdate) -> bool
+{
+  const auto routesAreValid = [](const auto& aRow) {
+    return AreValid(aRow.routes);
   };
   return std::all_of(aUpdate.routes.begin(), aUpdate.routes.end(),
-                     [&routeIsValid](const RouteSet& aSet) {
-                       return std::all_of(aSet.routes.begin(),
-                                          aSet.routes.end(), routeIsValid);
-                     }) &&
+                     routesAreValid) &&
+         std::all_of(aUpdate.routeChanges.begin(), aUpdate.routeChanges.end(),
+                     routesAreValid) &&
          std::all_of(aUpdate.targets.begin(), aUpdate.targets.end(),
                      [](const TargetRecord& aRecord) {
                        return aRecord.State() <= TargetState::Dead &&
@@ -142,35 +148,6 @@
          entry->record.sequence >= aRecord.sequence;
 }
 
-auto RoutingState::InstallRoutes(const RouteSet& aRoutes, const char* aSource,
-                                 Clock::time_point aNow) -> bool
-{
-  const auto before = m_routes.Current().version;
-  if (!m_routes.Install(aRoutes, aNow)) {
-    if (aRoutes.version < before) {
-      m_metrics.Add(Counter::RoutesOlder);
-      LogWarning("routes-older",
-                 { { "from", aSource },
-                   { "version", std::to_string(aRoutes.version) },
-                   { "in_force", std::to_string(before) },
-                   { "revision", FormatRevision(aRoutes.revision) } });
-    }
-    return false;
-  }
-  m_metrics.Add(Counter::RoutesInstalled);
-  m_metrics.SetGauge("routes_version", static_cast<double>(aRoutes.version));
-  LogInfo("routes-installed",
-          { { "from", aSource },
-            { "version", std::to_string(aRoutes.version) },
-            { "before", std::to_string(before) },
-            { "revision", FormatRevision(aRoutes.revision) },
-            { "routes", std::to_string(aRoutes.routes.size()) } });
-  for (const auto& record : m_heldTargets.Release(m_routes)) {
-    ApplyTarget(record, aSource, aNow);
-  }
-  return true;
-}
-
 /// Merges a record into the directory, or keeps it out while the routes do not
 /// name its service. Another program may have written it, so it must not show
 /// that the target at its address has ended, or an earlier one of its id. The
@@ -327,9 +304,7 @@
   RoutingUpdate update;
   update.baseRevision = aFull ? StoreRevision() : m_revision;
   update.revision = aReading.revision;
-  if (aReading.routes && InstallRoutes(*aReading.routes, "store", aNow)) {
-    update.routes.push_back(*aReading.routes);
-  }
+  ApplyReadRoutes(aReading, update, aNow);
   const bool isFirstReading = m_readAt == Clock::time_point{};
   const bool restored = IsRestored(aReading.revision);
   assert(aFull || !restored);
@@ -345,6 +320,9 @@
       update.targets.push_back(KnownRecord(record));
     }
   }
+  ApplyReadEvacuations(aReading, aFull, restored, aNow);
+  update.evacuations = aReading.evacuations;
+  update.listsEvacuations = true;
   if (aFull) {
     m_heldTargets.DiscardMissing(aReading.targets, aReading.revision);
     const auto missing = FindMissing(aReading.targets, aReading.revision,
@@ -393,9 +371,7 @@
   const auto baseRevision = WithGeneration(aUpdate.baseRevision);
   const bool full = aUpdate.baseRevision.number == 0;
   const bool restored = IsRestored(revision);
-  for (const auto& routes : aUpdate.routes) {
-    InstallRoutes(routes, "peer", aNow);
-  }
+  ApplyPeerRoutes(aUpdate, aNow);
   for (auto record : aUpdate.targets) {
     if (!IsInRange(record)) {
       // A peer of a version without these limits took an odd entry from the
@@ -415,6 +391,7 @@
     removed.revision = WithGeneration(removed.revision);
     RemoveTarget(removed, "peer", aNow);
   }
+  ApplyPeerEvacuations(aUpdate, revision, restored, aNow);
   if (full) {
     m_heldTargets.DiscardMissing(aUpdate.targets, revision);
     for (const auto& missing :
@@ -464,11 +441,17 @@
   if (aRequest.routesVersion < update.routesVersion) {
     update.routes.push_back(m_routes.Current());
   }
+  if (!update.routes.empty() || !incremental) {
+    update.formerShares = m_routes.FormerShares(aNow);
+  }
   update.targets = m_targets.RecordsAfter(update.baseRevision, aNow);
   for (auto& record : m_heldTargets.RecordsAfter(update.baseRevision)) {
     update.targets.push_back(std::move(record));
   }
   update.balancers = m_recordedBalancers;
+  update.evacuations =
+    m_targets.Evacuations().RecordsAfter(update.baseRevision, aNow);
+  update.listsEvacuations = true;
   return update;
 }
 
