Limit the requests to targets that warm up

Cause: a service may limit the requests per second to a target that warms up, over all balancers together; nothing kept to it.

Change: a few balancers of the target's failure domain, selected by rendezvous hashing, share the limit with token buckets; requests on open flows count. Without a limit in the configuration nothing changes.

--- a/include/bramleylock/Forward/FlowChoice.h
+++ b/include/bramleylock/Forward/FlowChoice.h
@@ -34,13 +34,19 @@
 {
   None,
   NoTarget,
+  /// All targets are in failure domains that the operators evacuate.
+  Evacuated,
+  /// All targets are warming up and get as many requests as they bear.
+  WarmingUp,
   /// The targets are saturated; new work would wait too long.
   Overloaded
 };
 
-inline constexpr std::array<NameRow<RefusalReason>, 3> kRefusalReasonNames{ {
+inline constexpr std::array<NameRow<RefusalReason>, 5> kRefusalReasonNames{ {
   { RefusalReason::None, "none" },
   { RefusalReason::NoTarget, "no-target" },
+  { RefusalReason::Evacuated, "evacuated" },
+  { RefusalReason::WarmingUp, "warming-up" },
   { RefusalReason::Overloaded, "busy" },
 } };
 
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -41,6 +41,7 @@
   /// Maximum lifetime of a flow; state of older flows may be discarded.
   std::chrono::seconds maxFlowLifetime{ 60 };
   std::uint64_t seed = 1;
+  WarmUpTolerance warmUpTolerance{};
 };
 
 /// Makes a forwarding decision for each packet from the routes, the target
@@ -89,6 +90,10 @@
   auto SetBalancers(std::size_t aCount,
                     std::map<std::string, std::size_t> aByDomain = {}) -> void;
 
+  /// Sets the balancers that share the targets of this failure domain while
+  /// they warm up.
+  auto SetDomainBalancers(DomainBalancers aBalancers) -> void;
+
   auto Flows() const -> const FlowTable&;
   auto PendingFlowCount() const -> std::size_t;
 
@@ -166,6 +171,8 @@
                           Clock::time_point aNow) -> bool;
   auto Refuse(const Packet& aPacket, Counter aCounter, const char* aReason)
     -> void;
+  auto RefuseWithoutTarget(const Packet& aPacket, RefusalReason aReason)
+    -> void;
   auto LogDeadTarget(const Packet& aPacket, const DirectoryEntry& aTarget,
                      Clock::time_point aNow) -> void;
   auto DropUnknownTag(const Packet& aPacket) -> void;
--- a/include/bramleylock/Forward/TargetSelector.h
+++ b/include/bramleylock/Forward/TargetSelector.h
@@ -9,6 +9,7 @@
 #include "bramleylock/Forward/FlowTable.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Forward/TargetDirectory.h"
+#include "bramleylock/Forward/WarmUpLimits.h"
 
 namespace bramleylock::forward {
 
@@ -27,7 +28,8 @@
 public:
   TargetSelector(const RouteTable& aRoutes, TargetDirectory& aTargets,
                  FlowChoice& aChoice, FlowTable& aFlows,
-                 std::string aFailureDomain, std::uint64_t aSeed);
+                 std::string aFailureDomain, WarmUpTolerance aWarmUpTolerance,
+                 std::uint64_t aSeed);
 
   /// Selects a target for the flow of aPacket. aExcludedTarget is used only if
   /// the service has no other target; it may be null.
@@ -46,7 +48,20 @@
 
   auto Balancers() const -> std::size_t;
 
+  /// Sets the balancers that share the targets of this failure domain while
+  /// they warm up.
+  auto SetDomainBalancers(DomainBalancers aBalancers) -> void;
+
+  /// Counts a request on a new or open flow to aTarget.
+  auto RecordRequest(const DirectoryEntry& aTarget, Clock::time_point aNow)
+    -> void;
+
+  auto Expire(Clock::time_point aNow) -> void;
+
 private:
+  auto RemoveLimitedByWarmUp(std::vector<DirectoryEntry*>& aEntries,
+                             const std::string& aService,
+                             Clock::time_point aNow) -> void;
   auto OpenFlowLimit(const std::string& aService) const -> std::uint32_t;
   auto SlownessOf(const DirectoryEntry& aTarget, Clock::time_point aNow) const
     -> double;
@@ -61,6 +76,7 @@
   Random m_random;
   std::size_t m_balancers = 1;
   std::map<std::string, std::size_t> m_balancersByDomain;
+  WarmUpLimits m_warmUpLimits;
   /// Slowness of targets that are warming up.
   double m_warmUpSlowness;
 };
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -40,7 +40,7 @@
   , m_options(std::move(aOptions))
   , m_flows(kMaxTrackedFlows)
   , m_selector(m_routes, m_targets, aChoice, m_flows, m_options.failureDomain,
-               m_options.seed)
+               m_options.warmUpTolerance, m_options.seed)
 {
 }
 
@@ -78,6 +78,19 @@
   m_sink.SendToClient(aPacket.flow.client, m_codec.MakeReset(aPacket));
 }
 
+/// Refuses a first packet for whose service no target may get new flows.
+auto Forwarder::RefuseWithoutTarget(const Packet& aPacket,
+                                    RefusalReason aReason) -> void
+{
+  if (aReason == RefusalReason::Evacuated) {
+    Refuse(aPacket, Counter::FlowRefusedEvacuated, "evacuated");
+  } else if (aReason == RefusalReason::WarmingUp) {
+    Refuse(aPacket, Counter::FlowRefusedWarmUp, "warming-up");
+  } else {
+    Refuse(aPacket, Counter::FlowRefusedNoTarget, "no-target");
+  }
+}
+
 /// Returns the target for a further copy of a first packet. Copies go to the
 /// target of the first copy, so that two targets do not both hold the flow,
 /// unless that target sent nothing while the client was waiting.
@@ -87,7 +100,7 @@
 {
   auto& target = *aFlow.target;
   const bool hasResponded = target.stats.lastResponseAt >= aFlow.openedAt;
-  const bool acceptsFlows = target.AcceptsNewFlows(aNow);
+  const bool acceptsFlows = m_targets.MayOpenFlows(target, aNow);
   if (acceptsFlows &&
       (hasResponded ||
        aNow - aFlow.openedAt < m_roundTrips.Timeout(aFlow.id.client.ip))) {
@@ -155,6 +168,7 @@
     m_flows.SetBusy(*known, aNow);
     known->repeated = true;
   }
+  m_selector.RecordRequest(aTarget, aNow);
   AwaitFirstResponse(aPacket.flow, false, aNow);
   m_codec.SetTag(aData, OpeningTag(aTarget.tag, aPacket.sequence));
   m_metrics.Add(Counter::PacketsForwarded);
@@ -211,7 +225,7 @@
   } else if (selection.refusal == RefusalReason::Overloaded) {
     Enqueue(aPacket, aData, aSize, route, aNow - aAge);
   } else {
-    Refuse(aPacket, Counter::FlowRefusedNoTarget, "no-target");
+    RefuseWithoutTarget(aPacket, selection.refusal);
   }
 }
 
@@ -235,6 +249,8 @@
       m_silentTargetListener(target);
     }
     nextTarget = TargetForCopy(aFlow, *packet, *route, aNow);
+  } else if (!m_targets.MayOpenFlows(target, aNow)) {
+    nextTarget = TargetForCopy(aFlow, *packet, *route, aNow);
   }
   if (nextTarget == nullptr) {
     return;
@@ -297,6 +313,11 @@
   m_selector.SetBalancers(aCount, std::move(aByDomain));
 }
 
+auto Forwarder::SetDomainBalancers(DomainBalancers aBalancers) -> void
+{
+  m_selector.SetDomainBalancers(std::move(aBalancers));
+}
+
 /// Returns how long a flow without packets is tracked: its ends may discard it
 /// after the configured idle timeout.
 auto Forwarder::InactiveFlowRetention() const -> Clock::duration
@@ -329,6 +350,7 @@
   m_roundTrips.RemoveUnusedSince(aNow - m_options.maxFlowLifetime);
   m_targets.Expire(keep, aNow);
   m_routes.Expire(keep, aNow);
+  m_selector.Expire(aNow);
   RetryPendingFlows(aNow);
   m_sink.Flush();
 }
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -172,6 +172,7 @@
   }
   // The only acknowledgement of a response may be in the next request.
   if (aFlow.phase != FlowPhase::Busy || aHasNewAcknowledgement) {
+    m_selector.RecordRequest(*aFlow.target, aNow);
     m_flows.BeginRequest(aFlow, aNow);
   }
 }
@@ -246,6 +247,7 @@
   flow.acknowledged = aPacket.acknowledgement;
   flow.sequence = aPacket.sequence;
   if (aPacket.carriesData) {
+    m_selector.RecordRequest(aTarget, aNow);
     m_flows.BeginRequest(flow, aNow);
   } else {
     // The request is in progress or complete, and its response may not be
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -226,8 +226,8 @@
                  served.data.size(), aNow);
       continue;
     }
-    if (selection.refusal == RefusalReason::NoTarget) {
-      Refuse(packet, Counter::FlowRefusedNoTarget, "no-target");
+    if (selection.refusal != RefusalReason::Overloaded) {
+      RefuseWithoutTarget(packet, selection.refusal);
       continue;
     }
     if (aService.empty()) {
--- a/lib/Forward/TargetSelector.cpp
+++ b/lib/Forward/TargetSelector.cpp
@@ -41,6 +41,7 @@
 TargetSelector::TargetSelector(const RouteTable& aRoutes,
                                TargetDirectory& aTargets, FlowChoice& aChoice,
                                FlowTable& aFlows, std::string aFailureDomain,
+                               WarmUpTolerance aWarmUpTolerance,
                                std::uint64_t aSeed)
   : m_routes(aRoutes)
   , m_targets(aTargets)
@@ -48,6 +49,7 @@
   , m_flows(aFlows)
   , m_failureDomain(std::move(aFailureDomain))
   , m_random(aSeed)
+  , m_warmUpLimits(aWarmUpTolerance)
   , m_warmUpSlowness(kInitialWarmUpSlowness)
 {
 }
@@ -137,6 +139,11 @@
   if (entries.size() > 1) {
     std::erase(entries, aExcludedTarget);
   }
+  const bool anyCandidate = !entries.empty();
+  RemoveLimitedByWarmUp(entries, service, aNow);
+  if (anyCandidate && entries.empty()) {
+    return { nullptr, RefusalReason::WarmingUp };
+  }
   ChoiceInput input{
     {},
     BalancersSharing(entries, aNow),
@@ -154,7 +161,9 @@
   }
   const auto decision = m_choice.Choose(input, m_random);
   if (!decision.chosen) {
-    return { nullptr, decision.refusal };
+    const bool evacuated = decision.refusal == RefusalReason::NoTarget &&
+                           m_targets.IsEvacuated(service, aNow);
+    return { nullptr, evacuated ? RefusalReason::Evacuated : decision.refusal };
   }
   auto* chosen = entries[*decision.chosen];
   LogFlowOpened(aPacket, aRoute, *chosen, m_routes.Current().version,
@@ -170,6 +179,35 @@
   m_balancersByDomain = std::move(aByDomain);
 }
 
+auto TargetSelector::SetDomainBalancers(DomainBalancers aBalancers) -> void
+{
+  m_warmUpLimits.SetBalancers(std::move(aBalancers));
+}
+
+auto TargetSelector::RecordRequest(const DirectoryEntry& aTarget,
+                                   Clock::time_point aNow) -> void
+{
+  m_warmUpLimits.RecordRequest(
+    aTarget, m_routes.WarmUpLimit(aTarget.record.service), aNow);
+}
+
+auto TargetSelector::Expire(Clock::time_point aNow) -> void
+{
+  m_warmUpLimits.Expire(aNow);
+}
+
+auto TargetSelector::RemoveLimitedByWarmUp(
+  std::vector<DirectoryEntry*>& aEntries, const std::string& aService,
+  Clock::time_point aNow) -> void
+{
+  const auto limit = m_routes.WarmUpLimit(aService);
+  if (limit > 0) {
+    std::erase_if(aEntries, [this, limit, aNow](const DirectoryEntry* aEntry) {
+      return !m_warmUpLimits.MayOpenFlow(*aEntry, limit, aNow);
+    });
+  }
+}
+
 auto TargetSelector::Balancers() const -> std::size_t
 {
   return m_balancers;
