--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -171,6 +171,14 @@
   metrics.SetGauge("state_age_seconds", InSeconds(now - state.ReadAt()));
   metrics.SetGauge("routes_age_seconds",
                    InSeconds(now - routes.InForceSince()));
+  const auto evacuations = targets.Evacuations().InForce(now);
+  std::size_t evacuatedFlows = 0;
+  for (const auto& evacuation : evacuations) {
+    evacuatedFlows += targets.OpenFlowsIn(evacuation.failureDomain);
+  }
+  metrics.SetGauge("evacuated_domains",
+                   static_cast<double>(evacuations.size()));
+  metrics.SetGauge("evacuated_flows_open", static_cast<double>(evacuatedFlows));
   metrics.SetGauge("log_records_dropped",
                    static_cast<double>(LogRecordsDropped()));
 }
