Correct the faults that the review of the new parts found

Cause and change, each with its test where one could be written without a network: - a reader whose first full reading was made before it joined its peers never skipped versions; a response that did not arrive completely was asked for again and again: both lead to a full reading now; - a removal brought an evacuation back into force that had ended after a restore, and a second full state cut its grace period short; - evacuations written while an older build read the store stayed unknown; - differences of the routes were matched by version alone, which is not unique after a restore; the store revision of the base decides as well; - the record of former shares was compared with what another balancer had written since, its write delayed reading, its rows got a new age at each reading, and targets of such services stayed held; - warm-up limits were exceeded while no number of balancers was known and in partitions, and requests were counted twice or not at all.

Result: see the tests in EvacuationTest, WarmUpLimitsTest and ReadScheduleTest.

--- a/include/bramleylock/Forward/ReadSchedule.h
+++ b/include/bramleylock/Forward/ReadSchedule.h
@@ -51,7 +51,7 @@
 auto RankInDomain(const std::string& aSelf,
                   std::vector<ReaderCandidate> aCandidates) -> std::size_t;
 
-/// Sizes of the store's responses to the last readings.
+/// Sizes of the store's responses to the last readings; 0 if unknown.
 struct ReadSizes
 {
   std::size_t full = 0;
--- a/include/bramleylock/Forward/RouteSetChange.h
+++ b/include/bramleylock/Forward/RouteSetChange.h
@@ -25,6 +25,9 @@
 {
   /// The version to which the changes apply.
   std::uint64_t baseVersion = 0;
+  /// Its store revision: after a restore of the store, operators may give the
+  /// same version to other routes.
+  StoreRevision baseRevision;
   std::uint64_t version = 0;
   /// Store revision of the new version.
   StoreRevision revision;
@@ -35,7 +38,8 @@
   /// Services that were added or changed.
   std::vector<ServiceInfo> services;
   std::vector<std::string> removedServices;
-  MSGPACK_DEFINE_ARRAY(baseVersion, version, revision.number,
+  MSGPACK_DEFINE_ARRAY(baseVersion, baseRevision.number,
+                       baseRevision.generation, version, revision.number,
                        revision.generation, idleTimeoutMs, routes,
                        removedRoutes, services, removedServices)
 };
@@ -45,6 +49,9 @@
 auto DifferenceOf(const RouteSet& aBase, const RouteSet& aNew)
   -> std::optional<RouteSetChange>;
 
+/// Returns whether aChange was made from aBase.
+auto AppliesTo(const RouteSetChange& aChange, const RouteSet& aBase) -> bool;
+
 /// Returns the version that results from aChange, which must apply to aBase.
 auto ApplyChange(const RouteSet& aBase, const RouteSetChange& aChange)
   -> RouteSet;
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -106,7 +106,9 @@
   std::uint32_t ageMs = 0;
   MSGPACK_DEFINE_ARRAY(ip, port, service, ageMs)
 
-  auto operator==(const FormerShare&) const -> bool = default;
+  // The check misreads the defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const FormerShare&) const = default;
 };
 
 /// Maximum number of former shares that are sent to a peer or recorded in the
@@ -146,7 +148,7 @@
     -> bool;
 
   /// Returns whether the version in force names a service, on its own or as the
-  /// service of a route.
+  /// service of a route, or a route allowed it recently.
   auto NamesService(const std::string& aService) const -> bool;
 
   /// Returns the services that earlier versions allowed on routes in force and
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -103,11 +103,19 @@
   /// Returns the number of balancers recorded in the store; 0 if unknown.
   auto RecordedBalancerCount() const -> std::uint32_t;
 
+  /// Returns whether all evacuations up to the revision are known. They are not
+  /// after an update of a build that does not read them.
+  auto ListsEvacuations() const -> bool;
+
+  /// Marks what the store has recorded as unknown.
+  auto ForgetRecordedShares() -> void;
+
   /// Returns the shares to record in the store, or nothing if the last reading
   /// shows that it has them.
   auto SharesToRecord() const -> std::optional<std::vector<FormerShare>>;
 
 private:
+  auto ReleaseHeldTargets(const char* aSource, Clock::time_point aNow) -> void;
   auto InstallRoutes(const RouteSet& aRoutes, const char* aSource,
                      Clock::time_point aNow) -> bool;
   auto ApplyReadRoutes(const StateReading& aReading, RoutingUpdate& aUpdate,
@@ -161,8 +169,10 @@
   StoreRevision m_removalsKnownSince;
   Clock::time_point m_readAt{};
   std::uint32_t m_recordedBalancers = 0;
-  /// Shares that the store has recorded, as of the last reading.
-  std::vector<FormerShare> m_recordedShares;
+  bool m_listsEvacuations = false;
+  /// Shares that the store has recorded, as of the last reading; empty if
+  /// unknown.
+  std::optional<std::vector<FormerShare>> m_recordedShares;
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -58,6 +58,7 @@
   auto ReadLoop() -> awaitable<void>;
   auto ReadOnce(std::size_t aRank) -> awaitable<void>;
   auto RecordBalancerCount() -> awaitable<void>;
+  auto StartRecordingShares(std::size_t aRank) -> void;
   auto RecordFormerShares() -> awaitable<void>;
   auto RecordedCountDeviates() const -> bool;
   auto NextReadTime(std::size_t aRank) -> Clock::time_point;
@@ -94,6 +95,7 @@
   /// epoch while it is accurate.
   Clock::time_point m_countDeviatesSince{};
   Clock::time_point m_sharesRecordedAt{};
+  bool m_recordingShares = false;
 };
 
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/StateSource.h
+++ b/include/bramleylock/Forward/StateSource.h
@@ -22,16 +22,18 @@
   Refused,
   HistoryGone,
   Conflict,
-  Malformed
+  Malformed,
+  Incomplete
 };
 
-inline constexpr std::array<NameRow<SourceError>, 5> kSourceErrorNames{ {
+inline constexpr std::array<NameRow<SourceError>, 6> kSourceErrorNames{ {
   { SourceError::Unavailable, "the platform's store does not answer" },
   { SourceError::Refused, "the platform's store rejected the request" },
   { SourceError::HistoryGone,
     "the requested revision is older than the store's history" },
   { SourceError::Conflict, "the key was modified by another writer" },
   { SourceError::Malformed, "the store's response is malformed" },
+  { SourceError::Incomplete, "the store's response did not arrive completely" },
 } };
 
 /// A target entry that was removed from the store.
--- a/include/bramleylock/Forward/WarmUpLimits.h
+++ b/include/bramleylock/Forward/WarmUpLimits.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,10 @@
   std::string self;
   /// Addresses of the reachable ones, including this one.
   std::vector<std::string> addresses;
-  /// Number of balancers that the failure domain usually has.
-  std::size_t expected = 1;
+  /// Number of balancers that the failure domain usually has; 0 if unknown.
+  std::size_t expected = 0;
+
+  auto operator==(const DomainBalancers&) const -> bool = default;
 };
 
 /// Shares the limit of each target that is warming up among a few balancers,
@@ -59,6 +62,9 @@
   {
     double requests = 0;
     Clock::time_point at{};
+    /// Requests per second that this balancer may send; empty if the balancers
+    /// changed.
+    std::optional<double> rate;
   };
 
   auto OwnRate(const DirectoryEntry& aTarget, double aRequestsPerSecond) const
--- a/include/bramleylock/Peer/Membership.h
+++ b/include/bramleylock/Peer/Membership.h
@@ -66,6 +66,10 @@
   /// without itself.
   auto AliveAddressesInDomain() const -> std::vector<std::string>;
 
+  /// Capacity classes of the reachable members of this balancer's failure
+  /// domain, without itself, by address.
+  auto CapacityClassesInDomain() const -> std::map<std::string, std::uint8_t>;
+
   /// Addresses at which to contact another failure domain: its relays that are
   /// known to be reachable, or if there are none, all known members that have
   /// not left.
--- a/lib/Forward/EvacuationTable.cpp
+++ b/lib/Forward/EvacuationTable.cpp
@@ -21,21 +21,25 @@
 {
   if (m_entries.size() >= kMaxEntries &&
       !m_entries.contains(aRecord.failureDomain)) {
-    return false;
+    std::erase_if(m_entries,
+                  [](const auto& aRow) { return !aRow.second.evacuated; });
+    if (m_entries.size() >= kMaxEntries) {
+      return false;
+    }
   }
   auto& entry = m_entries[aRecord.failureDomain];
   if (aRecord.revision <= entry.revision) {
     return false;
   }
+  const bool isNew = entry.revision == StoreRevision();
   const bool wasInForce = IsInForce(entry, aNow);
-  entry.revision = aRecord.revision;
-  entry.endsAt = Clock::time_point::max();
-  if (wasInForce == aRecord.evacuated) {
-    return false;
+  if (isNew || wasInForce != aRecord.evacuated) {
+    entry.since = aNow - Milliseconds(aRecord.ageMs);
   }
   entry.evacuated = aRecord.evacuated;
-  entry.since = aNow - Milliseconds(aRecord.ageMs);
-  return true;
+  entry.revision = aRecord.revision;
+  entry.endsAt = Clock::time_point::max();
+  return wasInForce != aRecord.evacuated;
 }
 
 auto EvacuationTable::EndMissing(const std::vector<EvacuationRecord>& aListed,
@@ -51,12 +55,14 @@
                   [&name = domain](const EvacuationRecord& aRow) {
                     return aRow.evacuated && aRow.failureDomain == name;
                   });
-    if (listed || !IsInForce(entry, aNow) || entry.revision > aRevision) {
+    // One that ends after a grace period keeps it at the next full state.
+    const bool ending = entry.endsAt != Clock::time_point::max();
+    if (listed || ending || !entry.evacuated || entry.revision > aRevision) {
       continue;
     }
     ended.push_back(domain);
     if (aGracePeriod.count() > 0) {
-      entry.endsAt = std::min(entry.endsAt, aNow + aGracePeriod);
+      entry.endsAt = aNow + aGracePeriod;
       continue;
     }
     entry.evacuated = false;
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -257,6 +257,7 @@
   }
   m_metrics.Add(Counter::FlowRepeated);
   if (nextTarget != &target) {
+    m_selector.RecordRequest(*nextTarget, aNow);
     ReopenFlowAt(*nextTarget, aFlow, aNow);
   } else {
     aFlow.repeated = true;
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -172,7 +172,9 @@
   }
   // The only acknowledgement of a response may be in the next request.
   if (aFlow.phase != FlowPhase::Busy || aHasNewAcknowledgement) {
-    m_selector.RecordRequest(*aFlow.target, aNow);
+    if (aFlow.requests > 0) {
+      m_selector.RecordRequest(*aFlow.target, aNow);
+    }
     m_flows.BeginRequest(aFlow, aNow);
   }
 }
--- a/lib/Forward/ReadSchedule.cpp
+++ b/lib/Forward/ReadSchedule.cpp
@@ -38,7 +38,7 @@
 
 /// Response that takes 0.2 s on a link of 10 Mbit/s. Smaller ones are not worth
 /// the additional call.
-static constexpr std::size_t kSlowResponseBytes = 256 * 1024;
+static constexpr std::size_t kSlowResponseBytes = 262144;
 
 auto IntervalsFor(Milliseconds aDrainNotice) -> ReadIntervals
 {
@@ -103,7 +103,7 @@
 
 auto FullReadingIsSmaller(const ReadSizes& aSizes) -> bool
 {
-  return aSizes.full > 0 && aSizes.incremental > kSlowResponseBytes &&
+  return aSizes.incremental > kSlowResponseBytes &&
          aSizes.incremental > aSizes.full;
 }
 
--- a/lib/Forward/RouteSetChange.cpp
+++ b/lib/Forward/RouteSetChange.cpp
@@ -96,6 +96,7 @@
 {
   RouteSetChange change;
   change.baseVersion = aBase.version;
+  change.baseRevision = aBase.revision;
   change.version = aNew.version;
   change.revision = aNew.revision;
   change.idleTimeoutMs = aNew.idleTimeoutMs;
@@ -117,10 +118,17 @@
   return change;
 }
 
+auto AppliesTo(const RouteSetChange& aChange, const RouteSet& aBase) -> bool
+{
+  return aBase.version != 0 && aChange.baseVersion == aBase.version &&
+         aChange.baseRevision == aBase.revision &&
+         aChange.version > aBase.version;
+}
+
 auto ApplyChange(const RouteSet& aBase, const RouteSetChange& aChange)
   -> RouteSet
 {
-  assert(aBase.version == aChange.baseVersion);
+  assert(AppliesTo(aChange, aBase));
   return { aChange.version, aChange.revision, aChange.idleTimeoutMs,
            ChangeRows(aBase.routes, aChange.routes, aChange.removedRoutes),
            ChangeRows(aBase.services, aChange.services,
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -37,6 +37,11 @@
       m_namedServices.insert(share.service);
     }
   }
+  for (const auto& [address, services] : m_allowedUntil) {
+    for (const auto& [service, until] : services) {
+      m_namedServices.insert(service);
+    }
+  }
   return true;
 }
 
@@ -121,7 +126,9 @@
 auto RouteTable::AddFormerShares(const std::vector<FormerShare>& aShares,
                                  Clock::time_point aNow) -> void
 {
-  for (const auto& share : aShares) {
+  const auto count = std::min(aShares.size(), kMaxFormerShares);
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto& share = aShares[index];
     const Address address{ share.ip, share.port };
     if (!m_byAddress.contains(address)) {
       continue;
@@ -140,19 +147,23 @@
 
 auto RouteTable::SharesToRecord() const -> std::vector<FormerShare>
 {
-  std::vector<FormerShare> shares;
+  std::vector<FormerShare> former;
+  std::vector<FormerShare> inForce;
   for (const auto& [address, services] : m_allowedUntil) {
     if (services.size() < 2 || !m_byAddress.contains(address)) {
       continue;
     }
     for (const auto& [service, until] : services) {
-      if (shares.size() == kMaxFormerShares) {
-        return shares;
-      }
-      shares.push_back({ address.ip, address.port, service, 0 });
+      const bool ended = until != Clock::time_point::max();
+      (ended ? former : inForce)
+        .push_back({ address.ip, address.port, service, 0 });
     }
   }
-  return shares;
+  // The configuration lists those in force as well.
+  former.insert(former.end(), inForce.begin(), inForce.end());
+  former.resize(std::min(former.size(), kMaxFormerShares));
+  std::sort(former.begin(), former.end());
+  return former;
 }
 
 auto RouteTable::Expire(Clock::duration aKeep, Clock::time_point aNow) -> void
@@ -193,9 +204,11 @@
 auto RouteTable::WarmUpLimit(const std::string& aService) const -> double
 {
   const auto found = m_services.find(aService);
-  return found == m_services.end()
-           ? 0
-           : m_routeSet.services[found->second].warmUpRequestsPerSecond;
+  if (found == m_services.end()) {
+    return 0;
+  }
+  const auto& service = m_routeSet.services[found->second];
+  return service.warmUpMs > 0 ? service.warmUpRequestsPerSecond : 0;
 }
 
 auto RouteTable::HasWarmUpLimits() const -> bool
--- a/lib/Forward/RoutingEvacuations.cpp
+++ b/lib/Forward/RoutingEvacuations.cpp
@@ -18,6 +18,11 @@
   auto& table = m_targets.Evacuations();
   for (const auto& record : aRecords) {
     if (!table.Apply(record, aNow)) {
+      if (record.evacuated && !table.Contains(record.failureDomain)) {
+        LogWarning("evacuation-ignored",
+                   { { "failure_domain", record.failureDomain },
+                     { "why", "too many failure domains" } });
+      }
       continue;
     }
     m_metrics.Add(record.evacuated ? Counter::EvacuationsStarted
@@ -49,12 +54,18 @@
   }
 }
 
+auto RoutingState::ListsEvacuations() const -> bool
+{
+  return m_listsEvacuations;
+}
+
 auto RoutingState::ApplyReadEvacuations(const StateReading& aReading,
                                         bool aFull, bool aRestored,
                                         Clock::time_point aNow) -> void
 {
   ApplyEvacuations(aReading.evacuations, "store", aNow);
   if (aFull) {
+    m_listsEvacuations = true;
     EndMissingEvacuations(aReading.evacuations, aReading.revision, aRestored,
                           "store", aNow);
   }
@@ -77,7 +88,8 @@
   // revision that is not in the table has ended. A peer that was partitioned
   // for a long time may still have it.
   std::erase_if(records, [this, &table](const EvacuationRecord& aRecord) {
-    return aRecord.evacuated && aRecord.revision <= m_revision &&
+    return m_listsEvacuations && aRecord.evacuated &&
+           aRecord.revision <= m_revision &&
            !table.Contains(aRecord.failureDomain);
   });
   ApplyEvacuations(records, "peer", aNow);
--- a/lib/Forward/RoutingRoutes.cpp
+++ b/lib/Forward/RoutingRoutes.cpp
@@ -29,10 +29,17 @@
             { "before", std::to_string(before) },
             { "revision", FormatRevision(aRoutes.revision) },
             { "routes", std::to_string(aRoutes.routes.size()) } });
+  ReleaseHeldTargets(aSource, aNow);
+  return true;
+}
+
+/// Applies the records of targets whose service is named now.
+auto RoutingState::ReleaseHeldTargets(const char* aSource,
+                                      Clock::time_point aNow) -> void
+{
   for (const auto& record : m_heldTargets.Release(m_routes)) {
     ApplyTarget(record, aSource, aNow);
   }
-  return true;
 }
 
 /// Installs the routes of a reading and adds to aUpdate what the peers have to
@@ -56,9 +63,14 @@
   if (full || aReading.formerShares) {
     m_recordedShares =
       aReading.formerShares.value_or(std::vector<FormerShare>());
-    m_routes.AddFormerShares(m_recordedShares, aNow);
   }
-  if (installed || aReading.formerShares) {
+  if (m_readAt == Clock::time_point{} && aReading.formerShares) {
+    // The record has no times. At a later reading, what it lists is known here,
+    // or has expired.
+    m_routes.AddFormerShares(*aReading.formerShares, aNow);
+    ReleaseHeldTargets("store", aNow);
+  }
+  if (installed || full) {
     aUpdate.formerShares = m_routes.FormerShares(aNow);
   }
 }
@@ -67,8 +79,16 @@
   -> std::optional<std::vector<FormerShare>>
 {
   auto shares = m_routes.SharesToRecord();
-  return shares == m_recordedShares ? std::nullopt
-                                    : std::optional(std::move(shares));
+  // If the record is unknown, one that has become empty may stay: its services
+  // expire at each balancer that reads it.
+  const bool recorded =
+    m_recordedShares ? shares == *m_recordedShares : shares.empty();
+  return recorded ? std::nullopt : std::optional(std::move(shares));
+}
+
+auto RoutingState::ForgetRecordedShares() -> void
+{
+  m_recordedShares.reset();
 }
 
 auto RoutingState::ApplyPeerRoutes(const RoutingUpdate& aUpdate,
@@ -78,15 +98,17 @@
     InstallRoutes(routes, "peer", aNow);
   }
   for (const auto& change : aUpdate.routeChanges) {
-    // A receiver with another version requests the routes, because the version
-    // of the sender is higher than its own.
-    if (change.baseVersion == m_routes.Current().version &&
-        change.version > change.baseVersion) {
+    // A receiver with other routes requests the whole, because the version of
+    // the sender is higher than its own.
+    if (AppliesTo(change, m_routes.Current())) {
       m_metrics.Add(Counter::RouteChangesApplied);
       InstallRoutes(ApplyChange(m_routes.Current(), change), "peer", aNow);
     }
   }
-  m_routes.AddFormerShares(aUpdate.formerShares, aNow);
+  if (!aUpdate.formerShares.empty()) {
+    m_routes.AddFormerShares(aUpdate.formerShares, aNow);
+    ReleaseHeldTargets("peer", aNow);
+  }
 }
 
 } // namespace bramleylock::forward
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -322,7 +322,7 @@
   }
   ApplyReadEvacuations(aReading, aFull, restored, aNow);
   update.evacuations = aReading.evacuations;
-  update.listsEvacuations = true;
+  update.listsEvacuations = m_listsEvacuations;
   if (aFull) {
     m_heldTargets.DiscardMissing(aReading.targets, aReading.revision);
     const auto missing = FindMissing(aReading.targets, aReading.revision,
@@ -418,6 +418,7 @@
   if (m_recordedBalancers == 0) {
     m_recordedBalancers = aUpdate.balancers;
   }
+  m_listsEvacuations = aUpdate.listsEvacuations && (full || m_listsEvacuations);
   const Milliseconds age(aUpdate.ageMs);
   AdvanceRevision(revision, aNow - age);
   m_metrics.Observe(Latency::StateInForce, age);
@@ -451,7 +452,7 @@
   update.balancers = m_recordedBalancers;
   update.evacuations =
     m_targets.Evacuations().RecordsAfter(update.baseRevision, aNow);
-  update.listsEvacuations = true;
+  update.listsEvacuations = m_listsEvacuations;
   return update;
 }
 
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -161,18 +161,34 @@
             { "outcome", error ? error.message() : "done" } });
 }
 
+/// Starts to record former shares if the store lacks them. Reading does not
+/// wait for the write.
+auto StateReader::StartRecordingShares(std::size_t aRank) -> void
+{
+  const auto now = Clock::now();
+  if (aRank != 0 || m_failedCalls > 0 || m_recordingShares ||
+      now - m_sharesRecordedAt < kMinRecordInterval ||
+      !m_state.SharesToRecord()) {
+    return;
+  }
+  m_sharesRecordedAt = now;
+  m_recordingShares = true;
+  Spawn(m_context, "record-former-shares", RecordFormerShares());
+}
+
 /// Records which services routes allowed besides those in force, so that
 /// balancers know the targets of open flows after the loss of all balancers.
 auto StateReader::RecordFormerShares() -> awaitable<void>
 {
-  const auto now = Clock::now();
   const auto shares = m_state.SharesToRecord();
-  if (Rank() != 0 || !shares || now - m_sharesRecordedAt < kMinRecordInterval) {
+  std::error_code error;
+  if (shares) {
+    co_await m_source.RecordFormerShares(*shares, error);
+  }
+  m_recordingShares = false;
+  if (!shares) {
     co_return;
   }
-  m_sharesRecordedAt = now;
-  std::error_code error;
-  co_await m_source.RecordFormerShares(*shares, error);
   m_metrics.Add(Counter::FormerSharesRecorded);
   LogInfo("former-shares-recorded",
           { { "shares", std::to_string(shares->size()) },
@@ -191,8 +207,9 @@
   const auto& self = m_members.Self();
   std::vector<ReaderCandidate> candidates{ { self.address,
                                              self.capacityClass } };
-  for (const auto& member : m_members.AliveMembersInDomain()) {
-    candidates.push_back({ member.address, member.capacityClass });
+  for (const auto& [address, capacityClass] :
+       m_members.CapacityClassesInDomain()) {
+    candidates.push_back({ address, capacityClass });
   }
   const auto rankInDomain = RankInDomain(self.address, std::move(candidates));
   std::vector<std::string> domains;
@@ -230,6 +247,8 @@
   }
   if (aRank != m_lastRank) {
     m_lastRank = aRank;
+    // Another balancer may have written the record since the last reading here.
+    m_state.ForgetRecordedShares();
     LogInfo("reader-rank",
             { { "rank", std::to_string(aRank) },
               { "reads_after_ms",
@@ -250,7 +269,7 @@
       m_readImmediately = false;
       co_await ReadOnce(rank);
       co_await RecordBalancerCount();
-      co_await RecordFormerShares();
+      StartRecordingShares(rank);
       continue;
     }
     if (now - m_state.ReadAt() > m_intervals.staleAge) {
@@ -266,9 +285,9 @@
   // A response that names a new generation ends the history that is known here,
   // so that no watch can continue it.
   const auto known = m_state.Revision();
-  const bool full = m_needFullRead ||
-                    m_source.Generation() > known.generation ||
-                    FullReadingIsSmaller(m_readSizes);
+  const bool full =
+    m_needFullRead || m_source.Generation() > known.generation ||
+    FullReadingIsSmaller(m_readSizes) || !m_state.ListsEvacuations();
   std::error_code error;
   StateReading reading;
   if (full) {
@@ -279,10 +298,6 @@
   }
   const auto now = Clock::now();
   m_metrics.Add(Counter::StateReadings);
-  (full ? m_readSizes.full : m_readSizes.incremental) = reading.bytes;
-  if (full) {
-    m_readSizes.incremental = 0;
-  }
   if (error == make_error_code(SourceError::HistoryGone)) {
     m_metrics.Add(Counter::StateHistoryGone);
     LogInfo("state-history-gone",
@@ -291,9 +306,15 @@
     co_return;
   }
   if (error) {
+    // A response that is too long for the link would only grow until the next
+    // watch.
+    m_needFullRead =
+      m_needFullRead || error == make_error_code(SourceError::Incomplete);
     RecordFailure(error, now);
     co_return;
   }
+  m_readSizes = full ? ReadSizes{ reading.bytes, 0 }
+                     : ReadSizes{ m_readSizes.full, reading.bytes };
   const bool continuesKnown =
     full || reading.revision.generation == known.generation;
   if (!continuesKnown ||
--- a/lib/Forward/WarmUpLimits.cpp
+++ b/lib/Forward/WarmUpLimits.cpp
@@ -17,7 +17,7 @@
 /// Share of the expected balancers of the failure domain from which the known
 /// ones are taken for all of them. A balancer that knows fewer has just started
 /// or is partitioned, and others may consider themselves owners as well.
-static constexpr double kCompleteShare = 0.8;
+static constexpr double kCompleteShare = 0.9;
 
 /// Time without requests after which the allowance of a target is discarded.
 static constexpr std::chrono::seconds kAllowanceRetention{ 10 };
@@ -29,7 +29,13 @@
 
 auto WarmUpLimits::SetBalancers(DomainBalancers aBalancers) -> void
 {
+  if (aBalancers == m_balancers) {
+    return;
+  }
   m_balancers = std::move(aBalancers);
+  for (auto& [tag, allowance] : m_allowances) {
+    allowance.rate.reset();
+  }
 }
 
 static auto IsLimited(const DirectoryEntry& aTarget, double aRequestsPerSecond,
@@ -44,7 +50,8 @@
 auto WarmUpLimits::OwnRate(const DirectoryEntry& aTarget,
                            double aRequestsPerSecond) const -> double
 {
-  if (aTarget.record.failureDomain != m_balancers.failureDomain) {
+  if (aTarget.record.failureDomain != m_balancers.failureDomain ||
+      m_balancers.expected == 0) {
     return 0;
   }
   const double tolerated =
@@ -64,8 +71,10 @@
   if (static_cast<double>(position) >= owners) {
     return 0;
   }
-  const double rate = std::min(aRequestsPerSecond, tolerated - owners);
-  return std::max(rate, aRequestsPerSecond / 2) / owners;
+  // The rest of the limit is left to the expected balancers that are not known.
+  const double rate = std::max(std::min(aRequestsPerSecond, tolerated - owners),
+                               aRequestsPerSecond / 2);
+  return rate * std::min(1.0, known / expected) / owners;
 }
 
 auto WarmUpLimits::AllowanceOf(const DirectoryEntry& aTarget,
@@ -78,12 +87,14 @@
     // Balancers that start together must not all send their first request at
     // the same time.
     const auto phase = SipHash(m_balancers.self + "/" + aTarget.record.id);
-    allowance = { std::ldexp(static_cast<double>(phase), -64), aNow };
+    allowance = { std::ldexp(static_cast<double>(phase), -64), aNow, {} };
+  }
+  if (!allowance.rate) {
+    allowance.rate = OwnRate(aTarget, aRequestsPerSecond);
   }
   const std::chrono::duration<double> elapsed = aNow - allowance.at;
-  const double rate = OwnRate(aTarget, aRequestsPerSecond);
   allowance.requests =
-    std::min(1.0, allowance.requests + rate * elapsed.count());
+    std::min(1.0, allowance.requests + *allowance.rate * elapsed.count());
   allowance.at = aNow;
   return allowance;
 }
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -152,11 +152,12 @@
   if (routes.HasWarmUpLimits()) {
     auto addresses = members->AliveAddressesInDomain();
     addresses.push_back(members->Self().address);
-    const auto recorded =
-      std::max<std::size_t>(state.RecordedBalancerCount(), 1);
-    forwarder.SetDomainBalancers(
-      { settings.failureDomain, members->Self().address, std::move(addresses),
-        std::max<std::size_t>(recorded / byDomain.size(), 1) });
+    const auto domains = byDomain.size() + members->LostDomains().size();
+    const auto expected =
+      (state.RecordedBalancerCount() + domains - 1) / domains;
+    forwarder.SetDomainBalancers({ settings.failureDomain,
+                                   members->Self().address,
+                                   std::move(addresses), expected });
   }
 }
 
--- a/lib/Peer/DomainExchange.cpp
+++ b/lib/Peer/DomainExchange.cpp
@@ -75,6 +75,19 @@
   return alive;
 }
 
+auto Membership::CapacityClassesInDomain() const
+  -> std::map<std::string, std::uint8_t>
+{
+  std::map<std::string, std::uint8_t> classes;
+  for (const auto& [address, member] : m_table.Members()) {
+    if (IsReachable(member.state) &&
+        member.failureDomain == Self().failureDomain) {
+      classes[address] = member.capacityClass;
+    }
+  }
+  return classes;
+}
+
 auto Membership::AliveCount() const -> std::size_t
 {
   std::size_t count = 0;
--- a/unittests/Forward/EvacuationTest.cpp
+++ b/unittests/Forward/EvacuationTest.cpp
@@ -246,6 +246,13 @@
   node.ReadChange(Evacuate("here", { 50, 1 }));
   node.Read(MakeReading({ 20, 2 }), true);
   cr_assert(!node.OpensFlowsIn("here"));
+  // Other balancers read the restored store as well and broadcast what it has.
+  Node peer;
+  peer.Read(MakeReading({ 20, 2 }), true);
+  cr_assert(
+    node.state.ApplyUpdate(peer.state.CreateUpdate({}, peer.now), node.now));
+  node.Read(MakeReading({ 20, 2 }), true);
+  cr_assert(!node.OpensFlowsIn("here"));
   node.ReadChange(Evacuate("here", { 21, 2 }));
   node.AdvanceTime(Milliseconds(10000));
   cr_assert(!node.OpensFlowsIn("here"));
@@ -256,6 +263,44 @@
   cr_assert(node.OpensFlowsIn("here"));
 }
 
+// Guards against an evacuation that a removal brings back into force: it had
+// ended because a restored store lacked it.
+Test(Evacuation, RemovalAfterItsEndChangesNothing)
+{
+  Node node;
+  node.Read(MakeReading({ 10, 1 }), true);
+  node.ReadChange(Evacuate("here", { 50, 1 }));
+  node.Read(MakeReading({ 20, 2 }), true);
+  node.AdvanceTime(Milliseconds(10000));
+  node.ReadChange(Withdraw("here", { 30, 2 }));
+  cr_assert(node.targets.Evacuations().InForce(node.now).empty());
+  // The removal is kept for as long as a late message may arrive.
+  node.forwarder.Expire(node.now);
+  cr_assert(node.targets.Evacuations().Contains("here"));
+}
+
+// Guards against evacuations that are missed because a balancer of a build
+// without them read the store: the next reading here is a full one.
+Test(Evacuation, UpdateOfAnOlderBuildLeavesTheEvacuationsUnknown)
+{
+  Node node;
+  node.Read(MakeReading(10), true);
+  cr_assert(node.state.ListsEvacuations());
+  Node older;
+  older.Read(MakeReading(10), true);
+  auto update = older.ReadChange(Evacuate("here", 11));
+  update.listsEvacuations = false;
+  update.evacuations.clear();
+  cr_assert(node.state.ApplyUpdate(update, node.now));
+  cr_assert(!node.state.ListsEvacuations());
+  cr_assert(!node.state.CreateUpdate({}, node.now).listsEvacuations);
+  auto reading = MakeReading(11);
+  reading.evacuations.push_back(Evacuate("here", 11));
+  node.Read(reading, true);
+  cr_assert(node.state.ListsEvacuations());
+  cr_assert(!node.OpensFlowsIn("here"));
+}
+
 // Guards against an end of the evacuation by a peer of a build that does not
 // know evacuations.
 Test(Evacuation, FullUpdateOfAnOlderBuildEndsNothing)
--- a/unittests/Forward/ReadScheduleTest.cpp
+++ b/unittests/Forward/ReadScheduleTest.cpp
@@ -116,6 +116,7 @@
   cr_assert(FullReadingIsSmaller({ kFull, 5 * kFull }));
   // An additional call is not worth while responses are short.
   cr_assert(!FullReadingIsSmaller({ 20000, 60000 }));
-  // Nothing is known before the first full reading.
-  cr_assert(!FullReadingIsSmaller({ 0, 5 * kFull }));
+  // The first full reading of a balancer is made before it joins its peers, so
+  // its size is not known.
+  cr_assert(FullReadingIsSmaller({ 0, 5 * kFull }));
 }
--- a/unittests/Forward/WarmUpLimitsTest.cpp
+++ b/unittests/Forward/WarmUpLimitsTest.cpp
@@ -111,6 +111,41 @@
   cr_assert(fleet.MostPerSecond(10) <= kMostPerSecond);
 }
 
+// Guards against a limit that a large part of the domain and the few balancers
+// that it does not know use twice, and against two halves that each take all.
+Test(WarmUpLimits, PartsOfAPartitionedDomainKeepTheLimitTogether)
+{
+  for (const std::size_t known : { 20, 17, 11 }) {
+    Fleet fleet(21, known, "here");
+    const auto addresses = Addresses(21);
+    for (std::size_t i = 0; i < 21; ++i) {
+      const bool inFirst = i < known;
+      const auto first =
+        addresses.begin() + (inFirst ? 0 : static_cast<long>(known));
+      const auto last = inFirst ? addresses.begin() + static_cast<long>(known)
+                                : addresses.end();
+      fleet.balancers[i].SetBalancers(
+        { "here", addresses[i], { first, last }, 21 });
+    }
+    const auto most = fleet.MostPerSecond(10);
+    cr_assert(most <= kMostPerSecond, "%zu with %zu known", most, known);
+  }
+}
+
+// Guards against balancers that each take the whole limit at the first start,
+// when neither peers nor their usual number are known.
+Test(WarmUpLimits, NothingIsSentBeforeTheNumberOfBalancersIsKnown)
+{
+  Fleet fleet(21, 1, "here");
+  const auto addresses = Addresses(21);
+  for (std::size_t i = 0; i < 21; ++i) {
+    fleet.balancers[i].SetBalancers(
+      { "here", addresses[i], { addresses[i] }, 0 });
+  }
+  fleet.MostPerSecond(5);
+  cr_assert(fleet.total == 0);
+}
+
 // Guards against balancers of other failure domains, which select other owners.
 Test(WarmUpLimits, OtherDomainsSendNothingToATargetThatWarmsUp)
 {
