Hedge first packets of idempotent routes

Cause: a first packet whose target accepts the flow late, or not at all, is answered only after it was resent or after the client's copy. Operators may allow extra first packets to shorten this.

Change: with forward.hedge_percent above 0, a balancer also sends the first packet of an idempotent or download route to a second target once the client has not reacted within its usual time (the mean of its round trips plus two mean deviations, at least 10 ms over the mean). HedgeBudget allows that share of the flows that this balancer opened on such routes, so the fleet keeps it without messages. Nothing is hedged while first packets of the service are queued, without a free slot, while flows move, after a pause, or if the packet was resent. The client takes the first answer; its next packet assigns the flow, which counts at one target at any time. With 0, the default, nothing changes.

--- a/include/bramleylock/Estimate/RoundTripTable.h
+++ b/include/bramleylock/Estimate/RoundTripTable.h
@@ -38,6 +38,10 @@
   /// Returns the time after which a reaction of aClient is overdue.
   auto Timeout(std::uint32_t aClient) const -> Duration;
 
+  /// Returns the time within which most reactions of aClient arrive, and at
+  /// most Timeout. It equals Timeout as long as the round trip is not known.
+  auto UsualBound(std::uint32_t aClient) const -> Duration;
+
   /// Returns whether aClient has an estimate of its own.
   auto Contains(std::uint32_t aClient) const -> bool;
 
--- a/include/bramleylock/Forward/FlowTable.h
+++ b/include/bramleylock/Forward/FlowTable.h
@@ -78,6 +78,9 @@
   /// Whether the first packet was sent more than once, so that it is unknown
   /// which copy the client's reaction belongs to.
   bool repeated = false;
+  /// Tag of the second target to which the first packet was sent as a hedge; 0
+  /// if there is none.
+  TargetTag hedgeTag = 0;
   /// When the first packet was sent to any target for the first time.
   Clock::time_point firstSentAt{};
   /// The first packet of the flow; cleared once a target has responded to it.
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -9,6 +9,7 @@
 
 #include "bramleylock/Estimate/RoundTripTable.h"
 #include "bramleylock/Forward/FlowTable.h"
+#include "bramleylock/Forward/HedgeBudget.h"
 #include "bramleylock/Forward/PendingFlowQueue.h"
 #include "bramleylock/Forward/RouteTable.h"
 #include "bramleylock/Forward/TargetDirectory.h"
@@ -42,6 +43,9 @@
   std::chrono::seconds maxFlowLifetime{ 60 };
   std::uint64_t seed = 1;
   WarmUpTolerance warmUpTolerance{};
+  /// Share of the first packets of idempotent routes that may also be sent to a
+  /// second target; 0 for none.
+  std::uint32_t hedgePercent = 0;
 };
 
 /// Makes a forwarding decision for each packet from the routes, the target
@@ -72,8 +76,9 @@
   /// targets, and flushes the sink.
   auto RetryPendingFlows(Clock::time_point aNow) -> void;
 
-  /// Resends first packets that no target answered in time, and flushes the
-  /// sink. To be called when no received packet is pending.
+  /// Resends first packets that no target answered in time, hedges those whose
+  /// client has not reacted as soon as usual, and flushes the sink. To be
+  /// called when no received packet is pending.
   auto ResendUnanswered(Clock::time_point aNow) -> void;
 
   /// Sets the listener for targets found silent.
@@ -141,6 +146,9 @@
                          std::vector<PendingFlow>& aServedFlows,
                          Clock::time_point aNow) -> void;
   auto ResendFirstPacket(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
+  auto PrepareHedge(const TrackedFlow& aFlow) -> void;
+  auto SendDueHedges(Clock::time_point aNow) -> void;
+  auto SendHedge(TrackedFlow& aFlow, Clock::time_point aNow) -> void;
   auto RefuseExpired(Clock::time_point aNow) -> void;
   auto InactiveFlowRetention() const -> Clock::duration;
   auto TakeOverFlow(const Packet& aPacket, DirectoryEntry& aTarget,
@@ -193,6 +201,9 @@
   /// is overdue.
   std::multimap<Clock::time_point, UnansweredFirstPacket>
     m_unansweredFirstPackets;
+  HedgeBudget m_hedgeBudget;
+  /// Flows that may be hedged, by the time from which on they may be.
+  std::multimap<Clock::time_point, UnansweredFirstPacket> m_hedgeCandidates;
   /// Time of the last packet of a flow that was opened at another balancer,
   /// which shows that flows are moving between the balancers.
   Clock::time_point m_lastTakeoverAt{};
--- a/include/bramleylock/Forward/TargetSelector.h
+++ b/include/bramleylock/Forward/TargetSelector.h
@@ -18,6 +18,8 @@
 {
   DirectoryEntry* target = nullptr;
   RefusalReason refusal = RefusalReason::None;
+  /// Number of targets among which it was selected.
+  std::size_t candidates = 0;
 };
 
 /// Describes the targets of a service to the selection policy: their load from
@@ -37,6 +39,13 @@
               const DirectoryEntry* aExcludedTarget, Clock::time_point aNow)
     -> TargetSelection;
 
+  /// Selects a further target for the first packet of a flow that was sent to
+  /// aFirstTarget. Returns null unless another target has a free slot, as far
+  /// as this balancer knows.
+  auto SelectSecond(const Packet& aPacket, const Route& aRoute,
+                    const DirectoryEntry& aFirstTarget, Clock::time_point aNow)
+    -> DirectoryEntry*;
+
   /// Records a service time of a target relative to the usual one.
   auto RecordSlowness(DirectoryEntry& aTarget, double aRatio,
                       Clock::time_point aNow) -> void;
@@ -59,6 +68,9 @@
   auto Expire(Clock::time_point aNow) -> void;
 
 private:
+  auto Choose(const Packet& aPacket, const Route& aRoute,
+              const DirectoryEntry* aExcludedTarget, Clock::time_point aNow)
+    -> TargetSelection;
   auto RemoveLimitedByWarmUp(std::vector<DirectoryEntry*>& aEntries,
                              const std::string& aService,
                              Clock::time_point aNow) -> void;
--- a/lib/Estimate/RoundTripTable.cpp
+++ b/lib/Estimate/RoundTripTable.cpp
@@ -25,6 +25,12 @@
 static constexpr Milliseconds kMinTimeout{ 60 };
 static constexpr Milliseconds kMinMargin{ 50 };
 
+/// Number of mean deviations within which most reactions arrive, and the lower
+/// limit of their margin over the mean round trip. A steady client's deviation
+/// falls below the time for which a process waits for the processor.
+static constexpr double kUsualDeviations = 2;
+static constexpr Milliseconds kMinUsualMargin{ 10 };
+
 /// Upper limit of samples and timeouts. Longer round trips are due to
 /// retransmissions or to clients that respond late.
 static constexpr Milliseconds kMaxTimeout{ 1000 };
@@ -104,6 +110,19 @@
   return m_byAddress.contains(aClient);
 }
 
+/// The typical round trip is used only once it is settled, as for Timeout.
+auto RoundTripTable::UsualBound(std::uint32_t aClient) const -> Duration
+{
+  const auto timeout = Timeout(aClient);
+  if (!Contains(aClient) && !m_typical.IsSettled()) {
+    return timeout;
+  }
+  const auto& estimate = EstimateFor(aClient);
+  return std::min(timeout,
+                  std::max<Duration>(estimate.UpperBound(kUsualDeviations),
+                                     estimate.Mean() + kMinUsualMargin));
+}
+
 auto RoundTripTable::RemoveUnusedSince(Clock::time_point aLimit) -> void
 {
   while (!m_clients.empty() && m_clients.front().recordedAt < aLimit) {
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -41,6 +41,7 @@
   , m_flows(kMaxTrackedFlows)
   , m_selector(m_routes, m_targets, aChoice, m_flows, m_options.failureDomain,
                m_options.warmUpTolerance, m_options.seed)
+  , m_hedgeBudget(m_options.hedgePercent)
 {
 }
 
@@ -142,6 +143,7 @@
   auto& flow = m_flows.Open(before.id, aTarget, before.roundTrip, aNow);
   flow.firstPacket = before.firstPacket;
   flow.firstSentAt = before.firstSentAt;
+  flow.hedgeTag = before.hedgeTag;
   flow.repeated = true;
 }
 
@@ -159,7 +161,9 @@
 {
   auto* known = m_flows.Find(aPacket.flow);
   if (known == nullptr || known->confirmed) {
-    TrackFlow(aPacket, aTarget, aNow).firstPacket.assign(aData, aSize);
+    auto& flow = TrackFlow(aPacket, aTarget, aNow);
+    flow.firstPacket.assign(aData, aSize);
+    PrepareHedge(flow);
     m_metrics.Add(Counter::FlowsOpened);
   } else if (known->target != &aTarget) {
     ReopenFlowAt(aTarget, *known, aNow);
@@ -292,6 +296,8 @@
     ResendFirstPacket(*flow, aNow);
     AwaitFirstResponse(unanswered.flow, true, aNow);
   }
+  // Behind the resent packets: a first packet that was resent is not hedged.
+  SendDueHedges(aNow);
 }
 
 auto Forwarder::SetSilentTargetListener(
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -75,6 +75,9 @@
     RecordAnsweredSend(aTarget.stats,
                        aFlow.repeated ? aFlow.firstSentAt : aFlow.openedAt);
   }
+  if (aFlow.hedgeTag != 0 && aFlow.hedgeTag == aTarget.tag) {
+    m_metrics.Add(Counter::HedgesWon);
+  }
   aFlow.roundTrip = m_roundTrips.Mean(aFlow.id.client.ip);
   m_flows.AssignTarget(aFlow, aTarget);
   m_metrics.Observe(Latency::FlowOpening, aNow - aFlow.openedAt);
--- a/lib/Forward/TargetSelector.cpp
+++ b/lib/Forward/TargetSelector.cpp
@@ -133,6 +133,30 @@
 auto TargetSelector::Select(const Packet& aPacket, const Route& aRoute,
                             const DirectoryEntry* aExcludedTarget,
                             Clock::time_point aNow) -> TargetSelection
+{
+  const auto selection = Choose(aPacket, aRoute, aExcludedTarget, aNow);
+  if (selection.target != nullptr) {
+    LogFlowOpened(aPacket, aRoute, *selection.target,
+                  m_routes.Current().version, selection.candidates, aNow);
+  }
+  return selection;
+}
+
+auto TargetSelector::SelectSecond(const Packet& aPacket, const Route& aRoute,
+                                  const DirectoryEntry& aFirstTarget,
+                                  Clock::time_point aNow) -> DirectoryEntry*
+{
+  auto* target = Choose(aPacket, aRoute, &aFirstTarget, aNow).target;
+  if (target == nullptr || target == &aFirstTarget ||
+      target->stats.busyLoad + 1 > target->record.slots) {
+    return nullptr;
+  }
+  return target;
+}
+
+auto TargetSelector::Choose(const Packet& aPacket, const Route& aRoute,
+                            const DirectoryEntry* aExcludedTarget,
+                            Clock::time_point aNow) -> TargetSelection
 {
   const auto& service = m_routes.ServiceFor(aRoute, aPacket.flow);
   auto entries = m_targets.Candidates(service, aNow);
@@ -165,10 +189,7 @@
                            m_targets.IsEvacuated(service, aNow);
     return { nullptr, evacuated ? RefusalReason::Evacuated : decision.refusal };
   }
-  auto* chosen = entries[*decision.chosen];
-  LogFlowOpened(aPacket, aRoute, *chosen, m_routes.Current().version,
-                entries.size(), aNow);
-  return { chosen, RefusalReason::None };
+  return { entries[*decision.chosen], RefusalReason::None, entries.size() };
 }
 
 auto TargetSelector::SetBalancers(std::size_t aCount,
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -119,7 +119,8 @@
                 std::chrono::seconds(settings.longestFlowSeconds),
                 settings.seed != 0 ? static_cast<std::uint64_t>(settings.seed)
                                    : SecureRandomNumber(),
-                { settings.warmUpExcess, settings.warmUpSlack } })
+                { settings.warmUpExcess, settings.warmUpSlack },
+                static_cast<std::uint32_t>(settings.hedgePercent) })
   , silentTargetProber(context, routes, targets, metrics)
   , pauseDetector(context, metrics)
 {
--- a/measure/LoadClients.cpp
+++ b/measure/LoadClients.cpp
@@ -135,6 +135,7 @@
   auto& request = m_requests[flow.request];
   if (!request.ended && request.port == aPort) {
     const auto took = m_now - request.sentAt;
+    m_result.answerTimes.push_back(took);
     request.onTime = took <= m_options.onTimeLimit;
     m_result.onTime += request.onTime ? 1 : 0;
     m_result.late += request.onTime ? 0 : 1;
--- a/measure/LoadModel.cpp
+++ b/measure/LoadModel.cpp
@@ -54,36 +54,15 @@
   return record;
 }
 
-auto LoadResult::AddCounts(const LoadResult& aOther) -> void
-{
-  requests += aOther.requests;
-  onTime += aOther.onTime;
-  late += aOther.late;
-  failed += aOther.failed;
-  shed += aOther.shed;
-  falseSilences += aOther.falseSilences;
-}
-
-auto LoadResult::Imbalance() const -> double
-{
-  std::size_t most = 0;
-  std::size_t all = 0;
-  for (const auto& [target, answers] : answersByTarget) {
-    most = std::max(most, answers);
-    all += answers;
-  }
-  return static_cast<double>(most * answersByTarget.size()) /
-         static_cast<double>(all);
-}
-
 struct LoadModel::Balancer : PacketSink
 {
   Balancer(LoadModel& aModel, const LoadOptions& aOptions, std::uint64_t aSeed)
     : model(aModel)
     , choice(FlowChoiceRegistry::Instance().Create(aOptions.choice))
     , targets(codec)
-    , forwarder(codec, routes, targets, *choice, *this, metrics,
-                { "here", std::chrono::seconds(60), aSeed })
+    , forwarder(
+        codec, routes, targets, *choice, *this, metrics,
+        { "here", std::chrono::seconds(60), aSeed, {}, aOptions.hedgePercent })
   {
     routes.Install(MakeRoute(), model.m_now);
     forwarder.SetUnansweredRequestListener([this](DirectoryEntry& aTarget) {
@@ -101,6 +80,7 @@
                     std::size_t aSize) -> void override
   {
     const auto packet = *codec.Decode(aData, aSize);
+    model.m_result.firstPackets += packet.opens ? 1 : 0;
     model.ScheduleAfter(std::chrono::microseconds(500),
                         [&model = model, id = aTarget.record.id, packet] {
                           model.DeliverToTarget(id, packet);
@@ -132,6 +112,9 @@
   for (std::size_t i = 0; i < m_options.targets; ++i) {
     m_targets.push_back({ std::string(1, static_cast<char>('a' + i)) });
   }
+  for (std::size_t i = 0; i < m_options.lateTargets; ++i) {
+    m_targets[i].openingDelay = m_options.lateOpeningDelay;
+  }
   m_userPorts.resize(m_options.users);
   m_balancers.resize(m_options.balancers);
   m_inRotation.resize(m_options.balancers, true);
@@ -373,6 +356,7 @@
     m_now = event.at;
     event.run();
   }
+  CollectCounters();
   m_result.requests = m_requests.size();
   m_result.failed = m_result.requests - m_result.onTime - m_result.late;
   for (const auto& request : m_requests) {
@@ -383,6 +367,14 @@
   return m_result;
 }
 
+auto LoadModel::CollectCounters() -> void
+{
+  ForEachBalancer([this](const Balancer& aBalancer) {
+    m_result.flowsOpened += aBalancer.metrics.Get(Counter::FlowsOpened);
+    m_result.flowsHedged += aBalancer.metrics.Get(Counter::FlowsHedged);
+  });
+}
+
 /// Delivers a client's packet to the balancer that receives its flow.
 auto LoadModel::SendToBalancer(Packet aPacket) -> void
 {
@@ -420,7 +412,7 @@
   const auto port = aPacket.flow.client.port;
   auto& flow = m_flows[port];
   if (aPacket.opens) {
-    ScheduleAfter(ClientDelay(port),
+    ScheduleAfter(ClientDelay(port) + target.openingDelay,
                   [=, this] { OnOpened(port, aPacket.tag); });
   } else if (aPacket.carriesData && aPacket.sequence > flow.received) {
     flow.received = aPacket.sequence;
--- a/measure/LoadModel.h
+++ b/measure/LoadModel.h
@@ -70,6 +70,12 @@
   bool rollingRestart = false;
   /// Targets that do not respond between 4 s and 6 s after the start.
   std::size_t silentTargets = 0;
+  /// Targets that answer every first packet lateOpeningDelay later than others.
+  std::size_t lateTargets = 0;
+  Milliseconds lateOpeningDelay{ 0 };
+  /// Share of the first packets that balancers may also send to a second
+  /// target.
+  std::uint32_t hedgePercent = 0;
   /// How long all balancers are down, beginning 3 s after the start. They lose
   /// their state, restart at random times within restartSpread after the
   /// outage, and return to the rotation up to 0.5 s later, after the platform's
@@ -94,6 +100,14 @@
   std::size_t shed = 0;
   /// Times that a balancer took a responding target for silent.
   std::size_t falseSilences = 0;
+  /// First packets that balancers sent to targets, with those sent again.
+  std::size_t firstPackets = 0;
+  /// Flows that balancers opened, and those that they hedged, in runs without
+  /// restarts of balancers.
+  std::size_t flowsOpened = 0;
+  std::size_t flowsHedged = 0;
+  /// How long each answered request took.
+  std::vector<std::chrono::nanoseconds> answerTimes{};
   /// Answers by target.
   std::map<std::string, std::size_t> answersByTarget{};
   /// For each request, when it was sent, from the start of the load, and
@@ -103,6 +117,9 @@
   /// Adds the counts of requests, refusals and verdicts of aOther.
   auto AddCounts(const LoadResult& aOther) -> void;
 
+  /// The time within which aFraction of the answers arrived.
+  auto AnswerTimeQuantile(double aFraction) const -> std::chrono::nanoseconds;
+
   /// Answers of the busiest target divided by the mean over all targets.
   auto Imbalance() const -> double;
 
@@ -172,6 +189,8 @@
   struct Target
   {
     std::string id;
+    /// Additional time for the answer to a first packet.
+    Milliseconds openingDelay{ 0 };
     bool silent = false;
     bool slow = false;
     bool draining = false;
@@ -207,6 +226,7 @@
   auto WorkTime(const Target& aTarget) -> std::chrono::nanoseconds;
   auto ProcessPacket(Balancer& aBalancer, const Packet& aPacket) -> void;
   auto StartOutage() -> void;
+  auto CollectCounters() -> void;
   auto SetAssumedBalancers(std::size_t aIndex, Milliseconds aSinceStart)
     -> void;
   static auto StateOf(const Target& aTarget) -> TargetState;
--- a/unittests/Estimate/EstimateTest.cpp
+++ b/unittests/Estimate/EstimateTest.cpp
@@ -56,6 +56,31 @@
             "the lower limit allows for the balancer's own delays");
 }
 
+/// Guards against a bound that is reached before most reactions arrive, or only
+/// when the timeout is.
+Test(RoundTripTable, UsualBoundIsBetweenTheRoundTripAndTheTimeout)
+{
+  RoundTripTable table;
+  const Clock::time_point now{ std::chrono::hours(1) };
+  cr_assert(table.UsualBound(kClient) == table.Timeout(kClient),
+            "before samples");
+  for (int i = 0; i < 50; ++i) {
+    table.Record(kClient, Milliseconds(160), now);
+    table.Record(kOtherClient, Milliseconds(4), now);
+  }
+  cr_assert(table.UsualBound(kClient) == Milliseconds(170));
+  cr_assert(table.UsualBound(kOtherClient) == Milliseconds(14));
+  for (int i = 0; i < 200; ++i) {
+    table.Record(kClient, Milliseconds(i % 2 == 0 ? 100 : 220), now);
+  }
+  cr_assert(table.UsualBound(kClient) > Milliseconds(220));
+  cr_assert(table.UsualBound(kClient) < table.Timeout(kClient));
+  for (int i = 0; i < 50; ++i) {
+    table.Record(kClient, Milliseconds(2000), now);
+  }
+  cr_assert(table.UsualBound(kClient) <= table.Timeout(kClient));
+}
+
 /// Near clients react first. What they show must not be assumed of the others
 /// before enough clients are known.
 Test(RoundTripTable, FirstNearClientsDoNotDecideForDistantOnes)
--- a/unittests/Forward/TestForward.h
+++ b/unittests/Forward/TestForward.h
@@ -87,11 +87,11 @@
 /// targets.
 struct TestForward
 {
-  explicit TestForward(bool aWithRoutes = true)
+  explicit TestForward(bool aWithRoutes = true, std::uint32_t aHedgePercent = 0)
     : choice(FlowChoiceRegistry::Instance().Create("least-wait"))
     , targets(codec)
     , forwarder(codec, routes, targets, *choice, sink, metrics,
-                { "here", std::chrono::seconds(60), 7 })
+                { "here", std::chrono::seconds(60), 7, {}, aHedgePercent })
   {
     if (aWithRoutes) {
       routes.Install(MakeRoutes(1), now);
