Test evacuations and former services with real processes

Evacuations of failure domains and the services of earlier versions of the routes were covered by unit tests only. The stand-in of the platform could neither write an operator's evacuation nor split a route.

--- a/test/forwarding-store.sh
+++ b/test/forwarding-store.sh
@@ -35,15 +35,6 @@
   wait_until_logged $i 'target=b-006 .*state=draining'
 done
 
-# Changes the configuration and waits until all balancers have installed it.
-change_configuration() { # body
-  local version i
-  version=$(post_control configuration "$1" | grep -oE '[0-9]+')
-  for i in 1 2 3; do
-    wait_until_logged "$i" "event=routes-installed .*version=$version "
-  done
-}
-
 # A route is removed and added again.
 change_configuration '{"orders_route": false}'
 refused_before=$(report_field refused)
--- a/test/forwarding.bash
+++ b/test/forwarding.bash
@@ -64,8 +64,8 @@
 }
 
 # Starts a host, or restarts it under the same id.
-start_host() { # id, service, last number of the address, ms until it registers
-  post_control host "{\"id\": \"$1\", \"service\": \"$2\", \"at\": $3, \"registers_after_ms\": ${4:-0}}" >/dev/null
+start_host() { # id, service, last number of the address, ms until it registers, failure domain
+  post_control host "{\"id\": \"$1\", \"service\": \"$2\", \"at\": $3, \"registers_after_ms\": ${4:-0}, \"failure_domain\": \"${5:-here}\"}" >/dev/null
 }
 
 inject_host_fault() { # host id, fault
@@ -73,8 +73,27 @@
 }
 
 # Starts sending requests and returns at once.
-start_traffic() { # duration in ms, requests per second, one-way client delay in ms
-  post_control traffic "{\"milliseconds\": $1, \"per_second\": $2, \"client_delay_ms\": ${3:-0}}" >/dev/null
+start_traffic() { # duration in ms, requests per second, one-way client delay in ms, kept flows per second
+  post_control traffic "{\"milliseconds\": $1, \"per_second\": $2, \"client_delay_ms\": ${3:-0}, \"kept_per_second\": ${4:-0}}" >/dev/null
+}
+
+# Changes the configuration and waits until all balancers have installed it.
+change_configuration() { # body
+  local version i
+  version=$(post_control configuration "$1" | grep -oE '[0-9]+')
+  for i in 1 2 3; do
+    wait_until_logged "$i" "event=routes-installed .*version=$version "
+  done
+}
+
+# Waits until a field of the report exceeds a value.
+wait_until_above() { # name, value
+  local tries=0
+  until [ "$(report_field "$1" | grep . || echo 0)" -gt "$2" ]; do
+    tries=$((tries + 1))
+    [ $tries -lt 400 ] || { echo "$1 is $(report_field "$1"), expected more than $2" >&2; post_control report >&2; return 1; }
+    sleep 0.05
+  done
 }
 
 # Prints a number from the report of the platform stand-in.
