Evacuate failure domains and split a route in the forwarding soak

The soak did not exercise evacuations or services that a version takes off a route.

Two faults are added: an evacuation of 4 s, of any domain but the last one, and a split of the route "lists" over two services for 3 s, after which kept flows to the second service stay open. Three hosts serve the second service; the minimum number of unaffected hosts rises from 6 to 9, so that as many as before may be affected at once. After the last fault, the soak requires that an evacuated domain gets no new flow after 3 s, that no request fails meanwhile, and that the domain serves again afterwards. test/forward-soak.sh only prints these three, like its other checks that depend on time limits.

--- a/measure/ForwardFaults.cpp
+++ b/measure/ForwardFaults.cpp
@@ -17,6 +17,8 @@
 static constexpr Milliseconds kKillTimeout{ 5000 };
 static constexpr double kCheckIntervalSeconds = 0.5;
 static constexpr Milliseconds kStopPollInterval{ 100 };
+static constexpr double kSplitSeconds = 3;
+static constexpr double kEvacuationSeconds = 4;
 
 /// The platform kills a balancer that has not stopped within this time.
 static constexpr double kStopLimitSeconds = 6;
@@ -81,6 +83,8 @@
     { "host_spoilt", [this] { CorruptEntry(); } },
     { "storm", [this] { PublishConfigurationBurst(); } },
     { "route", [this] { DropRoute(); } },
+    { "split", [this] { SplitRoute(); } },
+    { "evacuate", [this] { EvacuateDomain(); } },
     { "cut", [this] { CutDomain(); } },
     { "cut_store", [this] { CutStore(); } },
     { "cut_one_way", [this] { CutOneWay(); } },
@@ -312,6 +316,44 @@
   });
 }
 
+/// Splits a route over two services for some seconds. Clients keep some flows
+/// to the second service for longer.
+auto ForwardFaults::SplitRoute() -> void
+{
+  ++m_routeSplits;
+  m_fleet.ControlPlatform(
+    "configuration",
+    { { "list_backends",
+        { { { "service", "orders" }, { "weight", 1 + m_random() % 3 } },
+          { { "service", "archive" }, { "weight", 1 + m_random() % 3 } } } } });
+  ScheduleEndAfter(kSplitSeconds, [this] {
+    if (--m_routeSplits == 0) {
+      m_fleet.ControlPlatform("configuration",
+                              { { "list_backends", json::array() } });
+    }
+  });
+}
+
+/// Evacuates a failure domain unless it would be the last one.
+auto ForwardFaults::EvacuateDomain() -> void
+{
+  const auto domain = PickDomain();
+  auto evacuated = std::set(m_evacuations.begin(), m_evacuations.end());
+  evacuated.insert(domain);
+  if (evacuated.size() == m_fleet.FailureDomains().size()) {
+    return;
+  }
+  m_evacuations.insert(domain);
+  m_fleet.ControlPlatform("evacuate", { { "failure_domain", domain } });
+  ScheduleEndAfter(kEvacuationSeconds, [this, domain] {
+    m_evacuations.erase(m_evacuations.find(domain));
+    if (!m_evacuations.contains(domain)) {
+      m_fleet.ControlPlatform(
+        "evacuate", { { "failure_domain", domain }, { "evacuated", false } });
+    }
+  });
+}
+
 auto ForwardFaults::CutDomain() -> void
 {
   const auto domain = PickDomain();
--- a/measure/ForwardFaults.h
+++ b/measure/ForwardFaults.h
@@ -19,7 +19,7 @@
 public:
   ForwardFaults(ForwardFleet& aFleet, std::uint64_t aSeed);
 
-  /// Starts the hosts of both services.
+  /// Starts the hosts of all services.
   auto StartHosts() -> void;
 
   /// Injects events for aSeconds, and then ends them all.
@@ -68,6 +68,8 @@
   auto CorruptEntry() -> void;
   auto PublishConfigurationBurst() -> void;
   auto DropRoute() -> void;
+  auto SplitRoute() -> void;
+  auto EvacuateDomain() -> void;
   auto CutDomain() -> void;
   auto CutStore() -> void;
   auto CutOneWay() -> void;
@@ -103,6 +105,8 @@
   std::multiset<std::string> m_cutStores;
   int m_storeFaults = 0;
   int m_routeDrops = 0;
+  int m_routeSplits = 0;
+  std::multiset<std::string> m_evacuations;
   int m_nextHost = 1;
   std::vector<std::string> m_violations;
   std::map<std::string, std::uint64_t> m_lastReport;
--- a/measure/ForwardHostFaults.cpp
+++ b/measure/ForwardHostFaults.cpp
@@ -12,9 +12,12 @@
 static constexpr int kOrderHosts = 9;
 static constexpr int kProofHosts = 3;
 
+/// Hosts of the second service that the route "lists" may be split over.
+static constexpr int kArchiveHosts = 3;
+
 /// Minimum number of unaffected hosts for a new event, so that some hosts
 /// always serve.
-static constexpr std::size_t kMinUnaffectedHosts = 6;
+static constexpr std::size_t kMinUnaffectedHosts = 9;
 
 /// How long the store lists a crashed host: three renewal intervals of 1.2 s.
 static constexpr double kListedAfterCrashSeconds = 3.6;
@@ -50,9 +53,12 @@
 auto ForwardFaults::StartHosts() -> void
 {
   const auto& domains = m_fleet.FailureDomains();
-  for (int i = 0; i < kOrderHosts + kProofHosts; ++i) {
-    AddHost(i < kOrderHosts ? "orders" : "proofs",
-            domains[static_cast<std::size_t>(i) % domains.size()], m_nextHost);
+  for (int i = 0; i < kOrderHosts + kProofHosts + kArchiveHosts; ++i) {
+    const auto* service = i < kOrderHosts                 ? "orders"
+                          : i < kOrderHosts + kProofHosts ? "proofs"
+                                                          : "archive";
+    AddHost(service, domains[static_cast<std::size_t>(i) % domains.size()],
+            m_nextHost);
   }
 }
 
--- a/measure/ForwardSoak.cpp
+++ b/measure/ForwardSoak.cpp
@@ -24,7 +24,8 @@
 /// Length of the fault-free period in which no request may fail.
 static constexpr Milliseconds kFaultFreePeriod{ 3000 };
 
-/// Time within which a change of the routes or of a host's state takes effect.
+/// Time within which a change of the routes, of a host's state or of the
+/// evacuated failure domains takes effect.
 static constexpr Milliseconds kChangeInForceLimit{ 3000 };
 
 /// Time within which requests in flight end.
@@ -38,8 +39,8 @@
 public:
   auto Summary() const -> std::string override
   {
-    return "forwarding: concurrent kills, pauses, cuts, outages, host losses "
-           "and changes";
+    return "forwarding: concurrent kills, pauses, cuts, outages, host losses, "
+           "evacuations and changes";
   }
 
   auto Run(const ScenarioOptions& aOptions, Report& aReport) -> void override
@@ -51,7 +52,7 @@
     ForwardFaults faults(fleet, aOptions.seed);
     faults.StartHosts();
     const auto checksTime = kRecoveryLimit + kFaultFreePeriod +
-                            4 * (kChangeInForceLimit + kInFlightLimit);
+                            6 * (kChangeInForceLimit + kInFlightLimit);
     fleet.ControlPlatform(
       "traffic", { { "milliseconds", seconds * 1000 + checksTime.count() },
                    { "per_second", kRequestsPerSecond },
@@ -60,6 +61,7 @@
     CheckRecovery(fleet, aReport);
     CheckRouteInForce(fleet, aReport);
     CheckDrainInForce(fleet, faults, aReport);
+    CheckEvacuationInForce(fleet, aReport);
     faults.CheckInvariants();
     AddFigures(fleet, faults, aReport);
     if (!aReport.AllHold()) {
@@ -128,6 +130,34 @@
     aReport.Require("opened_late_in_calm=0", late == 0);
   }
 
+  /// Requires that an evacuated failure domain gets no new flow once the
+  /// evacuation is in force, gets some again after its end, and that no request
+  /// fails meanwhile.
+  static auto CheckEvacuationInForce(ForwardFleet& aFleet, Report& aReport)
+    -> void
+  {
+    const auto domain = aFleet.FailureDomains().front();
+    const auto flowsField = "flows_in_" + domain;
+    const auto before = Figure(aFleet, "opened_evacuated");
+    const auto failed = Figure(aFleet, "failed");
+    aFleet.ControlPlatform("evacuate",
+                           { { "failure_domain", domain },
+                             { "grace_ms", kChangeInForceLimit.count() } });
+    std::this_thread::sleep_for(kChangeInForceLimit + kInFlightLimit);
+    const auto opened = Figure(aFleet, "opened_evacuated") - before;
+    const auto flows = Figure(aFleet, flowsField.c_str());
+    aFleet.ControlPlatform(
+      "evacuate", { { "failure_domain", domain }, { "evacuated", false } });
+    std::this_thread::sleep_for(kChangeInForceLimit + kInFlightLimit);
+    const auto failedLater = Figure(aFleet, "failed") - failed;
+    aReport.Add("opened_evacuated_in_calm", opened);
+    aReport.Add("failed_by_evacuation", failedLater);
+    aReport.Require("failed_by_evacuation=0", failedLater == 0);
+    aReport.Require("opened_evacuated_in_calm=0", opened == 0);
+    aReport.Require("a domain that is back serves",
+                    Figure(aFleet, flowsField.c_str()) > flows);
+  }
+
   static auto AddFigures(ForwardFleet& aFleet, const ForwardFaults& aFaults,
                          Report& aReport) -> void
   {
@@ -138,7 +168,7 @@
     for (const auto* name :
          { "asked", "answered", "failed", "refused", "cut", "cut_by_balancer",
            "cut_by_other_host", "kept_answered", "kept_unanswered",
-           "misdirected", "opened_late", "store_calls" }) {
+           "misdirected", "opened_late", "opened_evacuated", "store_calls" }) {
       aReport.Add(name, report.value(name, std::uint64_t{ 0 }));
     }
     aReport.Add("p99_ms", report.value("p99_ms", 0.0));
--- a/test/forward-soak.sh
+++ b/test/forward-soak.sh
@@ -4,7 +4,7 @@
 # because a test machine may stall for seconds; scripts/soak requires them.
 set -euo pipefail
 bin=$1
-time_bound_checks='in_rotation_s<12|failed_in_calm=0|served in calm|misdirected_in_calm=0|runs_on_dropped_route=0|a route that is back serves|opened_late_in_calm=0'
+time_bound_checks='in_rotation_s<12|failed_in_calm=0|served in calm|misdirected_in_calm=0|runs_on_dropped_route=0|a route that is back serves|opened_late_in_calm=0|opened_evacuated_in_calm=0|failed_by_evacuation=0|a domain that is back serves'
 # Seeds that failed, with the cause:
 #   1  While the store was unavailable, a packet reached a host that had taken
 #      over the address of another one. The host drops such a packet, so the
