--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -54,9 +54,9 @@
   std::uint32_t timeoutMs = 0;
   /// Time within which the operators want a request to be answered; 0 if
   /// unknown.
-  std::uint32_t latencyGoalMs = 0;
+  std::uint32_t responseGoalMs = 0;
   MSGPACK_DEFINE_ARRAY(name, ip, port, shares, kind, urgency, timeoutMs,
-                       latencyGoalMs)
+                       responseGoalMs)
 
   auto operator==(const Route&) const -> bool = default;
 
--- a/lib/Check/ConfigurationCheck.cpp
+++ b/lib/Check/ConfigurationCheck.cpp
@@ -75,10 +75,10 @@
                              std::uint64_t aLongestFlowMs,
                              std::vector<Finding>& aFindings) -> void
 {
-  if (aRoute.timeoutMs > 0 && aRoute.latencyGoalMs > aRoute.timeoutMs) {
+  if (aRoute.timeoutMs > 0 && aRoute.responseGoalMs > aRoute.timeoutMs) {
     Warn(aFindings, aPositions.latencyGoal,
          fmt::format("the latency goal of {} ms is above the timeout of {} ms",
-                     aRoute.latencyGoalMs, aRoute.timeoutMs));
+                     aRoute.responseGoalMs, aRoute.timeoutMs));
   }
   if (aRoute.timeoutMs > aLongestFlowMs) {
     Warn(aFindings, aPositions.timeout,
--- a/lib/Check/ConfigurationDifference.cpp
+++ b/lib/Check/ConfigurationDifference.cpp
@@ -124,7 +124,7 @@
   aDifferences.Compare(aPositions.timeout, "the timeout in ms", aOld.timeoutMs,
                        aNew.timeoutMs);
   aDifferences.Compare(aPositions.latencyGoal, "the latency goal in ms",
-                       aOld.latencyGoalMs, aNew.latencyGoalMs);
+                       aOld.responseGoalMs, aNew.responseGoalMs);
   CompareShares(aOld, aNew, aPositions, aDifferences);
 }
 
--- a/unittests/Check/ConfigurationCheckTest.cpp
+++ b/unittests/Check/ConfigurationCheckTest.cpp
@@ -23,7 +23,7 @@
   route.port = 443;
   route.shares = std::move(aShares);
   route.timeoutMs = 2000;
-  route.latencyGoalMs = 200;
+  route.responseGoalMs = 200;
   return route;
 }
 
@@ -164,9 +164,9 @@
 {
   auto configuration = MakeConfiguration();
   auto& route = configuration.routeSet.routes[0];
-  route.latencyGoalMs = route.timeoutMs;
+  route.responseGoalMs = route.timeoutMs;
   cr_assert(FindingsOf(configuration).empty());
-  route.latencyGoalMs = route.timeoutMs + 1;
+  route.responseGoalMs = route.timeoutMs + 1;
   ExpectOnly(FindingsOf(configuration), Severity::Warning, 103, "2001 ms");
   route.timeoutMs = 0;
   cr_assert(FindingsOf(configuration).empty(), "no timeout is stated");
@@ -254,7 +254,7 @@
   routeSet.version = 8;
   routeSet.idleTimeoutMs = 20000;
   routeSet.routes[0].timeoutMs = 3000;
-  routeSet.routes[0].latencyGoalMs = 300;
+  routeSet.routes[0].responseGoalMs = 300;
   routeSet.routes[0].urgency = 2;
   routeSet.routes[0].kind = 1;
   routeSet.services[0].maxFlowsPerTarget = 9;
