--- a/unittests/Forward/ReadScheduleTest.cpp
+++ b/unittests/Forward/ReadScheduleTest.cpp
@@ -30,6 +30,7 @@
   cr_assert(candidates[7].capacityClass > candidates[0].capacityClass);
   cr_assert(RankInDomain(candidates[7].address, candidates) == 0);
   std::vector<std::size_t> ranks;
+  ranks.reserve(candidates.size());
   for (const auto& candidate : candidates) {
     ranks.push_back(RankInDomain(candidate.address, candidates));
   }
@@ -46,6 +47,7 @@
        { std::uint8_t{ 0 }, CapacityClass(0.055, 1000) }) {
     const auto candidates = Candidates(8, capacityClass);
     std::vector<std::string> addresses;
+    addresses.reserve(candidates.size());
     for (const auto& candidate : candidates) {
       addresses.push_back(candidate.address);
     }
