--- a/unittests/Forward/WarmUpLimitsTest.cpp
+++ b/unittests/Forward/WarmUpLimitsTest.cpp
@@ -20,6 +20,7 @@
 auto Addresses(std::size_t aCount) -> std::vector<std::string>
 {
   std::vector<std::string> addresses;
+  addresses.reserve(aCount);
   for (std::size_t i = 0; i < aCount; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i) + ":1");
   }
