--- a/review/cases-2.cc
+++ b/review/cases-2.cc
@@ -472,6 +472,67 @@
   return ColdLimitIsExceeded(openings, kLimit) ? 1 : 0;
 }
 
+/// Rule FAILBACK: a zone is evacuated and taken back. Its hosts turn cold
+/// shortly before the end.
+auto EvacuationScenario() -> int
+{
+  constexpr double kColdPerS = 10;
+  constexpr double kLimit = kColdPerS * 1.5 + 5;
+  Deployment deployment({ { "za", 2 }, { "zb", 2 }, { "zc", 2 } }, 5000,
+                        "warm_up_excess = 1.5\nwarm_up_slack = 5\n");
+  deployment.store->Put(
+    "op/config",
+    Configuration(3, Route("r-1", deployment.routeIp, 443, "safe", "s1"),
+                  Service("s1", 2, kColdPerS)));
+  Openings openings;
+  for (const auto* zone : { "za", "zb", "zc" }) {
+    for (int i = 0; i < 3; ++i) {
+      HostOptions options;
+      options.service = "s1";
+      options.zone = zone;
+      options.slots = 2;
+      options.workMs = 20;
+      options.coldMs = 2000;
+      auto& host = deployment.AddHost(options);
+      CountColdOpenings(host, openings);
+      host.Start(false);
+    }
+  }
+  deployment.Start();
+  std::map<std::string, int> outcomes;
+  const auto end = Now() + 24000;
+  for (const auto* zone : { "za", "zb", "zc" }) {
+    auto& clients = deployment.AddClients(zone);
+    Load(clients, deployment, 190, 1500, end - 2000,
+         [&outcomes](Attempt&, Outcome aOutcome) {
+           ++outcomes[OutcomeName(aOutcome)];
+         });
+  }
+  if (g_trouble) {
+    Events().After(6000, [&deployment] {
+      Record("the evacuation of zone zc is requested");
+      deployment.store->Put("op/evacuate/zc", "{}");
+    });
+    Events().After(13500, [&deployment] {
+      Record("the hosts of zone zc turn cold for 2 s");
+      for (const auto& host : deployment.hosts) {
+        if (host->Options().zone == "zc") {
+          host->TurnCold();
+        }
+      }
+    });
+    Events().After(14000, [&deployment] {
+      Record("the evacuation of zone zc is taken back");
+      deployment.store->Remove("op/evacuate/zc");
+    });
+  }
+  Events().RunUntil(end);
+  for (const auto& [name, count] : outcomes) {
+    Record(std::to_string(count) + " requests: " + name);
+  }
+  return ColdLimitIsExceeded(openings, kLimit) ? 1 : 0;
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -494,6 +555,8 @@
     result = FlowScenario();
   } else if (scenario == "cold") {
     result = ColdScenario();
+  } else if (scenario == "evacuation") {
+    result = EvacuationScenario();
   } else if (scenario == "seeds") {
     result = SeedsScenario();
   }
--- a/review/stage-2.cc
+++ b/review/stage-2.cc
@@ -587,6 +587,13 @@
   Beat();
 }
 
+auto Host::TurnCold() -> void
+{
+  m_coldUntil = Now() + m_options.coldMs;
+  ++m_generation;
+  Beat();
+}
+
 auto Host::PowerOff() -> void
 {
   m_up = false;
--- a/review/stage-2.h
+++ b/review/stage-2.h
@@ -167,6 +167,8 @@
   Host(Store& aStore, HostOptions aOptions);
   /// Starts a lifetime under the same id.
   auto Start(bool aCold) -> void;
+  /// Turns cold in the same lifetime, and says so in its entry.
+  auto TurnCold() -> void;
   /// Loses power: all that it held is gone, and it sends nothing.
   auto PowerOff() -> void;
   auto IsCold() const -> bool;
