--- a/review/cases-2.cc
+++ b/review/cases-2.cc
@@ -2,7 +2,7 @@
 // Usage: cases-2 SCENARIO DAEMON FOLDER RECORD TROUBLE(0|1) SEED
 // Exits with 0 if the rule held, 1 if it was broken, 2 if it could not run.
 
-#include "stage-2.h"
+#include "stage-2.hh"
 
 #include <algorithm>
 #include <cstdio>
--- a/review/stage-2.cc
+++ b/review/stage-2.cc
@@ -1,6 +1,6 @@
-// The stand-ins of stage-2.h. Plain sockets and one thread.
+// The stand-ins of stage-2.hh. Plain sockets and one thread.
 
-#include "stage-2.h"
+#include "stage-2.hh"
 
 #include <nlohmann/json.hpp>
 
