--- a/review/cases-2.cc
+++ b/review/cases-2.cc
@@ -10,6 +10,8 @@
 #include <set>
 
 #include <csignal>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace stage;
@@ -170,15 +172,15 @@
          aService + "\",\"attempts\":2}";
 }
 
-auto Service(const std::string& aName, double aColdS, double aColdPerS)
-  -> std::string
+auto Service(const std::string& aName, double aColdS, double aColdPerS,
+             int aMaxFlows = 2000) -> std::string
 {
   char text[200];
   std::snprintf(text, sizeof text,
-                "{\"name\":\"%s\",\"healthPath\":\"/health\",\"maxFlows\":2000,"
+                "{\"name\":\"%s\",\"healthPath\":\"/health\",\"maxFlows\":%d,"
                 "\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":%.1f,"
                 "\"coldPerS\":%.1f}",
-                aName.c_str(), aColdS, aColdPerS);
+                aName.c_str(), aMaxFlows, aColdS, aColdPerS);
   return text;
 }
 
@@ -533,6 +535,160 @@
   return ColdLimitIsExceeded(openings, kLimit) ? 1 : 0;
 }
 
+/// Rule CONFIG: the operator moves a route from a service whose hosts are full to
+/// another one.
+auto RouteScenario() -> int
+{
+  constexpr int kMaxFlows = 30;
+  Deployment deployment({ { "za", 4 } }, 3000, "");
+  const auto configuration = [&deployment](int aVersion,
+                                           const std::string& aService) {
+    return Configuration(
+      aVersion, Route("r-1", deployment.routeIp, 443, "unsafe", aService),
+      Service("s1", 2, 0, kMaxFlows) + "," + Service("s2", 2, 0));
+  };
+  deployment.store->Put("op/config", configuration(3, "s1"));
+  // When a host first saw the effect of the new version, by balancer.
+  std::map<std::string, Ms> effectSeen;
+  int broken = 0;
+  for (int i = 0; i < 8; ++i) {
+    HostOptions options;
+    options.service = i < 2 ? "s1" : "s2";
+    options.zone = "za";
+    options.slots = 32;
+    options.workMs = 300;
+    auto& host = deployment.AddHost(options);
+    host.maxFlows = i < 2 ? kMaxFlows : 2000;
+    host.onOpening = [&](Host& aHost, const Packet& aPacket) {
+      const auto& balancer = aHost.lastBalancer;
+      if (aHost.Options().service == "s2") {
+        if (effectSeen.try_emplace(balancer, Now()).second) {
+          Record("a host of s2 sees the effect of the version by " + balancer);
+        }
+        return;
+      }
+      const auto seen = effectSeen.find(balancer);
+      const auto sentAt = OpeningSentAt(aPacket);
+      if (seen != effectSeen.end() && sentAt > seen->second + 250) {
+        ++broken;
+        Record("CONFIG broken: " + aHost.Options().id + " of s1 takes copy " +
+               std::to_string(aPacket.ack) + " from port " +
+               std::to_string(aPacket.sport) + " by " + balancer + ", sent " +
+               std::to_string(sentAt - seen->second) + " ms after the effect");
+      }
+    };
+    host.Start(false);
+  }
+  deployment.Start();
+  std::map<std::string, int> outcomes;
+  const auto end = Now() + 12000;
+  auto& clients = deployment.AddClients("za");
+  const auto count = [&outcomes](Attempt&, Outcome aOutcome) {
+    ++outcomes[OutcomeName(aOutcome)];
+  };
+  Load(clients, deployment, 150, 3000, end - 3500, count);
+  auto& burst = deployment.AddClients("za");
+  Events().After(4000, [&, count] {
+    Record("more users come");
+    Load(burst, deployment, 240, 3000, end - 3500, count);
+  });
+  if (g_trouble) {
+    Events().After(4350, [&] {
+      Record("version 8 moves the route from s1 to s2");
+      deployment.store->Put("op/config", configuration(8, "s2"));
+    });
+  }
+  Events().RunUntil(end);
+  for (const auto& [name, count] : outcomes) {
+    Record(std::to_string(count) + " requests: " + name);
+  }
+  Record("opening packets taken by s1 too late: " + std::to_string(broken));
+  return broken > 0 ? 1 : 0;
+}
+
+/// A machine that is without power: connections to its control address hang.
+class DarkMachine
+{
+public:
+  DarkMachine(const std::string& aIp, std::uint16_t aPort)
+    : m_listener(ListenTcp(aIp, aPort))
+  {
+    // With a full queue, the opening packets of further connections are dropped.
+    ::listen(m_listener, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(Ip(aIp));
+    for (int& fd : m_queued) {
+      fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      ::connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                sizeof address);
+    }
+  }
+  ~DarkMachine()
+  {
+    for (const int fd : m_queued) {
+      ::close(fd);
+    }
+    ::close(m_listener);
+  }
+
+private:
+  int m_listener;
+  int m_queued[4] = {};
+};
+
+/// No balancer may end by itself: one loses power, and its machine returns
+/// before its process listens, while the others stand still for 2.5 s.
+auto ConnectScenario() -> int
+{
+  Deployment deployment({ { "za", 3 } }, 3000, "");
+  deployment.store->Put(
+    "op/config",
+    Configuration(3, Route("r-1", deployment.routeIp, 443, "unsafe", "s1"),
+                  Service("s1", 2, 0)));
+  HostOptions options;
+  options.service = "s1";
+  options.zone = "za";
+  deployment.AddHost(options).Start(false);
+  deployment.Start();
+  auto& lost = *deployment.balancers[2];
+  int ended = 0;
+  int freezes = 0;
+  for (int round = 0; g_trouble && round < 8; ++round) {
+    const auto begin = Now();
+    lost.Signal(SIGKILL);
+    while (lost.IsRunning()) {
+      ::usleep(1000);
+    }
+    auto dark =
+      std::make_unique<DarkMachine>(lost.Options().ip, deployment.control);
+    Events().RunUntil(begin + 1500 + 200 * round);
+    for (std::size_t i = 0; i < 2; ++i) {
+      deployment.balancers[i]->Signal(SIGSTOP);
+      ++freezes;
+    }
+    Events().RunUntil(Now() + 200);
+    dark.reset();
+    Events().RunUntil(Now() + 2300);
+    for (std::size_t i = 0; i < 2; ++i) {
+      deployment.balancers[i]->Signal(SIGCONT);
+    }
+    Events().RunUntil(Now() + 1500);
+    for (std::size_t i = 0; i < 2; ++i) {
+      if (!deployment.balancers[i]->IsRunning()) {
+        ++ended;
+        deployment.balancers[i]->Start();
+      }
+    }
+    lost.Start();
+    Events().RunUntil(Now() + 3500);
+  }
+  Record(std::to_string(ended) + " of " + std::to_string(freezes) +
+         " balancers ended by themselves after a freeze");
+  return ended > 0 ? 1 : 0;
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -557,6 +713,10 @@
     result = ColdScenario();
   } else if (scenario == "evacuation") {
     result = EvacuationScenario();
+  } else if (scenario == "route") {
+    result = RouteScenario();
+  } else if (scenario == "connect") {
+    result = ConnectScenario();
   } else if (scenario == "seeds") {
     result = SeedsScenario();
   }
--- a/review/stage-2.cc
+++ b/review/stage-2.cc
@@ -637,10 +637,14 @@
 {
   char buffer[2048];
   for (;;) {
-    const auto size = ::recv(m_udp, buffer, sizeof buffer, 0);
+    sockaddr_in from{};
+    socklen_t fromSize = sizeof from;
+    const auto size = ::recvfrom(m_udp, buffer, sizeof buffer, 0,
+                                 reinterpret_cast<sockaddr*>(&from), &fromSize);
     if (size < 0) {
       return;
     }
+    lastBalancer = IpText(ntohl(from.sin_addr.s_addr));
     Packet packet;
     if (!m_up || size < 8 ||
         !Decode(buffer + 8, static_cast<std::size_t>(size) - 8, packet)) {
@@ -703,7 +707,7 @@
   auto found = m_flows.find(key);
   if (aPacket.flags == Syn) {
     if (found == m_flows.end()) {
-      if (full) {
+      if (m_flows.size() >= maxFlows) {
         return;
       }
       auto& flow = m_flows[key];
--- a/review/stage-2.hh
+++ b/review/stage-2.hh
@@ -173,8 +173,10 @@
   auto PowerOff() -> void;
   auto IsCold() const -> bool;
   auto Options() const -> const HostOptions& { return m_options; }
-  /// Whether it accepts further flows.
-  bool full = false;
+  /// Most flows that it holds; it sends nothing to the first packets of others.
+  std::size_t maxFlows = 2000;
+  /// Address of the balancer whose packet arrived last.
+  std::string lastBalancer;
   /// Called when it takes the opening packet of a flow.
   std::function<void(Host&, const Packet&)> onOpening;
   /// Called when it begins to work on a request.
