--- a/review/cases-2.cc
+++ b/review/cases-2.cc
@@ -218,8 +218,9 @@
     });
 }
 
-/// Rule FLOW: balancers stop and start in turn while requests are at work. One
-/// of 200 packets that hosts send is lost, with and without the stops.
+/// Rule FLOW: balancers stop and start in turn while requests are at work. The
+/// links of every second host lose 2 of 100 packets that it sends, with and
+/// without the stops. Only flows of the other hosts count.
 auto FlowScenario() -> int
 {
   Deployment deployment({ { "za", 3 } }, 3000, "");
@@ -227,15 +228,21 @@
     "op/config",
     Configuration(3, Route("r-1", deployment.routeIp, 443, "unsafe", "s1"),
                   Service("s1", 2, 0)));
+  // The hosts that began to work on each request.
   std::map<std::string, std::string> runs;
+  std::set<std::string> soundHosts;
+  int excused = 0;
   for (int i = 0; i < 24; ++i) {
     HostOptions options;
     options.service = "s1";
     options.zone = "za";
     options.slots = 4;
     options.workMs = 300;
-    options.loss = 0.005;
+    options.loss = i % 2 == 0 ? 0.02 : 0;
     auto& host = deployment.AddHost(options);
+    if (options.loss == 0) {
+      soundHosts.insert(host.Options().ip);
+    }
     host.onRun = [&runs](Host& aHost, const std::string& aId) {
       runs[aId] += aHost.Options().id + " ";
     };
@@ -251,6 +258,12 @@
          ++outcomes[OutcomeName(aOutcome)];
          if (aOutcome == Outcome::ResetByOtherHost ||
              aOutcome == Outcome::ResetByBalancer) {
+           // The flow is open once its host has the end of the handshake.
+           const auto own = aAttempt.host.substr(0, aAttempt.host.find(' '));
+           if (!soundHosts.contains(own) || runs[aAttempt.id].empty()) {
+             ++excused;
+             return;
+           }
            ++broken;
            Record("FLOW broken: " + aAttempt.id + " from port " +
                   std::to_string(aAttempt.port) + ", open for " +
@@ -273,6 +286,8 @@
   for (const auto& [name, count] : outcomes) {
     Record(std::to_string(count) + " requests: " + name);
   }
+  Record("resets at hosts with lossy links, not counted: " +
+         std::to_string(excused));
   Record("flows reset by others than their host: " + std::to_string(broken));
   return broken > 0 ? 1 : 0;
 }
