Tell peers of flows whose first packet went to several targets

Cause: the packet after the first one was taken for proof that its tag names the flow's target. A client repeats that packet until its first request is answered, with the tag that it received last. If the first packet went to two targets and the answer of one of them was lost, that target answers again after 200 ms, and the tag of the repetition is its own. A balancer that did not open the flow followed it.

Balancers now tell all peers of a flow whose first packet goes to a second target, when it does so, and of its target once the client's first packet after the handshake shows it. A repetition arrives 200 ms after that, so its receiver knows the target.

Tests: on with empty listeners, 6 of the 9 tests of the suite ContestedFlows fail, RepeatedRequestAfterALateAnswerStaysAtItsTarget with "test.second.LastTarget() == test.flowTarget is false". All 553 unit tests pass with the change.

--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bramleylock/Estimate/RoundTripTable.h"
+#include "bramleylock/Forward/ContestedFlows.h"
 #include "bramleylock/Forward/FlowTable.h"
 #include "bramleylock/Forward/HedgeBudget.h"
 #include "bramleylock/Forward/PendingFlowQueue.h"
@@ -90,6 +91,19 @@
   auto SetUnansweredRequestListener(
     std::function<void(DirectoryEntry&)> aListener) -> void;
 
+  /// Sets the listener for contested flows that peers have to know.
+  using ContestedFlowListener =
+    std::function<void(const std::vector<ContestedFlow>&)>;
+  auto SetContestedFlowListener(ContestedFlowListener aListener) -> void;
+
+  /// Sets the time from which on peers report the contested flows that they
+  /// find. Flows that were opened at other balancers before it may be
+  /// contested.
+  auto SetContestedFlowsKnownFrom(Clock::time_point aFrom) -> void;
+
+  /// Handles a contested flow that a peer reported.
+  auto OnContestedFlow(const ContestedFlow& aFlow) -> void;
+
   /// Sets the number of balancers that share the targets, including this one,
   /// and the number known in each failure domain.
   auto SetBalancers(std::size_t aCount,
@@ -110,10 +124,18 @@
     bool resent = false;
   };
 
+  /// The target that a tag names; null if the tag is unknown, or if the target
+  /// is uncertain.
+  struct TargetOfTag
+  {
+    DirectoryEntry* target = nullptr;
+    bool uncertain = false;
+  };
+
   auto TrackFlow(const Packet& aPacket, DirectoryEntry& aTarget,
                  Clock::time_point aNow) -> TrackedFlow&;
   auto ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
-                    Clock::time_point aNow) -> void;
+                    const Packet& aFirstPacket, Clock::time_point aNow) -> void;
   auto AwaitFirstResponse(const FlowId& aFlow, bool aResent,
                           Clock::time_point aNow) -> void;
   auto RecordRoundTrip(const TrackedFlow& aFlow, Clock::time_point aNow)
@@ -128,7 +150,18 @@
   auto OpeningSequenceOf(const Packet& aPacket, const TrackedFlow* aFlow,
                          Clock::time_point aNow) const -> std::uint32_t;
   auto TargetOf(const Packet& aPacket, const TrackedFlow* aFlow,
-                Clock::time_point aNow) -> DirectoryEntry*;
+                Clock::time_point aNow) -> TargetOfTag;
+  auto TargetOfContested(const Packet& aPacket, const ContestedFlow& aContested,
+                         const TrackedFlow* aFlow, Clock::time_point aNow)
+    -> TargetOfTag;
+  auto ContestFlow(const Packet& aPacket, Clock::time_point aNow) -> void;
+  /// Returns whether the tag of aPacket is that of a first packet of aFlow.
+  auto HasOpeningTagOf(const Packet& aPacket, const ContestedFlow& aFlow)
+    -> bool;
+  auto SettleContestedFlow(const Packet& aPacket, const DirectoryEntry& aTarget)
+    -> void;
+  auto IsSettled(const Packet& aPacket) const -> bool;
+  auto SendContestedFlowNews() -> void;
   auto FindTracked(const FlowId& aFlow) -> TrackedFlow*;
   auto TargetForCopy(TrackedFlow& aFlow, const Packet& aPacket,
                      const Route& aRoute, Clock::time_point aNow)
@@ -183,7 +216,8 @@
     -> void;
   auto LogDeadTarget(const Packet& aPacket, const DirectoryEntry& aTarget,
                      Clock::time_point aNow) -> void;
-  auto DropUnknownTag(const Packet& aPacket) -> void;
+  auto DropPacket(const Packet& aPacket, Counter aCounter, const char* aReason)
+    -> void;
 
   const PacketCodec& m_codec;
   RouteTable& m_routes;
@@ -192,6 +226,12 @@
   Metrics& m_metrics;
   ForwarderOptions m_options;
   FlowTable m_flows;
+  ContestedFlows m_contestedFlows;
+  /// Contested flows that the listener has not received yet.
+  std::vector<ContestedFlow> m_contestedFlowNews;
+  Clock::time_point m_contestedFlowsKnownFrom{};
+  ContestedFlowListener m_contestedFlowListener =
+    [](const std::vector<ContestedFlow>&) {};
   TargetSelector m_selector;
   /// Queued first packets by service. The empty name holds packets that arrived
   /// before any route was known.
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -12,6 +12,10 @@
 
 namespace bramleylock::forward {
 
+/// Time that members need to find each other after a start, as allowed by the
+/// membership tests.
+inline constexpr Milliseconds kMemberDiscoveryTime{ 4000 };
+
 /// Returns the number of balancers assumed to share the targets before the
 /// members are found, aSinceStart after this balancer started, when aRecorded
 /// were recorded last.
--- a/include/bramleylock/Wire/Messages.h
+++ b/include/bramleylock/Wire/Messages.h
@@ -40,10 +40,11 @@
   Routing,
   RoutingRequest,
   TargetSilence,
-  RoutingAnswer
+  RoutingAnswer,
+  ContestedFlows
 };
 
-inline constexpr std::array<NameRow<MessageType>, 25> kMessageTypeNames{ {
+inline constexpr std::array<NameRow<MessageType>, 26> kMessageTypeNames{ {
   { MessageType::Hello, "hello" },
   { MessageType::Acknowledgement, "received" },
   { MessageType::ForwardedDatagram, "forwarded" },
@@ -69,6 +70,7 @@
   { MessageType::RoutingRequest, "routing-request" },
   { MessageType::TargetSilence, "target-silence" },
   { MessageType::RoutingAnswer, "routing-answer" },
+  { MessageType::ContestedFlows, "contested-flows" },
 } };
 
 /// Identifies the sender of a link. It is the first message that the connecting
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -137,8 +137,10 @@
 
 /// Sends a flow that its first target did not open to another one.
 auto Forwarder::ReopenFlowAt(DirectoryEntry& aTarget, const TrackedFlow& aFlow,
-                             Clock::time_point aNow) -> void
+                             const Packet& aFirstPacket, Clock::time_point aNow)
+  -> void
 {
+  ContestFlow(aFirstPacket, aNow);
   const auto before = aFlow;
   auto& flow = m_flows.Open(before.id, aTarget, before.roundTrip, aNow);
   flow.firstPacket = before.firstPacket;
@@ -166,7 +168,7 @@
     PrepareHedge(flow);
     m_metrics.Add(Counter::FlowsOpened);
   } else if (known->target != &aTarget) {
-    ReopenFlowAt(aTarget, *known, aNow);
+    ReopenFlowAt(aTarget, *known, aPacket, aNow);
     m_metrics.Add(Counter::FlowsOpened);
   } else {
     m_flows.SetBusy(*known, aNow);
@@ -201,7 +203,8 @@
     return;
   }
   auto* known = FindTracked(aPacket.flow);
-  if (known != nullptr && IsLateCopy(aPacket, *known, aNow)) {
+  if ((known != nullptr && IsLateCopy(aPacket, *known, aNow)) ||
+      IsSettled(aPacket)) {
     m_metrics.Add(Counter::FlowCopies);
     return;
   }
@@ -225,6 +228,10 @@
   }
   const auto selection = m_selector.Select(aPacket, *route, nullptr, aNow);
   if (selection.target != nullptr) {
+    if (aPacket.acknowledgement > 0) {
+      // A peer may have sent an earlier copy to another target.
+      ContestFlow(aPacket, aNow);
+    }
     OpenFlowAt(*selection.target, aPacket, aData, aSize, aNow);
   } else if (selection.refusal == RefusalReason::Overloaded) {
     Enqueue(aPacket, aData, aSize, route, aNow - aAge);
@@ -262,7 +269,7 @@
   m_metrics.Add(Counter::FlowRepeated);
   if (nextTarget != &target) {
     m_selector.RecordRequest(*nextTarget, aNow);
-    ReopenFlowAt(*nextTarget, aFlow, aNow);
+    ReopenFlowAt(*nextTarget, aFlow, *packet, aNow);
   } else {
     aFlow.repeated = true;
   }
@@ -299,6 +306,7 @@
   }
   // Behind the resent packets: a first packet that was resent is not hedged.
   SendDueHedges(aNow);
+  SendContestedFlowNews();
 }
 
 auto Forwarder::SetSilentTargetListener(
@@ -354,6 +362,7 @@
       m_targets.HasDepartedBefore(limit)) {
     m_flows.RemoveFlowsOfTargetsDepartedBefore(limit);
   }
+  m_contestedFlows.Expire(aNow - m_options.maxFlowLifetime);
   m_roundTrips.RemoveUnusedSince(aNow - m_options.maxFlowLifetime);
   m_targets.Expire(keep, aNow);
   m_routes.Expire(keep, aNow);
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -339,9 +339,10 @@
                              : FormatElapsedMs(flow->openedAt, aNow) } });
 }
 
-auto Forwarder::DropUnknownTag(const Packet& aPacket) -> void
+auto Forwarder::DropPacket(const Packet& aPacket, Counter aCounter,
+                           const char* aReason) -> void
 {
-  m_metrics.Add(Counter::PacketTagUnknown);
+  m_metrics.Add(aCounter);
   if (ShouldLog(LogLevel::Info, "packet-dropped")) {
     LogInfo("packet-dropped",
             { { "flow", FormatFlow(aPacket.flow) },
@@ -349,7 +350,7 @@
               { "sequence", std::to_string(aPacket.sequence) },
               { "data", aPacket.carriesData ? "true" : "false" },
               { "ends", aPacket.ends || aPacket.resets ? "true" : "false" },
-              { "reason", "tag-unknown" } });
+              { "reason", aReason } });
   }
 }
 
@@ -384,36 +385,6 @@
   return flow;
 }
 
-/// Returns the sequence number of the first packet of the flow of aPacket. The
-/// first packets of a request may overtake each other, so a balancer that has
-/// just sent the first packet uses that one. Otherwise, aPacket has to be the
-/// packet after it.
-auto Forwarder::OpeningSequenceOf(const Packet& aPacket,
-                                  const TrackedFlow* aFlow,
-                                  Clock::time_point aNow) const -> std::uint32_t
-{
-  const auto opening =
-    aFlow != nullptr && aNow - aFlow->firstSentAt < kFirstPacketLifetime
-      ? m_codec.Decode(aFlow->firstPacket.data(), aFlow->firstPacket.size())
-      : std::nullopt;
-  return opening ? opening->sequence : aPacket.sequence - 1;
-}
-
-/// Returns the target that the tag of aPacket names, or null. Only the first
-/// packets after the handshake may carry the tag of a first packet. In a later
-/// packet, that tag is from a late answer of another target that also got the
-/// first packet, and that target would reset the flow.
-auto Forwarder::TargetOf(const Packet& aPacket, const TrackedFlow* aFlow,
-                         Clock::time_point aNow) -> DirectoryEntry*
-{
-  const auto& service = aPacket.flow.service;
-  const auto tag =
-    OpeningTag(aPacket.tag, OpeningSequenceOf(aPacket, aFlow, aNow));
-  auto* target = m_targets.Lookup(tag, service, m_routes);
-  return target != nullptr ? target
-                           : m_targets.Lookup(aPacket.tag, service, m_routes);
-}
-
 auto Forwarder::OnOpenFlowPacket(const Packet& aPacket, char* aData,
                                  std::size_t aSize, Clock::time_point aNow)
   -> void
@@ -432,16 +403,18 @@
     return;
   }
   auto* flow = FindTracked(aPacket.flow);
-  DirectoryEntry* target = nullptr;
-  if (flow != nullptr && flow->confirmed) {
-    // A late response of the target that was tried first may have changed the
-    // tag, so the tracked target takes precedence.
-    target = flow->target;
-  } else {
-    target = TargetOf(aPacket, flow, aNow);
-  }
+  // A late response of the target that was tried first may have changed the
+  // tag, so the tracked target takes precedence.
+  const auto found = flow != nullptr && flow->confirmed
+                       ? TargetOfTag{ flow->target, false }
+                       : TargetOf(aPacket, flow, aNow);
+  auto* target = found.target;
   if (target == nullptr) {
-    DropUnknownTag(aPacket);
+    if (found.uncertain) {
+      DropPacket(aPacket, Counter::PacketTagUncertain, "tag-uncertain");
+    } else {
+      DropPacket(aPacket, Counter::PacketTagUnknown, "tag-unknown");
+    }
     return;
   }
   auto& serving = ServingIncarnation(*target, aPacket.flow.service);
@@ -461,6 +434,7 @@
   if (!hasAnswered && ResetIfUnreachable(aPacket, *target, aNow)) {
     return;
   }
+  SettleContestedFlow(aPacket, *target);
   if (flow != nullptr) {
     UpdateFlow(*flow, *target, aPacket, aNow);
   } else {
--- a/lib/Forward/ForwarderHedging.cpp
+++ b/lib/Forward/ForwarderHedging.cpp
@@ -74,6 +74,7 @@
   if (second == nullptr) {
     return;
   }
+  ContestFlow(*packet, aNow);
   m_hedgeBudget.TakeHedge();
   m_metrics.Add(Counter::FlowsHedged);
   if (ShouldLog(LogLevel::Info, "flow-hedged")) {
--- a/lib/Forward/ForwarderWaiting.cpp
+++ b/lib/Forward/ForwarderWaiting.cpp
@@ -222,6 +222,10 @@
       m_metrics.Observe(Latency::FlowWait, aNow - pendingFlow->arrivedAt);
       aServedFlows.push_back(std::move(*pendingFlow));
       auto& served = aServedFlows.back();
+      if (served.sentAt < served.arrivedAt) {
+        // The first copy that arrived here was not the client's first.
+        ContestFlow(served.packet, aNow);
+      }
       OpenFlowAt(*selection.target, served.packet, served.data.data(),
                  served.data.size(), aNow);
       continue;
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -31,10 +31,6 @@
 /// departed a minute ago and could not report their removal.
 static constexpr Milliseconds kMaxIncrementalAge{ 30000 };
 
-/// Time that members need to find each other after a start, as allowed by the
-/// membership tests.
-static constexpr Milliseconds kMemberDiscoveryTime{ 4000 };
-
 /// Time for which the recorded number of balancers must be inaccurate before it
 /// is recorded again: restarts take several seconds.
 static constexpr Milliseconds kCountSettleTime{ 6000 };
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -3,6 +3,7 @@
 #include "bramleylock/Kernel/ForwardingBalancer.h"
 
 #include "bramleylock/Flow/PauseDetector.h"
+#include "bramleylock/Forward/ContestedFlowExchange.h"
 #include "bramleylock/Forward/Forwarder.h"
 #include "bramleylock/Forward/SeedStateFetcher.h"
 #include "bramleylock/Forward/SilentTargetProber.h"
@@ -343,6 +344,9 @@
   members->Start(
     [this](wire::Heartbeat& aHeartbeat) { aHeartbeat.draining = draining; });
   silentTargetProber.SetBroadcast(*broadcast);
+  forward::ExchangeContestedFlows(forwarder, *broadcast, metrics);
+  forwarder.SetContestedFlowsKnownFrom(Clock::now() +
+                                       forward::kMemberDiscoveryTime);
 }
 
 auto ForwardingBalancer::Impl::HousekeepingLoop() -> awaitable<void>
@@ -424,6 +428,8 @@
     impl.UpdateBalancers(now);
     impl.forwarder.RetryPendingFlows(now);
   });
+  // Peers report contested flows once this balancer has joined them.
+  impl.forwarder.SetContestedFlowsKnownFrom(Clock::time_point::max());
   impl.forwarder.SetSilentTargetListener(
     [&impl](forward::DirectoryEntry& aTarget) {
       impl.silentTargetProber.OnTargetSilent(aTarget);
