Limit targets that may have restarted until the store confirms them

Cause: two beliefs. A target that answers a health check, a first packet or a peer was taken for the process that was known before, and the state of the store for recent although its only reader had been lost with the domain.

For services with a warm-up limit, a target that answers after a silence of 50 ms or more now counts as warming up until the state of the store as of 250 ms later is known, which one balancer reads at once; a target that came back warm gets its share some 0.3 s after its first answer, and first packets wait that long instead of being refused. Two balancers in two failure domains watch the store, with a shorter pause between two watches. A new incarnation continues the allowance of the one before, and updates for peers name the age of their reading. Services without such a limit are not affected.

--- a/include/bramleylock/Forward/ReadSchedule.h
+++ b/include/bramleylock/Forward/ReadSchedule.h
@@ -51,6 +51,20 @@
 auto RankInDomain(const std::string& aSelf,
                   std::vector<ReaderCandidate> aCandidates) -> std::size_t;
 
+/// Position of a balancer among the readers: that of its failure domain in the
+/// order of all domains, and its rank there.
+struct ReaderPosition
+{
+  std::size_t domain = 0;
+  std::size_t domains = 1;
+  std::size_t rankInDomain = 0;
+};
+
+/// Returns whether the balancer at aPosition watches the store, if aWatchers
+/// balancers do. They are in different failure domains if there are that many.
+auto WatchesStore(const ReaderPosition& aPosition, std::size_t aWatchers)
+  -> bool;
+
 /// Sizes of the store's responses to the last readings; 0 if unknown.
 struct ReadSizes
 {
--- a/include/bramleylock/Forward/RouteTable.h
+++ b/include/bramleylock/Forward/RouteTable.h
@@ -180,6 +180,10 @@
   /// is warming up; 0 for no limit.
   auto WarmUpLimit(const std::string& aService) const -> double;
 
+  /// Returns how long a target of a service warms up after it starts; zero if
+  /// the requests to it are not limited meanwhile.
+  auto WarmUpTime(const std::string& aService) const -> Milliseconds;
+
   /// Returns whether any service limits the requests to targets that are
   /// warming up.
   auto HasWarmUpLimits() const -> bool;
--- a/include/bramleylock/Forward/RoutingState.h
+++ b/include/bramleylock/Forward/RoutingState.h
@@ -100,6 +100,10 @@
   auto Revision() const -> const StoreRevision&;
   auto RoutesVersion() const -> std::uint64_t;
 
+  /// Returns whether any service limits the requests to targets that are
+  /// warming up.
+  auto HasWarmUpLimits() const -> bool;
+
   /// Returns the number of balancers recorded in the store; 0 if unknown.
   auto RecordedBalancerCount() const -> std::uint32_t;
 
--- a/include/bramleylock/Forward/SilentTargetProber.h
+++ b/include/bramleylock/Forward/SilentTargetProber.h
@@ -15,7 +15,9 @@
 {
   TargetTag tag = 0;
   bool silent = false;
-  MSGPACK_DEFINE_ARRAY(tag, silent)
+  /// How long the target was silent, if it answers again.
+  std::uint32_t silentMs = 0;
+  MSGPACK_DEFINE_ARRAY(tag, silent, silentMs)
 };
 
 /// Informs the peers of targets that this balancer found silent, and checks the
@@ -92,6 +94,11 @@
 /// Marks a target as silent since aNow; returns false if it already was.
 auto MarkSilent(TargetStats& aStats, Clock::time_point aNow) -> bool;
 
+/// Records that aTarget answers. If it was silent for longer than a running
+/// target may appear to be, it may have restarted and may be warming up.
+auto EndSilence(DirectoryEntry& aTarget, TargetDirectory& aTargets,
+                const RouteTable& aRoutes, Clock::time_point aNow) -> void;
+
 /// Returns whether new flows should avoid a target because of its silence.
 auto IsSilent(const TargetStats& aStats, Clock::time_point aNow) -> bool;
 
--- a/include/bramleylock/Forward/StateReader.h
+++ b/include/bramleylock/Forward/StateReader.h
@@ -27,7 +27,9 @@
 /// broadcasts the result of each watch, also when nothing changed. Each other
 /// balancer reads the store only if that update is late, by a delay that
 /// depends on its rank in its domain. No leader election or failure detection
-/// is needed.
+/// is needed. If a service limits the requests to targets that are warming up,
+/// the first balancer of the second domain watches as well, so that the loss of
+/// a domain delays no news of targets that restart.
 class StateReader
 {
 public:
@@ -49,7 +51,7 @@
   auto BalancerCount(Clock::time_point aNow) const -> std::size_t;
 
   /// Returns the rank of this balancer among the readers; rank 0 watches the
-  /// store.
+  /// store, and writes what the balancers record there.
   auto Rank() const -> std::size_t;
 
   auto Intervals() const -> const ReadIntervals&;
@@ -58,6 +60,10 @@
   /// any state may have changed.
   auto ReadImmediately() -> void;
 
+  /// Reads the store once the state as of aTime can be read, unless a peer does
+  /// so first.
+  auto ReadAsOf(Clock::time_point aTime) -> void;
+
 private:
   auto ReadLoop() -> awaitable<void>;
   auto ReadOnce(std::size_t aRank) -> awaitable<void>;
@@ -65,7 +71,10 @@
   auto StartRecordingShares(std::size_t aRank) -> void;
   auto RecordFormerShares() -> awaitable<void>;
   auto RecordedCountDeviates() const -> bool;
+  auto Position() const -> ReaderPosition;
+  auto Watches() const -> bool;
   auto NextReadTime(std::size_t aRank) -> Clock::time_point;
+  auto NeedsReading() const -> bool;
   auto CurrentWatchPause() const -> Milliseconds;
   auto CurrentWatchTimeout(std::size_t aRank) const -> Milliseconds;
   auto RequestFromRandomPeer(Clock::time_point aNow) -> void;
@@ -89,6 +98,8 @@
   ReadSizes m_readSizes;
   bool m_needFullRead = true;
   bool m_readImmediately = false;
+  /// The time as of which the state is needed.
+  Clock::time_point m_neededAsOf{};
   int m_failedCalls = 0;
   Clock::time_point m_lastFailureAt{};
   Clock::time_point m_retryAt{};
--- a/include/bramleylock/Forward/TargetDirectory.h
+++ b/include/bramleylock/Forward/TargetDirectory.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -116,6 +118,11 @@
   TargetTag tag = 0;
   TargetPrefix prefix{};
   Clock::time_point warmUpEndsAt{};
+  /// Set if the target may have restarted while it was silent: when its warm-up
+  /// ends at the latest, and the time as of which the state of the store has to
+  /// be known to show whether it restarted.
+  Clock::time_point suspectedWarmUpEndsAt{};
+  Clock::time_point confirmableFrom{};
   Clock::time_point departedAt{};
   /// Set if the entry was removed but may have expired in a store outage. Until
   /// this time the target accepts flows like a listed one.
@@ -128,6 +135,9 @@
   TargetStats stats;
 
   auto AcceptsNewFlows(Clock::time_point aNow) const -> bool;
+
+  /// Returns whether the target is not known to be warm.
+  auto MayBeWarmingUp(Clock::time_point aNow) const -> bool;
 };
 
 /// Returns the tag of an incarnation; never 0.
@@ -181,6 +191,21 @@
   auto IsEvacuated(const std::string& aService, Clock::time_point aNow) const
     -> bool;
 
+  /// Records that aEntry answers after a silence in which it may have
+  /// restarted. It counts as warming up for aWarmUp, or until ConfirmAsOf is
+  /// called for a later state of the store.
+  auto SuspectRestart(DirectoryEntry& aEntry, Milliseconds aWarmUp,
+                      Clock::time_point aNow) -> void;
+
+  /// Sets the listener that is called for each suspected restart, with the time
+  /// as of which the state of the store has to be known.
+  using SuspicionListener =
+    std::function<void(const DirectoryEntry&, Clock::time_point)>;
+  auto SetSuspicionListener(SuspicionListener aListener) -> void;
+
+  /// Records that the entries reflect the store as of aReadAt.
+  auto ConfirmAsOf(Clock::time_point aReadAt) -> void;
+
   /// Returns the number of open flows to the targets of a failure domain, as
   /// far as this balancer knows.
   auto OpenFlowsIn(const std::string& aFailureDomain) const -> std::size_t;
@@ -240,6 +265,10 @@
   std::map<std::string, std::vector<DirectoryEntry*>> m_byService;
   /// Recently removed entries by id.
   std::map<std::string, Removal> m_removed;
+  /// Incarnations that may have restarted.
+  std::set<Key> m_suspected;
+  SuspicionListener m_suspicionListener = [](const DirectoryEntry&,
+                                             Clock::time_point) {};
   /// Incarnations in the order of their departure; some may be listed again.
   std::deque<std::pair<Clock::time_point, Key>> m_departures;
 };
--- a/include/bramleylock/Forward/TargetSelector.h
+++ b/include/bramleylock/Forward/TargetSelector.h
@@ -73,7 +73,7 @@
     -> TargetSelection;
   auto RemoveLimitedByWarmUp(std::vector<DirectoryEntry*>& aEntries,
                              const std::string& aService,
-                             Clock::time_point aNow) -> void;
+                             Clock::time_point aNow) -> RefusalReason;
   auto OpenFlowLimit(const std::string& aService) const -> std::uint32_t;
   auto SlownessOf(const DirectoryEntry& aTarget, Clock::time_point aNow) const
     -> double;
--- a/include/bramleylock/Forward/WarmUpLimits.h
+++ b/include/bramleylock/Forward/WarmUpLimits.h
@@ -74,7 +74,8 @@
 
   WarmUpTolerance m_tolerance;
   DomainBalancers m_balancers;
-  std::map<TargetTag, Allowance> m_allowances;
+  /// By the id of the target.
+  std::map<std::string, Allowance> m_allowances;
 };
 
 } // namespace bramleylock::forward
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -203,7 +203,7 @@
   ConfirmTarget(aFlow, aTarget, aNow);
   if (confirmsTarget || hasNewAcknowledgement) {
     aFlow.acknowledged = aPacket.acknowledgement;
-    aTarget.stats.silentSince = {};
+    EndSilence(aTarget, m_targets, m_routes, aNow);
     aTarget.stats.lastResponseAt = aNow;
     aTarget.stats.retransmittedRequests = 0;
   }
--- a/lib/Forward/ReadSchedule.cpp
+++ b/lib/Forward/ReadSchedule.cpp
@@ -101,6 +101,18 @@
   return faster + static_cast<std::size_t>(position - order.begin());
 }
 
+auto WatchesStore(const ReaderPosition& aPosition, std::size_t aWatchers)
+  -> bool
+{
+  const auto inOtherDomains = std::min(aWatchers, aPosition.domains) - 1;
+  if (aPosition.domain > inOtherDomains) {
+    return false;
+  }
+  const auto inOwnDomain =
+    aPosition.domain == 0 ? aWatchers - inOtherDomains : 1;
+  return aPosition.rankInDomain < inOwnDomain;
+}
+
 auto FullReadingIsSmaller(const ReadSizes& aSizes) -> bool
 {
   return aSizes.incremental > kSlowResponseBytes &&
--- a/lib/Forward/RouteTable.cpp
+++ b/lib/Forward/RouteTable.cpp
@@ -211,6 +211,17 @@
   return service.warmUpMs > 0 ? service.warmUpRequestsPerSecond : 0;
 }
 
+auto RouteTable::WarmUpTime(const std::string& aService) const -> Milliseconds
+{
+  const auto found = m_services.find(aService);
+  if (found == m_services.end()) {
+    return Milliseconds(0);
+  }
+  const auto& service = m_routeSet.services[found->second];
+  return Milliseconds(service.warmUpRequestsPerSecond > 0 ? service.warmUpMs
+                                                          : 0);
+}
+
 auto RouteTable::HasWarmUpLimits() const -> bool
 {
   return std::any_of(m_routeSet.services.begin(), m_routeSet.services.end(),
--- a/lib/Forward/RoutingState.cpp
+++ b/lib/Forward/RoutingState.cpp
@@ -81,6 +81,11 @@
   return m_routes.Current().version;
 }
 
+auto RoutingState::HasWarmUpLimits() const -> bool
+{
+  return m_routes.HasWarmUpLimits();
+}
+
 auto RoutingState::RecordedBalancerCount() const -> std::uint32_t
 {
   return m_recordedBalancers;
@@ -94,6 +99,7 @@
   // nothing was read. A peer's reading may be older than that.
   constexpr Clock::time_point kEarliestReading{ Clock::duration(1) };
   m_readAt = std::max({ m_readAt, aReadAt, kEarliestReading });
+  m_targets.ConfirmAsOf(m_readAt);
   m_metrics.SetGauge("state_revision", static_cast<double>(m_revision.number));
   m_metrics.SetGauge("state_generation",
                      static_cast<double>(m_revision.generation));
@@ -304,6 +310,8 @@
   RoutingUpdate update;
   update.baseRevision = aFull ? StoreRevision() : m_revision;
   update.revision = aReading.revision;
+  update.ageMs = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<Milliseconds>(aNow - aReadAt).count());
   ApplyReadRoutes(aReading, update, aNow);
   const bool isFirstReading = m_readAt == Clock::time_point{};
   const bool restored = IsRestored(aReading.revision);
--- a/lib/Forward/SilentTargetProber.cpp
+++ b/lib/Forward/SilentTargetProber.cpp
@@ -39,6 +39,10 @@
 /// reflect its ability to serve flows.
 static constexpr Milliseconds kCheckSuppression{ 5000 };
 
+/// A running target that appears silent because of a lost packet answers its
+/// first health check within this time.
+static constexpr Milliseconds kMinOutage{ 50 };
+
 /// If this balancer received a response from a target within this time, it
 /// ignores a peer's report of silence.
 static constexpr Milliseconds kRecentResponse{ 50 };
@@ -52,6 +56,27 @@
   return !wasSilent;
 }
 
+/// Returns how long a target has been silent; zero if it is not.
+static auto SilenceOf(const TargetStats& aStats, Clock::time_point aNow)
+  -> Milliseconds
+{
+  return aStats.silentSince == Clock::time_point{}
+           ? Milliseconds(0)
+           : std::chrono::duration_cast<Milliseconds>(aNow -
+                                                      aStats.silentSince);
+}
+
+auto EndSilence(DirectoryEntry& aTarget, TargetDirectory& aTargets,
+                const RouteTable& aRoutes, Clock::time_point aNow) -> void
+{
+  const auto silence = SilenceOf(aTarget.stats, aNow);
+  aTarget.stats.silentSince = {};
+  if (silence >= kMinOutage) {
+    aTargets.SuspectRestart(aTarget, aRoutes.WarmUpTime(aTarget.record.service),
+                            aNow);
+  }
+}
+
 /// Returns whether the last health check is recent and no response has been
 /// received since.
 static auto LastCheckIsValid(const TargetStats& aStats, Clock::time_point aNow)
@@ -165,7 +190,14 @@
   const auto now = Clock::now();
   auto& stats = target->stats;
   if (!aUpdate.silent) {
-    stats.silentSince = {};
+    // This balancer may not have noticed the silence. If the target has
+    // answered it since the silence began, the target is the same.
+    const Milliseconds silence(aUpdate.silentMs);
+    if (silence > SilenceOf(stats, now) &&
+        stats.answeredSendAt < now - silence) {
+      stats.silentSince = now - silence;
+    }
+    EndSilence(*target, m_targets, m_routes, now);
     stats.lastHealthyAt = now;
     stats.unansweredChecks = 0;
     stats.unreachableChecks = 0;
@@ -300,9 +332,12 @@
               { { "from", "health-check" }, { "target", record.id } });
       stats.retransmittedRequests = 0;
       stats.lastHealthyAt = now;
-      if (IsSilent(stats, now)) {
-        stats.silentSince = {};
-        BroadcastUpdate({ aTag, false });
+      const auto silence = SilenceOf(stats, now);
+      const bool wasSilent = IsSilent(stats, now);
+      EndSilence(*target, m_targets, m_routes, now);
+      if (wasSilent) {
+        BroadcastUpdate(
+          { aTag, false, static_cast<std::uint32_t>(silence.count()) });
       }
       co_return;
     }
--- a/lib/Forward/StateReader.cpp
+++ b/lib/Forward/StateReader.cpp
@@ -31,6 +31,20 @@
 /// departed a minute ago and could not report their removal.
 static constexpr Milliseconds kMaxIncrementalAge{ 30000 };
 
+/// Number of balancers that watch the store if a service limits the requests to
+/// targets that are warming up.
+static constexpr std::size_t kWatchersWithWarmUpLimits = 2;
+
+/// Pause between two watches in that case. Until the next watch, targets that
+/// restart after others of their failure domain count as warm.
+static constexpr Milliseconds kWatchPauseWithWarmUpLimits{ 50 };
+
+/// Delay by rank of a reading that all balancers need. The first one that is
+/// not waiting for a watch reads, and its update reaches the others before they
+/// do.
+static constexpr Milliseconds kNeededReadStep{ 30 };
+static constexpr std::size_t kMaxNeededReadRank = 16;
+
 /// Time for which the recorded number of balancers must be inaccurate before it
 /// is recorded again: restarts take several seconds.
 static constexpr Milliseconds kCountSettleTime{ 6000 };
@@ -198,7 +212,26 @@
   m_wake.NotifyAll();
 }
 
+auto StateReader::ReadAsOf(Clock::time_point aTime) -> void
+{
+  m_neededAsOf = std::max(m_neededAsOf, aTime);
+  m_wake.NotifyAll();
+}
+
 auto StateReader::Rank() const -> std::size_t
+{
+  const auto position = Position();
+  return position.domain == 0 ? position.rankInDomain
+                              : position.rankInDomain + 1;
+}
+
+auto StateReader::Watches() const -> bool
+{
+  return WatchesStore(
+    Position(), m_state.HasWarmUpLimits() ? kWatchersWithWarmUpLimits : 1);
+}
+
+auto StateReader::Position() const -> ReaderPosition
 {
   const auto& self = m_members.Self();
   std::vector<ReaderCandidate> candidates{ { self.address,
@@ -213,9 +246,11 @@
     domains.push_back(domain);
   }
   const auto domainOrder = RendezvousOrder("state-reader", std::move(domains));
-  const bool inFirstDomain =
-    domainOrder.empty() || domainOrder.front() == self.failureDomain;
-  return inFirstDomain ? rankInDomain : rankInDomain + 1;
+  const auto position = static_cast<std::size_t>(
+    std::find(domainOrder.begin(), domainOrder.end(), self.failureDomain) -
+    domainOrder.begin());
+  return { position, std::max<std::size_t>(domainOrder.size(), 1),
+           rankInDomain };
 }
 
 /// The pause and the watch timeout always have the same sum, from which other
@@ -223,17 +258,22 @@
 auto StateReader::CurrentWatchPause() const -> Milliseconds
 {
   const bool starting = Clock::now() - m_startedAt < kMemberDiscoveryTime;
-  return starting ? std::min(kStartupWatchPause, m_intervals.watchTimeout)
-                  : m_intervals.watchPause;
+  if (starting) {
+    return std::min(kStartupWatchPause, m_intervals.watchTimeout);
+  }
+  return m_state.HasWarmUpLimits()
+           ? std::min(kWatchPauseWithWarmUpLimits, m_intervals.watchPause)
+           : m_intervals.watchPause;
 }
 
 auto StateReader::CurrentWatchTimeout(std::size_t aRank) const -> Milliseconds
 {
   // A balancer that replaces a late reader returns the current changes at once,
   // so that balancers with higher ranks need not read as well.
-  return aRank == 0 ? m_intervals.watchTimeout + m_intervals.watchPause -
-                        CurrentWatchPause()
-                    : Milliseconds(0);
+  return aRank == 0 && !NeedsReading()
+           ? m_intervals.watchTimeout + m_intervals.watchPause -
+               CurrentWatchPause()
+           : Milliseconds(0);
 }
 
 auto StateReader::NextReadTime(std::size_t aRank) -> Clock::time_point
@@ -252,18 +292,29 @@
   }
   const auto delay =
     aRank == 0 ? CurrentWatchPause() : ReadDelay(aRank, m_intervals);
-  return std::max(m_retryAt, m_state.ReadAt() + delay);
+  auto dueAt = m_state.ReadAt() + delay;
+  if (NeedsReading()) {
+    const auto rank = static_cast<int>(std::min(aRank, kMaxNeededReadRank));
+    dueAt = std::min(dueAt, m_neededAsOf + kNeededReadStep * rank);
+  }
+  return std::max(m_retryAt, dueAt);
+}
+
+auto StateReader::NeedsReading() const -> bool
+{
+  return m_neededAsOf > m_state.ReadAt();
 }
 
 auto StateReader::ReadLoop() -> awaitable<void>
 {
   for (;;) {
     const auto rank = Rank();
-    const auto dueAt = NextReadTime(rank);
+    const auto readRank = Watches() ? 0 : rank;
+    const auto dueAt = NextReadTime(readRank);
     const auto now = Clock::now();
     if (now >= dueAt) {
       m_readImmediately = false;
-      co_await ReadOnce(rank);
+      co_await ReadOnce(readRank);
       co_await RecordBalancerCount();
       StartRecordingShares(rank);
       continue;
--- a/lib/Forward/TargetSelector.cpp
+++ b/lib/Forward/TargetSelector.cpp
@@ -163,10 +163,9 @@
   if (entries.size() > 1) {
     std::erase(entries, aExcludedTarget);
   }
-  const bool anyCandidate = !entries.empty();
-  RemoveLimitedByWarmUp(entries, service, aNow);
-  if (anyCandidate && entries.empty()) {
-    return { nullptr, RefusalReason::WarmingUp };
+  const auto refusal = RemoveLimitedByWarmUp(entries, service, aNow);
+  if (refusal != RefusalReason::None) {
+    return { nullptr, refusal };
   }
   ChoiceInput input{
     {},
@@ -217,16 +216,27 @@
   m_warmUpLimits.Expire(aNow);
 }
 
+/// Returns why no target is left, if none is. A target that is only suspected
+/// to have restarted is worth waiting for, since this is soon known.
 auto TargetSelector::RemoveLimitedByWarmUp(
   std::vector<DirectoryEntry*>& aEntries, const std::string& aService,
-  Clock::time_point aNow) -> void
+  Clock::time_point aNow) -> RefusalReason
 {
   const auto limit = m_routes.WarmUpLimit(aService);
-  if (limit > 0) {
-    std::erase_if(aEntries, [this, limit, aNow](const DirectoryEntry* aEntry) {
-      return !m_warmUpLimits.MayOpenFlow(*aEntry, limit, aNow);
-    });
+  if (limit == 0 || aEntries.empty()) {
+    return RefusalReason::None;
   }
+  auto refusal = RefusalReason::WarmingUp;
+  std::erase_if(aEntries, [&](const DirectoryEntry* aEntry) {
+    if (m_warmUpLimits.MayOpenFlow(*aEntry, limit, aNow)) {
+      return false;
+    }
+    if (aEntry->warmUpEndsAt <= aNow) {
+      refusal = RefusalReason::Overloaded;
+    }
+    return true;
+  });
+  return aEntries.empty() ? refusal : RefusalReason::None;
 }
 
 auto TargetSelector::Balancers() const -> std::size_t
--- a/lib/Forward/WarmUpLimits.cpp
+++ b/lib/Forward/WarmUpLimits.cpp
@@ -41,7 +41,7 @@
 static auto IsLimited(const DirectoryEntry& aTarget, double aRequestsPerSecond,
                       Clock::time_point aNow) -> bool
 {
-  return aRequestsPerSecond > 0 && aTarget.warmUpEndsAt > aNow;
+  return aRequestsPerSecond > 0 && aTarget.MayBeWarmingUp(aNow);
 }
 
 /// Returns the requests per second that this balancer may send to aTarget. Each
@@ -81,7 +81,9 @@
                                double aRequestsPerSecond,
                                Clock::time_point aNow) -> Allowance&
 {
-  auto [position, isNew] = m_allowances.try_emplace(aTarget.tag);
+  // An incarnation takes over what is left of the allowance of the one before,
+  // which may have been limited because it was suspected to have restarted.
+  auto [position, isNew] = m_allowances.try_emplace(aTarget.record.id);
   auto& allowance = position->second;
   if (isNew) {
     // Balancers that start together must not all send their first request at
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -428,6 +428,14 @@
     impl.UpdateBalancers(now);
     impl.forwarder.RetryPendingFlows(now);
   });
+  impl.targets.SetSuspicionListener(
+    [&impl](const forward::DirectoryEntry& aTarget, Clock::time_point aAsOf) {
+      impl.metrics.Add(Counter::TargetRestartSuspected);
+      LogInfo("target-restart-suspected", { { "target", aTarget.record.id } });
+      if (impl.stateReader) {
+        impl.stateReader->ReadAsOf(aAsOf);
+      }
+    });
   // Peers report contested flows once this balancer has joined them.
   impl.forwarder.SetContestedFlowsKnownFrom(Clock::time_point::max());
   impl.forwarder.SetSilentTargetListener(
--- a/lib/Kernel/ForwardingStatus.cpp
+++ b/lib/Kernel/ForwardingStatus.cpp
@@ -109,6 +109,7 @@
            { "open", stats.openFlows },
            { "silent", forward::IsSilent(stats, aNow) },
            { "cold", aEntry.warmUpEndsAt > aNow },
+           { "restart_suspected", aEntry.suspectedWarmUpEndsAt > aNow },
            { "revision", record.revision.number },
            { "generation", record.revision.generation },
            { "heard_ms", AgeMs(aEntry.lastUpdateAt, aNow) },
--- a/unittests/Forward/ReadScheduleTest.cpp
+++ b/unittests/Forward/ReadScheduleTest.cpp
@@ -122,3 +122,19 @@
   // its size is not known.
   cr_assert(FullReadingIsSmaller({ 0, 5 * kFull }));
 }
+
+/// The loss of a failure domain must not leave the store unwatched.
+Test(ReadSchedule, WatchersAreInDifferentDomainsIfThereAreSeveral)
+{
+  cr_assert(WatchesStore({ 0, 3, 0 }, 1));
+  cr_assert(!WatchesStore({ 1, 3, 0 }, 1));
+  cr_assert(!WatchesStore({ 0, 3, 1 }, 1));
+  cr_assert(WatchesStore({ 0, 3, 0 }, 2));
+  cr_assert(WatchesStore({ 1, 3, 0 }, 2));
+  cr_assert(!WatchesStore({ 0, 3, 1 }, 2));
+  cr_assert(!WatchesStore({ 1, 3, 1 }, 2));
+  cr_assert(!WatchesStore({ 2, 3, 0 }, 2));
+  cr_assert(WatchesStore({ 0, 1, 0 }, 2));
+  cr_assert(WatchesStore({ 0, 1, 1 }, 2));
+  cr_assert(!WatchesStore({ 0, 1, 2 }, 2));
+}
--- a/unittests/Forward/SilentTargetProberTest.cpp
+++ b/unittests/Forward/SilentTargetProberTest.cpp
@@ -284,3 +284,20 @@
   stats.unansweredChecks = 0;
   cr_assert(!IsSilent(stats, start + Milliseconds(5000)));
 }
+
+/// A health check shows that the target runs, not that it is the same process.
+Test(SilentTargetProber, TargetThatWasAwayMayHaveRestarted)
+{
+  ProbedTarget target(200);
+  auto routes = MakeRoutes(3);
+  routes.services.push_back({ "proofs", "/health", 0, 2000, 5 });
+  target.test.routes.Install(routes, Clock::now());
+  target.StopListening();
+  MarkSilent(target.Entry().stats, Clock::now());
+  target.prober.OnTargetSilent(target.Entry());
+  target.RunFor(150);
+  target.ResumeServing();
+  target.RunFor(1000);
+  cr_assert(!IsSilent(target.Entry().stats, Clock::now()));
+  cr_assert(target.Entry().MayBeWarmingUp(Clock::now()));
+}
--- a/unittests/Forward/StateReaderTest.cpp
+++ b/unittests/Forward/StateReaderTest.cpp
@@ -263,6 +263,50 @@
   }
 }
 
+/// A failure domain was lost with the only balancer that watched the store. For
+/// up to 2.45 s nobody heard that targets had restarted cold.
+Test(StateReader, LossOfADomainDelaysNoReadingIfWarmUpIsLimited)
+{
+  TwoDomains deployment;
+  deployment.store.routes.services.push_back({ "orders", "", 0, 2000, 5 });
+  deployment.network.RunFor(Milliseconds(5000));
+  const int before = deployment.store.watches;
+  deployment.network.RunFor(Milliseconds(6600));
+  cr_assert_leq(deployment.store.watches - before, 8);
+  for (const auto* north : { "a", "b" }) {
+    for (const auto* south : { "c", "d", "e", "f" }) {
+      deployment.network.CutBothDirections(north, south);
+    }
+  }
+  // Without a second watcher, the next balancer of the other domain reads when
+  // the state has the age of ReadDelay.
+  const auto limit =
+    ReadDelay(1, deployment.northA.reader.Intervals()) - Milliseconds(150);
+  for (int step = 0; step < 150; ++step) {
+    deployment.network.RunFor(Milliseconds(20));
+    for (const auto* node : deployment.all) {
+      cr_assert(Clock::now() - node->state.ReadAt() < limit);
+    }
+  }
+}
+
+/// All balancers need the state as of the same time.
+Test(StateReader, OneBalancerReadsTheStateThatAllNeed)
+{
+  TwoDomains deployment;
+  deployment.network.RunFor(Milliseconds(5000));
+  const int before = deployment.store.watches;
+  const auto asOf = Clock::now() + Milliseconds(100);
+  for (auto* node : deployment.all) {
+    node->reader.ReadAsOf(asOf);
+  }
+  deployment.network.RunFor(Milliseconds(400));
+  cr_assert_leq(deployment.store.watches - before, 3);
+  for (const auto* node : deployment.all) {
+    cr_assert(node->state.ReadAt() >= asOf);
+  }
+}
+
 namespace {
 
 /// A balancer that receives messages from a peer.
