Forward the repetition of a request that was dropped as uncertain

What callers saw with: after a loss of power or in a rolling restart, requests whose first packet had waited at another balancer while their flow moved to one that had just started were never answered, and a few were reset by a target that had not opened the flow.

Cause: a balancer that has just started drops the packets of flows that may be contested, and dropped each repetition as well. The balancer that had opened the flow saw no reaction, sent the first packet to a second target, and that target's answer changed the tag of the repetitions.

A client repeats a packet 200 ms after its first sending and doubles the interval after that. A repetition that arrives 150 to 300 ms after a packet that was dropped here therefore shows that the dropped one was the first sending, whose tag names the target at which the client opened the flow. It is forwarded there, and the flow is settled.

--- a/include/bramleylock/Forward/ContestedFlows.h
+++ b/include/bramleylock/Forward/ContestedFlows.h
@@ -51,4 +51,30 @@
   std::unordered_map<FlowId, Order::iterator, FlowIdHash> m_byId;
 };
 
+/// Packets with the tag of a first packet that were dropped because the target
+/// of their flow was uncertain. The time until the client repeats such a packet
+/// shows whether it had sent it for the first time, and thus with the right
+/// tag.
+class UncertainPackets
+{
+public:
+  /// Records a dropped packet. Returns the tag of the flow's packet that was
+  /// dropped before, if that was the client's first sending of aPacket;
+  /// otherwise 0.
+  auto Record(const Packet& aPacket, Clock::time_point aNow) -> TargetTag;
+
+  /// Discards the packets that were dropped before aLimit.
+  auto Expire(Clock::time_point aLimit) -> void;
+
+private:
+  struct Dropped
+  {
+    std::uint32_t sequence = 0;
+    TargetTag tag = 0;
+    Clock::time_point at{};
+  };
+
+  std::unordered_map<FlowId, Dropped, FlowIdHash> m_dropped;
+};
+
 } // namespace bramleylock::forward
--- a/include/bramleylock/Forward/Forwarder.h
+++ b/include/bramleylock/Forward/Forwarder.h
@@ -154,6 +154,9 @@
   auto TargetOfContested(const Packet& aPacket, const ContestedFlow& aContested,
                          const TrackedFlow* aFlow, Clock::time_point aNow)
     -> TargetOfTag;
+  auto TargetOfFirstSending(const Packet& aPacket,
+                            std::uint32_t aOpeningSequence,
+                            Clock::time_point aNow) -> DirectoryEntry*;
   auto ContestFlow(const Packet& aPacket, Clock::time_point aNow) -> void;
   /// Returns whether the tag of aPacket is that of a first packet of aFlow.
   auto HasOpeningTagOf(const Packet& aPacket, const ContestedFlow& aFlow)
@@ -227,6 +230,7 @@
   ForwarderOptions m_options;
   FlowTable m_flows;
   ContestedFlows m_contestedFlows;
+  UncertainPackets m_uncertainPackets;
   /// Contested flows that the listener has not received yet.
   std::vector<ContestedFlow> m_contestedFlowNews;
   Clock::time_point m_contestedFlowsKnownFrom{};
--- a/lib/Forward/ContestedFlows.cpp
+++ b/lib/Forward/ContestedFlows.cpp
@@ -8,6 +8,15 @@
 /// not answer, a fleet opens a few hundred such flows per second.
 static constexpr std::size_t kMaxContestedFlows = 8192;
 
+/// Maximum number of dropped packets that are remembered: more than a balancer
+/// forwards within the time until clients repeat them.
+static constexpr std::size_t kMaxUncertainPackets = 8192;
+
+/// A client repeats a packet 200 ms after the first sending, and each further
+/// time after twice as long, so a shorter time follows the first sending only.
+static constexpr Milliseconds kMinFirstInterval{ 150 };
+static constexpr Milliseconds kMaxFirstInterval{ 300 };
+
 auto ContestedFlows::Remove(Order::iterator aPosition) -> void
 {
   m_byId.erase(aPosition->id);
@@ -55,4 +64,29 @@
   return m_flows.size();
 }
 
+auto UncertainPackets::Record(const Packet& aPacket, Clock::time_point aNow)
+  -> TargetTag
+{
+  if (m_dropped.size() >= kMaxUncertainPackets) {
+    m_dropped.clear();
+  }
+  auto& dropped = m_dropped[aPacket.flow];
+  const auto interval = aNow - dropped.at;
+  const bool repeats = dropped.tag != 0 && dropped.sequence == aPacket.sequence;
+  if (repeats && interval < kMinFirstInterval) {
+    // A duplicate, or a packet that was delayed.
+    return 0;
+  }
+  const auto firstTag =
+    repeats && interval <= kMaxFirstInterval ? dropped.tag : TargetTag{ 0 };
+  dropped = { aPacket.sequence, aPacket.tag, aNow };
+  return firstTag;
+}
+
+auto UncertainPackets::Expire(Clock::time_point aLimit) -> void
+{
+  std::erase_if(m_dropped,
+                [aLimit](const auto& aRow) { return aRow.second.at < aLimit; });
+}
+
 } // namespace bramleylock::forward
--- a/lib/Forward/Forwarder.cpp
+++ b/lib/Forward/Forwarder.cpp
@@ -363,6 +363,7 @@
     m_flows.RemoveFlowsOfTargetsDepartedBefore(limit);
   }
   m_contestedFlows.Expire(aNow - m_options.maxFlowLifetime);
+  m_uncertainPackets.Expire(aNow - kFirstPacketLifetime);
   m_roundTrips.RemoveUnusedSince(aNow - m_options.maxFlowLifetime);
   m_targets.Expire(keep, aNow);
   m_routes.Expire(keep, aNow);
--- a/lib/Forward/ForwarderContested.cpp
+++ b/lib/Forward/ForwarderContested.cpp
@@ -107,6 +107,23 @@
   return opening ? opening->sequence : aPacket.sequence - 1;
 }
 
+/// Returns the target that the tag of aPacket named when the client sent it for
+/// the first time, if that is known to have been dropped here; otherwise null.
+/// aPacket has to be the one after the first packet of its flow, whose sequence
+/// number is aOpeningSequence.
+auto Forwarder::TargetOfFirstSending(const Packet& aPacket,
+                                     std::uint32_t aOpeningSequence,
+                                     Clock::time_point aNow) -> DirectoryEntry*
+{
+  if (aPacket.sequence != aOpeningSequence + 1) {
+    return nullptr;
+  }
+  const auto tag = m_uncertainPackets.Record(aPacket, aNow);
+  return tag == 0 ? nullptr
+                  : m_targets.Lookup(OpeningTag(tag, aOpeningSequence),
+                                     aPacket.flow.service, m_routes);
+}
+
 /// Returns the target of a packet with the tag of a first packet of the
 /// contested flow aContested. As long as no balancer has reported where the
 /// flow opened, the tag is correct only in the first packet after the
@@ -119,10 +136,15 @@
   const auto& service = aPacket.flow.service;
   auto* tagged = m_targets.Lookup(
     OpeningTag(aPacket.tag, aContested.openingSequence), service, m_routes);
+  if (aContested.target == 0 && aFlow != nullptr) {
+    return { tagged, false };
+  }
   if (aContested.target == 0) {
-    const bool opensHere =
-      aFlow != nullptr || aNow - aContested.since < kMinRepetitionDelay;
-    return { opensHere ? tagged : nullptr, !opensHere };
+    auto* first =
+      TargetOfFirstSending(aPacket, aContested.openingSequence, aNow);
+    const bool isFirst = aNow - aContested.since < kMinRepetitionDelay;
+    auto* target = first == nullptr && isFirst ? tagged : first;
+    return { target, target == nullptr };
   }
   auto* target = m_targets.Lookup(aContested.target, service, m_routes);
   if (target != tagged) {
@@ -161,7 +183,10 @@
   // its peers.
   const bool mayBeContested =
     aFlow == nullptr && aNow - kLateAnswerPeriod < m_contestedFlowsKnownFrom;
-  return { mayBeContested ? nullptr : target, mayBeContested };
+  if (mayBeContested) {
+    target = TargetOfFirstSending(aPacket, aPacket.sequence - 1, aNow);
+  }
+  return { target, target == nullptr };
 }
 
 } // namespace bramleylock::forward
--- a/unittests/Forward/ContestedFlowsTest.cpp
+++ b/unittests/Forward/ContestedFlowsTest.cpp
@@ -189,6 +189,62 @@
   cr_assert_eq(test.sink.toTargets.size(), 4);
 }
 
+/// A balancer that had just started dropped the first request of flows whose
+/// first packet had waited at another balancer, again and again.
+Test(ContestedFlows,
+     RepetitionOfADroppedRequestGoesToTheTargetOfItsFirstSending)
+{
+  Balancer test;
+  test.forwarder.SetContestedFlowsKnownFrom(Clock::time_point::max());
+  const auto opening = TestForward::Opening(1);
+  auto request = TestForward::Following(
+    opening, OpeningTag(ComputeTag("a", 1), opening.sequence));
+  request.carriesData = true;
+  test.Send(request);
+  cr_assert(test.sink.toTargets.empty());
+  // Another target has answered late.
+  test.AdvanceTime(Milliseconds(200));
+  request.tag = OpeningTag(ComputeTag("b", 1), opening.sequence);
+  test.Send(request);
+  cr_assert(test.LastTarget() == "a");
+}
+
+/// A request was sent for the first time at another balancer.
+Test(ContestedFlows, LaterRepetitionsDoNotNameTheTarget)
+{
+  Balancer test;
+  test.forwarder.SetContestedFlowsKnownFrom(Clock::time_point::max());
+  const auto opening = TestForward::Opening(1);
+  auto request = TestForward::Following(
+    opening, OpeningTag(ComputeTag("b", 1), opening.sequence));
+  request.carriesData = true;
+  for (const int interval : { 400, 800, 1600 }) {
+    test.Send(request);
+    test.Send(request);
+    test.AdvanceTime(Milliseconds(interval));
+  }
+  test.Send(request);
+  cr_assert(test.sink.toTargets.empty());
+}
+
+/// The balancer that opened the flow did not see its first request, and sent
+/// its first packet to a second target as well.
+Test(ContestedFlows, FlowThatIsContestedAfterItsFirstRequestStaysAtItsTarget)
+{
+  ContestedFlowTest test;
+  Balancer third;
+  third.forwarder.SetContestedFlowsKnownFrom(Clock::time_point::max());
+  third.now = test.first.now - Milliseconds(90);
+  third.Send(test.RequestAfterAnswerOf(test.silentTarget));
+  third.now = test.first.now;
+  auto news = test.first.news.back();
+  news.since = third.now;
+  third.forwarder.OnContestedFlow(news);
+  third.AdvanceTime(Milliseconds(110));
+  third.Send(test.RequestAfterAnswerOf(test.flowTarget));
+  cr_assert(third.LastTarget() == test.silentTarget);
+}
+
 /// A client uses its port again.
 Test(ContestedFlows, NextFlowOfAPortIsNotMistakenForTheContestedOne)
 {
