Split the largest files and name the shared interval of repetitions once

The time below which a copy of a packet is no repetition was defined three times. No change of behaviour.

--- a/include/bramleylock/Forward/Packet.h
+++ b/include/bramleylock/Forward/Packet.h
@@ -64,6 +64,11 @@
 /// Time after which a client gives up a first packet and all its copies.
 inline constexpr Milliseconds kFirstPacketLifetime{ 1400 };
 
+/// Clients repeat a packet 200 ms after its first sending if it is not
+/// acknowledged. A copy that arrives sooner was delayed on its way or in this
+/// machine's socket.
+inline constexpr Milliseconds kMinRepetitionDelay{ 150 };
+
 /// Returns the tag that a first packet with aSequence carries for the target
 /// with aTag. Applied to that tag, returns aTag again. A client that repeats
 /// the tag in a later packet has received an answer to a first packet last,
--- a/include/bramleylock/Kernel/ForwardingStatus.h
+++ b/include/bramleylock/Kernel/ForwardingStatus.h
@@ -25,6 +25,10 @@
   const forward::StateReader* reader = nullptr;
 };
 
+/// Sets the gauges of the forwarding path in aMetrics.
+auto UpdateForwardingGauges(const ForwardingStatusSources& aSources,
+                            Metrics& aMetrics, Clock::time_point aNow) -> void;
+
 /// Answers /status, /targets and /counters in JSON, and any other path with
 /// status 404. The query parameters id and service filter /targets, which lists
 /// at most 1,000 targets.
--- a/lib/Forward/ContestedFlows.cpp
+++ b/lib/Forward/ContestedFlows.cpp
@@ -14,7 +14,6 @@
 
 /// A client repeats a packet 200 ms after the first sending, and each further
 /// time after twice as long, so a shorter time follows the first sending only.
-static constexpr Milliseconds kMinFirstInterval{ 150 };
 static constexpr Milliseconds kMaxFirstInterval{ 300 };
 
 auto ContestedFlows::Remove(Order::iterator aPosition) -> void
@@ -73,7 +72,7 @@
   auto& dropped = m_dropped[aPacket.flow];
   const auto interval = aNow - dropped.at;
   const bool repeats = dropped.tag != 0 && dropped.sequence == aPacket.sequence;
-  if (repeats && interval < kMinFirstInterval) {
+  if (repeats && interval < kMinRepetitionDelay) {
     // A duplicate, or a packet that was delayed.
     return 0;
   }
--- a/lib/Forward/ForwarderContested.cpp
+++ b/lib/Forward/ForwarderContested.cpp
@@ -12,11 +12,6 @@
 
 namespace bramleylock::forward {
 
-/// Clients repeat a request after 200 ms without an answer. A packet that
-/// arrives sooner after the first packet went to a second target is not a
-/// repetition, so no late answer of another target can have changed its tag.
-static constexpr Milliseconds kMinRepetitionDelay{ 150 };
-
 /// Time for which targets repeat their answer to a first packet, rounded up.
 static constexpr std::chrono::seconds kLateAnswerPeriod{ 10 };
 
@@ -142,6 +137,7 @@
   if (aContested.target == 0) {
     auto* first =
       TargetOfFirstSending(aPacket, aContested.openingSequence, aNow);
+    // No client repeats a packet as soon as this after its flow has opened.
     const bool isFirst = aNow - aContested.since < kMinRepetitionDelay;
     auto* target = first == nullptr && isFirst ? tagged : first;
     return { target, target == nullptr };
--- a/lib/Forward/ForwarderFlows.cpp
+++ b/lib/Forward/ForwarderFlows.cpp
@@ -23,11 +23,6 @@
 /// are shorter.
 static constexpr int kMovedIdleThinkTimes = 2;
 
-/// Clients retransmit data 200 ms after sending it without an acknowledgement.
-/// Repeated data that arrives sooner after the request had been delayed in this
-/// machine's socket.
-static constexpr Milliseconds kMinRetransmissionDelay{ 150 };
-
 /// Number of repeated requests, without a response in between, after which a
 /// target is considered silent. A single one may be due to a lost packet.
 static constexpr std::uint32_t kRetransmissionsUntilSilent = 2;
@@ -127,7 +122,7 @@
   // A client that is farther away than the interval of its retransmissions
   // repeats each request before it can know of the response.
   const auto minDelay = std::max<Clock::duration>(
-    kMinRetransmissionDelay, m_roundTrips.Timeout(aFlow.id.client.ip));
+    kMinRepetitionDelay, m_roundTrips.Timeout(aFlow.id.client.ip));
   if (stats.lastResponseAt >= aFlow.phaseSince ||
       aNow - aFlow.phaseSince < minDelay) {
     return;
--- a/lib/Kernel/ForwardingBalancer.cpp
+++ b/lib/Kernel/ForwardingBalancer.cpp
@@ -73,7 +73,6 @@
   auto HousekeepingLoop() -> awaitable<void>;
   auto DrainLoop() -> awaitable<void>;
   auto UpdateBalancers(Clock::time_point aNow) -> void;
-  auto UpdateGauges() -> void;
 
   asio::io_context& context;
   Settings settings;
@@ -163,41 +162,11 @@
   }
 }
 
-auto ForwardingBalancer::Impl::UpdateGauges() -> void
-{
-  const auto now = Clock::now();
-  metrics.SetGauge("flows_tracked",
-                   static_cast<double>(forwarder.Flows().Size()));
-  metrics.SetGauge("flows_waiting",
-                   static_cast<double>(forwarder.PendingFlowCount()));
-  metrics.SetGauge("targets_known", static_cast<double>(targets.Size()));
-  metrics.SetGauge("state_age_seconds", InSeconds(now - state.ReadAt()));
-  metrics.SetGauge("routes_age_seconds",
-                   InSeconds(now - routes.InForceSince()));
-  const auto evacuations = targets.Evacuations().InForce(now);
-  std::size_t evacuatedFlows = 0;
-  for (const auto& evacuation : evacuations) {
-    evacuatedFlows += targets.OpenFlowsIn(evacuation.failureDomain);
-  }
-  metrics.SetGauge("evacuated_domains",
-                   static_cast<double>(evacuations.size()));
-  metrics.SetGauge("evacuated_flows_open", static_cast<double>(evacuatedFlows));
-  metrics.SetGauge("log_records_dropped",
-                   static_cast<double>(LogRecordsDropped()));
-}
-
 /// Answers operators' requests for metrics and status. The replies contain no
 /// secrets.
 auto ForwardingBalancer::Impl::AnswerOperatorRequest(
   const http::Request& aRequest) -> awaitable<http::Reply>
 {
-  if (http::PathOf(aRequest.target) == "/metrics") {
-    UpdateGauges();
-    http::Reply reply;
-    reply.contentType = "text/plain; version=0.0.4";
-    reply.body = metrics.Exposition();
-    co_return reply;
-  }
   const ForwardingStatusSources sources{ settings.vmName,
                                          settings.failureDomain,
                                          IsReady(),
@@ -209,6 +178,13 @@
                                          metrics,
                                          members.get(),
                                          stateReader.get() };
+  if (http::PathOf(aRequest.target) == "/metrics") {
+    UpdateForwardingGauges(sources, metrics, Clock::now());
+    http::Reply reply;
+    reply.contentType = "text/plain; version=0.0.4";
+    reply.body = metrics.Exposition();
+    co_return reply;
+  }
   co_return AnswerForwardingStatus(aRequest, sources, Clock::now());
 }
 
--- a/lib/Kernel/ForwardingStatus.cpp
+++ b/lib/Kernel/ForwardingStatus.cpp
@@ -4,6 +4,7 @@
 
 #include "bramleylock/Forward/SilentTargetProber.h"
 #include "bramleylock/Kernel/AdminApi.h"
+#include "bramleylock/Support/Log.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -138,6 +139,27 @@
   return rows;
 }
 
+auto UpdateForwardingGauges(const ForwardingStatusSources& aSources,
+                            Metrics& aMetrics, Clock::time_point aNow) -> void
+{
+  const auto set = [&aMetrics](const char* aName, auto aValue) {
+    aMetrics.SetGauge(aName, static_cast<double>(aValue));
+  };
+  set("flows_tracked", aSources.forwarder.Flows().Size());
+  set("flows_waiting", aSources.forwarder.PendingFlowCount());
+  set("targets_known", aSources.targets.Size());
+  set("state_age_seconds", InSeconds(aNow - aSources.state.ReadAt()));
+  set("routes_age_seconds", InSeconds(aNow - aSources.routes.InForceSince()));
+  const auto evacuations = aSources.targets.Evacuations().InForce(aNow);
+  std::size_t evacuatedFlows = 0;
+  for (const auto& evacuation : evacuations) {
+    evacuatedFlows += aSources.targets.OpenFlowsIn(evacuation.failureDomain);
+  }
+  set("evacuated_domains", evacuations.size());
+  set("evacuated_flows_open", evacuatedFlows);
+  set("log_records_dropped", LogRecordsDropped());
+}
+
 auto AnswerForwardingStatus(const http::Request& aRequest,
                             const ForwardingStatusSources& aSources,
                             Clock::time_point aNow) -> http::Reply
