--- a/lib/Forward/SuspectedRestarts.cpp
+++ b/lib/Forward/SuspectedRestarts.cpp
@@ -1,5 +1,5 @@
-// Targets that may have restarted while they were silent: until the state of the
-// store shows whether they did, they are not known to be warm.
+// Targets that may have restarted while they were silent: until the state of
+// the store shows whether they did, they are not known to be warm.
 
 #include "bramleylock/Forward/TargetDirectory.h"
 
