--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -376,7 +376,7 @@
 
     def path(self):
         """The machines that took the flow's packets, with their ages at the first of these."""
-        return ",".join(f"{node.name}({age:.1f}s)" for node, age in self.via)
+        return ",".join(f"{node.name}({age:.1f}s{',leaving' if leaving else ''})" for node, age, leaving in self.via)
 
     def send_syn(self):
         if not self.open and not self.ended:
@@ -403,7 +403,11 @@
 
     def on_packet(self, peer, total, echo, flags, seq, ack, data):
         if flags & RST:
-            self.world.on_reset(self, peer, total, seq)
+            distance = ((seq - self.acked + (1 << 31)) & MASK) - (1 << 31)
+            if self.open and total == 0 and abs(distance) > 76800:
+                self.world.record("ignored reset of", self.id, "by", peer)
+                return
+            self.world.on_reset(self, peer, total)
             self.end("reset while open" if self.open else "reset before open")
             return
         self.echo = echo
@@ -469,6 +473,7 @@
         self.ip = f"{world.net}.1.{number}"
         self.process, self.first, self.misses, self.in_rotation = None, True, 2, False
         self.entered = self.started = None
+        self.leaving = False
         self.file = world.folder / f"{self.name}.toml"
         self.log = world.folder / f"{self.name}.log"
 
@@ -502,7 +507,7 @@
         with open(self.log, "a") as log:
             self.process = subprocess.Popen(command, cwd=REPO, env=environment, stdout=log, stderr=log,
                                             stdin=subprocess.DEVNULL)
-        self.started = time.monotonic()
+        self.started, self.leaving = time.monotonic(), False
         self.world.record("start", self.name, "pid", self.process.pid)
 
     async def ended(self, limit):
@@ -514,6 +519,7 @@
     async def terminate(self, grace=6.0):
         """SIGTERM, and SIGKILL after graceS."""
         self.world.record("SIGTERM", self.name)
+        self.leaving = True
         self.process.send_signal(signal.SIGTERM)
         code = await self.ended(grace)
         if code is None:
@@ -634,7 +640,7 @@
         key = struct.pack(">IHIH", dst, dport, flow.client.number, flow.port)
         node = nodes[zlib.crc32(key) % len(nodes)]
         if not flow.via or flow.via[-1][0] is not node:
-            flow.via.append((node, time.monotonic() - node.started))
+            flow.via.append((node, time.monotonic() - node.started, node.leaving))
         if self.to_node_hook:
             self.to_node_hook(flow, node, data)
         try:
@@ -656,7 +662,7 @@
         except OSError:
             self.count("host sends refused")
 
-    def on_reset(self, flow, peer, total, seq):
+    def on_reset(self, flow, peer, total):
         """FLOW (a): the client gets a reset of an open flow that the flow's host did not send."""
         dst, dport = flow.route
         key = (flow.client.number, flow.port, dst, dport)
@@ -666,8 +672,6 @@
         self.record("reset of", flow.id, "open" if flow.open else "not open", "by", who)
         if host is None or sender is host:
             return
-        if total == 0 and abs(((seq - flow.acked + (1 << 31)) & MASK) - (1 << 31)) > 76800:
-            return  # a client ignores it
         self.broken.append(flow.id)
         self.count("FLOW broken")
         self.record("FLOW", flow.id, "is open at host", host.id, "and was reset by", who,
