--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -94,6 +94,7 @@
         self.address, self.items, self.history, self.rev, self.lowest = address, {}, [], 100, 100
         self.changed = asyncio.Event()
         self.era = 1
+        self.page = 500
         self.delay = 0.004
         self.fault = None  # called with (peer-independent) method, path; returns a reply or "silent"
 
@@ -140,7 +141,8 @@
         if (method, path) == ("GET", "/kv-range"):
             prefix, after = query.get("prefix", ""), query.get("after", "")
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-            return 200, {"items": [self.row(k) for k in keys[:500]], "hasMore": len(keys) > 500,
+            return 200, {"items": [self.row(k) for k in keys[:self.page]],
+                         "hasMore": len(keys) > self.page,
                          "currentRev": self.rev}
         if (method, path) == ("GET", "/kv-watch"):
             prefix, after = query.get("prefix", ""), int(query["after"])
@@ -264,6 +266,7 @@
         key = (src, sport, dst, dport)
         flow = self.flows.get(key)
         if flags & SYN:
+            self.world.on_opening(self, key)
             if flow is None or flow.isn != seq:
                 flow = self.flows[key] = HostFlow(seq, random.getrandbits(32))
             flow.echo = echo
@@ -474,6 +477,7 @@
         self.process, self.first, self.misses, self.in_rotation = None, True, 2, False
         self.entered = self.started = None
         self.leaving = False
+        self.store_address = world.store.address
         self.file = world.folder / f"{self.name}.toml"
         self.log = world.folder / f"{self.name}.log"
 
@@ -489,8 +493,8 @@
                   "listen.packets|json": json.dumps(self.address(world.packets_port)),
                   "listen.readiness|json": json.dumps(self.address(8167)), "ip": self.ip,
                   "listen.control|json": json.dumps(self.address(8166)),
-                  "platform.addr|json": json.dumps(f"{world.store.address[0]}:{world.store.address[1]}"),
-                  "bounds.maxFlowS|json": "60", "bounds.drainMs": "3000"}
+                  "platform.addr|json": json.dumps(f"{self.store_address[0]}:{self.store_address[1]}"),
+                  "bounds.maxFlowS|json": "60", "bounds.drainMs": str(world.drain_ms)}
         present = {"limits.cpuShare", "limits.linkMbps", "bounds.drainMs"} | ({"bootstrap"} if self.first else set())
         text = re.sub(r"\{\{#seeds\}\}\{\{\.\}\} \{\{/seeds\}\}", "".join(s + " " for s in self.seeds), text)
         text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda m: m[2] if m[1] in present else "", text, flags=re.S)
@@ -562,7 +566,7 @@
 class World:
     def __init__(self, record, seed=None):
         random.seed(seed)
-        self.record, self.packets_port = record, 8172
+        self.record, self.packets_port, self.drain_ms = record, 8172, 3000
         self.folder = Path(tempfile.mkdtemp(prefix="bramleylock-case-"))
         self.net = self.free_net()
         self.store = Store((f"{self.net}.200.7", 8169))
@@ -570,6 +574,7 @@
         self.counts, self.runs, self.broken = {}, {}, []
         self.drop = lambda host, flags, client_packet: False
         self.to_node_hook = None
+        self.on_opening = lambda host, key: None
         self.loop = None
         self.resets = []
 
