--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -566,6 +566,8 @@
 class World:
     def __init__(self, record, seed=None):
         random.seed(seed)
+        # A script that is ended early ends the balancers too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         self.record, self.packets_port, self.drain_ms = record, 8172, 3000
         self.folder = Path(tempfile.mkdtemp(prefix="bramleylock-case-"))
         self.net = self.free_net()
